Lay out the workspace, shared types, objects and interfaces

Cause: the repository is empty, and every subsystem needs the same identifiers, verdict, object set and messages before it can be written. Ruled out: one crate with modules, since the decisions must build without any I/O library; a map type from the standard library, since the style asks for sorted vectors with binary search, so SortedMap wraps one. Change: a crate for each role, dependencies and lints pinned at the root, types with Display and FromStr, the object set with its whole-set check, TOML and JSON formats and differences, the messages of the table service, of operators and of the decision machines, and docs/PLATFORM.md for the protocols outside. Before: nothing. Conclusion: the interfaces stand; the subsystems follow.

--- /dev/null
+++ b/crates/hollywheel-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, outcome checker and experiments.
--- /dev/null
+++ b/crates/hollywheel-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load generator, outcome checker and experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/hollywheel-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command-line tool.
--- /dev/null
+++ b/crates/hollywheel-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/hollywheel-config/src/install.rs
@@ -0,0 +1,1 @@
+//! Installation of published versions on a host.
--- /dev/null
+++ b/crates/hollywheel-config/src/lib.rs
@@ -0,0 +1,19 @@
+//! Operator objects, the whole-set check, differences and installation.
+
+mod change;
+mod check;
+mod install;
+mod key_hash;
+mod object;
+mod read;
+mod set;
+
+pub use change::{BaseMismatch, ConfigChange, ObjectChange, PublishedSet, SetDiff};
+pub use check::{CheckFault, CheckReport, check_set};
+pub use key_hash::{hash_key, key_matches};
+pub use object::{
+    ConfigObject, ModelPlacement, ObjectKey, ObjectKind, PipelineObject, PoolKind, PoolObject,
+    ServerEntry, StageKind, StageObject, TargetObject, WorkspaceObject,
+};
+pub use read::{ReadError, read_json, read_toml, write_json, write_toml};
+pub use set::ObjectSet;
--- /dev/null
+++ b/crates/hollywheel-config/src/read.rs
@@ -0,0 +1,139 @@
+//! Reading and writing of object sets as text.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::object::{PipelineObject, PoolObject, StageObject, TargetObject, WorkspaceObject};
+use crate::set::ObjectSet;
+
+/// Numbers the version of the object format that this crate reads and writes.
+const FORMAT_VERSION: u32 = 1;
+
+/// Says why a text is not an object set.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReadError {
+    /// The text is not valid TOML or JSON, or an object has a wrong field.
+    Syntax {
+        /// The file or source of the text.
+        source_name: String,
+        /// What the reader reported, with line and field.
+        message: String,
+    },
+    /// The text states a format that is not known.
+    Format {
+        /// The file or source of the text.
+        source_name: String,
+        /// The format that it states.
+        given: u32,
+    },
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Syntax {
+                source_name,
+                message,
+            } => write!(f, "{source_name}: {}", message.trim_end()),
+            Self::Format { source_name, given } => write!(
+                f,
+                "{source_name}: format {given} is not known; expected format = {FORMAT_VERSION}"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+/// Gives the layout of an object file. Each field is optional, so a set may be split over files.
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+struct ObjectFile {
+    format: u32,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    workspace: Vec<WorkspaceObject>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    target: Vec<TargetObject>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pool: Vec<PoolObject>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    stage: Vec<StageObject>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pipeline: Vec<PipelineObject>,
+}
+
+impl ObjectFile {
+    fn into_set(self, source_name: &str) -> Result<ObjectSet, ReadError> {
+        if self.format != FORMAT_VERSION {
+            return Err(ReadError::Format {
+                source_name: source_name.to_owned(),
+                given: self.format,
+            });
+        }
+        let mut set = ObjectSet {
+            pipelines: self.pipeline,
+            pools: self.pool,
+            stages: self.stage,
+            targets: self.target,
+            workspaces: self.workspace,
+        };
+        set.sort();
+        Ok(set)
+    }
+
+    fn from_set(set: &ObjectSet) -> Self {
+        Self {
+            format: FORMAT_VERSION,
+            workspace: set.workspaces.clone(),
+            target: set.targets.clone(),
+            pool: set.pools.clone(),
+            stage: set.stages.clone(),
+            pipeline: set.pipelines.clone(),
+        }
+    }
+}
+
+/// Reads an object set from TOML. Objects with the same name are kept for the check to report.
+///
+/// # Errors
+///
+/// Returns [`ReadError`] with the line and field at fault.
+pub fn read_toml(source_name: &str, text: &str) -> Result<ObjectSet, ReadError> {
+    let file: ObjectFile = toml::from_str(text).map_err(|error| ReadError::Syntax {
+        source_name: source_name.to_owned(),
+        message: error.to_string(),
+    })?;
+    file.into_set(source_name)
+}
+
+/// Reads an object set from JSON.
+///
+/// # Errors
+///
+/// Returns [`ReadError`] with the line and field at fault.
+pub fn read_json(source_name: &str, text: &[u8]) -> Result<ObjectSet, ReadError> {
+    let file: ObjectFile = serde_json::from_slice(text).map_err(|error| ReadError::Syntax {
+        source_name: source_name.to_owned(),
+        message: error.to_string(),
+    })?;
+    file.into_set(source_name)
+}
+
+/// Writes an object set as TOML.
+///
+/// # Panics
+///
+/// Never panics: every object can be written.
+pub fn write_toml(set: &ObjectSet) -> String {
+    toml::to_string(&ObjectFile::from_set(set)).expect("objects hold only writable fields")
+}
+
+/// Writes an object set as JSON.
+///
+/// # Panics
+///
+/// Never panics: every object can be written.
+pub fn write_json(set: &ObjectSet) -> Vec<u8> {
+    serde_json::to_vec(&ObjectFile::from_set(set)).expect("objects hold only writable fields")
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The host daemon.
--- /dev/null
+++ b/crates/hollywheel-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The host daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/hollywheel-matrix/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fault matrix and trace replay over the decision machines.
--- /dev/null
+++ b/crates/hollywheel-matrix/src/main.rs
@@ -0,0 +1,3 @@
+//! Fault matrix and trace replay over the decision machines.
+
+fn main() {}
--- /dev/null
+++ b/crates/hollywheel-node/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decision machine of one host.
+//!
+//! A host is one value of [`NodeMachine`]. Every input carries the time; every effect is an
+//! output. The machine reads no clock, opens no socket and starts no thread.
+
+mod input;
+mod machine;
+mod output;
+mod settings;
+
+pub use input::{
+    AnswerEcho, AttemptEvent, CallerRequest, HostInfo, HostView, NodeInput, StoreTicket,
+};
+pub use machine::NodeMachine;
+pub use output::{
+    AttemptCall, NodeEvent, NodeOutput, Refusal, RefusalReason, ReplyPart, RequestSummary,
+};
+pub use settings::NodeSettings;
--- /dev/null
+++ b/crates/hollywheel-node/src/settings.rs
@@ -0,0 +1,36 @@
+//! Settings of the decision machine.
+
+use std::time::Duration;
+
+use hollywheel_policy::PolicySettings;
+use hollywheel_types::Incarnation;
+
+/// Holds the settings of one host's machine.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The policy, with the host's name and failure domain.
+    pub policy: PolicySettings,
+    /// The start of the process.
+    pub incarnation: Incarnation,
+    /// The time that claims are gathered before they are written together.
+    pub claim_linger: Duration,
+    /// The most claims written together.
+    pub claim_batch: usize,
+    /// The time allowed for one call of the table service.
+    pub store_timeout: Duration,
+    /// The largest number of requests in progress.
+    pub max_requests: usize,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            policy: PolicySettings::default(),
+            incarnation: Incarnation(1),
+            claim_linger: Duration::from_millis(5),
+            claim_batch: 64,
+            store_timeout: Duration::from_millis(500),
+            max_requests: 4096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the table service, object store and host list.
--- /dev/null
+++ b/crates/hollywheel-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the systems that are served or used.
--- /dev/null
+++ b/crates/hollywheel-transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated QUIC transport between hosts.
--- /dev/null
+++ b/crates/hollywheel-types/tests/values.rs
@@ -0,0 +1,58 @@
+//! Tests of identifiers, sizes and the verdict.
+
+use hollywheel_types::{
+    ByteSize, ExecutionVerdict, IdempotencyKey, Percent, RequestClass, RequestId, RequestRate,
+    SortedMap, WorkspaceId,
+};
+
+#[test]
+fn verdict_join_keeps_what_may_have_happened() {
+    let verdicts = [
+        ExecutionVerdict::NotRun,
+        ExecutionVerdict::MayHaveRun,
+        ExecutionVerdict::Ran,
+    ];
+    for left in verdicts {
+        for right in verdicts {
+            assert_eq!(left.join(right), right.join(left));
+            assert!(left.join(right) >= left);
+        }
+    }
+    assert!(!ExecutionVerdict::MayHaveRun.allows_retry());
+}
+
+#[test]
+fn values_print_as_they_are_read() {
+    let id = RequestId(0xab);
+    assert_eq!(id.to_string().parse(), Ok(id));
+    for class in RequestClass::ALL {
+        assert_eq!(class.to_string().parse(), Ok(class));
+    }
+    let size: ByteSize = "64MiB".parse().unwrap();
+    assert_eq!(size.to_string(), "64MiB");
+    let share: Percent = "34%".parse().unwrap();
+    assert_eq!(share.to_string().parse(), Ok(share));
+    let rate: RequestRate = "2.5/s".parse().unwrap();
+    assert_eq!(rate.to_string(), "2.5/s");
+}
+
+#[test]
+fn errors_name_kind_and_limit() {
+    let empty = "".parse::<WorkspaceId>().unwrap_err();
+    let long = "x".repeat(200).parse::<IdempotencyKey>().unwrap_err();
+    let slash = "a/b".parse::<WorkspaceId>().unwrap_err();
+    let share = "101".parse::<Percent>().unwrap_err();
+    insta::assert_snapshot!(format!("{empty}\n{long}\n{slash}\n{share}"), @r#"
+    workspace is empty
+    idempotency key has 200 bytes; the limit is 128
+    workspace "a/b" holds '/'; letters, digits, '-', '_', '.' and ':' are allowed
+    share "101" is not valid; expected a whole number of percent from 0 to 100
+    "#);
+}
+
+#[test]
+fn sorted_map_keeps_the_last_of_equal_keys() {
+    let map: SortedMap<u32, char> = [(2, 'a'), (1, 'b'), (2, 'c')].into_iter().collect();
+    let entries: Vec<(u32, char)> = map.iter().map(|(key, value)| (*key, *value)).collect();
+    assert_eq!(entries, [(1, 'b'), (2, 'c')]);
+}
--- /dev/null
+++ b/crates/hollywheel-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generated messages between hosts and their conversions.
