Lay out the interfaces of membership, install, orders and transport

Cause: the daemon drives these machines and needs their types first. Ruled out: bodies now; the types come first so that both sides can go on. Change: MemberMachine, InstallMachine, OrderMachine and HostTransport with their inputs, outputs and errors. A dead host may refute that with a higher refutation number, since a host that was cut off comes back with the same incarnation; the doc of MemberState::Dead said otherwise. Conclusion: the bodies do nothing yet.

--- a/crates/hollywheel-config/src/lib.rs
+++ b/crates/hollywheel-config/src/lib.rs
@@ -3,6 +3,7 @@
 mod change;
 mod check;
 mod install;
+mod install_message;
 mod key_hash;
 mod object;
 mod read;
@@ -10,6 +11,11 @@
 
 pub use change::{BaseMismatch, ConfigChange, ObjectChange, PublishedSet, SetDiff};
 pub use check::{CheckFault, CheckReport, check_set};
+pub use install::InstallMachine;
+pub use install_message::{
+    ChangeBatch, ChangeSummary, InstallError, InstallFault, InstallInput, InstallOutput,
+    InstallSettings, InstallTicket, PublishOrder, PublishReceipt, RollbackOrder,
+};
 pub use key_hash::{hash_key, key_matches};
 pub use object::{
     ConfigObject, ModelPlacement, ObjectKey, ObjectKind, PipelineObject, PoolKind, PoolObject,
--- a/crates/hollywheel-membership/src/message.rs
+++ b/crates/hollywheel-membership/src/message.rs
@@ -29,6 +29,30 @@
     pub suspect_timeout: Duration,
 }
 
+impl MemberSettings {
+    /// Returns the settings of a host with the default intervals.
+    pub const fn new(
+        host: HostId,
+        incarnation: Incarnation,
+        domain: DomainId,
+        region: RegionId,
+        address: SocketAddr,
+        seed: u64,
+    ) -> Self {
+        Self {
+            host,
+            incarnation,
+            domain,
+            region,
+            address,
+            seed,
+            probe_interval: Duration::from_millis(1000),
+            probe_timeout: Duration::from_millis(500),
+            suspect_timeout: Duration::from_secs(4),
+        }
+    }
+}
+
 /// Names the state of a host in messages.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -39,7 +63,7 @@
     Suspect,
     /// Is shutting down; holds for the incarnation.
     Leaving,
-    /// Is taken for dead; holds for the incarnation.
+    /// Is taken for dead until it refutes that or restarts.
     Dead,
 }
 
@@ -79,6 +103,19 @@
     },
     /// A configuration version has been published.
     ConfigPublished(ConfigVersion),
+    /// The version that is in force on the sender of the message; not passed on.
+    ConfigInForce(ConfigVersion),
+    /// A host failed a probe of another one.
+    Suspected {
+        /// The suspect.
+        host: HostId,
+        /// The start of its process.
+        incarnation: Incarnation,
+        /// The refutation that the suspect must exceed.
+        refutation: u64,
+        /// The host whose probe failed.
+        by: HostId,
+    },
 }
 
 /// Holds a message between hosts.
@@ -126,6 +163,29 @@
         /// The hosts.
         records: Vec<MemberRecord>,
     },
+    /// Tells the asker of an indirect probe that the target has not answered the prober either.
+    Nack {
+        /// The probe of the asker.
+        sequence: u64,
+        /// The sender.
+        from: HostId,
+    },
+    /// Carries news and asks for nothing.
+    Gossip {
+        /// The sender.
+        from: HostId,
+        /// The news.
+        news: Vec<MemberNews>,
+    },
+    /// Compares what two hosts know; a receiver that knows otherwise sends everything.
+    Sync {
+        /// The sender.
+        from: HostId,
+        /// The digest of what the sender knows.
+        digest: u64,
+        /// Whether the receiver should compare too and answer with its own digest.
+        answer: bool,
+    },
 }
 
 /// Describes an entry host of the platform's host list.
@@ -195,4 +255,11 @@
         /// The version.
         version: ConfigVersion,
     },
+    /// A version was published that no known host has in force yet; the table service has it.
+    ConfigPublished(ConfigVersion),
+    /// A later process runs under the name of this host; this one must shut down.
+    Superseded {
+        /// The later process.
+        by: Incarnation,
+    },
 }
--- /dev/null
+++ b/crates/hollywheel-transport/src/request.rs
@@ -0,0 +1,41 @@
+//! What arrives from other hosts.
+
+use std::net::SocketAddr;
+
+use hollywheel_claims::{ClaimAnswer, ClaimQuestion};
+use hollywheel_config::ChangeBatch;
+use hollywheel_membership::MemberMessage;
+use hollywheel_types::{ConfigVersion, HostId};
+use tokio::sync::oneshot;
+
+/// Holds a message or a question of another host.
+#[derive(Debug)]
+pub enum HostRequest {
+    /// A membership message.
+    Member {
+        /// The address of the host.
+        from: SocketAddr,
+        /// The host, by its certificate.
+        host: HostId,
+        /// The message.
+        message: MemberMessage,
+    },
+    /// A question about a claim.
+    Claim {
+        /// The host, by its certificate.
+        host: HostId,
+        /// The question.
+        question: ClaimQuestion,
+        /// Takes the answer; dropping it tells the asker that there is none.
+        reply: oneshot::Sender<ClaimAnswer>,
+    },
+    /// A question for configuration changes.
+    Changes {
+        /// The host, by its certificate.
+        host: HostId,
+        /// The version that the asker has.
+        have: ConfigVersion,
+        /// Takes the answer; dropping it tells the asker that there is none.
+        reply: oneshot::Sender<ChangeBatch>,
+    },
+}
