Add the stand-ins of backend servers and the platform

Cause: the daemon, the command line and the checker need something that speaks docs/PLATFORM.md, keeps its own record of what ran and fails on order.

Change: hollywheel-standin engine|pool|service|platform, also started in-process by start_engine, start_pool, start_service and start_platform. The engine batches continuously; pools draw lognormal times with optional AR(1) correlation; the platform has rates, lost answers and late effects. Ledgers keep 500,000 events and say when there were more.

Ruled out: ending work when its caller disconnects from a service (real services go on); deduplication by key (it would hide a doubled call); returning from leaving within one incarnation.

A fault found by a test: a lagged report showed the first call when it came before the sampler's first tick; the first sample is now taken before the server listens.

--- /dev/null
+++ b/crates/hollywheel-standins/src/command/mod.rs
@@ -0,0 +1,10 @@
+//! The subcommands, one file each.
+
+mod engine;
+mod flag;
+mod platform;
+mod pool;
+mod run;
+mod service;
+
+pub(crate) use run::run;
--- /dev/null
+++ b/crates/hollywheel-standins/src/command/run.rs
@@ -0,0 +1,68 @@
+//! Starting the chosen stand-in and ending it on a signal.
+
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+use hollywheel_standins::StandinHandle;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{engine, platform, pool, service};
+
+fn root() -> Command {
+    Command::new("hollywheel-standin")
+        .about("Stands in for a backend server or the platform")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(engine::command())
+        .subcommand(pool::command())
+        .subcommand(service::command())
+        .subcommand(platform::command())
+}
+
+async fn start(matches: &ArgMatches) -> io::Result<StandinHandle> {
+    match matches.subcommand() {
+        Some(("engine", matches)) => engine::start(matches).await,
+        Some(("pool", matches)) => pool::start(matches).await,
+        Some(("service", matches)) => service::start(matches).await,
+        Some(("platform", matches)) => platform::start(matches).await,
+        _ => Err(io::Error::other("no such command")),
+    }
+}
+
+async fn serve(matches: ArgMatches) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handle = start(&matches).await?;
+    let mut output = io::stdout();
+    writeln!(output, "listening {}", handle.address())?;
+    output.flush()?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    handle.stop().await;
+    Ok(())
+}
+
+/// Runs the command line.
+pub(crate) fn run() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
+        .with_writer(io::stderr)
+        .init();
+    let matches = root().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let ended = runtime.and_then(|runtime| runtime.block_on(serve(matches)));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hollywheel-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-standins/src/engine/batch.rs
@@ -0,0 +1,132 @@
+//! Continuous batching: every running stream advances by one step at a time.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::digest::token_text;
+use crate::message::GenerateCall;
+
+/// Holds one part of a stream on its way to the caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamPart {
+    Token { index: u32, text: String },
+    End { tokens: u32 },
+}
+
+/// Says what one step did to a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StepEnd {
+    Continues,
+    Finished,
+    Cancelled,
+}
+
+/// Holds one stream.
+#[derive(Debug)]
+pub(crate) struct StreamJob {
+    pub(crate) call: GenerateCall,
+    pub(crate) token: CancellationToken,
+    parts: mpsc::Sender<StreamPart>,
+    prompt_left: Duration,
+    next_index: u32,
+}
+
+impl StreamJob {
+    pub(crate) fn new(
+        call: GenerateCall,
+        token: CancellationToken,
+        parts: mpsc::Sender<StreamPart>,
+    ) -> Self {
+        let next_index = call.start_index;
+        Self {
+            call,
+            token,
+            parts,
+            prompt_left: Duration::ZERO,
+            next_index,
+        }
+    }
+
+    /// Sets the time that processing the prompt takes.
+    pub(crate) fn set_prompt_time(&mut self, time: Duration) {
+        self.prompt_left = time;
+    }
+
+    /// Says whether the caller has cancelled the stream or closed its connection.
+    pub(crate) fn abandoned(&self) -> bool {
+        self.token.is_cancelled() || self.parts.is_closed()
+    }
+
+    /// Advances the stream by one step of the given length.
+    pub(crate) fn step(&mut self, length: Duration) -> StepEnd {
+        if self.abandoned() {
+            return StepEnd::Cancelled;
+        }
+        if self.prompt_left >= length {
+            self.prompt_left -= length;
+            return StepEnd::Continues;
+        }
+        self.prompt_left = Duration::ZERO;
+        if self.next_index < self.call.max_tokens {
+            self.emit_token();
+        }
+        if self.next_index < self.call.max_tokens {
+            return StepEnd::Continues;
+        }
+        let tokens = self.call.max_tokens;
+        let _ = self.parts.try_send(StreamPart::End { tokens });
+        StepEnd::Finished
+    }
+
+    fn emit_token(&mut self) {
+        let index = self.next_index;
+        let run = &self.call.run;
+        let text = token_text(
+            &run.stage,
+            &self.call.model,
+            &run.input,
+            &run.previous,
+            index,
+        );
+        // The channel holds every part of the stream, so only a closed one refuses.
+        let _ = self.parts.try_send(StreamPart::Token { index, text });
+        self.next_index += 1;
+    }
+}
+
+/// Holds the streams that wait, by priority and then by arrival.
+#[derive(Debug, Default)]
+pub(crate) struct StreamQueue {
+    jobs: Vec<StreamJob>,
+}
+
+impl StreamQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub(crate) fn push(&mut self, job: StreamJob) {
+        let priority = job.call.priority;
+        let at = self
+            .jobs
+            .partition_point(|queued| queued.call.priority <= priority);
+        self.jobs.insert(at, job);
+    }
+
+    /// Removes the streams whose callers are gone.
+    pub(crate) fn take_abandoned(&mut self) -> Vec<StreamJob> {
+        let jobs = std::mem::take(&mut self.jobs);
+        let (gone, kept) = jobs.into_iter().partition(StreamJob::abandoned);
+        self.jobs = kept;
+        gone
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<StreamJob> {
+        if self.jobs.is_empty() {
+            return None;
+        }
+        Some(self.jobs.remove(0))
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-standins/src/engine/cache.rs
@@ -0,0 +1,115 @@
+//! The prefix cache of a model engine and its events.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Gives the length of a prompt prefix.
+const PREFIX_BYTES: usize = 64;
+
+/// Bounds the kept events; the oldest is dropped, which readers see as a gap.
+const CACHE_EVENTS: usize = 4096;
+
+/// Returns the hash of a prompt's prefix, 16 hexadecimal digits.
+pub(crate) fn prefix_hash(input: &str) -> String {
+    let bytes = input.as_bytes();
+    let prefix = &bytes[..bytes.len().min(PREFIX_BYTES)];
+    format!("{:016x}", xxh3_64(prefix))
+}
+
+/// Holds one published event.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CacheEvent {
+    pub(crate) seq: u64,
+    pub(crate) event: &'static str,
+    pub(crate) prefix: String,
+    #[serde(skip)]
+    at: Instant,
+}
+
+/// Holds the events after a position.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CacheEventPage {
+    pub(crate) next: u64,
+    pub(crate) events: Vec<CacheEvent>,
+}
+
+/// Keeps the most recently used prefixes.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    size: usize,
+    gap_every: u64,
+    /// The least recently used comes first.
+    prefixes: VecDeque<String>,
+    events: VecDeque<CacheEvent>,
+    seq: u64,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(size: u32, gap_every: u64) -> Self {
+        Self {
+            size: size as usize,
+            gap_every,
+            prefixes: VecDeque::new(),
+            events: VecDeque::new(),
+            seq: 0,
+        }
+    }
+
+    pub(crate) fn prefixes(&self) -> Vec<String> {
+        self.prefixes.iter().cloned().collect()
+    }
+
+    /// Uses a prefix; says whether it was cached.
+    pub(crate) fn touch(&mut self, prefix: &str) -> bool {
+        let found = self.prefixes.iter().position(|known| known == prefix);
+        if let Some(at) = found {
+            self.prefixes.remove(at);
+            self.prefixes.push_back(prefix.to_owned());
+            return true;
+        }
+        if self.size == 0 {
+            return false;
+        }
+        if self.prefixes.len() >= self.size {
+            let evicted = self.prefixes.pop_front();
+            self.publish("evicted", evicted.unwrap_or_default());
+        }
+        self.prefixes.push_back(prefix.to_owned());
+        self.publish("stored", prefix.to_owned());
+        false
+    }
+
+    fn publish(&mut self, event: &'static str, prefix: String) {
+        self.seq += 1;
+        if self.gap_every > 0 && self.seq.is_multiple_of(self.gap_every) {
+            return;
+        }
+        if self.events.len() >= CACHE_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(CacheEvent {
+            seq: self.seq,
+            event,
+            prefix,
+            at: Instant::now(),
+        });
+    }
+
+    /// Returns the events after a position that are old enough to be seen.
+    pub(crate) fn events(&self, after: u64, lag: Duration) -> CacheEventPage {
+        let now = Instant::now();
+        let seen = |event: &&CacheEvent| now.duration_since(event.at) >= lag;
+        let events: Vec<CacheEvent> = self
+            .events
+            .iter()
+            .filter(seen)
+            .filter(|event| event.seq > after)
+            .cloned()
+            .collect();
+        let next = events.last().map_or(after, |event| event.seq);
+        CacheEventPage { next, events }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-standins/src/handle.rs
@@ -0,0 +1,81 @@
+//! The owner's side of a running stand-in.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::fault::FaultOrder;
+use crate::ledger::LedgerEntry;
+
+/// Lets an owner in the same process read and steer a stand-in.
+pub(crate) trait HandleControl: Send + Sync + 'static {
+    /// Returns the ledger.
+    fn ledger(&self) -> Vec<LedgerEntry>;
+
+    /// Replaces the faults.
+    fn set_faults(&self, order: FaultOrder);
+}
+
+/// Owns a running stand-in, which ends when the handle is dropped.
+pub struct StandinHandle {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: Option<JoinHandle<()>>,
+    control: Arc<dyn HandleControl>,
+}
+
+impl StandinHandle {
+    pub(crate) fn new(
+        address: SocketAddr,
+        stop: CancellationToken,
+        task: JoinHandle<()>,
+        control: Arc<dyn HandleControl>,
+    ) -> Self {
+        Self {
+            address,
+            stop,
+            task: Some(task),
+            control,
+        }
+    }
+
+    /// Returns the address that the stand-in listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the ledger.
+    pub fn ledger(&self) -> Vec<LedgerEntry> {
+        self.control.ledger()
+    }
+
+    /// Replaces the faults; the default order clears them.
+    pub fn set_faults(&self, order: FaultOrder) {
+        self.control.set_faults(order);
+    }
+
+    /// Closes the listener and every connection, as when the process is killed.
+    pub async fn stop(mut self) {
+        self.stop.cancel();
+        if let Some(task) = self.task.take() {
+            let _ = task.await;
+        }
+    }
+}
+
+impl Drop for StandinHandle {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl fmt::Debug for StandinHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StandinHandle")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-standins/src/ledger.rs
@@ -0,0 +1,143 @@
+//! The bounded record of what ran.
+
+use std::sync::Mutex;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// Bounds the entries of one ledger. Later events are counted, and the ledger then ends
+/// with a `truncated` entry.
+pub const LEDGER_ENTRIES: usize = 500_000;
+
+/// Names what happened.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LedgerEvent {
+    /// Work began.
+    Started,
+    /// Work ended.
+    Finished,
+    /// Work was given up, before or after its start.
+    Cancelled,
+    /// A call was refused before any work.
+    Refused,
+    /// An order was accepted.
+    OrderAccepted,
+    /// An order was refused for its fencing number.
+    OrderStale,
+    /// Events after the bound are missing.
+    Truncated,
+}
+
+/// Holds one event.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LedgerEntry {
+    /// The position in the ledger, from one.
+    pub seq: u64,
+    /// What happened.
+    pub event: LedgerEvent,
+    /// The wall-clock time in microseconds since the Unix epoch.
+    pub at_us: u64,
+    /// The request.
+    #[serde(default)]
+    pub request: String,
+    /// The attempt.
+    #[serde(default)]
+    pub attempt: String,
+    /// The stage; the model for orders.
+    #[serde(default)]
+    pub stage: String,
+    /// The work; the action for orders.
+    #[serde(default)]
+    pub work: String,
+    /// The workspace.
+    #[serde(default)]
+    pub workspace: String,
+    /// The idempotency key, empty for idempotent stages.
+    #[serde(default)]
+    pub idempotency_key: String,
+    /// The fencing number of an order.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fencing: Option<u64>,
+    /// The events that are missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dropped: Option<u64>,
+}
+
+impl LedgerEntry {
+    pub(crate) fn new(event: LedgerEvent) -> Self {
+        Self {
+            seq: 0,
+            event,
+            at_us: 0,
+            request: String::new(),
+            attempt: String::new(),
+            stage: String::new(),
+            work: String::new(),
+            workspace: String::new(),
+            idempotency_key: String::new(),
+            fencing: None,
+            dropped: None,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct LedgerPages {
+    entries: Vec<LedgerEntry>,
+    dropped: u64,
+}
+
+/// Records events in memory.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    pages: Mutex<LedgerPages>,
+}
+
+impl Ledger {
+    pub(crate) fn record(&self, mut entry: LedgerEntry) {
+        let mut pages = self.pages.lock().expect("no holder panics");
+        if pages.entries.len() >= LEDGER_ENTRIES {
+            pages.dropped += 1;
+            return;
+        }
+        entry.seq = pages.entries.len() as u64 + 1;
+        entry.at_us = wall_micros();
+        pages.entries.push(entry);
+    }
+
+    /// Returns the entries after a position, with a `truncated` entry if some are missing.
+    pub(crate) fn entries(&self, after: u64) -> Vec<LedgerEntry> {
+        let pages = self.pages.lock().expect("no holder panics");
+        let skip = usize::try_from(after).unwrap_or(usize::MAX);
+        let mut entries: Vec<_> = pages.entries.iter().skip(skip).cloned().collect();
+        if pages.dropped > 0 {
+            entries.push(LedgerEntry {
+                seq: pages.entries.len() as u64 + 1,
+                at_us: wall_micros(),
+                dropped: Some(pages.dropped),
+                ..LedgerEntry::new(LedgerEvent::Truncated)
+            });
+        }
+        entries
+    }
+
+    /// Returns the entries after a position, one JSON object a line.
+    pub(crate) fn lines(&self, after: u64) -> String {
+        let mut text = String::new();
+        for entry in self.entries(after) {
+            let line = serde_json::to_string(&entry).expect("entries hold only text and numbers");
+            text.push_str(&line);
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// Returns the wall-clock time in microseconds since the Unix epoch.
+pub(crate) fn wall_micros() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hollywheel-standins/src/limit.rs
@@ -0,0 +1,51 @@
+//! Rates of the platform.
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Gives the share of one second's calls that may come at once.
+const BURST_SECONDS: f64 = 0.1;
+
+#[derive(Debug)]
+struct BucketLevel {
+    calls: f64,
+    at: Instant,
+}
+
+/// Lets so many calls a second pass.
+#[derive(Debug)]
+pub(crate) struct RateLimit {
+    per_second: f64,
+    level: Mutex<BucketLevel>,
+}
+
+impl RateLimit {
+    pub(crate) fn new(per_second: f64) -> Self {
+        let level = BucketLevel {
+            calls: Self::burst(per_second),
+            at: Instant::now(),
+        };
+        Self {
+            per_second,
+            level: Mutex::new(level),
+        }
+    }
+
+    fn burst(per_second: f64) -> f64 {
+        (per_second * BURST_SECONDS).max(1.0)
+    }
+
+    /// Takes one call if the rate allows it.
+    pub(crate) fn take(&self) -> bool {
+        let now = Instant::now();
+        let mut level = self.level.lock().expect("no holder panics");
+        let gained = now.duration_since(level.at).as_secs_f64() * self.per_second;
+        level.at = now;
+        level.calls = (level.calls + gained).min(Self::burst(self.per_second));
+        if level.calls < 1.0 {
+            return false;
+        }
+        level.calls -= 1.0;
+        true
+    }
+}
--- a/crates/hollywheel-standins/src/main.rs
+++ b/crates/hollywheel-standins/src/main.rs
@@ -1,3 +1,9 @@
 //! Small stand-ins of the systems that are served or used.
 
-fn main() {}
+mod command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run()
+}
