Add the operator command-line tool

Cause: operators publish objects and watch hosts from a shell, and nothing served them. Ruled out: one function per command in one file, since the command list must stay readable; a client that retries, since a publication whose answer is lost must be told as such. Change: hollywheelctl with 14 commands, one file each, listed in CommandName; text and JSON output; exit codes that tell a conflict, a denial, a host not reached and a lost answer apart. Before: no tool. Conclusion: the tool stands; the daemon must serve the paths of hollywheel-admin.

--- /dev/null
+++ b/crates/hollywheel-cli/src/commands/mod.rs
@@ -0,0 +1,19 @@
+//! The commands, one file each.
+
+mod check;
+mod claims;
+mod completion;
+mod diff;
+mod drain;
+mod hash_key;
+mod history;
+mod hosts;
+mod pools;
+mod publish;
+mod registry;
+mod rollback;
+mod show;
+mod status;
+mod trace;
+
+pub use registry::CommandName;
--- /dev/null
+++ b/crates/hollywheel-cli/src/commands/registry.rs
@@ -0,0 +1,131 @@
+//! The list of commands.
+
+use clap::{ArgMatches, Command};
+
+use super::{
+    check, claims, completion, diff, drain, hash_key, history, hosts, pools, publish, rollback,
+    show, status, trace,
+};
+use crate::context::CommandContext;
+use crate::error::CliError;
+
+/// Names the commands of the tool.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CommandName {
+    /// Checks object files.
+    Check,
+    /// Lists and resolves claims.
+    Claims,
+    /// Prints a shell completion script.
+    Completion,
+    /// Compares object files with what is in force.
+    Diff,
+    /// Shuts a host down gracefully.
+    Drain,
+    /// Makes a workspace key or hashes one.
+    HashKey,
+    /// Lists publications.
+    History,
+    /// Lists hosts.
+    Hosts,
+    /// Lists pools and their backend servers.
+    Pools,
+    /// Publishes object files.
+    Publish,
+    /// Publishes an old version again.
+    Rollback,
+    /// Shows objects in force.
+    Show,
+    /// Tells whether targets are met.
+    Status,
+    /// Tells what a host did for a request.
+    Trace,
+}
+
+impl CommandName {
+    /// Lists every command in the order of the help.
+    pub const ALL: [Self; 14] = [
+        Self::Status,
+        Self::Check,
+        Self::Diff,
+        Self::Publish,
+        Self::Rollback,
+        Self::Show,
+        Self::History,
+        Self::Hosts,
+        Self::Pools,
+        Self::Claims,
+        Self::Trace,
+        Self::Drain,
+        Self::HashKey,
+        Self::Completion,
+    ];
+
+    /// Returns the word that calls the command.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Check => check::NAME,
+            Self::Claims => claims::NAME,
+            Self::Completion => completion::NAME,
+            Self::Diff => diff::NAME,
+            Self::Drain => drain::NAME,
+            Self::HashKey => hash_key::NAME,
+            Self::History => history::NAME,
+            Self::Hosts => hosts::NAME,
+            Self::Pools => pools::NAME,
+            Self::Publish => publish::NAME,
+            Self::Rollback => rollback::NAME,
+            Self::Show => show::NAME,
+            Self::Status => status::NAME,
+            Self::Trace => trace::NAME,
+        }
+    }
+
+    /// Builds the command's part of the command line.
+    pub fn command(self) -> Command {
+        match self {
+            Self::Check => check::command(),
+            Self::Claims => claims::command(),
+            Self::Completion => completion::command(),
+            Self::Diff => diff::command(),
+            Self::Drain => drain::command(),
+            Self::HashKey => hash_key::command(),
+            Self::History => history::command(),
+            Self::Hosts => hosts::command(),
+            Self::Pools => pools::command(),
+            Self::Publish => publish::command(),
+            Self::Rollback => rollback::command(),
+            Self::Show => show::command(),
+            Self::Status => status::command(),
+            Self::Trace => trace::command(),
+        }
+    }
+
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CliError`] saying what the operator can do.
+    pub(crate) async fn run(
+        self,
+        context: &CommandContext,
+        args: &ArgMatches,
+    ) -> Result<(), CliError> {
+        match self {
+            Self::Check => check::run(context, args),
+            Self::Claims => claims::run(context, args).await,
+            Self::Completion => completion::run(args),
+            Self::Diff => diff::run(context, args).await,
+            Self::Drain => drain::run(context).await,
+            Self::HashKey => hash_key::run(context, args),
+            Self::History => history::run(context, args).await,
+            Self::Hosts => hosts::run(context).await,
+            Self::Pools => pools::run(context, args).await,
+            Self::Publish => publish::run(context, args).await,
+            Self::Rollback => rollback::run(context, args).await,
+            Self::Show => show::run(context, args).await,
+            Self::Status => status::run(context, args).await,
+            Self::Trace => trace::run(context, args).await,
+        }
+    }
+}
--- a/crates/hollywheel-cli/src/main.rs
+++ b/crates/hollywheel-cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The operator command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hollywheel_cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/hollywheel-cli/tests/commands.rs
@@ -0,0 +1,185 @@
+//! Tests of the tool against a fake of the operator interface.
+
+mod fake_host;
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use fake_host::FakeHost;
+
+const SET: &str = r#"
+format = 1
+[[target]]
+name = "fast"
+class = "lookup"
+deadline_ms = 1500
+[[pool]]
+name = "roster"
+kind = "service"
+slots = 4
+servers = [{ name = "roster-1", address = "127.0.0.1:9000", domain = "tn-a" }]
+[[stage]]
+name = "look-up"
+kind = "call"
+pool = "roster"
+[[pipeline]]
+name = "roster-lookup"
+stages = ["look-up"]
+target = "fast"
+"#;
+
+fn run(admin: &str, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hollywheelctl"))
+        .env_clear()
+        .env("HOLLYWHEEL_ADMIN", admin)
+        .args(args)
+        .output()
+        .unwrap()
+}
+
+fn render(output: &Output) -> String {
+    format!(
+        "exit {}\n{}{}",
+        output.status.code().unwrap(),
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+fn write_set(name: &str, text: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&directory).unwrap();
+    let path = directory.join("set.toml");
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn help_lists_every_command() {
+    let output = run("127.0.0.1:1", &["--help"]);
+    insta::assert_snapshot!(render(&output));
+}
+
+#[test]
+fn every_command_has_help_with_an_example_or_subcommands() {
+    for name in hollywheel_cli::CommandName::ALL {
+        let help = name.command().render_long_help().to_string();
+        assert!(
+            help.contains("Example") || name.command().has_subcommands(),
+            "{} has no example",
+            name.name()
+        );
+    }
+}
+
+#[test]
+fn check_reports_faults_with_object_and_field() {
+    let good = write_set("check-good", SET);
+    let output = run("127.0.0.1:1", &["check", good.to_str().unwrap()]);
+    assert_eq!(render(&output), "exit 0\n4 objects, no fault\n");
+
+    let bad = write_set(
+        "check-bad",
+        &SET.replace("target = \"fast\"", "target = \"x\""),
+    );
+    let output = run("127.0.0.1:1", &["check", bad.to_str().unwrap()]);
+    insta::assert_snapshot!(render(&output));
+}
+
+#[test]
+fn wrong_arguments_exit_with_2_and_change_nothing() {
+    let host = FakeHost::start(&[]);
+    for args in [
+        &["publish"][..],
+        &["publish", "missing.toml"],
+        &["claims", "resolve", "w", "k", "may-have-run"],
+        &["--output", "xml", "hosts"],
+        &["show", "pools/x"],
+        &["nonsense"],
+    ] {
+        let output = run(&host.address(), args);
+        assert_eq!(
+            output.status.code(),
+            Some(2),
+            "{args:?}: {}",
+            render(&output)
+        );
+    }
+    assert_eq!(host.orders(), 0);
+}
+
+#[test]
+fn host_that_is_not_reached_exits_with_4() {
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = unused.local_addr().unwrap().to_string();
+    drop(unused);
+    let output = run(&address, &["hosts"]);
+    assert_eq!(output.status.code(), Some(4));
+}
+
+#[test]
+fn documents_are_rendered_in_columns() {
+    let host = FakeHost::start(&[
+        ("GET /admin/hosts", 200, include_str!("data/hosts.json")),
+        ("GET /admin/status", 200, include_str!("data/status.json")),
+        ("GET /admin/pools", 200, include_str!("data/pools.json")),
+    ]);
+    let mut text = String::new();
+    for command in ["hosts", "status", "pools"] {
+        text.push_str(&render(&run(&host.address(), &[command])));
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn publish_reports_success_conflict_denial_and_lost_answer() {
+    let set = write_set("publish", SET);
+    let path = set.to_str().unwrap();
+    let config = r#"{"published":{"version":4,"publish_id":"1","set":
+        {"pipelines":[],"pools":[],"stages":[],"targets":[],"workspaces":[]}}}"#;
+    let problem = |status: u16| {
+        format!(
+            r#"{{"type":"/problems/x","title":"x","status":{status},"detail":"said the host"}}"#
+        )
+    };
+    let mut text = String::new();
+    for (status, body) in [
+        (200, r#"{"version":5,"changed":4}"#.to_owned()),
+        (409, problem(409)),
+        (403, problem(403)),
+        (503, problem(503)),
+        (
+            503,
+            problem(503).replace("{\"type", "{\"verdict\":\"may-have-run\",\"type"),
+        ),
+        (0, String::new()),
+    ] {
+        let host = FakeHost::start(&[
+            ("GET /admin/config", 200, config),
+            ("POST /admin/config/publish", status, &body),
+        ]);
+        let args = ["publish", path, "--publish-id", "ab"];
+        let output = render(&run(&host.address(), &args));
+        text.push_str(&output.replace(&host.address(), "HOST"));
+        assert_eq!(host.orders(), 1);
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn dry_run_shows_the_difference_and_publishes_nothing() {
+    let set = write_set("dry-run", SET);
+    let config = r#"{"published":{"version":4,"publish_id":"1","set":
+        {"pipelines":[],"pools":[],"stages":[],"targets":[],"workspaces":[]}}}"#;
+    let host = FakeHost::start(&[("GET /admin/config", 200, config)]);
+    let args = ["publish", set.to_str().unwrap(), "--dry-run"];
+    insta::assert_snapshot!(render(&run(&host.address(), &args)), @r"
+    exit 0
+    version 4 would change:
+    + pipeline/roster-lookup
+    + pool/roster
+    + stage/look-up
+    + target/fast
+    ");
+    assert_eq!(host.orders(), 0);
+}
