--- a/crates/hollywheel-cli/src/commands/mod.rs
+++ b/crates/hollywheel-cli/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod publish;
 mod registry;
 mod rollback;
+mod schema;
 mod show;
 mod status;
 mod trace;
--- a/crates/hollywheel-cli/src/commands/registry.rs
+++ b/crates/hollywheel-cli/src/commands/registry.rs
@@ -4,7 +4,7 @@
 
 use super::{
     check, claims, completion, diff, drain, hash_key, history, hosts, pools, publish, rollback,
-    show, status, trace,
+    schema, show, status, trace,
 };
 use crate::context::CommandContext;
 use crate::error::CliError;
@@ -34,6 +34,8 @@
     Publish,
     /// Publishes an old version again.
     Rollback,
+    /// Prints the schema of object files.
+    Schema,
     /// Shows objects in force.
     Show,
     /// Tells whether targets are met.
@@ -44,7 +46,7 @@
 
 impl CommandName {
     /// Lists every command in the order of the help.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Status,
         Self::Check,
         Self::Diff,
@@ -58,6 +60,7 @@
         Self::Trace,
         Self::Drain,
         Self::HashKey,
+        Self::Schema,
         Self::Completion,
     ];
 
@@ -75,6 +78,7 @@
             Self::Pools => pools::NAME,
             Self::Publish => publish::NAME,
             Self::Rollback => rollback::NAME,
+            Self::Schema => schema::NAME,
             Self::Show => show::NAME,
             Self::Status => status::NAME,
             Self::Trace => trace::NAME,
@@ -95,6 +99,7 @@
             Self::Pools => pools::command(),
             Self::Publish => publish::command(),
             Self::Rollback => rollback::command(),
+            Self::Schema => schema::command(),
             Self::Show => show::command(),
             Self::Status => status::command(),
             Self::Trace => trace::command(),
@@ -123,6 +128,7 @@
             Self::Pools => pools::run(context, args).await,
             Self::Publish => publish::run(context, args).await,
             Self::Rollback => rollback::run(context, args).await,
+            Self::Schema => schema::run(context),
             Self::Show => show::run(context, args).await,
             Self::Status => status::run(context, args).await,
             Self::Trace => trace::run(context, args).await,
--- a/crates/hollywheel-config/src/lib.rs
+++ b/crates/hollywheel-config/src/lib.rs
@@ -15,5 +15,5 @@
     ConfigObject, ModelPlacement, ObjectKey, ObjectKind, PipelineObject, PoolKind, PoolObject,
     ServerEntry, StageKind, StageObject, TargetObject, WorkspaceObject,
 };
-pub use read::{ReadError, read_json, read_toml, write_json, write_toml};
+pub use read::{ReadError, file_schema, read_json, read_toml, write_json, write_toml};
 pub use set::ObjectSet;
--- a/crates/hollywheel-config/src/object.rs
+++ b/crates/hollywheel-config/src/object.rs
@@ -9,6 +9,7 @@
     DomainId, IdError, KeyHash, ModelId, Percent, PipelineId, PoolId, RequestClass, RequestRate,
     ServerId, StageId, TargetId, TokenCount, WorkspaceId,
 };
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 /// Names the kinds of object.
@@ -104,7 +105,9 @@
 }
 
 /// Names the work that a pool does.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolKind {
     /// Model engines that generate token streams.
@@ -120,7 +123,9 @@
 }
 
 /// Names the work of a stage.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum StageKind {
     /// Turns the input into a vector.
@@ -166,7 +171,7 @@
 }
 
 /// Describes a pipeline.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PipelineObject {
     /// The name.
@@ -181,7 +186,7 @@
 }
 
 /// Says how many servers of a pool should hold a model.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelPlacement {
     /// The model.
@@ -191,19 +196,20 @@
 }
 
 /// Describes one backend server of a pool.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerEntry {
     /// The name, unique in the whole set.
     pub name: ServerId,
-    /// The address and port.
+    /// The address and port, as `IP:PORT`.
+    #[schemars(with = "String")]
     pub address: SocketAddr,
     /// The failure domain.
     pub domain: DomainId,
 }
 
 /// Describes a pool of backend servers.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PoolObject {
     /// The name.
@@ -241,7 +247,7 @@
 }
 
 /// Describes one step of a pipeline.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StageObject {
     /// The name.
@@ -269,7 +275,7 @@
 }
 
 /// Describes the promise made for a class of requests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetObject {
     /// The name.
@@ -301,7 +307,7 @@
 }
 
 /// Describes a caller.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceObject {
     /// The name.
--- a/crates/hollywheel-config/src/read.rs
+++ b/crates/hollywheel-config/src/read.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use schemars::{JsonSchema, Schema, schema_for};
 use serde::{Deserialize, Serialize};
 
 use crate::object::{PipelineObject, PoolObject, StageObject, TargetObject, WorkspaceObject};
@@ -46,8 +47,8 @@
 
 impl std::error::Error for ReadError {}
 
-/// Gives the layout of an object file. Each field is optional, so a set may be split over files.
-#[derive(Debug, Default, Deserialize, Serialize)]
+/// Gives the layout of an object file. Every list is optional, so a set may be split over files.
+#[derive(Debug, Default, Deserialize, JsonSchema, Serialize)]
 #[serde(deny_unknown_fields)]
 struct ObjectFile {
     format: u32,
@@ -94,6 +95,11 @@
     }
 }
 
+/// Returns the JSON schema of object files.
+pub fn file_schema() -> Schema {
+    schema_for!(ObjectFile)
+}
+
 /// Reads an object set from TOML. Objects with the same name are kept for the check to report.
 ///
 /// # Errors
--- a/crates/hollywheel-types/src/class.rs
+++ b/crates/hollywheel-types/src/class.rs
@@ -3,12 +3,15 @@
 use std::fmt;
 use std::str::FromStr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::id::IdError;
 
 /// Names the service class of a request. A smaller value has a higher priority.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum RequestClass {
     /// Moves money or seats; usually not idempotent.
--- a/crates/hollywheel-types/src/digest.rs
+++ b/crates/hollywheel-types/src/digest.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::id::IdError;
@@ -43,7 +44,9 @@
 }
 
 /// Holds the SHA-256 of a caller's key in lower-case hexadecimal.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(try_from = "String")]
 pub struct KeyHash(String);
 
--- a/crates/hollywheel-types/src/id.rs
+++ b/crates/hollywheel-types/src/id.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 /// Says why a text is not a valid identifier.
@@ -121,7 +122,9 @@
 macro_rules! name_id {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $limit:literal) => {
         $(#[$doc])*
-        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[derive(
+            Clone, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+        )]
         #[serde(try_from = "String")]
         pub struct $name(Arc<str>);
 
--- a/crates/hollywheel-types/src/size.rs
+++ b/crates/hollywheel-types/src/size.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 /// Says why a text is not a valid size, share or rate.
@@ -85,7 +86,18 @@
 
 /// Counts tokens.
 #[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
 )]
 pub struct TokenCount(pub u32);
 
@@ -141,7 +153,18 @@
 
 /// Gives a share in whole percent, from 0 to 100.
 #[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Hash,
+    JsonSchema,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
 )]
 #[serde(try_from = "u8")]
 pub struct Percent(u8);
@@ -206,7 +229,9 @@
 }
 
 /// Gives a rate in events a second.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(try_from = "f64")]
 pub struct RequestRate(f64);
 
