Add keys and certificates for hosts to the operator tool

Cause: hosts accept each other by certificates of one authority, and operators had nothing to make them with. Ruled out: a page that asks for another program, since the set-up must need none; one file for key and certificate, since only the certificate may be shown. Before: 8 tests. After: 9 tests pass, among them the file modes and the second call. Conclusion: a host can be given its identity with two commands.

--- a/crates/hollywheel-cli/src/commands/mod.rs
+++ b/crates/hollywheel-cli/src/commands/mod.rs
@@ -8,6 +8,8 @@
 mod hash_key;
 mod history;
 mod hosts;
+mod make_ca;
+mod make_host_key;
 mod pools;
 mod publish;
 mod registry;
--- a/crates/hollywheel-cli/src/commands/registry.rs
+++ b/crates/hollywheel-cli/src/commands/registry.rs
@@ -3,8 +3,8 @@
 use clap::{ArgMatches, Command};
 
 use super::{
-    check, claims, completion, diff, drain, hash_key, history, hosts, pools, publish, rollback,
-    schema, show, status, trace,
+    check, claims, completion, diff, drain, hash_key, history, hosts, make_ca, make_host_key,
+    pools, publish, rollback, schema, show, status, trace,
 };
 use crate::context::CommandContext;
 use crate::error::CliError;
@@ -28,6 +28,10 @@
     History,
     /// Lists hosts.
     Hosts,
+    /// Makes the authority of hosts.
+    MakeCa,
+    /// Makes the key of a host.
+    MakeHostKey,
     /// Lists pools and their backend servers.
     Pools,
     /// Publishes object files.
@@ -46,7 +50,7 @@
 
 impl CommandName {
     /// Lists every command in the order of the help.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::Status,
         Self::Check,
         Self::Diff,
@@ -60,6 +64,8 @@
         Self::Trace,
         Self::Drain,
         Self::HashKey,
+        Self::MakeCa,
+        Self::MakeHostKey,
         Self::Schema,
         Self::Completion,
     ];
@@ -75,6 +81,8 @@
             Self::HashKey => hash_key::NAME,
             Self::History => history::NAME,
             Self::Hosts => hosts::NAME,
+            Self::MakeCa => make_ca::NAME,
+            Self::MakeHostKey => make_host_key::NAME,
             Self::Pools => pools::NAME,
             Self::Publish => publish::NAME,
             Self::Rollback => rollback::NAME,
@@ -96,6 +104,8 @@
             Self::HashKey => hash_key::command(),
             Self::History => history::command(),
             Self::Hosts => hosts::command(),
+            Self::MakeCa => make_ca::command(),
+            Self::MakeHostKey => make_host_key::command(),
             Self::Pools => pools::command(),
             Self::Publish => publish::command(),
             Self::Rollback => rollback::command(),
@@ -125,6 +135,8 @@
             Self::HashKey => hash_key::run(context, args),
             Self::History => history::run(context, args).await,
             Self::Hosts => hosts::run(context).await,
+            Self::MakeCa => make_ca::run(context, args),
+            Self::MakeHostKey => make_host_key::run(context, args),
             Self::Pools => pools::run(context, args).await,
             Self::Publish => publish::run(context, args).await,
             Self::Rollback => rollback::run(context, args).await,
--- a/crates/hollywheel-cli/src/lib.rs
+++ b/crates/hollywheel-cli/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each command is a file in `commands`, and [`commands::CommandName`] lists them all.
 
 mod app;
+mod certificates;
 mod client;
 mod commands;
 mod context;
--- a/crates/hollywheel-cli/tests/commands.rs
+++ b/crates/hollywheel-cli/tests/commands.rs
@@ -183,3 +183,32 @@
     ");
     assert_eq!(host.orders(), 0);
 }
+
+#[test]
+fn keys_are_private_and_never_overwritten() {
+    use std::os::unix::fs::PermissionsExt;
+
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("keys");
+    let _ = std::fs::remove_dir_all(&directory);
+    std::fs::create_dir_all(&directory).unwrap();
+    let path = directory.to_str().unwrap();
+
+    let early = run("127.0.0.1:1", &["make-host-key", path, "medeu-1"]);
+    assert_eq!(early.status.code(), Some(2), "there is no authority yet");
+    assert!(run("127.0.0.1:1", &["make-ca", path]).status.success());
+    let made = run("127.0.0.1:1", &["make-host-key", path, "medeu-1"]);
+    assert!(made.status.success(), "{}", render(&made));
+    for name in ["ca-key.pem", "medeu-1-key.pem"] {
+        let mode = std::fs::metadata(directory.join(name))
+            .unwrap()
+            .permissions();
+        assert_eq!(mode.mode() & 0o777, 0o600);
+    }
+    let before = std::fs::read(directory.join("medeu-1-key.pem")).unwrap();
+    let again = run("127.0.0.1:1", &["make-host-key", path, "medeu-1"]);
+    assert_eq!(again.status.code(), Some(2));
+    assert_eq!(
+        std::fs::read(directory.join("medeu-1-key.pem")).unwrap(),
+        before
+    );
+}
