Decide routing, admission, budgets, ejection and cost in the policy

Cause: the engine was a stub that picked any server and admitted everything.

Change: one module for each decision behind the engine. Routing compares the load estimate of two servers (own requests, and the report of the others faded to the mean as it ages) inside a rendezvous subset spread over failure domains. Admission keeps a lane for each class and pipeline, ordered by start-time fair queueing over workspaces, with a limit for each pool from its slots, the hosts alive and signs of overload; a wait that cannot end in time is refused at once. Rates of workspaces are split over hosts, budgets bound retries and hedges, failing and slow servers are ejected up to a floor and come back by one trial, and a bounded ledger splits backend time by what it was good for.

Ruled out: waiting out a refusal near the deadline, since the caller is to be told at once; a strict floor of one ejected server in pools of two, since the operator's limit says none.

Nothing about attainment is measured yet.

Conclusion: complete enough for the node machine; constants of limits, charts and fading are to be measured next.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -5,18 +5,47 @@
 
 use hollywheel_config::ObjectSet;
 use hollywheel_types::{
-    AttemptNonce, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId, StageId,
+    AttemptNonce, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId, SortedMap,
+    StageId, WorkspaceId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::estimate::TimeTable;
+use crate::gate::{AdmissionGate, GateContext, RequestState};
+use crate::health::HealthState;
+use crate::ledger::{AttemptCost, CostLedger};
 use crate::message::{
     AdmitDecision, AdmitNotice, AdmitRequest, AttemptOutcome, PickDecision, PickRequest,
     RefuseReason, RequestEnd, SentAttempt, ServerReport,
 };
+use crate::plan::plan_pipeline;
+use crate::pool::PoolState;
+use crate::quota::QuotaTable;
+use crate::route::{RouteChoice, RouteQuery, choose_server};
+use crate::server::ServerState;
 use crate::settings::PolicySettings;
+use crate::status::{CostReport, PoolStatus, QueueStatus, ServerCondition, ServerStatus};
 
+/// A caller is told to come back after this time when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The shortest time after which a caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Times to come back are spread by up to this part, so that callers do not come together.
+const RETRY_SPREAD: f64 = 0.25;
+/// A request that found every server saturated asks again after this time.
+const PICK_WAIT: Duration = Duration::from_millis(10);
+/// The most attempts in progress that are tracked; further ones count nowhere.
+const MAX_ATTEMPTS: usize = 16_384;
+
+/// Holds an attempt in progress.
+#[derive(Clone, Debug)]
+struct AttemptState {
+    sent: SentAttempt,
+    sent_at: MonoTime,
+    trial: bool,
+    progressed: bool,
+}
 
 /// Decides about routing, admission, limits, retries, health and cost for one host.
 #[derive(Debug)]
@@ -24,6 +53,16 @@
     settings: PolicySettings,
     set: Arc<ObjectSet>,
     random: StdRng,
+    now: MonoTime,
+    hosts: u32,
+    pools: SortedMap<PoolId, PoolState>,
+    owners: SortedMap<ServerId, PoolId>,
+    times: TimeTable,
+    gate: AdmissionGate,
+    quotas: QuotaTable,
+    requests: SortedMap<RequestId, RequestState>,
+    attempts: SortedMap<AttemptNonce, AttemptState>,
+    ledger: CostLedger,
 }
 
 impl PolicyEngine {
@@ -34,6 +73,16 @@
             settings,
             set: Arc::default(),
             random,
+            now: MonoTime::default(),
+            hosts: 1,
+            pools: SortedMap::new(),
+            owners: SortedMap::new(),
+            times: TimeTable::default(),
+            gate: AdmissionGate::default(),
+            quotas: QuotaTable::default(),
+            requests: SortedMap::new(),
+            attempts: SortedMap::new(),
+            ledger: CostLedger::default(),
         }
     }
 
@@ -43,116 +92,406 @@
     }
 
     /// Puts an object set in force. State of objects that stay is kept.
-    pub fn install(&mut self, _now: MonoTime, set: &Arc<ObjectSet>) {
+    pub fn install(&mut self, now: MonoTime, set: &Arc<ObjectSet>) {
+        let now = self.advance(now);
         self.set = Arc::clone(set);
+        self.quotas.install(now, &set.workspaces);
+        self.times.retain(|stage| set.stage(stage).is_some());
+        let mut owners = Vec::new();
+        let mut pools = Vec::with_capacity(set.pools.len());
+        for object in &set.pools {
+            let kept = self.pools.remove(&object.name);
+            let mut pool = kept.unwrap_or_else(|| PoolState::new(object));
+            pool.install(now, object);
+            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            let servers = object.servers.iter();
+            owners.extend(servers.map(|entry| (entry.name.clone(), object.name.clone())));
+            pools.push((object.name.clone(), pool));
+        }
+        self.pools = pools.into_iter().collect();
+        self.owners = owners.into_iter().collect();
     }
 
     /// Sets the number of hosts that share the limits of workspaces.
-    pub fn set_hosts(&mut self, _now: MonoTime, _alive: u32) {}
+    pub fn set_hosts(&mut self, now: MonoTime, alive: u32) {
+        let now = self.advance(now);
+        self.hosts = alive.max(1);
+        self.quotas.set_hosts(now, self.hosts);
+    }
+
+    /// Takes the demand for a workspace at all other hosts, in requests a second, which
+    /// corrects this host's share of the workspace's rate.
+    pub fn set_peer_demand(&mut self, now: MonoTime, workspace: &WorkspaceId, demand: f64) {
+        let now = self.advance(now);
+        self.quotas.set_peers(now, workspace, demand);
+    }
+
+    /// Returns the demand for a workspace at this host, in requests a second; zero for a
+    /// workspace without a rate.
+    pub fn workspace_demand(&self, workspace: &WorkspaceId) -> f64 {
+        self.quotas.demand(self.now, workspace)
+    }
 
     /// Decides whether a request may start.
-    pub fn admit(&mut self, _now: MonoTime, _request: &AdmitRequest) -> AdmitDecision {
-        AdmitDecision::Start
+    pub fn admit(&mut self, now: MonoTime, request: &AdmitRequest) -> AdmitDecision {
+        let now = self.advance(now);
+        if self.requests.contains_key(&request.request) {
+            return AdmitDecision::Start;
+        }
+        if self.gate.is_waiting(request.request) {
+            return AdmitDecision::Wait;
+        }
+        let remaining = request.deadline.since(now);
+        let expected = self.expected_time(&request.pipeline, request.class, 0);
+        if remaining.is_zero() || remaining < expected {
+            let retry_after = expected.saturating_sub(remaining).max(MIN_RETRY_AFTER);
+            return self.refuse(RefuseReason::DeadlineTooShort, retry_after);
+        }
+        if let Err(retry_after) = self.quotas.take(now, &request.workspace) {
+            return self.refuse(RefuseReason::RateLimited, retry_after);
+        }
+        let max_queued = self.settings.max_queued;
+        let (gate, mut context) = self.split_gate();
+        let decision = gate.admit(&mut context, request, max_queued);
+        self.spread(decision)
     }
 
     /// Returns decisions about requests that waited; called after every other call and at
     /// [`PolicyEngine::next_wake`].
-    pub fn poll(&mut self, _now: MonoTime) -> Vec<AdmitNotice> {
-        Vec::new()
+    pub fn poll(&mut self, now: MonoTime) -> Vec<AdmitNotice> {
+        self.advance(now);
+        let (gate, mut context) = self.split_gate();
+        let mut notices = gate.poll(&mut context);
+        for notice in &mut notices {
+            notice.decision = self.spread(notice.decision);
+        }
+        notices
     }
 
     /// Returns the next point at which [`PolicyEngine::poll`] has something to decide.
     pub fn next_wake(&self) -> Option<MonoTime> {
-        None
+        self.gate.next_wake(self.now)
     }
 
     /// Tells that a caller gave up while its request waited for admission.
-    pub fn withdraw(&mut self, _now: MonoTime, _request: RequestId) {}
+    pub fn withdraw(&mut self, now: MonoTime, request: RequestId) {
+        self.advance(now);
+        let (gate, context) = self.split_gate();
+        gate.withdraw(&context, request);
+    }
 
     /// Returns the expected time of a pipeline's stages from a position on.
     pub fn expected_time(
         &self,
         pipeline: &PipelineId,
-        _class: RequestClass,
+        class: RequestClass,
         from_stage: usize,
     ) -> Duration {
-        let Some(object) = self.set.pipeline(pipeline) else {
-            return Duration::ZERO;
-        };
-        let stages = object.stages.iter().skip(from_stage);
-        let millis = stages
-            .filter_map(|stage| self.set.stage(stage))
-            .map(|stage| stage.min_ms)
-            .sum();
-        Duration::from_millis(millis)
+        let plan = plan_pipeline(
+            self.now,
+            &self.set,
+            &self.times,
+            pipeline,
+            class,
+            from_stage,
+        );
+        plan.expected
     }
 
     /// Chooses a backend server.
-    pub fn pick(&mut self, _now: MonoTime, request: &PickRequest<'_>) -> PickDecision {
-        let servers: Vec<&ServerId> = self
+    pub fn pick(&mut self, now: MonoTime, request: &PickRequest<'_>) -> PickDecision {
+        let now = self.advance(now);
+        let min_ms = self
             .set
-            .pool(request.pool)
-            .into_iter()
-            .flat_map(|pool| &pool.servers)
-            .map(|server| &server.name)
-            .filter(|server| !request.exclude.contains(server))
-            .collect();
-        if servers.is_empty() {
-            return PickDecision::Refuse {
-                reason: RefuseReason::NoServer,
-                retry_after: RETRY_AFTER,
-            };
-        }
-        let at = self.random.random_range(0..servers.len());
-        PickDecision::Send(servers[at].clone())
+            .stage(request.stage)
+            .map_or(0, |stage| stage.min_ms);
+        let least = self.times.least(now, request.stage, request.class, min_ms);
+        let needed = least + request.later_stages / 2;
+        let remaining = request.deadline.since(now);
+        if remaining.is_zero() || remaining < needed {
+            let retry_after = needed.saturating_sub(remaining).max(MIN_RETRY_AFTER);
+            return self.refuse_pick(RefuseReason::DeadlineTooShort, retry_after);
+        }
+        let Some(pool) = self.pools.get_mut(request.pool) else {
+            return self.refuse_pick(RefuseReason::NoServer, RETRY_AFTER);
+        };
+        if request.exclude.is_empty()
+            && let Some(server) = pool.choose_trial(now, request.class, request.model)
+        {
+            return PickDecision::Send(server);
+        }
+        let query = RouteQuery {
+            policy: self.settings.routing,
+            domain: &self.settings.domain,
+            class: request.class,
+            model: request.model,
+            prefix: request.prefix,
+            exclude: request.exclude,
+        };
+        match choose_server(now, pool, &query, &mut self.random) {
+            RouteChoice::Server(server) => PickDecision::Send(server),
+            RouteChoice::Saturated => self.wait_or_refuse(now, request.deadline - needed),
+            RouteChoice::NoServer => {
+                let trial = pool.next_trial().map(|at| at.since(now));
+                let retry_after = trial.unwrap_or(RETRY_AFTER).max(MIN_RETRY_AFTER);
+                self.refuse_pick(RefuseReason::NoServer, retry_after)
+            }
+        }
+    }
+
+    fn wait_or_refuse(&mut self, now: MonoTime, latest: MonoTime) -> PickDecision {
+        if latest <= now {
+            return self.refuse_pick(RefuseReason::Overloaded, MIN_RETRY_AFTER);
+        }
+        PickDecision::Wait {
+            until: latest.min(now + PICK_WAIT),
+        }
     }
 
     /// Spends one retry from the budget of a pool if there is one.
-    pub fn take_retry(&mut self, _now: MonoTime, _pool: &PoolId) -> bool {
-        true
+    pub fn take_retry(&mut self, now: MonoTime, pool: &PoolId) -> bool {
+        let now = self.advance(now);
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        let taken = pool.retries.take(now);
+        pool.counters.retries_denied += u64::from(!taken);
+        taken
     }
 
     /// Returns how long to wait for an attempt before a hedge, or none if the pool has no
     /// budget for hedges.
     pub fn hedge_after(
         &self,
-        _pool: &PoolId,
-        _stage: &StageId,
-        _class: RequestClass,
+        pool: &PoolId,
+        stage: &StageId,
+        class: RequestClass,
     ) -> Option<Duration> {
-        None
+        if !self.pools.get(pool)?.hedges.is_allowed() {
+            return None;
+        }
+        self.times.hedge_after(stage, class)
     }
 
     /// Spends one hedge from the budget of a pool if there is one.
-    pub fn take_hedge(&mut self, _now: MonoTime, _pool: &PoolId) -> bool {
-        false
+    pub fn take_hedge(&mut self, now: MonoTime, pool: &PoolId) -> bool {
+        let now = self.advance(now);
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        let taken = pool.hedges.take(now);
+        pool.counters.hedges_denied += u64::from(!taken);
+        taken
     }
 
     /// Tells of an attempt that was sent.
-    pub fn sent(&mut self, _now: MonoTime, _attempt: &SentAttempt) {}
+    pub fn sent(&mut self, now: MonoTime, attempt: &SentAttempt) {
+        let now = self.advance(now);
+        if self.attempts.len() >= MAX_ATTEMPTS || self.attempts.contains_key(&attempt.nonce) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&attempt.request) {
+            request.pending.note_sent(attempt.kind);
+        }
+        let pool = self.pools.get_mut(&attempt.pool);
+        let trial = pool.is_some_and(|pool| pool.note_sent(&attempt.server, attempt.kind));
+        let state = AttemptState {
+            sent: attempt.clone(),
+            sent_at: now,
+            trial,
+            progressed: false,
+        };
+        self.attempts.insert(attempt.nonce, state);
+    }
 
     /// Tells of a token of an attempt.
-    pub fn progressed(&mut self, _now: MonoTime, _nonce: AttemptNonce) {}
+    pub fn progressed(&mut self, now: MonoTime, nonce: AttemptNonce) {
+        self.advance(now);
+        if let Some(attempt) = self.attempts.get_mut(&nonce) {
+            attempt.progressed = true;
+        }
+    }
 
     /// Tells how an attempt ended.
-    pub fn finished(&mut self, _now: MonoTime, _nonce: AttemptNonce, _outcome: AttemptOutcome) {}
+    pub fn finished(&mut self, now: MonoTime, nonce: AttemptNonce, outcome: AttemptOutcome) {
+        let now = self.advance(now);
+        let Some(attempt) = self.attempts.remove(&nonce) else {
+            return;
+        };
+        let sent = &attempt.sent;
+        let took = now.since(attempt.sent_at);
+        // A server that was still delivering when the time was over is slow, not failing.
+        let judged = match outcome {
+            AttemptOutcome::TimedOut if attempt.progressed => AttemptOutcome::Answered,
+            other => other,
+        };
+        let estimate = self.times.get(&sent.stage, sent.class);
+        let sample = estimate.and_then(|estimate| estimate.standardise(took));
+        if let Some(pool) = self.pools.get_mut(&sent.pool) {
+            pool.note_finished(now, &sent.server, attempt.trial, judged, sample);
+        }
+        if judged == AttemptOutcome::Answered {
+            self.times.record(now, &sent.stage, sent.class, took);
+        }
+        let cost = AttemptCost {
+            stage: sent.stage.clone(),
+            class: sent.class,
+            workspace: sent.workspace.clone(),
+            kind: sent.kind,
+            took,
+        };
+        let request = self.requests.get_mut(&sent.request);
+        let pending = request.map(|request| &mut request.pending);
+        self.ledger.finish(cost, outcome, pending);
+    }
 
     /// Tells how a request ended, which frees what it was admitted to.
-    pub fn request_ended(&mut self, _now: MonoTime, _request: RequestId, _end: RequestEnd) {}
+    pub fn request_ended(&mut self, now: MonoTime, request: RequestId, end: RequestEnd) {
+        self.advance(now);
+        let Some(state) = self.requests.remove(&request) else {
+            return;
+        };
+        for leg in &state.legs {
+            if let Some(pool) = self.pools.get_mut(&leg.pool) {
+                pool.admitted = (pool.admitted - leg.part).max(0.0);
+            }
+        }
+        self.ledger.settle(state.pending, end);
+    }
 
     /// Takes what a backend server says of its load; `age` is the time since it held.
-    pub fn report(&mut self, _now: MonoTime, _report: &ServerReport, _age: Duration) {}
+    pub fn report(&mut self, now: MonoTime, report: &ServerReport, age: Duration) {
+        let now = self.advance(now);
+        let Some(owner) = self.owners.get(&report.server) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(owner) else {
+            return;
+        };
+        if pool.take_report(now, report, age) {
+            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+        }
+    }
 
     /// Takes the news that a backend server is leaving, which holds for its incarnation.
-    pub fn server_leaving(&mut self, _now: MonoTime, _server: &ServerId) {}
+    pub fn server_leaving(&mut self, now: MonoTime, server: &ServerId) {
+        self.advance(now);
+        let Some(owner) = self.owners.get(server) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(owner) else {
+            return;
+        };
+        let Some(state) = pool.servers.get_mut(server) else {
+            return;
+        };
+        if !state.leaving {
+            state.leaving = true;
+            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+        }
+    }
 
     /// Lists the backend servers that this host uses, for collecting their reports.
     pub fn subset(&self) -> Vec<ServerId> {
-        self.set
-            .pools
-            .iter()
-            .flat_map(|pool| &pool.servers)
-            .map(|server| server.name.clone())
-            .collect()
+        let pools = self.pools.values();
+        pools.flat_map(|pool| pool.subset.iter().cloned()).collect()
+    }
+
+    /// Lists the backend servers with their condition.
+    pub fn servers(&self) -> Vec<ServerStatus> {
+        let mut servers = Vec::new();
+        for (name, pool) in self.pools.iter() {
+            servers.extend(pool.servers.iter().map(|(server, state)| ServerStatus {
+                pool: name.clone(),
+                server: server.clone(),
+                condition: condition(state),
+                in_subset: pool.subset.binary_search(server).is_ok(),
+                in_flight: state.in_flight,
+                report_age: state.report_age(self.now),
+            }));
+        }
+        servers
+    }
+
+    /// Lists the pools with their counters.
+    pub fn pools(&self) -> Vec<PoolStatus> {
+        let pools = self.pools.iter();
+        let status = pools.map(|(name, pool)| PoolStatus {
+            pool: name.clone(),
+            counters: pool.counters,
+            admitted: pool.admitted,
+            limit: pool.limit(self.now, self.hosts),
+        });
+        status.collect()
+    }
+
+    /// Lists the numbers of requests that wait for admission by class.
+    pub fn queues(&self) -> [QueueStatus; 4] {
+        let lengths = self.gate.class_lengths();
+        RequestClass::ALL.map(|class| QueueStatus {
+            class,
+            waiting: lengths[class.index()],
+        })
+    }
+
+    /// Returns the backend time spent by stage, class and workspace.
+    pub fn costs(&self) -> CostReport {
+        self.ledger.report()
+    }
+
+    fn advance(&mut self, now: MonoTime) -> MonoTime {
+        self.now = self.now.max(now);
+        self.now
+    }
+
+    fn split_gate(&mut self) -> (&mut AdmissionGate, GateContext<'_>) {
+        let context = GateContext {
+            now: self.now,
+            hosts: self.hosts,
+            set: &self.set,
+            times: &self.times,
+            pools: &mut self.pools,
+            requests: &mut self.requests,
+        };
+        (&mut self.gate, context)
+    }
+
+    fn spread_time(&mut self, retry_after: Duration) -> Duration {
+        retry_after.mul_f64(1.0 + RETRY_SPREAD * self.random.random::<f64>())
+    }
+
+    fn spread(&mut self, decision: AdmitDecision) -> AdmitDecision {
+        match decision {
+            AdmitDecision::Refuse {
+                reason,
+                retry_after,
+            } => self.refuse(reason, retry_after),
+            other => other,
+        }
+    }
+
+    fn refuse(&mut self, reason: RefuseReason, retry_after: Duration) -> AdmitDecision {
+        AdmitDecision::Refuse {
+            reason,
+            retry_after: self.spread_time(retry_after),
+        }
+    }
+
+    fn refuse_pick(&mut self, reason: RefuseReason, retry_after: Duration) -> PickDecision {
+        PickDecision::Refuse {
+            reason,
+            retry_after: self.spread_time(retry_after),
+        }
+    }
+}
+
+fn condition(state: &ServerState) -> ServerCondition {
+    if state.leaving {
+        return ServerCondition::Leaving;
+    }
+    match state.health.state() {
+        HealthState::Serving { .. } => ServerCondition::Serving,
+        HealthState::Ejected { .. } => ServerCondition::Ejected,
+        HealthState::Trial { .. } => ServerCondition::Trial,
     }
 }
--- /dev/null
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -0,0 +1,323 @@
+//! Admission: which requests start, wait or are refused.
+
+use std::time::Duration;
+
+use hollywheel_config::ObjectSet;
+use hollywheel_types::{
+    MonoTime, PipelineId, PoolId, RequestClass, RequestId, SortedMap, WorkspaceId,
+};
+
+use crate::estimate::TimeTable;
+use crate::fairness::FairClock;
+use crate::lanes::{LaneTable, WaitingRequest};
+use crate::ledger::PendingCost;
+use crate::message::{AdmitDecision, AdmitNotice, AdmitRequest, RefuseReason};
+use crate::plan::{PipelinePlan, PlanLeg, plan_pipeline};
+use crate::pool::PoolState;
+use crate::turns::ClassTurns;
+
+/// The part of a pool's limit up to which requests of a class start.
+const LIMIT_PART: [f64; 4] = [1.25, 1.1, 1.0, 0.9];
+/// The predicted wait is longer by this factor for the starts guaranteed to lower classes.
+const WAIT_FACTOR: f64 = 1.2;
+/// The most requests that are in progress or wait at this host.
+const MAX_REQUESTS: usize = 16_384;
+/// The shortest time after which a caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// While requests wait, room is looked for again after this time.
+const POLL_SPAN: Duration = Duration::from_millis(50);
+
+/// Holds a request that was admitted.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestState {
+    pub(crate) legs: Vec<PlanLeg>,
+    pub(crate) pending: PendingCost,
+}
+
+/// Holds what admission decides with.
+pub(crate) struct GateContext<'a> {
+    pub(crate) now: MonoTime,
+    pub(crate) hosts: u32,
+    pub(crate) set: &'a ObjectSet,
+    pub(crate) times: &'a TimeTable,
+    pub(crate) pools: &'a mut SortedMap<PoolId, PoolState>,
+    pub(crate) requests: &'a mut SortedMap<RequestId, RequestState>,
+}
+
+impl GateContext<'_> {
+    fn plan(&self, pipeline: &PipelineId, class: RequestClass) -> PipelinePlan {
+        plan_pipeline(self.now, self.set, self.times, pipeline, class, 0)
+    }
+
+    fn limit(&self, pool: &PoolId) -> f64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(f64::INFINITY, |pool| pool.limit(self.now, self.hosts))
+    }
+
+    /// Finds the pool of a plan that has no room for it.
+    fn full_pool<'a>(&self, plan: &'a PipelinePlan, part: f64) -> Option<&'a PoolId> {
+        let is_full = |leg: &&PlanLeg| {
+            let admitted = self.pools.get(&leg.pool).map_or(0.0, |pool| pool.admitted);
+            let sole = admitted + leg.part <= 1.0;
+            !sole && admitted + leg.part > self.limit(&leg.pool) * part
+        };
+        plan.legs.iter().find(is_full).map(|leg| &leg.pool)
+    }
+
+    fn start(&mut self, request: RequestId, plan: PipelinePlan) {
+        for leg in &plan.legs {
+            if let Some(pool) = self.pools.get_mut(&leg.pool) {
+                pool.admitted += leg.part;
+            }
+        }
+        let state = RequestState {
+            legs: plan.legs,
+            pending: PendingCost::default(),
+        };
+        self.requests.insert(request, state);
+    }
+
+    fn share(&self, workspace: &WorkspaceId) -> u32 {
+        self.set
+            .workspace(workspace)
+            .map_or(1, |object| object.share)
+    }
+}
+
+/// Decides about admission.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AdmissionGate {
+    lanes: LaneTable,
+    clock: FairClock,
+    turns: ClassTurns,
+    notices: Vec<AdmitNotice>,
+}
+
+impl AdmissionGate {
+    pub(crate) fn admit(
+        &mut self,
+        context: &mut GateContext<'_>,
+        request: &AdmitRequest,
+        max_queued: usize,
+    ) -> AdmitDecision {
+        let plan = context.plan(&request.pipeline, request.class);
+        let share = context.share(&request.workspace);
+        let cost = plan.cost();
+        let tag = self
+            .clock
+            .tag(request.class, &request.workspace, cost, share);
+        let part = LIMIT_PART[request.class.index()];
+        let contended = self.is_contended(context, request.class, &plan);
+        if !contended && context.full_pool(&plan, part).is_none() {
+            self.clock.start(request.class, tag);
+            context.start(request.request, plan);
+            return AdmitDecision::Start;
+        }
+        let refusal = self.check_wait(context, request, &plan, tag);
+        let refusal = refusal.or_else(|| self.make_space(context, request, tag, max_queued));
+        if let Some(retry_after) = refusal {
+            self.clock
+                .give_back(request.class, &request.workspace, cost, share);
+            return AdmitDecision::Refuse {
+                reason: RefuseReason::Overloaded,
+                retry_after,
+            };
+        }
+        self.lanes.insert(WaitingRequest {
+            request: request.request,
+            workspace: request.workspace.clone(),
+            pipeline: request.pipeline.clone(),
+            class: request.class,
+            tag,
+            cost,
+            give_up: plan.latest_start(request.deadline),
+        });
+        AdmitDecision::Wait
+    }
+
+    pub(crate) fn is_waiting(&self, request: RequestId) -> bool {
+        self.lanes.contains(request)
+    }
+
+    /// Says whether requests of the class or a higher one wait for a pool of the plan.
+    fn is_contended(
+        &self,
+        context: &GateContext<'_>,
+        class: RequestClass,
+        plan: &PipelinePlan,
+    ) -> bool {
+        self.lanes.lane_lengths().any(|((lane, pipeline), _)| {
+            *lane <= class && shares_pool(&context.plan(pipeline, *lane), plan)
+        })
+    }
+
+    /// Refuses a request that would wait longer than its deadline allows.
+    fn check_wait(
+        &self,
+        context: &GateContext<'_>,
+        request: &AdmitRequest,
+        plan: &PipelinePlan,
+        tag: f64,
+    ) -> Option<Duration> {
+        let wait = self.predict_wait(context, request.class, plan, tag);
+        let slack = plan.latest_start(request.deadline).since(context.now);
+        if wait <= slack {
+            return None;
+        }
+        Some((wait - slack).max(MIN_RETRY_AFTER))
+    }
+
+    fn predict_wait(
+        &self,
+        context: &GateContext<'_>,
+        class: RequestClass,
+        plan: &PipelinePlan,
+        tag: f64,
+    ) -> Duration {
+        let mut longest = 0.0f64;
+        for leg in &plan.legs {
+            let work = self.work_ahead(context, class, &leg.pool, tag);
+            longest = longest.max(work / context.limit(&leg.pool).max(1.0));
+        }
+        Duration::from_secs_f64((longest * WAIT_FACTOR).min(3600.0))
+    }
+
+    /// Returns the seconds of work in a pool that starts before a newcomer.
+    fn work_ahead(
+        &self,
+        context: &GateContext<'_>,
+        class: RequestClass,
+        pool: &PoolId,
+        tag: f64,
+    ) -> f64 {
+        let mut work = 0.0;
+        for (key, _) in self.lanes.lane_lengths() {
+            if key.0 > class {
+                continue;
+            }
+            let before = if key.0 < class { f64::INFINITY } else { tag };
+            let ahead = self.lanes.count_before(key, before) as f64;
+            let plan = context.plan(&key.1, key.0);
+            let leg = plan.legs.iter().find(|leg| leg.pool == *pool);
+            work += leg.map_or(0.0, |leg| leg.time.as_secs_f64() * ahead);
+        }
+        work
+    }
+
+    /// Evicts a request of lower claim when the queue is full, or refuses the newcomer.
+    fn make_space(
+        &mut self,
+        context: &GateContext<'_>,
+        request: &AdmitRequest,
+        tag: f64,
+        max_queued: usize,
+    ) -> Option<Duration> {
+        let total = self.lanes.len() + context.requests.len();
+        if self.lanes.len() < max_queued && total < MAX_REQUESTS {
+            return None;
+        }
+        let Some(evicted) = self.lanes.evict_for(request.class, tag) else {
+            return Some(POLL_SPAN.max(MIN_RETRY_AFTER));
+        };
+        self.refuse_waiting(context, &evicted);
+        None
+    }
+
+    fn refuse_waiting(&mut self, context: &GateContext<'_>, waiting: &WaitingRequest) {
+        let share = context.share(&waiting.workspace);
+        self.clock
+            .give_back(waiting.class, &waiting.workspace, waiting.cost, share);
+        let plan = context.plan(&waiting.pipeline, waiting.class);
+        let wait = self.predict_wait(context, waiting.class, &plan, waiting.tag);
+        self.notices.push(AdmitNotice {
+            request: waiting.request,
+            decision: AdmitDecision::Refuse {
+                reason: RefuseReason::Overloaded,
+                retry_after: wait.max(MIN_RETRY_AFTER),
+            },
+        });
+    }
+
+    /// Refuses what waited too long and starts what has room.
+    pub(crate) fn poll(&mut self, context: &mut GateContext<'_>) -> Vec<AdmitNotice> {
+        for expired in self.lanes.expire(context.now) {
+            self.refuse_waiting(context, &expired);
+        }
+        while let Some(started) = self.start_next(context) {
+            self.notices.push(AdmitNotice {
+                request: started,
+                decision: AdmitDecision::Start,
+            });
+        }
+        std::mem::take(&mut self.notices)
+    }
+
+    fn start_next(&mut self, context: &mut GateContext<'_>) -> Option<RequestId> {
+        if self.lanes.len() == 0 {
+            return None;
+        }
+        let mut full: Vec<(RequestClass, PoolId)> = Vec::new();
+        for class in self.turns.order() {
+            let owed = self.turns.is_owed(class);
+            let part = LIMIT_PART[class.index()].max(if owed { 1.0 } else { 0.0 });
+            for pipeline in self.lanes.lanes_of(class) {
+                let plan = context.plan(&pipeline, class);
+                let barred = |(above, pool): &(RequestClass, PoolId)| {
+                    *above <= class && plan.legs.iter().any(|leg| leg.pool == *pool)
+                };
+                if full.iter().any(barred) {
+                    continue;
+                }
+                if let Some(pool) = context.full_pool(&plan, part) {
+                    full.push((class, pool.clone()));
+                    continue;
+                }
+                return self.start_lane(context, class, pipeline, plan);
+            }
+        }
+        None
+    }
+
+    fn start_lane(
+        &mut self,
+        context: &mut GateContext<'_>,
+        class: RequestClass,
+        pipeline: PipelineId,
+        plan: PipelinePlan,
+    ) -> Option<RequestId> {
+        let waiting = self.lanes.class_lengths().map(|length| length > 0);
+        let first = self.lanes.pop(&(class, pipeline))?;
+        self.turns.serve(class, waiting);
+        self.clock.start(class, first.tag);
+        context.start(first.request, plan);
+        Some(first.request)
+    }
+
+    /// Forgets a request whose caller gave up.
+    pub(crate) fn withdraw(&mut self, context: &GateContext<'_>, request: RequestId) {
+        self.notices.retain(|notice| notice.request != request);
+        if let Some(waiting) = self.lanes.remove(request) {
+            let share = context.share(&waiting.workspace);
+            self.clock
+                .give_back(waiting.class, &waiting.workspace, waiting.cost, share);
+        }
+    }
+
+    pub(crate) fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        if !self.notices.is_empty() {
+            return Some(now);
+        }
+        let expiry = self.lanes.next_expiry()?;
+        Some(expiry.min(now + POLL_SPAN))
+    }
+
+    pub(crate) fn class_lengths(&self) -> [usize; 4] {
+        self.lanes.class_lengths()
+    }
+}
+
+fn shares_pool(left: &PipelinePlan, right: &PipelinePlan) -> bool {
+    let legs = &right.legs;
+    let shared = |leg: &PlanLeg| legs.iter().any(|other| other.pool == leg.pool);
+    left.legs.iter().any(shared)
+}
--- /dev/null
+++ b/crates/hollywheel-policy/tests/route.rs
@@ -0,0 +1,281 @@
+//! The choice of backend servers.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{MS, engine, id, object_set, pick, picked, pool_object, report, run_attempt};
+use common::{sent, server_name, small_engine};
+use hollywheel_policy::{
+    AttemptOutcome, PickDecision, PickRequest, PolicySettings, RefuseReason, RoutingPolicy,
+};
+use hollywheel_types::{ModelId, MonoTime, PoolId, RequestClass, ServerId};
+
+const NOW: MonoTime = MonoTime::from_millis(1000);
+
+#[test]
+fn leaving_and_excluded_servers_are_never_picked() {
+    for policy in RoutingPolicy::ALL {
+        let settings = PolicySettings {
+            routing: policy,
+            ..PolicySettings::default()
+        };
+        let mut engine = engine(settings, object_set(pool_object("pool", 4, 4), Vec::new()));
+        engine.server_leaving(NOW, &server_name(0));
+        let exclude = [server_name(1)];
+        for _ in 0..200 {
+            let server = picked(pick(&mut engine, NOW, RequestClass::Lookup, &exclude));
+            assert!(
+                server == server_name(2) || server == server_name(3),
+                "{policy}"
+            );
+        }
+    }
+}
+
+#[test]
+fn leaving_holds_for_the_incarnation() {
+    let mut engine = small_engine(2, 4);
+    let server = server_name(0);
+    engine.report(NOW, &report(&server, 7, 0, 4), Duration::ZERO);
+    engine.server_leaving(NOW, &server);
+    engine.report(NOW + MS, &report(&server, 7, 0, 4), Duration::ZERO);
+    assert!(
+        !engine.subset().contains(&server),
+        "an older live report won"
+    );
+    engine.report(NOW + 2 * MS, &report(&server, 8, 0, 4), Duration::ZERO);
+    assert!(
+        engine.subset().contains(&server),
+        "a new process is not leaving"
+    );
+    engine.report(NOW + 3 * MS, &report(&server, 7, 0, 4), Duration::ZERO);
+    assert!(engine.subset().contains(&server));
+}
+
+#[test]
+fn a_leaving_report_that_comes_late_still_counts() {
+    let mut engine = small_engine(2, 4);
+    let server = server_name(0);
+    engine.report(NOW, &report(&server, 7, 0, 4), Duration::ZERO);
+    let mut late = report(&server, 7, 0, 4);
+    late.leaving = true;
+    engine.report(NOW, &late, Duration::from_millis(500));
+    assert!(!engine.subset().contains(&server));
+}
+
+#[test]
+fn only_servers_with_the_model_are_picked() {
+    let mut engine = small_engine(3, 4);
+    let model: ModelId = id("rates-7b");
+    let other: ModelId = id("other");
+    for (at, held) in [&other, &model, &other].into_iter().enumerate() {
+        let mut report = report(&server_name(at), 1, 0, 4);
+        report.models = vec![held.clone()];
+        engine.report(NOW, &report, Duration::ZERO);
+    }
+    let pool: PoolId = id("pool");
+    let stage = id("lookup");
+    let mut request = PickRequest {
+        pool: &pool,
+        stage: &stage,
+        class: RequestClass::Lookup,
+        model: Some(&model),
+        prefix: None,
+        exclude: &[],
+        deadline: NOW + 1000 * MS,
+        later_stages: Duration::ZERO,
+    };
+    for _ in 0..50 {
+        assert_eq!(picked(engine.pick(NOW, &request)), server_name(1));
+    }
+    let exclude = [server_name(1)];
+    request.exclude = &exclude;
+    let refused = engine.pick(NOW, &request);
+    assert!(matches!(
+        refused,
+        PickDecision::Refuse {
+            reason: RefuseReason::NoServer,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn a_model_outside_the_subset_is_found() {
+    let settings = PolicySettings {
+        subset_size: 2,
+        ..PolicySettings::default()
+    };
+    let mut engine = engine(settings, object_set(pool_object("pool", 10, 4), Vec::new()));
+    let subset = engine.subset();
+    let holder = (0..10).map(server_name).find(|name| !subset.contains(name));
+    let holder = holder.expect("the subset is smaller than the pool");
+    let model: ModelId = id("rates-7b");
+    for at in 0..10 {
+        let mut report = report(&server_name(at), 1, 0, 4);
+        report.models = vec![id("other")];
+        if server_name(at) == holder {
+            report.models = vec![model.clone()];
+        }
+        engine.report(NOW, &report, Duration::ZERO);
+    }
+    let request = PickRequest {
+        pool: &id("pool"),
+        stage: &id("lookup"),
+        class: RequestClass::Lookup,
+        model: Some(&model),
+        prefix: None,
+        exclude: &[],
+        deadline: NOW + 1000 * MS,
+        later_stages: Duration::ZERO,
+    };
+    assert_eq!(picked(engine.pick(NOW, &request)), holder);
+}
+
+#[test]
+fn two_choices_avoids_a_loaded_server() {
+    let mut engine = small_engine(2, 4);
+    engine.report(NOW, &report(&server_name(0), 1, 4, 4), Duration::ZERO);
+    engine.report(NOW, &report(&server_name(1), 1, 0, 4), Duration::ZERO);
+    for nonce in 0..3 {
+        let server = picked(pick(&mut engine, NOW, RequestClass::Lookup, &[]));
+        assert_eq!(server, server_name(1));
+        engine.sent(NOW, &sent(nonce, nonce, &server, RequestClass::Lookup));
+    }
+}
+
+#[test]
+fn equal_loads_prefer_the_own_domain_and_a_queue_matters_more() {
+    let settings = PolicySettings {
+        domain: id("alatau"),
+        ..PolicySettings::default()
+    };
+    let mut engine = engine(settings, object_set(pool_object("pool", 3, 4), Vec::new()));
+    let mut local = 0;
+    for _ in 0..300 {
+        let server = picked(pick(&mut engine, NOW, RequestClass::Lookup, &[]));
+        local += usize::from(server == server_name(2));
+    }
+    assert!(
+        local > 170,
+        "two of three pairs hold the local server, {local}"
+    );
+    for (at, running) in [0, 0, 1].into_iter().enumerate() {
+        engine.report(
+            NOW,
+            &report(&server_name(at), 1, running, 4),
+            Duration::ZERO,
+        );
+    }
+    for _ in 0..50 {
+        let server = picked(pick(&mut engine, NOW, RequestClass::Lookup, &[]));
+        assert_ne!(
+            server,
+            server_name(2),
+            "one request more outweighs the domain"
+        );
+    }
+}
+
+#[test]
+fn prefixes_stay_together_until_the_bound() {
+    let settings = PolicySettings {
+        routing: RoutingPolicy::PrefixAffinity,
+        ..PolicySettings::default()
+    };
+    let mut engine = engine(settings, object_set(pool_object("pool", 6, 4), Vec::new()));
+    let pool: PoolId = id("pool");
+    let stage = id("interactive");
+    let request = PickRequest {
+        pool: &pool,
+        stage: &stage,
+        class: RequestClass::Interactive,
+        model: None,
+        prefix: Some(42),
+        exclude: &[],
+        deadline: NOW + 1000 * MS,
+        later_stages: Duration::ZERO,
+    };
+    let home = picked(engine.pick(NOW, &request));
+    for _ in 0..20 {
+        assert_eq!(picked(engine.pick(NOW, &request)), home);
+    }
+    for at in 0..6 {
+        engine.report(NOW, &report(&server_name(at), 1, 0, 4), Duration::ZERO);
+    }
+    engine.report(NOW, &report(&home, 1, 4, 4), Duration::ZERO);
+    assert_ne!(
+        picked(engine.pick(NOW, &request)),
+        home,
+        "loaded above the bound"
+    );
+    let holder: ServerId = (0..6)
+        .map(server_name)
+        .find(|name| *name != home)
+        .expect("six servers");
+    let mut holds = report(&holder, 1, 0, 4);
+    holds.prefixes = vec![42];
+    engine.report(NOW, &holds, Duration::ZERO);
+    assert_eq!(picked(engine.pick(NOW, &request)), holder);
+}
+
+#[test]
+fn saturated_servers_make_low_classes_wait_and_then_refuse() {
+    let mut engine = small_engine(2, 2);
+    for at in 0..2 {
+        engine.report(NOW, &report(&server_name(at), 1, 3, 2), Duration::ZERO);
+    }
+    let waits = pick(&mut engine, NOW, RequestClass::Batch, &[]);
+    let PickDecision::Wait { until } = waits else {
+        panic!("expected to wait, got {waits:?}");
+    };
+    assert!(until > NOW && until < NOW + 100 * MS);
+    picked(pick(&mut engine, NOW, RequestClass::Transaction, &[]));
+}
+
+#[test]
+fn a_deadline_that_is_over_is_refused() {
+    let mut engine = small_engine(2, 2);
+    let request = PickRequest {
+        pool: &id("pool"),
+        stage: &id("lookup"),
+        class: RequestClass::Lookup,
+        model: None,
+        prefix: None,
+        exclude: &[],
+        deadline: NOW + 5 * MS,
+        later_stages: Duration::ZERO,
+    };
+    let decision = engine.pick(NOW, &request);
+    assert!(matches!(
+        decision,
+        PickDecision::Refuse {
+            reason: RefuseReason::DeadlineTooShort,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn install_keeps_what_is_known_of_servers_that_stay() {
+    let mut engine = small_engine(4, 4);
+    engine.server_leaving(NOW, &server_name(0));
+    for nonce in 0..3 {
+        run_attempt(
+            &mut engine,
+            NOW,
+            nonce,
+            &server_name(1),
+            MS,
+            AttemptOutcome::Failed,
+        );
+    }
+    let set = object_set(pool_object("pool", 6, 4), Vec::new());
+    engine.install(NOW + MS, &Arc::new(set));
+    for _ in 0..200 {
+        let server = picked(pick(&mut engine, NOW + MS, RequestClass::Lookup, &[]));
+        assert!(server != server_name(0) && server != server_name(1));
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-policy/tests/subset.rs
@@ -0,0 +1,46 @@
+//! Subsets of large pools.
+
+mod common;
+
+use common::{id, server_name};
+use hollywheel_policy::{SubsetMember, choose_subset};
+use hollywheel_types::HostId;
+
+fn members(servers: usize) -> Vec<SubsetMember> {
+    let domain = |at: usize| id(["medeu", "bostandyk", "alatau"][at % 3]);
+    let member = |at| SubsetMember {
+        server: server_name(at),
+        domain: domain(at),
+    };
+    (0..servers).map(member).collect()
+}
+
+#[test]
+fn a_subset_is_spread_over_failure_domains() {
+    let members = members(100);
+    let host: HostId = id("host-1");
+    let subset = choose_subset(&host, &members, 20);
+    assert_eq!(subset, choose_subset(&host, &members, 20));
+    assert_eq!(subset.len(), 20);
+    for domain in 0..3 {
+        let inside = subset.iter().filter(|name| {
+            let at = members.iter().position(|member| member.server == **name);
+            at.is_some_and(|at| at % 3 == domain)
+        });
+        assert!((6..=7).contains(&inside.count()));
+    }
+}
+
+#[test]
+fn a_server_that_goes_changes_little() {
+    let all = members(100);
+    let host: HostId = id("host-1");
+    let before = choose_subset(&host, &all, 20);
+    let without: Vec<_> = all
+        .into_iter()
+        .filter(|member| member.server != before[0])
+        .collect();
+    let after = choose_subset(&host, &without, 20);
+    let kept = after.iter().filter(|name| before.contains(name)).count();
+    assert!(kept >= 18, "{kept} of 20 stayed");
+}
