Add the daemon's core task, backend client, front end and metrics

Cause: the decision machine needs sockets, clocks and callers around it. Change: settings with one check, a catalogue of log events, the task that owns the machine, the client of backend servers, the listener for callers, metrics and the trace ring. Ruled out: a resend by the connection pool; sending after the deadline when a paused process wakes up with timers and connections ready at once. State: compiles, no test of the whole yet.

--- /dev/null
+++ b/crates/hollywheel-daemon/src/backend/mod.rs
@@ -0,0 +1,14 @@
+//! Calls to backend servers.
+
+mod answer;
+mod caller;
+mod load;
+mod reports;
+mod send_body;
+mod stream;
+mod unary;
+mod wire;
+
+pub use caller::{BackendCaller, BackendSettings};
+pub use load::{CollectorSettings, LoadCollector};
+pub use reports::ReportIntake;
--- /dev/null
+++ b/crates/hollywheel-daemon/src/core/effects.rs
@@ -0,0 +1,140 @@
+//! Carrying out of the machine's outputs outside of the task.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollywheel_claims::ClaimQuestion;
+use hollywheel_node::{AttemptCall, NodeInput, StoreTicket};
+use hollywheel_platform::PlatformService;
+use hollywheel_store::{StoreFailure, StoreRequest};
+use hollywheel_types::{AttemptNonce, HostId, Incarnation, SortedMap};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use super::handle::CoreHandle;
+use crate::backend::BackendCaller;
+use crate::events::{EventContext, LogEvent, log_event};
+use crate::metrics::DaemonMetrics;
+use crate::peers::PeerCaller;
+
+/// Holds an attempt in progress.
+#[derive(Debug)]
+struct RunningAttempt {
+    address: SocketAddr,
+    abort: AbortHandle,
+}
+
+/// Starts what the machine's outputs ask for; nothing here waits.
+pub struct CoreEffects {
+    core: CoreHandle,
+    backend: BackendCaller,
+    platform: Arc<dyn PlatformService>,
+    peers: PeerCaller,
+    store_timeout: Duration,
+    metrics: Arc<DaemonMetrics>,
+    attempts: SortedMap<AttemptNonce, RunningAttempt>,
+    drained: watch::Sender<bool>,
+}
+
+impl std::fmt::Debug for CoreEffects {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CoreEffects").finish_non_exhaustive()
+    }
+}
+
+impl CoreEffects {
+    /// Gathers the ways out.
+    pub const fn new(
+        core: CoreHandle,
+        backend: BackendCaller,
+        platform: Arc<dyn PlatformService>,
+        peers: PeerCaller,
+        store_timeout: Duration,
+        metrics: Arc<DaemonMetrics>,
+        drained: watch::Sender<bool>,
+    ) -> Self {
+        Self {
+            core,
+            backend,
+            platform,
+            peers,
+            store_timeout,
+            metrics,
+            attempts: SortedMap::new(),
+            drained,
+        }
+    }
+
+    pub(super) fn attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    pub(super) fn dispatch(&mut self, call: AttemptCall) {
+        let nonce = call.nonce;
+        let address = call.address;
+        let backend = self.backend.clone();
+        let core = self.core.clone();
+        let task = tokio::spawn(async move { backend.run_attempt(call, &core).await });
+        let abort = task.abort_handle();
+        self.attempts
+            .insert(nonce, RunningAttempt { address, abort });
+    }
+
+    pub(super) fn attempt_ended(&mut self, nonce: AttemptNonce) {
+        self.attempts.remove(&nonce);
+    }
+
+    pub(super) fn cancel(&mut self, nonce: AttemptNonce) {
+        let Some(attempt) = self.attempts.remove(&nonce) else {
+            return;
+        };
+        // Ending the task drops the connection; the order tells servers that do not notice.
+        attempt.abort.abort();
+        let backend = self.backend.clone();
+        tokio::spawn(async move { backend.cancel(attempt.address, nonce).await });
+    }
+
+    pub(super) fn call_store(&self, ticket: StoreTicket, request: StoreRequest) {
+        let core = self.core.clone();
+        let platform = Arc::clone(&self.platform);
+        let metrics = Arc::clone(&self.metrics);
+        let timeout = self.store_timeout;
+        tokio::spawn(async move {
+            let result = platform.table(request, timeout).await;
+            metrics.store_called(&result);
+            if let Err(failure) = &result {
+                log_store_failure(failure);
+            }
+            core.send(NodeInput::Store { ticket, result }).await;
+        });
+    }
+
+    pub(super) fn ask_host(
+        &self,
+        ticket: StoreTicket,
+        host: &HostId,
+        incarnation: Incarnation,
+        question: ClaimQuestion,
+    ) {
+        let core = self.core.clone();
+        let peers = self.peers.clone();
+        let host = host.clone();
+        tokio::spawn(async move {
+            let answer = peers.ask_claim(&host, incarnation, &question).await;
+            core.send(NodeInput::HostAnswers { ticket, answer }).await;
+        });
+    }
+
+    pub(super) fn drained(&self) {
+        self.drained.send_replace(true);
+    }
+}
+
+fn log_store_failure(failure: &StoreFailure) {
+    let event = match failure {
+        StoreFailure::Refused { .. } => LogEvent::StoreRefused,
+        StoreFailure::Unknown => LogEvent::StoreUnknown,
+    };
+    log_event(event, &EventContext::default(), &failure.to_string());
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/core/mod.rs
@@ -0,0 +1,14 @@
+//! The one task that owns the decision machine.
+
+mod effects;
+mod handle;
+mod observer;
+mod replies;
+mod status;
+mod task;
+
+pub use effects::CoreEffects;
+pub use handle::{CoreHandle, CoreMessage, CoreUnavailable, HostQuestion, ReplySink};
+pub use observer::CoreObserver;
+pub use status::CoreStatus;
+pub use task::{CoreTask, core_channel};
--- /dev/null
+++ b/crates/hollywheel-daemon/src/core/task.rs
@@ -0,0 +1,181 @@
+//! The loop around the decision machine.
+
+use std::collections::VecDeque;
+
+use hollywheel_claims::ClaimAnswer;
+use hollywheel_node::{AttemptEvent, NodeInput, NodeMachine, NodeOutput, StoreTicket};
+use hollywheel_types::SortedMap;
+use tokio::sync::{mpsc, oneshot};
+
+use super::effects::CoreEffects;
+use super::handle::{CoreHandle, CoreMessage};
+use super::observer::CoreObserver;
+use super::replies::{DeliverOutcome, ReplyTable};
+use super::status::CoreStatus;
+use crate::clock::HostClock;
+
+/// Bounds the messages that wait for the machine; requests beyond it are refused as not run.
+const QUEUE: usize = 4096;
+/// Bounds the messages taken between two looks at the clock.
+const BATCH: usize = 64;
+/// Bounds the questions of other hosts in progress; later ones get no answer.
+const MAX_QUESTIONS: usize = 1024;
+
+/// Creates the queue of the machine.
+pub fn core_channel() -> (CoreHandle, mpsc::Receiver<CoreMessage>) {
+    let (sender, receiver) = mpsc::channel(QUEUE);
+    (CoreHandle::new(sender), receiver)
+}
+
+/// Owns the decision machine and carries out what it decides.
+#[derive(Debug)]
+pub struct CoreTask {
+    machine: NodeMachine,
+    clock: HostClock,
+    receiver: mpsc::Receiver<CoreMessage>,
+    effects: CoreEffects,
+    observer: CoreObserver,
+    replies: ReplyTable,
+    questions: SortedMap<StoreTicket, oneshot::Sender<ClaimAnswer>>,
+    next_question: u64,
+    draining: bool,
+    /// Inputs that follow from carrying out outputs.
+    pending: VecDeque<NodeInput>,
+}
+
+impl CoreTask {
+    /// Creates the task around a machine.
+    pub fn new(
+        machine: NodeMachine,
+        clock: HostClock,
+        receiver: mpsc::Receiver<CoreMessage>,
+        effects: CoreEffects,
+        observer: CoreObserver,
+    ) -> Self {
+        Self {
+            machine,
+            clock,
+            receiver,
+            effects,
+            observer,
+            replies: ReplyTable::default(),
+            questions: SortedMap::new(),
+            next_question: 0,
+            draining: false,
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// Runs until every handle is dropped.
+    pub async fn run(mut self) {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            let wake = self.machine.next_wake();
+            tokio::select! {
+                taken = self.receiver.recv_many(&mut batch, BATCH) => {
+                    if taken == 0 {
+                        return;
+                    }
+                    for message in batch.drain(..) {
+                        self.take(message);
+                    }
+                }
+                () = sleep_until(&self.clock, wake) => self.step(NodeInput::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, message: CoreMessage) {
+        match message {
+            CoreMessage::Input(input) => self.take_input(input),
+            CoreMessage::Request { request, replies } => {
+                self.replies.add(request.request, replies);
+                self.step(NodeInput::Request(*request));
+            }
+            CoreMessage::HostAsks(asked) => {
+                if self.questions.len() >= MAX_QUESTIONS {
+                    return;
+                }
+                self.next_question += 1;
+                let ticket = StoreTicket(self.next_question);
+                self.questions.insert(ticket, asked.reply);
+                self.step(NodeInput::HostAsks {
+                    ticket,
+                    from: asked.from,
+                    question: asked.question,
+                });
+            }
+            CoreMessage::ReadStatus(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn take_input(&mut self, input: NodeInput) {
+        match &input {
+            NodeInput::CallerGone(request) => self.replies.remove(*request),
+            NodeInput::Drain(_) => self.draining = true,
+            NodeInput::Attempt { nonce, event } if is_last(event) => {
+                self.effects.attempt_ended(*nonce);
+            }
+            _ => {}
+        }
+        self.step(input);
+    }
+
+    fn step(&mut self, input: NodeInput) {
+        self.pending.push_back(input);
+        while let Some(input) = self.pending.pop_front() {
+            let now = self.clock.now();
+            for output in self.machine.handle(now, input) {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: NodeOutput) {
+        match output {
+            NodeOutput::Dispatch(call) => self.effects.dispatch(*call),
+            NodeOutput::Cancel { nonce } => self.effects.cancel(nonce),
+            NodeOutput::Store { ticket, request } => self.effects.call_store(ticket, request),
+            NodeOutput::AskHost {
+                ticket,
+                host,
+                incarnation,
+                question,
+            } => self.effects.ask_host(ticket, &host, incarnation, question),
+            NodeOutput::AnswerHost { ticket, answer } => {
+                if let Some(reply) = self.questions.remove(&ticket) {
+                    let _ = reply.send(answer);
+                }
+            }
+            NodeOutput::Reply { request, part } => {
+                if self.replies.deliver(request, part) == DeliverOutcome::Cut {
+                    self.pending.push_back(NodeInput::CallerGone(request));
+                }
+            }
+            NodeOutput::Event(event) => self.observer.observe(self.clock.now(), &event),
+            NodeOutput::Drained => self.effects.drained(),
+        }
+    }
+
+    fn status(&self) -> CoreStatus {
+        CoreStatus {
+            in_flight: u32::try_from(self.replies.len()).unwrap_or(u32::MAX),
+            attempts: u32::try_from(self.effects.attempts()).unwrap_or(u32::MAX),
+            draining: self.draining,
+            subset: self.machine.policy().subset(),
+        }
+    }
+}
+
+const fn is_last(event: &AttemptEvent) -> bool {
+    !matches!(event, AttemptEvent::Token { .. })
+}
+
+async fn sleep_until(clock: &HostClock, wake: Option<hollywheel_types::MonoTime>) {
+    match wake {
+        Some(time) => tokio::time::sleep_until(clock.instant(time).into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/front/guard.rs
@@ -0,0 +1,43 @@
+//! Notice of callers that leave.
+
+use hollywheel_types::RequestId;
+
+use crate::core::CoreHandle;
+use crate::events::{EventContext, LogEvent, log_event};
+
+/// Tells the machine that the caller is gone if it is dropped before the last part.
+#[derive(Debug)]
+pub(super) struct CallerGuard {
+    core: CoreHandle,
+    request: RequestId,
+    done: bool,
+}
+
+impl CallerGuard {
+    pub(super) const fn new(core: CoreHandle, request: RequestId) -> Self {
+        Self {
+            core,
+            request,
+            done: false,
+        }
+    }
+
+    /// Notes that the last part was taken.
+    pub(super) const fn finish(&mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let context = EventContext {
+            request: Some(self.request),
+            trace: None,
+        };
+        log_event(LogEvent::CallerCut, &context, "before the last part");
+        self.core.caller_gone(self.request);
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/front/mod.rs
@@ -0,0 +1,19 @@
+//! The listener for callers.
+
+mod answer;
+mod auth;
+mod event_stream;
+mod guard;
+mod problem;
+mod request;
+mod route;
+mod server;
+mod state;
+mod trace_parent;
+
+pub use auth::find_workspace;
+pub use problem::{CallFault, fault_problem, refusal_problem};
+pub use request::{CallHead, RunBody, parse_body, parse_head};
+pub use server::start_front;
+pub use state::{FrontSettings, FrontState};
+pub use trace_parent::TraceParent;
--- /dev/null
+++ b/crates/hollywheel-daemon/src/front/route.rs
@@ -0,0 +1,146 @@
+//! What is done at each path.
+
+use hollywheel_node::CallerRequest;
+use tokio::sync::mpsc;
+use xitca_web::WebContext;
+use xitca_web::error::Error;
+use xitca_web::http::header::{CONNECTION, HeaderValue};
+use xitca_web::http::{Method, StatusCode, WebResponse};
+
+use super::answer::write_reply;
+use super::auth::find_workspace;
+use super::guard::CallerGuard;
+use super::problem::{CallFault, fault_problem};
+use super::request::{CallHead, RunBody, parse_body, parse_head};
+use super::state::FrontState;
+use super::trace_parent::TraceParent;
+use crate::events::{EventContext, LogEvent, log_event};
+use crate::traces::TraceId;
+use crate::web::{json_reply, problem_reply, read_body};
+
+/// Bounds the parts of one reply that wait for their caller.
+const REPLY_QUEUE: usize = 256;
+
+const PIPELINES: &str = "/v1/pipelines/";
+
+type Context<'a> = WebContext<'a, std::sync::Arc<FrontState>>;
+
+/// Answers a call.
+pub(super) async fn handle_call(mut context: Context<'_>) -> Result<WebResponse, Error> {
+    let path = context.req().uri().path().to_owned();
+    let method = context.req().method().clone();
+    let result = match (method, path.as_str()) {
+        (Method::GET, "/healthz") => Ok(json_reply(StatusCode::OK, &"alive")),
+        (Method::GET, "/readyz") => readiness(context.state()),
+        (Method::POST, path) if path.starts_with(PIPELINES) => {
+            run_pipeline(&mut context, &path[PIPELINES.len()..]).await
+        }
+        (_, path) if path.starts_with(PIPELINES) => Err(CallFault::WrongMethod),
+        (_, "/healthz" | "/readyz") => Err(CallFault::WrongMethod),
+        _ => Err(CallFault::NoPath),
+    };
+    let state = context.state();
+    let mut reply = result.unwrap_or_else(|fault| reject(state, &fault));
+    if state.is_draining() {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(reply)
+}
+
+fn readiness(state: &FrontState) -> Result<WebResponse, CallFault> {
+    if state.is_ready() {
+        return Ok(json_reply(StatusCode::OK, &"ready"));
+    }
+    Err(CallFault::NotReady)
+}
+
+fn reject(state: &FrontState, fault: &CallFault) -> WebResponse {
+    let problem = fault_problem(fault);
+    state.metrics.call_rejected(problem.kind);
+    if !matches!(fault, CallFault::NotReady) {
+        log_event(
+            LogEvent::CallerRejected,
+            &EventContext::default(),
+            &problem.detail,
+        );
+    }
+    problem_reply(&problem)
+}
+
+async fn run_pipeline(context: &mut Context<'_>, name: &str) -> Result<WebResponse, CallFault> {
+    let head = parse_head(name, context.req().headers())?;
+    let state = std::sync::Arc::clone(context.state());
+    let workspace = authorise(&state, &head)?;
+    let body = read_body(context.body_get_mut(), state.settings.max_body)
+        .await
+        .map_err(CallFault::Body)?;
+    let body = parse_body(&body)?;
+    let stream = body.stream;
+    let parent = trace_of(&state, &head);
+    let request = build_request(&state, head, body, workspace);
+    let id = request.request;
+    state.traces.open(state.clock.now(), id, parent.trace);
+    let (sender, parts) = mpsc::channel(REPLY_QUEUE);
+    state
+        .core
+        .submit(request, sender)
+        .map_err(|_| CallFault::Busy)?;
+    let guard = CallerGuard::new(state.core.clone(), id);
+    let mut reply = write_reply(id, stream, parts, guard).await;
+    if let Ok(value) = HeaderValue::from_str(&parent.to_string()) {
+        reply.headers_mut().insert("traceparent", value);
+    }
+    Ok(reply)
+}
+
+fn authorise(
+    state: &FrontState,
+    head: &CallHead,
+) -> Result<hollywheel_types::WorkspaceId, CallFault> {
+    let published = state.config.get().ok_or(CallFault::NotReady)?;
+    let workspace = find_workspace(&published.set, &head.key).ok_or(CallFault::NoKey)?;
+    let pipeline = published.set.pipeline(&head.pipeline);
+    let allowed = pipeline.is_none_or(|pipeline| {
+        pipeline.workspaces.is_empty() || pipeline.workspaces.contains(&workspace)
+    });
+    if allowed {
+        return Ok(workspace);
+    }
+    Err(CallFault::NotAllowed {
+        pipeline: head.pipeline.to_string(),
+    })
+}
+
+/// Continues the caller's trace, or begins one.
+fn trace_of(state: &FrontState, head: &CallHead) -> TraceParent {
+    let drawn = state.draw();
+    let span = (drawn as u64).max(1);
+    match head.trace {
+        Some(parent) => TraceParent { span, ..parent },
+        None => TraceParent {
+            trace: TraceId(state.draw().max(1)),
+            span,
+            flags: 0,
+        },
+    }
+}
+
+fn build_request(
+    state: &FrontState,
+    head: CallHead,
+    body: RunBody,
+    workspace: hollywheel_types::WorkspaceId,
+) -> CallerRequest {
+    CallerRequest {
+        request: state.draw_request(),
+        workspace,
+        pipeline: head.pipeline,
+        input: body.input,
+        idempotency_key: head.idempotency_key,
+        timeout: head.timeout,
+        max_tokens: body.max_tokens,
+        stream: body.stream,
+        received_at: state.clock.wall(),
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/front/state.rs
@@ -0,0 +1,97 @@
+//! What every call needs.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use hollywheel_types::RequestId;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::clock::HostClock;
+use crate::config_view::ConfigView;
+use crate::core::CoreHandle;
+use crate::metrics::DaemonMetrics;
+use crate::traces::TraceRing;
+
+/// Holds the settings of the listener for callers.
+#[derive(Clone, Copy, Debug)]
+pub struct FrontSettings {
+    /// The largest request body in bytes.
+    pub max_body: u64,
+    /// The threads that serve callers.
+    pub workers: usize,
+}
+
+impl Default for FrontSettings {
+    fn default() -> Self {
+        Self {
+            max_body: 1024 * 1024,
+            workers: 2,
+        }
+    }
+}
+
+/// Holds what every call needs.
+#[derive(Debug)]
+pub struct FrontState {
+    /// The settings.
+    pub settings: FrontSettings,
+    /// The way to the machine.
+    pub core: CoreHandle,
+    /// The configuration in force.
+    pub config: Arc<ConfigView>,
+    /// The clock.
+    pub clock: HostClock,
+    /// The metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// The recent requests.
+    pub traces: Arc<TraceRing>,
+    /// Set once the graceful shutdown has begun.
+    pub draining: Arc<AtomicBool>,
+    random: Mutex<StdRng>,
+}
+
+impl FrontState {
+    /// Creates the state.
+    pub fn new(
+        settings: FrontSettings,
+        core: CoreHandle,
+        config: Arc<ConfigView>,
+        clock: HostClock,
+        metrics: Arc<DaemonMetrics>,
+        traces: Arc<TraceRing>,
+        seed: [u8; 32],
+    ) -> Self {
+        Self {
+            settings,
+            core,
+            config,
+            clock,
+            metrics,
+            traces,
+            draining: Arc::default(),
+            random: Mutex::new(StdRng::from_seed(seed)),
+        }
+    }
+
+    /// Draws the id of a request.
+    pub fn draw_request(&self) -> RequestId {
+        RequestId(self.draw())
+    }
+
+    /// Draws 128 random bits.
+    pub fn draw(&self) -> u128 {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        random.random()
+    }
+
+    /// Says whether the host takes requests.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.config.get().is_some()
+    }
+
+    /// Says whether the graceful shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/metrics/registry.rs
@@ -0,0 +1,294 @@
+//! The registry and what is recorded in it.
+
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
+
+use hollywheel_node::{NodeEvent, RequestSummary};
+use hollywheel_policy::{AttemptKind, AttemptOutcome, RequestEnd};
+use hollywheel_store::{StoreFailure, StoreReply};
+use hollywheel_types::WorkspaceId;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use super::labels::{ClassLabels, CostLabels, EndLabels, KindLabels, WorkspaceLabels};
+use super::workspace::WorkspaceRank;
+
+/// Gives the bounds of the histograms of whole requests, in seconds.
+const REQUEST_BOUNDS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0,
+];
+/// Gives the bounds of the histograms of single tokens, in seconds.
+const TOKEN_BOUNDS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+/// Names the series that the workspaces without their own are folded into.
+const OTHER: &str = "other";
+
+type HistogramFamily<L> = Family<L, Histogram, fn() -> Histogram>;
+
+fn request_histogram() -> Histogram {
+    Histogram::new(REQUEST_BOUNDS)
+}
+
+fn token_histogram() -> Histogram {
+    Histogram::new(TOKEN_BOUNDS)
+}
+
+/// Holds every metric of the host.
+pub struct DaemonMetrics {
+    registry: Registry,
+    requests: HistogramFamily<ClassLabels>,
+    first_tokens: HistogramFamily<ClassLabels>,
+    token_gaps: HistogramFamily<ClassLabels>,
+    workspaces: HistogramFamily<WorkspaceLabels>,
+    received: Counter,
+    ends: Family<EndLabels, Counter>,
+    refusals: Family<KindLabels, Counter>,
+    rejected: Family<KindLabels, Counter>,
+    attempts: Family<KindLabels, Counter>,
+    outcomes: Family<KindLabels, Counter>,
+    claims: Counter,
+    mismatches: Counter,
+    store_calls: Counter,
+    store_failures: Family<KindLabels, Counter>,
+    costs: Family<CostLabels, Gauge<f64, AtomicU64>>,
+    ejected: Gauge,
+    ready: Gauge,
+    config_version: Gauge,
+    hosts_alive: Gauge,
+    in_flight: Gauge,
+    rank: Mutex<WorkspaceRank>,
+}
+
+impl fmt::Debug for DaemonMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DaemonMetrics").finish_non_exhaustive()
+    }
+}
+
+macro_rules! register {
+    ($registry:ident, $($field:ident: $value:expr, $name:literal, $help:literal;)*) => {
+        $(let $field = $value; $registry.register($name, $help, $field.clone());)*
+    };
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DaemonMetrics {
+    /// Creates the metrics with every value at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("hollywheel");
+        register! { registry,
+            requests: HistogramFamily::new_with_constructor(request_histogram as fn() -> Histogram), "request_seconds", "Time to the complete answer by class";
+            first_tokens: HistogramFamily::new_with_constructor(token_histogram as fn() -> Histogram), "first_token_seconds", "Time to the first token by class";
+            token_gaps: HistogramFamily::new_with_constructor(token_histogram as fn() -> Histogram), "token_gap_seconds", "Longest time between two tokens of a request by class";
+            workspaces: HistogramFamily::new_with_constructor(request_histogram as fn() -> Histogram), "workspace_request_seconds", "Time to the complete answer by workspace; the less busy are folded into other";
+            received: Counter::default(), "requests_received", "Requests received";
+            ends: Family::default(), "requests_ended", "Requests by class, end and verdict";
+            refusals: Family::default(), "refusals", "Requests without a complete answer by reason";
+            rejected: Family::default(), "calls_rejected", "Calls rejected before they became requests, by problem";
+            attempts: Family::default(), "attempts_sent", "Attempts by kind: first, retry or hedge";
+            outcomes: Family::default(), "attempts_ended", "Attempts by outcome";
+            claims: Counter::default(), "claims", "Claims recorded";
+            mismatches: Counter::default(), "answer_mismatches", "Answers dropped, since they did not match their attempt";
+            store_calls: Counter::default(), "store_calls", "Calls of the table service";
+            store_failures: Family::default(), "store_failures", "Calls of the table service without an answer, by kind";
+            costs: Family::default(), "stage_cost_milliseconds", "Time of backend servers by stage, class and what it was spent for";
+            ejected: Gauge::default(), "servers_ejected", "Backend servers that are ejected now";
+            ready: Gauge::default(), "ready", "Whether the host takes requests";
+            config_version: Gauge::default(), "config_version", "Configuration version in force";
+            hosts_alive: Gauge::default(), "hosts_alive", "Hosts taken for alive, this one included";
+            in_flight: Gauge::default(), "requests_in_flight", "Requests in progress";
+        }
+        Self {
+            registry,
+            requests,
+            first_tokens,
+            token_gaps,
+            workspaces,
+            received,
+            ends,
+            refusals,
+            rejected,
+            attempts,
+            outcomes,
+            claims,
+            mismatches,
+            store_calls,
+            store_failures,
+            costs,
+            ejected,
+            ready,
+            config_version,
+            hosts_alive,
+            in_flight,
+            rank: Mutex::new(WorkspaceRank::default()),
+        }
+    }
+
+    /// Records an event of the decision machine.
+    pub fn observe(&self, event: &NodeEvent) {
+        match event {
+            NodeEvent::Received { .. } => {
+                self.received.inc();
+            }
+            NodeEvent::Sent { kind, .. } => count(&self.attempts, kind_name(*kind)),
+            NodeEvent::AttemptEnded { outcome, .. } => {
+                count(&self.outcomes, outcome_name(*outcome));
+            }
+            NodeEvent::Mismatched { .. } => {
+                self.mismatches.inc();
+            }
+            NodeEvent::Claimed { .. } => {
+                self.claims.inc();
+            }
+            NodeEvent::Ended(summary) => self.ended(summary),
+            NodeEvent::Admitted { .. } => {}
+        }
+    }
+
+    fn ended(&self, summary: &RequestSummary) {
+        let class = summary.class.name();
+        self.ends
+            .get_or_create(&EndLabels {
+                class,
+                end: end_name(summary.end),
+                verdict: summary.verdict.name(),
+            })
+            .inc();
+        if let Some(reason) = summary.reason {
+            count(&self.refusals, reason.name());
+        }
+        let label = self.workspace_label(&summary.workspace);
+        if !matches!(summary.end, RequestEnd::Attained | RequestEnd::Late) {
+            return;
+        }
+        let labels = ClassLabels { class };
+        let seconds = summary.total.as_secs_f64();
+        self.requests.get_or_create(&labels).observe(seconds);
+        self.workspaces
+            .get_or_create(&WorkspaceLabels { workspace: label })
+            .observe(seconds);
+        if let Some(first) = summary.first_token {
+            let family = self.first_tokens.get_or_create(&labels);
+            family.observe(first.as_secs_f64());
+        }
+        if let Some(gap) = summary.longest_gap {
+            let family = self.token_gaps.get_or_create(&labels);
+            family.observe(gap.as_secs_f64());
+        }
+    }
+
+    fn workspace_label(&self, workspace: &WorkspaceId) -> String {
+        let mut rank = self.rank.lock().unwrap_or_else(PoisonError::into_inner);
+        for demoted in rank.count(workspace) {
+            self.workspaces.remove(&WorkspaceLabels {
+                workspace: demoted.to_string(),
+            });
+        }
+        let label = if rank.is_tracked(workspace) {
+            workspace.as_str()
+        } else {
+            OTHER
+        };
+        label.to_owned()
+    }
+
+    /// Records a call that was rejected before it became a request.
+    pub fn call_rejected(&self, problem: &'static str) {
+        count(&self.rejected, problem);
+    }
+
+    /// Records a call of the table service.
+    pub fn store_called(&self, result: &Result<StoreReply, StoreFailure>) {
+        self.store_calls.inc();
+        match result {
+            Ok(_) => {}
+            Err(StoreFailure::Refused { .. }) => count(&self.store_failures, "refused"),
+            Err(StoreFailure::Unknown) => count(&self.store_failures, "unknown"),
+        }
+    }
+
+    /// Sets what a stage spent for a class.
+    pub fn set_cost(&self, stage: &str, class: &'static str, spent: &'static str, millis: f64) {
+        let labels = CostLabels {
+            stage: stage.to_owned(),
+            class,
+            spent,
+        };
+        self.costs.get_or_create(&labels).set(millis);
+    }
+
+    /// Sets the number of backend servers that are ejected.
+    pub fn set_ejected(&self, servers: usize) {
+        self.ejected.set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
+    /// Sets whether the host takes requests.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.set(i64::from(ready));
+    }
+
+    /// Sets the configuration version in force.
+    pub fn set_config_version(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.config_version.set(version);
+    }
+
+    /// Sets the number of hosts taken for alive.
+    pub fn set_hosts_alive(&self, hosts: usize) {
+        let hosts = i64::try_from(hosts).unwrap_or(i64::MAX);
+        self.hosts_alive.set(hosts);
+    }
+
+    /// Sets the number of requests in progress.
+    pub fn set_in_flight(&self, requests: u32) {
+        self.in_flight.set(i64::from(requests));
+    }
+
+    /// Returns the metrics as OpenMetrics text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a text cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn count(family: &Family<KindLabels, Counter>, kind: &'static str) {
+    family.get_or_create(&KindLabels { kind }).inc();
+}
+
+const fn kind_name(kind: AttemptKind) -> &'static str {
+    match kind {
+        AttemptKind::First => "first",
+        AttemptKind::Retry => "retry",
+        AttemptKind::Hedge => "hedge",
+    }
+}
+
+const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Answered => "answered",
+        AttemptOutcome::Refused => "refused",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::TimedOut => "timed-out",
+        AttemptOutcome::Cancelled => "cancelled",
+    }
+}
+
+const fn end_name(end: RequestEnd) -> &'static str {
+    match end {
+        RequestEnd::Attained => "attained",
+        RequestEnd::Late => "late",
+        RequestEnd::Refused => "refused",
+        RequestEnd::Failed => "failed",
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/peers/mod.rs
@@ -0,0 +1,5 @@
+//! Calls to other hosts.
+
+mod caller;
+
+pub use caller::PeerCaller;
--- /dev/null
+++ b/crates/hollywheel-daemon/src/web/body.rs
@@ -0,0 +1,65 @@
+//! Reading of request bodies within bounds.
+
+use std::fmt;
+use std::time::Duration;
+
+use xitca_web::body::{BodyExt, RequestBody};
+use xitca_web::bytes::{Bytes, BytesMut};
+
+/// Bounds the time in which a caller must send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Says why a body was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFault {
+    /// It is larger than the limit.
+    TooLarge {
+        /// The limit in bytes.
+        limit: u64,
+    },
+    /// The connection broke.
+    Broken,
+    /// It did not arrive in time.
+    TooSlow,
+}
+
+impl fmt::Display for BodyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge { limit } => {
+                write!(f, "the body is larger than {limit} bytes")
+            }
+            Self::Broken => f.write_str("the body broke off"),
+            Self::TooSlow => write!(
+                f,
+                "the body did not arrive within {} s",
+                BODY_TIMEOUT.as_secs()
+            ),
+        }
+    }
+}
+
+impl std::error::Error for BodyFault {}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns [`BodyFault`] if the body is too large, breaks off or is slow.
+pub async fn read_body(body: &mut RequestBody, limit: u64) -> Result<Bytes, BodyFault> {
+    tokio::time::timeout(BODY_TIMEOUT, read_parts(body, limit))
+        .await
+        .unwrap_or(Err(BodyFault::TooSlow))
+}
+
+async fn read_parts(body: &mut RequestBody, limit: u64) -> Result<Bytes, BodyFault> {
+    let mut content = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(|_| BodyFault::Broken)?;
+        if (content.len() + part.len()) as u64 > limit {
+            return Err(BodyFault::TooLarge { limit });
+        }
+        content.extend_from_slice(&part);
+    }
+    Ok(content.freeze())
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/web/mod.rs
@@ -0,0 +1,9 @@
+//! What the listeners for callers and for operators share.
+
+mod body;
+mod problem;
+mod server;
+
+pub use body::{BodyFault, read_body};
+pub use problem::{ProblemReply, json_reply, problem_reply};
+pub use server::{WebServer, bind_listener};
--- /dev/null
+++ b/crates/hollywheel-daemon/src/web/server.rs
@@ -0,0 +1,81 @@
+//! Running of a listener in its own threads.
+
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use xitca_web::HttpServer;
+
+/// Binds an address for listening.
+///
+/// # Errors
+///
+/// Returns the error of the system with the address.
+pub fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Orders a server to stop; the flag lets open connections finish.
+type StopOrder = Box<dyn Fn(bool) + Send + Sync>;
+
+/// Owns a running server. Dropping it stops the server without waiting.
+pub struct WebServer {
+    stop: StopOrder,
+    ended: oneshot::Receiver<()>,
+}
+
+impl fmt::Debug for WebServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WebServer").finish_non_exhaustive()
+    }
+}
+
+impl WebServer {
+    /// Starts a server that has been given its listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the server cannot start.
+    pub fn start<S, const H: usize, const R: usize, const W: usize>(
+        server: HttpServer<S, H, R, W>,
+    ) -> io::Result<Self>
+    where
+        S: Send + Sync + 'static,
+    {
+        let mut future = server.run();
+        let handle = future.handle()?;
+        let (sender, ended) = oneshot::channel();
+        std::thread::Builder::new()
+            .name("web-server".to_owned())
+            .spawn(move || {
+                let _ = future.wait();
+                let _ = sender.send(());
+            })?;
+        Ok(Self {
+            stop: Box::new(move |graceful| handle.stop(graceful)),
+            ended,
+        })
+    }
+
+    /// Waits until the server ends by itself, which is a failure.
+    pub async fn ended(&mut self) {
+        let _ = (&mut self.ended).await;
+    }
+
+    /// Stops accepting, lets open connections finish within the bound and says whether they did.
+    pub async fn stop(mut self, bound: Duration) -> bool {
+        (self.stop)(true);
+        tokio::time::timeout(bound, &mut self.ended).await.is_ok()
+    }
+}
+
+impl Drop for WebServer {
+    fn drop(&mut self) {
+        (self.stop)(false);
+    }
+}
