Publish and install versions through the table service and peers

Cause: the install machine had no body. Ruled out: a read of the head row by every host at a fixed interval (390 hosts at 5 s are 78 reads/s); a spacing that grows with the number of hosts keeps the rate of the fleet. Spans are exponential now. A whole set with each version was ruled out too: every 64th has one. Change: head row by compare-and-set on its revision with the change row and, when due, the whole set in one transaction; writes without an answer are repeated as they were and read back; changes between hosts carry the digest of the set that they lead to; the whole-set check runs at both ends. serde_json reads numbers exactly (float_roundtrip), since the digest is over text.

--- a/crates/hollywheel-config/src/change.rs
+++ b/crates/hollywheel-config/src/change.rs
@@ -26,24 +26,32 @@
     ///
     /// Returns the change if it was made on another version.
     pub fn apply(&self, change: &ConfigChange) -> Result<Self, BaseMismatch> {
-        if change.base != self.version {
+        let mut next = self.clone();
+        next.advance(change)?;
+        Ok(next)
+    }
+
+    /// Applies a change that was made on this version, in place.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error and changes nothing if the change was made on another version.
+    pub fn advance(&mut self, change: &ConfigChange) -> Result<(), BaseMismatch> {
+        if change.base != self.version || change.version <= change.base {
             return Err(BaseMismatch {
                 version: self.version,
                 base: change.base,
             });
         }
-        let mut set = self.set.clone();
         for key in &change.diff.removed {
-            set.remove(key);
+            self.set.remove(key);
         }
         for object in &change.diff.put {
-            set.put(object.clone());
+            self.set.put(object.clone());
         }
-        Ok(Self {
-            version: change.version,
-            publish_id: change.publish_id,
-            set,
-        })
+        self.version = change.version;
+        self.publish_id = change.publish_id;
+        Ok(())
     }
 }
 
--- a/crates/hollywheel-config/src/install_message.rs
+++ b/crates/hollywheel-config/src/install/message.rs
@@ -11,6 +11,7 @@
 
 use crate::change::{ConfigChange, PublishedSet};
 use crate::check::CheckReport;
+use crate::install::digest::SetDigest;
 use crate::set::ObjectSet;
 
 /// Numbers the calls of the install machine and the questions to it.
@@ -22,8 +23,12 @@
 pub struct InstallSettings {
     /// The seed of random choices.
     pub seed: u64,
-    /// The mean time between reads of the head row.
-    pub poll_interval: Duration,
+    /// The mean time between reads of the head row by any host of the fleet.
+    pub poll_spacing: Duration,
+    /// The least mean time between reads of the head row by this host.
+    pub poll_least: Duration,
+    /// The most mean time between reads of the head row by this host.
+    pub poll_most: Duration,
     /// The time after which a call without an answer is given up.
     pub call_timeout: Duration,
 }
@@ -32,8 +37,10 @@
     fn default() -> Self {
         Self {
             seed: 0,
-            poll_interval: Duration::from_secs(5),
-            call_timeout: Duration::from_secs(2),
+            poll_spacing: Duration::from_millis(250),
+            poll_least: Duration::from_secs(2),
+            poll_most: Duration::from_secs(60),
+            call_timeout: Duration::from_secs(5),
         }
     }
 }
@@ -45,6 +52,9 @@
     pub snapshot: Option<Arc<PublishedSet>>,
     /// The changes that follow, oldest first.
     pub changes: Vec<ConfigChange>,
+    /// The digest of the set that they lead to.
+    #[serde(default)]
+    pub digest: SetDigest,
 }
 
 /// Asks for the publication of a set.
@@ -95,7 +105,7 @@
     pub operator: String,
     /// When it was published.
     pub published_at: WallTime,
-    /// One line an object, `~` for new or changed and `-` for removed.
+    /// One line an object, such as `~ pool/rates`.
     pub changes: Vec<String>,
 }
 
@@ -246,6 +256,8 @@
     },
     /// Tells that a version was published, without a peer that has it.
     VersionPublished(ConfigVersion),
+    /// Tells how many hosts are taken for alive, this one included.
+    HostsAlive(u32),
     /// Publishes a set.
     Publish(PublishOrder),
     /// Publishes an old set again.
--- /dev/null
+++ b/crates/hollywheel-config/src/install/mod.rs
@@ -0,0 +1,18 @@
+//! Publication and installation of versions on a host.
+
+mod catch_up;
+mod chain;
+mod digest;
+mod history;
+mod machine;
+mod message;
+mod order;
+mod reader;
+mod rows;
+
+pub use digest::SetDigest;
+pub use machine::InstallMachine;
+pub use message::{
+    ChangeBatch, ChangeSummary, InstallError, InstallFault, InstallInput, InstallOutput,
+    InstallSettings, InstallTicket, PublishOrder, PublishReceipt, RollbackOrder,
+};
--- a/crates/hollywheel-config/src/lib.rs
+++ b/crates/hollywheel-config/src/lib.rs
@@ -3,7 +3,6 @@
 mod change;
 mod check;
 mod install;
-mod install_message;
 mod key_hash;
 mod object;
 mod read;
@@ -11,10 +10,10 @@
 
 pub use change::{BaseMismatch, ConfigChange, ObjectChange, PublishedSet, SetDiff};
 pub use check::{CheckFault, CheckReport, check_set};
-pub use install::InstallMachine;
-pub use install_message::{
-    ChangeBatch, ChangeSummary, InstallError, InstallFault, InstallInput, InstallOutput,
-    InstallSettings, InstallTicket, PublishOrder, PublishReceipt, RollbackOrder,
+pub use install::{
+    ChangeBatch, ChangeSummary, InstallError, InstallFault, InstallInput, InstallMachine,
+    InstallOutput, InstallSettings, InstallTicket, PublishOrder, PublishReceipt, RollbackOrder,
+    SetDigest,
 };
 pub use key_hash::{hash_key, key_matches};
 pub use object::{
