Let the stand-ins' ledgers outlive a kill

Cause: a killed stand-in takes its ledger along, so nothing tells what it ran. Ruled out: reading the ledger before the kill, since calls between the two are missed. Before: the outcome of a call to a killed stand-in could not be checked. Conclusion: kills of backend servers can be part of checked runs.

--- a/crates/hollywheel-fleet/src/commands/run.rs
+++ b/crates/hollywheel-fleet/src/commands/run.rs
@@ -40,7 +40,7 @@
         .arg(path_argument(
             "timeline",
             "FILE",
-            "Faults of hosts, as TOML",
+            "Faults of processes, as TOML",
         ))
         .arg(
             Arg::new("hosts")
@@ -136,8 +136,8 @@
         if at > begin + span || stop.before(at).await {
             return Ok(());
         }
-        fleet.apply(&fault.host, fault.action).await?;
-        println!("{} ms: {:?} {}", fault.at_ms, fault.action, fault.host);
+        fleet.apply(&fault.process, fault.action).await?;
+        println!("{} ms: {:?} {}", fault.at_ms, fault.action, fault.process);
     }
     stop.before(begin + span).await;
     Ok(())
--- a/crates/hollywheel-fleet/src/error.rs
+++ b/crates/hollywheel-fleet/src/error.rs
@@ -41,8 +41,8 @@
         /// What it printed.
         message: String,
     },
-    /// A fault names a host that is not in the fleet.
-    NoHost(String),
+    /// A fault names a process that is not in the fleet.
+    NoProcess(String),
 }
 
 impl fmt::Display for FleetError {
@@ -62,9 +62,9 @@
                 log.display()
             ),
             Self::Operator { command, message } => write!(f, "{command}: {message}"),
-            Self::NoHost(name) => write!(
+            Self::NoProcess(name) => write!(
                 f,
-                "the timeline names host {name:?}, which is not in the fleet"
+                "the timeline names {name:?}, which is no host or stand-in that can do this"
             ),
         }
     }
--- a/crates/hollywheel-fleet/src/fleet.rs
+++ b/crates/hollywheel-fleet/src/fleet.rs
@@ -110,29 +110,42 @@
         &self.record
     }
 
-    /// Carries out a fault.
+    /// Carries out a fault of a host or a stand-in.
     pub(crate) async fn apply(
         &mut self,
-        host: &str,
+        name: &str,
         action: FaultAction,
     ) -> Result<(), FleetError> {
-        let found = self
-            .hosts
-            .iter_mut()
-            .find(|entry| entry.record.name == host);
-        let Some(host) = found else {
-            return Err(FleetError::NoHost(host.to_owned()));
-        };
+        if action == FaultAction::Start {
+            return self.find_host(name)?.start_again();
+        }
+        let process = self.find_process(name)?;
         match action {
-            FaultAction::Continue => host.process.signal(Signal::SIGCONT),
-            FaultAction::Kill => host.process.kill().await,
-            FaultAction::Pause => host.process.signal(Signal::SIGSTOP),
-            FaultAction::Start => host.start_again()?,
-            FaultAction::Stop => host.process.signal(Signal::SIGTERM),
+            FaultAction::Continue => process.signal(Signal::SIGCONT),
+            FaultAction::Kill => process.kill().await,
+            FaultAction::Pause => process.signal(Signal::SIGSTOP),
+            FaultAction::Start => {}
+            FaultAction::Stop => process.signal(Signal::SIGTERM),
         }
         Ok(())
     }
 
+    fn find_host(&mut self, name: &str) -> Result<&mut HostProcess, FleetError> {
+        let found = self.hosts.iter_mut().find(|host| host.record.name == name);
+        found.ok_or_else(|| FleetError::NoProcess(name.to_owned()))
+    }
+
+    fn find_process(&mut self, name: &str) -> Result<&mut FleetProcess, FleetError> {
+        let server = self
+            .standins
+            .iter_mut()
+            .find(|server| server.record.name == name);
+        if let Some(server) = server {
+            return Ok(&mut server.process);
+        }
+        Ok(&mut self.find_host(name)?.process)
+    }
+
     /// Ends every process: hosts first and together, then what they use.
     pub(crate) async fn end(mut self) -> usize {
         for host in &self.hosts {
--- a/crates/hollywheel-fleet/src/record.rs
+++ b/crates/hollywheel-fleet/src/record.rs
@@ -16,6 +16,8 @@
     pub domain: String,
     /// The address.
     pub address: SocketAddr,
+    /// The file that holds what it ran.
+    pub ledger: PathBuf,
     /// The process id.
     pub pid: u32,
 }
--- a/crates/hollywheel-fleet/src/standin.rs
+++ b/crates/hollywheel-fleet/src/standin.rs
@@ -24,7 +24,9 @@
     pool: &PoolObject,
     server: &ServerEntry,
 ) -> Result<StandinProcess, FleetError> {
-    let args = server_arguments(platform, pool, server);
+    let mut args = server_arguments(platform, pool, server);
+    let ledger = directory.join(format!("{}.ledger", server.name));
+    args.extend(["--ledger-file".to_owned(), ledger.display().to_string()]);
     let log = directory.join(format!("{}.log", server.name));
     let program = programs.join("hollywheel-standin");
     let mut process = FleetProcess::start(&program, &args, &[], &log)?;
@@ -34,6 +36,7 @@
         pool: pool.name.to_string(),
         domain: server.domain.to_string(),
         address,
+        ledger,
         pid: process.pid(),
     };
     Ok(StandinProcess { process, record })
--- a/crates/hollywheel-fleet/src/timeline.rs
+++ b/crates/hollywheel-fleet/src/timeline.rs
@@ -1,4 +1,4 @@
-//! Faults of hosts on a timeline.
+//! Faults of processes on a timeline.
 
 use std::path::Path;
 
@@ -6,7 +6,7 @@
 
 use crate::error::FleetError;
 
-/// Names what is done to a host.
+/// Names what is done to a process.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultAction {
@@ -16,7 +16,7 @@
     Kill,
     /// Stops the process from running until it is continued.
     Pause,
-    /// Starts a process in place of one that ended.
+    /// Starts a host in place of one that ended.
     Start,
     /// Asks the process to shut down gracefully.
     Stop,
@@ -28,8 +28,8 @@
 pub struct TimedFault {
     /// The time since the fleet was ready, in milliseconds.
     pub at_ms: u64,
-    /// The host.
-    pub host: String,
+    /// The host or the stand-in.
+    pub process: String,
     /// What is done.
     pub action: FaultAction,
 }
--- a/crates/hollywheel-fleet/tests/inputs.rs
+++ b/crates/hollywheel-fleet/tests/inputs.rs
@@ -19,11 +19,11 @@
         r#"
 [[fault]]
 at_ms = 200
-host = "a"
+process = "a"
 action = "start"
 [[fault]]
 at_ms = 100
-host = "a"
+process = "a"
 action = "kill"
 "#,
     );
--- a/crates/hollywheel-standins/src/command/run.rs
+++ b/crates/hollywheel-standins/src/command/run.rs
@@ -1,9 +1,11 @@
 //! Starting the chosen stand-in and ending it on a signal.
 
+use std::fs::File;
 use std::io::{self, Write};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use hollywheel_standins::StandinHandle;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -15,6 +17,15 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .arg(
+            Arg::new("ledger-file")
+                .long("ledger-file")
+                .env("HOLLYWHEEL_STANDIN_LEDGER_FILE")
+                .global(true)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("File that the ledger is copied to, so that it outlives the process"),
+        )
         .subcommand(engine::command())
         .subcommand(pool::command())
         .subcommand(service::command())
@@ -35,6 +46,9 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let handle = start(&matches).await?;
+    if let Some(path) = matches.get_one::<PathBuf>("ledger-file") {
+        handle.copy_ledger(File::create(path)?);
+    }
     let mut output = io::stdout();
     writeln!(output, "listening {}", handle.address())?;
     output.flush()?;
--- a/crates/hollywheel-standins/src/engine/server.rs
+++ b/crates/hollywheel-standins/src/engine/server.rs
@@ -309,6 +309,10 @@
         self.core.ledger.entries(0)
     }
 
+    fn copy_ledger(&self, file: std::fs::File) {
+        self.core.ledger.copy_to(file);
+    }
+
     fn set_faults(&self, order: FaultOrder) {
         self.core.set_faults(order);
     }
--- a/crates/hollywheel-standins/src/handle.rs
+++ b/crates/hollywheel-standins/src/handle.rs
@@ -1,6 +1,7 @@
 //! The owner's side of a running stand-in.
 
 use std::fmt;
+use std::fs::File;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +16,9 @@
     /// Returns the ledger.
     fn ledger(&self) -> Vec<LedgerEntry>;
 
+    /// Writes later entries of the ledger to a file too.
+    fn copy_ledger(&self, file: File);
+
     /// Replaces the faults.
     fn set_faults(&self, order: FaultOrder);
 }
@@ -52,6 +56,11 @@
         self.control.ledger()
     }
 
+    /// Writes later entries of the ledger to a file too, so that they outlive the process.
+    pub fn copy_ledger(&self, file: File) {
+        self.control.copy_ledger(file);
+    }
+
     /// Replaces the faults; the default order clears them.
     pub fn set_faults(&self, order: FaultOrder) {
         self.control.set_faults(order);
--- a/crates/hollywheel-standins/src/ledger.rs
+++ b/crates/hollywheel-standins/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The bounded record of what ran.
 
+use std::fs::File;
+use std::io::Write;
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -86,6 +88,7 @@
 struct LedgerPages {
     entries: Vec<LedgerEntry>,
     dropped: u64,
+    copy: Option<File>,
 }
 
 /// Records events in memory.
@@ -103,9 +106,18 @@
         }
         entry.seq = pages.entries.len() as u64 + 1;
         entry.at_us = wall_micros();
+        if let Some(file) = &mut pages.copy {
+            // A copy that ends early shows as a missing event, which the checker reports.
+            let _ = writeln!(file, "{}", entry_line(&entry));
+        }
         pages.entries.push(entry);
     }
 
+    /// Writes every later entry to a file too, before the call that it belongs to goes on.
+    pub(crate) fn copy_to(&self, file: File) {
+        self.pages.lock().expect("no holder panics").copy = Some(file);
+    }
+
     /// Returns the entries after a position, with a `truncated` entry if some are missing.
     pub(crate) fn entries(&self, after: u64) -> Vec<LedgerEntry> {
         let pages = self.pages.lock().expect("no holder panics");
@@ -126,14 +138,17 @@
     pub(crate) fn lines(&self, after: u64) -> String {
         let mut text = String::new();
         for entry in self.entries(after) {
-            let line = serde_json::to_string(&entry).expect("entries hold only text and numbers");
-            text.push_str(&line);
+            text.push_str(&entry_line(&entry));
             text.push('\n');
         }
         text
     }
 }
 
+fn entry_line(entry: &LedgerEntry) -> String {
+    serde_json::to_string(entry).expect("entries hold only text and numbers")
+}
+
 /// Returns the wall-clock time in microseconds since the Unix epoch.
 pub(crate) fn wall_micros() -> u64 {
     let since = SystemTime::now()
--- a/crates/hollywheel-standins/src/platform.rs
+++ b/crates/hollywheel-standins/src/platform.rs
@@ -383,6 +383,8 @@
         Vec::new()
     }
 
+    fn copy_ledger(&self, _file: std::fs::File) {}
+
     fn set_faults(&self, order: FaultOrder) {
         self.faults.set(order);
     }
--- a/crates/hollywheel-standins/src/runner.rs
+++ b/crates/hollywheel-standins/src/runner.rs
@@ -217,6 +217,10 @@
         self.core.ledger.entries(0)
     }
 
+    fn copy_ledger(&self, file: std::fs::File) {
+        self.core.ledger.copy_to(file);
+    }
+
     fn set_faults(&self, order: FaultOrder) {
         self.core.set_faults(order);
     }
