--- a/crates/hollywheel-fleet/src/fleet.rs
+++ b/crates/hollywheel-fleet/src/fleet.rs
@@ -136,14 +136,15 @@
     }
 
     fn find_process(&mut self, name: &str) -> Result<&mut FleetProcess, FleetError> {
-        let server = self
-            .standins
-            .iter_mut()
-            .find(|server| server.record.name == name);
-        if let Some(server) = server {
-            return Ok(&mut server.process);
-        }
-        Ok(&mut self.find_host(name)?.process)
+        let hosts = self.hosts.iter_mut();
+        let hosts = hosts.map(|host| (&host.record.name, &mut host.process));
+        let standins = self.standins.iter_mut();
+        let standins = standins.map(|server| (&server.record.name, &mut server.process));
+        hosts
+            .chain(standins)
+            .find(|(own, _)| own.as_str() == name)
+            .map(|(_, process)| process)
+            .ok_or_else(|| FleetError::NoProcess(name.to_owned()))
     }
 
     /// Ends every process: hosts first and together, then what they use.
