Add the supervisor tree, the listener for operators and the tasks around the machines

Cause: the parts need one place that says who restarts whom, and operators need their paths. Change: supervisor.rs lists every child with its rule; membership, install and placement run as tasks whose queues outlive them; operators' paths in one table with the role each needs. Ruled out: restarting the decision machine, whose memory holds this process's claims.

--- /dev/null
+++ b/crates/hollywheel-daemon/src/admin/fault.rs
@@ -0,0 +1,175 @@
+//! Faults of operators' calls and the one table of their statuses.
+
+use std::fmt;
+use std::time::Duration;
+
+use hollywheel_claims::ResolveError;
+use hollywheel_config::InstallError;
+use hollywheel_store::StoreFailure;
+use hollywheel_types::ExecutionVerdict;
+
+use crate::web::{BodyFault, ProblemReply};
+
+/// Says why an operator's call failed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdminFault {
+    /// There is no token, or no operator has it.
+    NoToken,
+    /// The token's role does not allow the call.
+    RoleTooLow,
+    /// There is nothing at this path.
+    NoPath,
+    /// The path takes another method.
+    WrongMethod,
+    /// A part of the query is not valid.
+    BadQuery {
+        /// The name.
+        name: &'static str,
+        /// What was expected.
+        expected: &'static str,
+    },
+    /// The body is not valid.
+    BadBody {
+        /// What is wrong.
+        message: String,
+    },
+    /// The body did not arrive.
+    Body(BodyFault),
+    /// What was asked for is not known here.
+    NotFound {
+        /// What was asked for.
+        what: String,
+    },
+    /// The install machine refused.
+    Install(InstallError),
+    /// The table service did not answer.
+    Store(StoreFailure),
+    /// The claim cannot be resolved.
+    Resolve(ResolveError),
+    /// The process that made the claim may be alive and may still send the request.
+    ClaimantAlive {
+        /// The host.
+        host: String,
+    },
+    /// The claim changed meanwhile.
+    ClaimChanged,
+    /// A secret cannot be used.
+    BadSecret {
+        /// What is wrong.
+        message: String,
+    },
+    /// A part of the host did not answer.
+    Unavailable,
+}
+
+impl fmt::Display for AdminFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoToken => {
+                f.write_str("header authorization: expected Bearer and an operator's token")
+            }
+            Self::RoleTooLow => f.write_str("the token has the role viewer; expected publisher"),
+            Self::NoPath => f.write_str("there is nothing at this path; see docs/API.md"),
+            Self::WrongMethod => f.write_str("the path takes another method; see docs/API.md"),
+            Self::BadQuery { name, expected } => write!(f, "query {name}: expected {expected}"),
+            Self::BadBody { message } => write!(f, "body: {message}"),
+            Self::Body(fault) => fault.fmt(f),
+            Self::NotFound { what } => write!(f, "{what} is not known on this host"),
+            Self::Install(error) => error.fmt(f),
+            Self::Store(failure) => failure.fmt(f),
+            Self::Resolve(error) => error.fmt(f),
+            Self::ClaimantAlive { host } => write!(
+                f,
+                "host {host} made the claim and may be alive; stop it before resolving the claim"
+            ),
+            Self::ClaimChanged => f.write_str("the claim changed meanwhile; list it again"),
+            Self::BadSecret { message } => write!(f, "secrets: {message}"),
+            Self::Unavailable => f.write_str("a part of the host did not answer; ask again"),
+        }
+    }
+}
+
+impl std::error::Error for AdminFault {}
+
+impl AdminFault {
+    /// Gives status, kind and title.
+    const fn row(&self) -> (u16, &'static str, &'static str) {
+        match self {
+            Self::NoToken => (401, "no-token", "No valid token"),
+            Self::RoleTooLow => (403, "role-too-low", "Not allowed"),
+            Self::NoPath => (404, "no-path", "Not found"),
+            Self::WrongMethod => (405, "wrong-method", "Wrong method"),
+            Self::BadQuery { .. } => (422, "bad-query", "Query not valid"),
+            Self::BadBody { .. } => (422, "bad-body", "Body not valid"),
+            Self::Body(BodyFault::TooLarge { .. }) => (413, "body-too-large", "Body too large"),
+            Self::Body(_) => (408, "body-broken", "Body not received"),
+            Self::NotFound { .. } => (404, "not-found", "Not known"),
+            Self::Install(error) => install_row(error),
+            Self::Store(StoreFailure::Refused { .. }) => {
+                (503, "store-unavailable", "Table service unavailable")
+            }
+            Self::Store(StoreFailure::Unknown) => (503, "store-unknown", "Outcome not known"),
+            Self::Resolve(ResolveError::NotOpen { .. }) => (409, "claim-not-open", "Not open"),
+            Self::Resolve(_) => (422, "claim-not-resolved", "Claim not resolved"),
+            Self::ClaimantAlive { .. } => (409, "claimant-alive", "Claimant may be alive"),
+            Self::ClaimChanged => (409, "claim-changed", "Claim changed"),
+            Self::BadSecret { .. } => (422, "bad-secret", "Secret not valid"),
+            Self::Unavailable => (503, "unavailable", "Not available"),
+        }
+    }
+
+    /// Says whether the call may have had an effect; none for calls without effects.
+    const fn verdict(&self) -> Option<ExecutionVerdict> {
+        match self {
+            Self::Install(InstallError::Unknown) | Self::Store(StoreFailure::Unknown) => {
+                Some(ExecutionVerdict::MayHaveRun)
+            }
+            Self::Install(_) | Self::Store(_) => Some(ExecutionVerdict::NotRun),
+            _ => None,
+        }
+    }
+
+    const fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Install(InstallError::Refused { retry_after })
+            | Self::Store(StoreFailure::Refused { retry_after }) => Some(*retry_after),
+            Self::Install(InstallError::Busy | InstallError::Unknown)
+            | Self::Store(StoreFailure::Unknown)
+            | Self::Unavailable => Some(Duration::from_secs(1)),
+            _ => None,
+        }
+    }
+
+    /// Builds the answer.
+    pub fn problem(&self) -> ProblemReply {
+        let (status, kind, title) = self.row();
+        let faults = match self {
+            Self::Install(InstallError::Faulty(report)) => report.faults.clone(),
+            _ => Vec::new(),
+        };
+        ProblemReply {
+            status,
+            kind,
+            title,
+            detail: self.to_string(),
+            verdict: self.verdict(),
+            retry_after: self.retry_after(),
+            request: None,
+            faults,
+        }
+    }
+}
+
+const fn install_row(error: &InstallError) -> (u16, &'static str, &'static str) {
+    match error {
+        InstallError::Conflict { .. } => (409, "config-conflict", "Another version is published"),
+        InstallError::Faulty(_) => (422, "config-faulty", "The set has faults"),
+        InstallError::Unchanged(_) => (422, "config-unchanged", "Nothing differs"),
+        InstallError::TooLarge { .. } => (413, "config-too-large", "Change too large"),
+        InstallError::Busy => (503, "busy", "Busy"),
+        InstallError::NoVersion(_) => (404, "no-version", "No such version"),
+        InstallError::NotReady => (503, "not-ready", "Not ready"),
+        InstallError::Refused { .. } => (503, "store-unavailable", "Table service unavailable"),
+        InstallError::Unknown => (503, "store-unknown", "Outcome not known"),
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/admin/server.rs
@@ -0,0 +1,43 @@
+//! The server for operators.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xitca_web::App;
+use xitca_web::service::fn_service;
+
+use super::route::handle_call;
+use super::state::AdminState;
+use crate::web::WebServer;
+
+/// Bounds the header lines of a request.
+const MAX_HEADERS: usize = 48;
+/// Bounds the head of a request, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+/// Closes connections without a request.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Closes connections whose head does not arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves operators over HTTP/1.1.
+///
+/// # Errors
+///
+/// Returns the error of the system if the server cannot start.
+pub fn start_admin(state: Arc<AdminState>, listener: TcpListener) -> io::Result<WebServer> {
+    let server = App::new()
+        .with_state(state)
+        .at("/{*}", fn_service(handle_call))
+        .serve()
+        .disable_signal()
+        .worker_threads(1)
+        .worker_max_blocking_threads(1)
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(HEAD_TIMEOUT)
+        .max_read_buf_size::<MAX_HEAD>()
+        .max_request_headers::<MAX_HEADERS>()
+        .listen(listener)?;
+    WebServer::start(server)
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/src/admin/state.rs
@@ -0,0 +1,46 @@
+//! What every call of an operator needs.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use hollywheel_platform::PlatformClient;
+use hollywheel_transport::HostTransport;
+use hollywheel_types::{DomainId, HostId, Incarnation};
+use tokio::sync::watch;
+
+use crate::backend::ReportIntake;
+use crate::clock::HostClock;
+use crate::config_view::ConfigView;
+use crate::core::CoreHandle;
+use crate::front::FrontState;
+use crate::install::InstallHandle;
+use crate::peers::HostDirectory;
+use crate::settings::OperatorEntry;
+
+/// Bounds the body of an operator's call, in bytes; a set of 4,800 workspaces fits.
+pub const MAX_BODY: u64 = 16 * 1024 * 1024;
+
+/// Holds what every call of an operator needs.
+pub struct AdminState {
+    pub(crate) host: HostId,
+    pub(crate) domain: DomainId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) max_body: u64,
+    pub(crate) operators: ArcSwap<Vec<OperatorEntry>>,
+    pub(crate) core: CoreHandle,
+    pub(crate) install: InstallHandle,
+    pub(crate) platform: PlatformClient,
+    pub(crate) transport: Option<HostTransport>,
+    pub(crate) config: Arc<ConfigView>,
+    pub(crate) directory: Arc<HostDirectory>,
+    pub(crate) reports: Arc<ReportIntake>,
+    pub(crate) front: Arc<FrontState>,
+    pub(crate) clock: HostClock,
+    pub(crate) stop: watch::Sender<bool>,
+}
+
+impl std::fmt::Debug for AdminState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AdminState").finish_non_exhaustive()
+    }
+}
--- a/crates/hollywheel-daemon/src/backend/caller.rs
+++ b/crates/hollywheel-daemon/src/backend/caller.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hollywheel_config::StageKind;
 use hollywheel_node::{AttemptCall, AttemptEvent, NodeInput};
+use hollywheel_policy::ServerReport;
 use hollywheel_types::{AttemptNonce, MonoTime};
 use http::{Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
@@ -142,7 +143,7 @@
     /// Sends a request unless the deadline passes first. The clock is read before each step
     /// until the request is written, since a paused process may find its timers and its
     /// connections ready at once.
-    async fn request_before(
+    pub(super) async fn request_before(
         &self,
         request: Request<SendBody>,
         deadline: MonoTime,
@@ -199,8 +200,17 @@
         let _ = tokio::time::timeout(self.settings.short_timeout, sending).await;
     }
 
-    /// Reads the load of a server; none if it was not reached.
-    pub(super) async fn read_load(&self, address: SocketAddr) -> Option<LoadBody> {
+    /// Returns the clock.
+    pub(super) const fn clock(&self) -> &HostClock {
+        &self.clock
+    }
+
+    /// Reads what a server says of itself; none if it was not reached.
+    pub async fn read_report(&self, address: SocketAddr) -> Option<ServerReport> {
+        self.read_load(address).await.map(LoadBody::into_report)
+    }
+
+    async fn read_load(&self, address: SocketAddr) -> Option<LoadBody> {
         let request = Request::get(uri_of(address, "/v1/load")?)
             .body(SendBody::default())
             .ok()?;
@@ -216,7 +226,7 @@
 }
 
 /// Says whether no byte of the request can have left this host.
-fn was_never_sent(error: &Error) -> bool {
+pub(super) fn was_never_sent(error: &Error) -> bool {
     if error.is_connect() {
         return true;
     }
@@ -235,7 +245,7 @@
         .ok()
 }
 
-fn json_request(
+pub(super) fn json_request(
     address: SocketAddr,
     path: &'static str,
     body: &impl serde::Serialize,
--- a/crates/hollywheel-daemon/src/backend/load.rs
+++ b/crates/hollywheel-daemon/src/backend/load.rs
@@ -52,10 +52,10 @@
     pub async fn run(self) {
         let mut random = StdRng::seed_from_u64(self.settings.seed);
         let reads = Arc::new(Semaphore::new(MAX_READS));
-        while let Some(status) = self.core.status().await {
+        while let Some(subset) = self.core.subset().await {
             let addresses = self.addresses();
-            self.reports.keep(&sorted(&status.subset));
-            for server in &status.subset {
+            self.reports.keep(&sorted(&subset));
+            for server in &subset {
                 if let Some(address) = addresses.get(server)
                     && !self.is_fresh(server)
                 {
@@ -92,7 +92,7 @@
     }
 
     async fn read_one(&self, server: &ServerId, address: SocketAddr) {
-        let Some(load) = self.backend.read_load(address).await else {
+        let Some(report) = self.backend.read_report(address).await else {
             log_event(
                 LogEvent::LoadUnreachable,
                 &EventContext::default(),
@@ -100,7 +100,6 @@
             );
             return;
         };
-        let report = load.into_report();
         if report.server == *server {
             self.reports.take(&self.core, report, Duration::ZERO).await;
         }
--- a/crates/hollywheel-daemon/src/backend/mod.rs
+++ b/crates/hollywheel-daemon/src/backend/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod caller;
 mod load;
+mod order;
 mod reports;
 mod send_body;
 mod stream;
--- a/crates/hollywheel-daemon/src/clock.rs
+++ b/crates/hollywheel-daemon/src/clock.rs
@@ -57,3 +57,11 @@
     File::open("/dev/urandom")?.read_exact(&mut seed)?;
     Ok(seed)
 }
+
+/// Sleeps until a point in time, or forever if there is none.
+pub(crate) async fn sleep_until(clock: &HostClock, wake: Option<MonoTime>) {
+    match wake {
+        Some(time) => tokio::time::sleep_until(clock.instant(time).into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/hollywheel-daemon/src/core/handle.rs
+++ b/crates/hollywheel-daemon/src/core/handle.rs
@@ -4,7 +4,7 @@
 
 use hollywheel_claims::{ClaimAnswer, ClaimQuestion};
 use hollywheel_node::{CallerRequest, NodeInput, ReplyPart};
-use hollywheel_types::{HostId, RequestId};
+use hollywheel_types::{HostId, RequestId, ServerId};
 use tokio::sync::{mpsc, oneshot};
 
 use super::status::CoreStatus;
@@ -39,6 +39,8 @@
     HostAsks(HostQuestion),
     /// Asks for the state of the machine.
     ReadStatus(oneshot::Sender<CoreStatus>),
+    /// Asks for the backend servers that this host uses.
+    ReadSubset(oneshot::Sender<Vec<ServerId>>),
 }
 
 /// Says that the task takes no message now: its queue is full or it has ended.
@@ -91,17 +93,30 @@
         let _ = self.sender.try_send(CoreMessage::HostAsks(question));
     }
 
-    /// Tells that a caller is gone. Must be called within a runtime.
+    /// Tells that a caller is gone.
     pub fn caller_gone(&self, request: RequestId) {
         let input = CoreMessage::Input(NodeInput::CallerGone(request));
         if let Err(mpsc::error::TrySendError::Full(message)) = self.sender.try_send(input) {
             let sender = self.sender.clone();
-            tokio::spawn(async move {
-                let _ = sender.send(message).await;
-            });
+            // Without a runtime the process is ending, and the machine with it.
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move {
+                    let _ = sender.send(message).await;
+                });
+            }
         }
     }
 
+    /// Lists the backend servers that this host uses; none if the task has ended.
+    pub async fn subset(&self) -> Option<Vec<ServerId>> {
+        let (sender, receiver) = oneshot::channel();
+        self.sender
+            .send(CoreMessage::ReadSubset(sender))
+            .await
+            .ok()?;
+        receiver.await.ok()
+    }
+
     /// Reads the state of the machine; none if the task has ended.
     pub async fn status(&self) -> Option<CoreStatus> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/hollywheel-daemon/src/core/replies.rs
+++ b/crates/hollywheel-daemon/src/core/replies.rs
@@ -29,10 +29,6 @@
         self.sinks.remove(&request);
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.sinks.len()
-    }
-
     pub(super) fn deliver(&mut self, request: RequestId, part: ReplyPart) -> DeliverOutcome {
         let Some(sink) = self.sinks.get(&request) else {
             return DeliverOutcome::Done;
--- a/crates/hollywheel-daemon/src/core/status.rs
+++ b/crates/hollywheel-daemon/src/core/status.rs
@@ -1,16 +1,48 @@
 //! The state of the machine as operators see it.
 
-use hollywheel_types::ServerId;
+use hollywheel_node::NodeMachine;
+use hollywheel_policy::{CostReport, QueueStatus, ServerStatus};
+use hollywheel_types::ConfigVersion;
 
 /// Holds what the machine says of itself.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CoreStatus {
-    /// Requests in progress whose callers wait.
-    pub in_flight: u32,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Requests waiting for admission, by class.
+    pub queues: [QueueStatus; 4],
     /// Attempts in progress.
-    pub attempts: u32,
-    /// Whether the graceful shutdown has begun.
-    pub draining: bool,
-    /// The backend servers that this host uses.
-    pub subset: Vec<ServerId>,
+    pub attempts: usize,
+    /// The configuration version that new requests begin with.
+    pub config_version: ConfigVersion,
+    /// Claims that are not settled yet.
+    pub claims_open: usize,
+    /// Whether the last call of the table service succeeded.
+    pub store_ok: bool,
+    /// The backend servers as this host sees them.
+    pub servers: Vec<ServerStatus>,
+    /// What stages and workspaces spent.
+    pub costs: CostReport,
+}
+
+impl CoreStatus {
+    /// Reads the state of a machine.
+    pub fn of(machine: &NodeMachine, attempts: usize) -> Self {
+        let policy = machine.policy();
+        Self {
+            requests: machine.requests(),
+            queues: policy.queues(),
+            attempts,
+            config_version: machine.config_version(),
+            claims_open: machine.claims().open_claims(),
+            store_ok: machine.claims().store_ok(),
+            servers: policy.servers(),
+            costs: policy.costs(),
+        }
+    }
+
+    /// Counts the requests that wait for admission.
+    pub fn queued(&self) -> usize {
+        self.queues.iter().map(|queue| queue.waiting).sum()
+    }
 }
--- a/crates/hollywheel-daemon/src/core/task.rs
+++ b/crates/hollywheel-daemon/src/core/task.rs
@@ -12,7 +12,7 @@
 use super::observer::CoreObserver;
 use super::replies::{DeliverOutcome, ReplyTable};
 use super::status::CoreStatus;
-use crate::clock::HostClock;
+use crate::clock::{HostClock, sleep_until};
 
 /// Bounds the messages that wait for the machine; requests beyond it are refused as not run.
 const QUEUE: usize = 4096;
@@ -38,7 +38,6 @@
     replies: ReplyTable,
     questions: SortedMap<StoreTicket, oneshot::Sender<ClaimAnswer>>,
     next_question: u64,
-    draining: bool,
     /// Inputs that follow from carrying out outputs.
     pending: VecDeque<NodeInput>,
 }
@@ -61,7 +60,6 @@
             replies: ReplyTable::default(),
             questions: SortedMap::new(),
             next_question: 0,
-            draining: false,
             pending: VecDeque::new(),
         }
     }
@@ -106,7 +104,10 @@
                 });
             }
             CoreMessage::ReadStatus(reply) => {
-                let _ = reply.send(self.status());
+                let _ = reply.send(CoreStatus::of(&self.machine, self.effects.attempts()));
+            }
+            CoreMessage::ReadSubset(reply) => {
+                let _ = reply.send(self.machine.policy().subset());
             }
         }
     }
@@ -114,7 +115,6 @@
     fn take_input(&mut self, input: NodeInput) {
         match &input {
             NodeInput::CallerGone(request) => self.replies.remove(*request),
-            NodeInput::Drain(_) => self.draining = true,
             NodeInput::Attempt { nonce, event } if is_last(event) => {
                 self.effects.attempt_ended(*nonce);
             }
@@ -158,24 +158,8 @@
             NodeOutput::Drained => self.effects.drained(),
         }
     }
-
-    fn status(&self) -> CoreStatus {
-        CoreStatus {
-            in_flight: u32::try_from(self.replies.len()).unwrap_or(u32::MAX),
-            attempts: u32::try_from(self.effects.attempts()).unwrap_or(u32::MAX),
-            draining: self.draining,
-            subset: self.machine.policy().subset(),
-        }
-    }
 }
 
 const fn is_last(event: &AttemptEvent) -> bool {
     !matches!(event, AttemptEvent::Token { .. })
 }
-
-async fn sleep_until(clock: &HostClock, wake: Option<hollywheel_types::MonoTime>) {
-    match wake {
-        Some(time) => tokio::time::sleep_until(clock.instant(time).into()).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/hollywheel-daemon/src/front/state.rs
+++ b/crates/hollywheel-daemon/src/front/state.rs
@@ -46,8 +46,7 @@
     pub metrics: Arc<DaemonMetrics>,
     /// The recent requests.
     pub traces: Arc<TraceRing>,
-    /// Set once the graceful shutdown has begun.
-    pub draining: Arc<AtomicBool>,
+    draining: AtomicBool,
     random: Mutex<StdRng>,
 }
 
@@ -69,7 +68,7 @@
             clock,
             metrics,
             traces,
-            draining: Arc::default(),
+            draining: AtomicBool::new(false),
             random: Mutex::new(StdRng::from_seed(seed)),
         }
     }
@@ -90,6 +89,11 @@
         !self.is_draining() && self.config.get().is_some()
     }
 
+    /// Notes that the graceful shutdown has begun.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
     /// Says whether the graceful shutdown has begun.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- /dev/null
+++ b/crates/hollywheel-daemon/src/host/mod.rs
@@ -0,0 +1,11 @@
+//! One host of the system: its parts, its start and its shutdown.
+
+mod error;
+mod parts;
+mod running;
+mod runs;
+
+pub use error::HostError;
+pub use parts::HostParts;
+pub(crate) use parts::{bearer_value, identity_of};
+pub use running::RunningHost;
--- a/crates/hollywheel-daemon/src/lib.rs
+++ b/crates/hollywheel-daemon/src/lib.rs
@@ -1,20 +1,32 @@
 //! The host daemon: sockets, clocks and threads around the decision machines.
 
+pub mod admin;
 pub mod backend;
 mod clock;
+mod command;
 mod config_view;
 pub mod core;
 mod events;
 pub mod front;
+mod host;
+mod install;
+mod log;
 pub mod metrics;
+mod orders;
 mod peers;
+mod queue;
 pub mod settings;
+mod supervisor;
+mod ticker;
 mod traces;
 mod web;
 
 pub use clock::{HostClock, random_seed};
+pub use command::run_command;
 pub use config_view::ConfigView;
 pub use events::{EventContext, LogEvent, events_table, log_event};
-pub use peers::PeerCaller;
+pub use host::{HostError, HostParts, RunningHost};
+pub use log::start_log;
+pub use supervisor::{ChildEntry, HostPhase, RestartRule, SupervisorTree, list_children};
 pub use traces::{TraceId, TraceRing};
 pub use web::{ProblemReply, WebServer, bind_listener};
--- /dev/null
+++ b/crates/hollywheel-daemon/src/log.rs
@@ -0,0 +1,25 @@
+//! Set-up of the log.
+
+use tracing::level_filters::LevelFilter;
+
+use crate::settings::{LogFormat, LogLevel};
+
+/// Writes the log to standard error from now on.
+pub fn start_log(format: LogFormat, level: LogLevel) {
+    let level = match level {
+        LogLevel::Error => LevelFilter::ERROR,
+        LogLevel::Warn => LevelFilter::WARN,
+        LogLevel::Info => LevelFilter::INFO,
+        LogLevel::Debug => LevelFilter::DEBUG,
+    };
+    let filter = tracing_subscriber::EnvFilter::new(format!("off,hollywheel_daemon={level}"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_target(false);
+    // A log that is set up already, as in tests, stays.
+    let _ = match format {
+        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+        LogFormat::Text => builder.try_init(),
+    };
+}
--- a/crates/hollywheel-daemon/src/main.rs
+++ b/crates/hollywheel-daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! The host daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hollywheel_daemon::run_command(std::env::args_os())
+}
--- a/crates/hollywheel-daemon/src/metrics/mod.rs
+++ b/crates/hollywheel-daemon/src/metrics/mod.rs
@@ -1,8 +1,10 @@
 //! Counters and histograms of the host.
 
+mod book;
 mod labels;
 mod registry;
 mod workspace;
 
+pub use book::{ClassBook, StatusBook, WorkspaceBook};
 pub use registry::DaemonMetrics;
 pub use workspace::{TRACKED_WORKSPACES, WorkspaceRank};
--- a/crates/hollywheel-daemon/src/metrics/registry.rs
+++ b/crates/hollywheel-daemon/src/metrics/registry.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use hollywheel_node::{NodeEvent, RequestSummary};
 use hollywheel_policy::{AttemptKind, AttemptOutcome, RequestEnd};
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::book::StatusBook;
 use super::labels::{ClassLabels, CostLabels, EndLabels, KindLabels, WorkspaceLabels};
 use super::workspace::WorkspaceRank;
 
@@ -61,6 +62,7 @@
     hosts_alive: Gauge,
     in_flight: Gauge,
     rank: Mutex<WorkspaceRank>,
+    book: Mutex<StatusBook>,
 }
 
 impl fmt::Debug for DaemonMetrics {
@@ -130,6 +132,7 @@
             hosts_alive,
             in_flight,
             rank: Mutex::new(WorkspaceRank::default()),
+            book: Mutex::new(StatusBook::default()),
         }
     }
 
@@ -156,6 +159,7 @@
 
     fn ended(&self, summary: &RequestSummary) {
         let class = summary.class.name();
+        self.book().record(summary);
         self.ends
             .get_or_create(&EndLabels {
                 class,
@@ -186,6 +190,11 @@
         }
     }
 
+    /// Returns what operators are shown of requests.
+    pub fn book(&self) -> MutexGuard<'_, StatusBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn workspace_label(&self, workspace: &WorkspaceId) -> String {
         let mut rank = self.rank.lock().unwrap_or_else(PoisonError::into_inner);
         for demoted in rank.count(workspace) {
@@ -249,8 +258,9 @@
     }
 
     /// Sets the number of requests in progress.
-    pub fn set_in_flight(&self, requests: u32) {
-        self.in_flight.set(i64::from(requests));
+    pub fn set_in_flight(&self, requests: usize) {
+        let requests = i64::try_from(requests).unwrap_or(i64::MAX);
+        self.in_flight.set(requests);
     }
 
     /// Returns the metrics as OpenMetrics text.
--- /dev/null
+++ b/crates/hollywheel-daemon/src/orders/mod.rs
@@ -0,0 +1,7 @@
+//! The task that owns the order machine.
+
+mod handle;
+mod task;
+
+pub use handle::{OrderHandle, order_channel};
+pub use task::{OrderEffects, OrderTask};
--- a/crates/hollywheel-daemon/src/peers/mod.rs
+++ b/crates/hollywheel-daemon/src/peers/mod.rs
@@ -1,5 +1,15 @@
-//! Calls to other hosts.
+//! Membership and calls to other hosts.
 
 mod caller;
+mod directory;
+mod handle;
+mod host_list;
+mod requests;
+mod task;
 
 pub use caller::PeerCaller;
+pub use directory::HostDirectory;
+pub use handle::{MemberHandle, member_channel};
+pub use host_list::HostListReader;
+pub use requests::RequestReceiver;
+pub use task::{MemberEffects, MemberTask};
--- /dev/null
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -0,0 +1,186 @@
+//! The loop around the membership machine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollywheel_membership::{
+    MemberInput, MemberMachine, MemberMessage, MemberOutput, MemberRecord, MemberState,
+};
+use hollywheel_node::{HostInfo, HostView, NodeInput};
+use hollywheel_transport::HostTransport;
+use hollywheel_types::{ConfigVersion, MonoTime};
+use tokio::sync::watch;
+
+use super::directory::HostDirectory;
+use crate::clock::{HostClock, sleep_until};
+use crate::core::CoreHandle;
+use crate::events::{EventContext, LogEvent, log_event};
+use crate::install::InstallHandle;
+use crate::metrics::DaemonMetrics;
+use crate::orders::OrderHandle;
+use crate::queue::SharedReceiver;
+
+/// Gives the time between two attempts to join through the seed hosts.
+const JOIN_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Holds the ways out of the task.
+#[derive(Debug)]
+pub struct MemberEffects {
+    /// The transport; none on a host that serves alone.
+    pub transport: Option<HostTransport>,
+    /// The addresses of hosts to join.
+    pub seed_hosts: Vec<SocketAddr>,
+    /// The hosts, for every other part.
+    pub directory: Arc<HostDirectory>,
+    /// The decision machine.
+    pub core: CoreHandle,
+    /// The install machine.
+    pub install: InstallHandle,
+    /// The order machine.
+    pub orders: OrderHandle,
+    /// The metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Set when a later process runs under the name of this host.
+    pub superseded: watch::Sender<bool>,
+}
+
+/// Owns the membership machine and carries out what it decides.
+#[derive(Debug)]
+pub struct MemberTask {
+    machine: MemberMachine,
+    clock: HostClock,
+    receiver: SharedReceiver<MemberInput>,
+    effects: MemberEffects,
+    next_join: MonoTime,
+}
+
+impl MemberTask {
+    /// Creates the task around a machine.
+    pub const fn new(
+        machine: MemberMachine,
+        clock: HostClock,
+        receiver: SharedReceiver<MemberInput>,
+        effects: MemberEffects,
+    ) -> Self {
+        Self {
+            machine,
+            clock,
+            receiver,
+            effects,
+            next_join: MonoTime(0),
+        }
+    }
+
+    /// Runs until every handle is dropped.
+    pub async fn run(mut self) {
+        let mut receiver = self.receiver.clone().lock_owned().await;
+        let own = self.own_record();
+        self.hosts_changed(vec![own]).await;
+        self.step(MemberInput::Tick).await;
+        loop {
+            let wake = self.machine.next_wake();
+            let join = self.join_due();
+            tokio::select! {
+                input = receiver.recv() => match input {
+                    Some(input) => self.step(input).await,
+                    None => return,
+                },
+                () = sleep_until(&self.clock, wake) => self.step(MemberInput::Tick).await,
+                () = sleep_until(&self.clock, join) => self.join_seeds(),
+            }
+        }
+    }
+
+    fn own_record(&self) -> MemberRecord {
+        let settings = self.machine.settings();
+        MemberRecord {
+            host: settings.host.clone(),
+            incarnation: settings.incarnation,
+            refutation: 0,
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            address: settings.address,
+            state: MemberState::Alive,
+            config_version: ConfigVersion(0),
+        }
+    }
+
+    /// Says when to join through the seed hosts: while no other host is known.
+    fn join_due(&self) -> Option<MonoTime> {
+        let alone = self.effects.directory.alive() <= 1;
+        (alone && !self.effects.seed_hosts.is_empty()).then_some(self.next_join)
+    }
+
+    fn join_seeds(&mut self) {
+        self.next_join = self.clock.now() + JOIN_INTERVAL;
+        let Some(transport) = &self.effects.transport else {
+            return;
+        };
+        let message = MemberMessage::Join {
+            record: self.own_record(),
+        };
+        for seed in &self.effects.seed_hosts {
+            transport.send(*seed, &message);
+        }
+    }
+
+    async fn step(&mut self, input: MemberInput) {
+        let outputs = self.machine.handle(self.clock.now(), input);
+        for output in outputs {
+            self.carry_out(output).await;
+        }
+    }
+
+    async fn carry_out(&self, output: MemberOutput) {
+        let effects = &self.effects;
+        match output {
+            MemberOutput::Send { to, message } => {
+                if let Some(transport) = &effects.transport {
+                    transport.send(to, &message);
+                }
+            }
+            MemberOutput::HostsChanged(records) => self.hosts_changed(records).await,
+            MemberOutput::ServerLeaving(server) => {
+                let detail = server.to_string();
+                log_event(LogEvent::ServerLeaving, &EventContext::default(), &detail);
+                effects.core.send(NodeInput::ServerLeaving(server)).await;
+            }
+            MemberOutput::FetchConfig { from, version } => effects.install.peer_has(from, version),
+            MemberOutput::ConfigPublished(version) => effects.install.version_published(version),
+            MemberOutput::Superseded { by } => {
+                let detail = format!("incarnation {by} runs under the name of this host");
+                log_event(LogEvent::HostSuperseded, &EventContext::default(), &detail);
+                effects.superseded.send_replace(true);
+            }
+        }
+    }
+
+    async fn hosts_changed(&self, alive: Vec<MemberRecord>) {
+        let known = self.machine.records();
+        let known = if known.is_empty() {
+            alive.clone()
+        } else {
+            known
+        };
+        let mut hosts: Vec<HostInfo> = alive
+            .iter()
+            .map(|record| HostInfo {
+                host: record.host.clone(),
+                incarnation: record.incarnation,
+                domain: record.domain.clone(),
+            })
+            .collect();
+        hosts.sort_by(|a, b| a.host.cmp(&b.host));
+        let effects = &self.effects;
+        effects.directory.replace(known);
+        effects.metrics.set_hosts_alive(hosts.len());
+        effects.orders.hosts(&hosts).await;
+        let detail = format!("{} hosts", hosts.len());
+        log_event(LogEvent::HostsChanged, &EventContext::default(), &detail);
+        effects
+            .core
+            .send(NodeInput::Hosts(HostView { hosts }))
+            .await;
+    }
+}
--- a/crates/hollywheel-platform/src/client.rs
+++ b/crates/hollywheel-platform/src/client.rs
@@ -1,6 +1,7 @@
 //! The client of the platform over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -48,7 +49,8 @@
 /// Calls the platform over HTTP/1.1. No call is sent twice.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
-    settings: PlatformSettings,
+    address: SocketAddr,
+    authorization: Arc<RwLock<Option<HeaderValue>>>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -64,7 +66,28 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(settings.idle_connections)
             .build(connector);
-        Self { settings, client }
+        Self {
+            address: settings.address,
+            authorization: Arc::new(RwLock::new(settings.authorization)),
+            client,
+        }
+    }
+
+    /// Replaces the value of the `authorization` header for calls that follow.
+    pub fn set_authorization(&self, value: Option<HeaderValue>) {
+        let mut authorization = self
+            .authorization
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *authorization = value;
+    }
+
+    fn authorization(&self) -> Option<HeaderValue> {
+        let authorization = self
+            .authorization
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        authorization.clone()
     }
 
     async fn send(
@@ -89,7 +112,7 @@
     ) -> Option<Request<Full<Bytes>>> {
         let uri = Uri::builder()
             .scheme("http")
-            .authority(self.settings.address.to_string())
+            .authority(self.address.to_string())
             .path_and_query(path)
             .build()
             .ok()?;
@@ -97,8 +120,8 @@
             .method(method)
             .uri(uri)
             .header(header::CONTENT_TYPE, "application/json");
-        if let Some(value) = &self.settings.authorization {
-            request = request.header(header::AUTHORIZATION, value.clone());
+        if let Some(value) = self.authorization() {
+            request = request.header(header::AUTHORIZATION, value);
         }
         request.body(Full::new(body)).ok()
     }
