Add the load generator, the outcome checker and experiments

Cause: attainment and the invariants need a judge that shares nothing with the code that decides.

Change: hollywheel-bench load (open loop, seeded arrivals, latencies from the intended time), check (recomputes each answer and compares verdicts with the ledgers), experiment (scenarios of load and faults, policies interleaved on the same arrivals, means with intervals, cost by stage) and plot. The crate no longer depends on hollywheel-config.

Ruled out: closed loops (they hide queueing); sharing the object reader of the product (the checker would inherit its faults).

--- /dev/null
+++ b/crates/hollywheel-bench/src/ledger.rs
@@ -0,0 +1,78 @@
+//! What ran, as the stand-ins say.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::BenchError;
+use crate::record::read_lines;
+
+/// Holds one line of a ledger.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct LedgerLine {
+    /// The position in the ledger, from one.
+    pub seq: u64,
+    /// What happened.
+    pub event: String,
+    /// The wall-clock time in microseconds.
+    pub at_us: u64,
+    /// The request.
+    pub request: String,
+    /// The attempt.
+    pub attempt: String,
+    /// The stage.
+    pub stage: String,
+    /// The work.
+    pub work: String,
+    /// The workspace.
+    pub workspace: String,
+    /// The idempotency key, empty for idempotent stages.
+    pub idempotency_key: String,
+}
+
+/// Holds the lines of one stand-in.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LedgerBook {
+    /// The name, address or file of the stand-in.
+    pub server: String,
+    /// The position after which the lines begin.
+    pub after: u64,
+    /// The lines.
+    pub lines: Vec<LedgerLine>,
+}
+
+impl LedgerBook {
+    /// Returns the position of the last line.
+    pub fn last_seq(&self) -> u64 {
+        self.lines.last().map_or(self.after, |line| line.seq)
+    }
+
+    /// Says why the ledger does not tell of everything that ran, if so.
+    pub fn gap(&self) -> Option<String> {
+        let mut expected = self.after;
+        for line in &self.lines {
+            expected += 1;
+            if line.event == "truncated" {
+                return Some(format!("the ledger is truncated at line {expected}"));
+            }
+            if line.seq != expected {
+                return Some(format!("line {expected} is missing before {}", line.seq));
+            }
+        }
+        None
+    }
+}
+
+/// Reads a ledger from text, one JSON object a line.
+///
+/// # Errors
+///
+/// Returns [`BenchError::Syntax`] with the line at fault.
+pub fn read_ledger(server: &str, after: u64, text: &str) -> Result<LedgerBook, BenchError> {
+    Ok(LedgerBook {
+        server: server.to_owned(),
+        after,
+        lines: read_lines(Path::new(server), text)?,
+    })
+}
--- a/crates/hollywheel-bench/src/main.rs
+++ b/crates/hollywheel-bench/src/main.rs
@@ -1,3 +1,9 @@
 //! Load generator, outcome checker and experiments.
 
-fn main() {}
+mod command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run()
+}
--- /dev/null
+++ b/crates/hollywheel-bench/src/objects.rs
@@ -0,0 +1,122 @@
+//! What the checker needs to know of the objects.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::error::{BenchError, read_file};
+
+/// Describes a pipeline.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct PipelineView {
+    /// The name.
+    pub name: String,
+    /// The stages in order of execution.
+    pub stages: Vec<String>,
+}
+
+/// Describes a stage.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct StageView {
+    /// The name.
+    pub name: String,
+    /// The work: `encode`, `retrieve`, `rerank`, `generate` or `call`.
+    pub kind: String,
+    /// Whether it may run more than once.
+    #[serde(default = "default_idempotent")]
+    pub idempotent: bool,
+    /// The model, for a stage that generates.
+    #[serde(default)]
+    pub model: String,
+    /// The most tokens, for a stage that generates.
+    #[serde(default)]
+    pub max_tokens: u32,
+}
+
+const fn default_idempotent() -> bool {
+    true
+}
+
+/// Describes a backend server.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct ServerView {
+    /// The name.
+    pub name: String,
+    /// The address.
+    pub address: SocketAddr,
+    /// The failure domain.
+    #[serde(default)]
+    pub domain: String,
+    /// The pool.
+    #[serde(default)]
+    pub pool: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct PoolView {
+    name: String,
+    #[serde(default)]
+    servers: Vec<ServerView>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ObjectFileView {
+    pipeline: Vec<PipelineView>,
+    stage: Vec<StageView>,
+    pool: Vec<PoolView>,
+}
+
+/// Holds the pipelines, stages and servers of an object file; other fields are ignored.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ObjectView {
+    /// The pipelines.
+    pub pipelines: Vec<PipelineView>,
+    /// The stages.
+    pub stages: Vec<StageView>,
+    /// The backend servers.
+    pub servers: Vec<ServerView>,
+}
+
+impl ObjectView {
+    /// Returns the stages of a pipeline, none if one of them is missing.
+    pub fn stages_of(&self, pipeline: &str) -> Option<Vec<&StageView>> {
+        let pipeline = self.pipelines.iter().find(|p| p.name == pipeline)?;
+        let stages = pipeline.stages.iter();
+        stages
+            .map(|name| self.stages.iter().find(|stage| stage.name == *name))
+            .collect()
+    }
+
+    /// Reads the fields from TOML.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BenchError::Syntax`] with the line and field at fault.
+    pub fn from_toml(path: &Path, text: &str) -> Result<Self, BenchError> {
+        let file: ObjectFileView =
+            toml::from_str(text).map_err(|error| BenchError::syntax(path, error))?;
+        let servers = file.pool.into_iter().flat_map(|pool| {
+            let name = pool.name;
+            pool.servers.into_iter().map(move |server| ServerView {
+                pool: name.clone(),
+                ..server
+            })
+        });
+        Ok(Self {
+            servers: servers.collect(),
+            pipelines: file.pipeline,
+            stages: file.stage,
+        })
+    }
+}
+
+/// Reads an object file as operators publish it.
+///
+/// # Errors
+///
+/// Returns [`BenchError`] with the file, and the line and field at fault.
+pub fn read_objects(path: &Path) -> Result<ObjectView, BenchError> {
+    ObjectView::from_toml(path, &read_file(path)?)
+}
--- /dev/null
+++ b/crates/hollywheel-bench/src/scenario.rs
@@ -0,0 +1,218 @@
+//! The description of an experiment.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::error::{BenchError, read_file};
+use crate::objects::{ObjectView, ServerView};
+use crate::plan::{BurstPlan, LoadPlan};
+
+/// Bounds the runs of one experiment.
+const MAX_RUNS: usize = 500;
+
+/// Bounds the span of all loads of one experiment, in seconds.
+const MAX_TOTAL_SECONDS: f64 = 7200.0;
+
+/// Names a policy and the daemons that use it.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PolicyPlan {
+    /// The name.
+    pub name: String,
+    /// The addresses of its daemons.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// Orders faults at a point of the load. A server is chosen if it matches every field
+/// that is given.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FaultPlan {
+    /// The time since the start of the load, in milliseconds.
+    pub at_ms: u64,
+    /// The names of the servers; empty stands for all.
+    #[serde(default)]
+    pub servers: Vec<String>,
+    /// The pool of the servers.
+    #[serde(default)]
+    pub pool: Option<String>,
+    /// The failure domain of the servers.
+    #[serde(default)]
+    pub domain: Option<String>,
+    /// The most servers chosen.
+    #[serde(default)]
+    pub limit: Option<usize>,
+    /// Whether the platform is chosen in place of servers.
+    #[serde(default)]
+    pub platform: bool,
+    /// The fault order; an empty one clears the faults.
+    pub order: Value,
+}
+
+impl FaultPlan {
+    /// Lists the addresses of the chosen stand-ins.
+    pub fn targets(&self, view: &ObjectView, platform: Option<SocketAddr>) -> Vec<SocketAddr> {
+        if self.platform {
+            return platform.into_iter().collect();
+        }
+        let matches = |server: &&ServerView| {
+            let named = self.servers.is_empty() || self.servers.contains(&server.name);
+            let in_pool = self.pool.as_ref().is_none_or(|pool| *pool == server.pool);
+            let near = self
+                .domain
+                .as_ref()
+                .is_none_or(|domain| *domain == server.domain);
+            named && in_pool && near
+        };
+        let limit = self.limit.unwrap_or(usize::MAX);
+        let servers = view.servers.iter().filter(matches).take(limit);
+        servers.map(|server| server.address).collect()
+    }
+}
+
+/// Describes one scenario; what it does not give comes from the load of the experiment.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ScenarioPlan {
+    /// The name.
+    pub name: String,
+    /// The factor on the rate of the load.
+    #[serde(default = "default_factor")]
+    pub rate_factor: f64,
+    /// The span in seconds.
+    #[serde(default)]
+    pub seconds: Option<f64>,
+    /// The bursts.
+    #[serde(default, rename = "burst")]
+    pub bursts: Vec<BurstPlan>,
+    /// The faults.
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<FaultPlan>,
+}
+
+const fn default_factor() -> f64 {
+    1.0
+}
+
+/// Describes an experiment: every scenario with every policy, so many times.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ExperimentPlan {
+    /// The name.
+    pub name: String,
+    /// The runs of each scenario with each policy.
+    #[serde(default = "default_repeats")]
+    pub repeats: u32,
+    /// The seed; each repeat adds one.
+    #[serde(default = "default_seed")]
+    pub seed: u64,
+    /// The wait after each run, before its ledgers are read, in milliseconds.
+    #[serde(default = "default_settle_ms")]
+    pub settle_ms: u64,
+    /// The object file, relative to the experiment file.
+    pub objects: PathBuf,
+    /// The platform, if faults are ordered there.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
+    /// The policies.
+    #[serde(rename = "policy")]
+    pub policies: Vec<PolicyPlan>,
+    /// The load.
+    pub load: LoadPlan,
+    /// The scenarios.
+    #[serde(rename = "scenario")]
+    pub scenarios: Vec<ScenarioPlan>,
+}
+
+const fn default_repeats() -> u32 {
+    3
+}
+
+const fn default_seed() -> u64 {
+    1
+}
+
+const fn default_settle_ms() -> u64 {
+    2000
+}
+
+impl ExperimentPlan {
+    /// Returns the load of one run.
+    pub fn load_of(&self, scenario: &ScenarioPlan, policy: &PolicyPlan, repeat: u32) -> LoadPlan {
+        LoadPlan {
+            seed: self.seed + u64::from(repeat),
+            seconds: scenario.seconds.unwrap_or(self.load.seconds),
+            rate: self.load.rate * scenario.rate_factor,
+            addresses: policy.addresses.clone(),
+            bursts: scenario.bursts.clone(),
+            ..self.load.clone()
+        }
+    }
+
+    /// Checks sizes, names and every load.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BenchError::Field`] for the first field out of its range.
+    pub fn check(&self, view: &ObjectView) -> Result<(), BenchError> {
+        let runs = self.scenarios.len() * self.policies.len() * self.repeats as usize;
+        if runs == 0 || runs > MAX_RUNS {
+            let expected = format!("1 to {MAX_RUNS} runs in all, not {runs}");
+            return Err(BenchError::field("scenario, policy, repeats", expected));
+        }
+        let per_policy = self.scenarios.iter().map(|scenario| {
+            let load = self.load_of(scenario, &self.policies[0], 0);
+            load.check().map(|()| load.seconds)
+        });
+        let seconds: f64 = per_policy.sum::<Result<f64, BenchError>>()?;
+        let total = seconds * self.policies.len() as f64 * f64::from(self.repeats);
+        if total > MAX_TOTAL_SECONDS {
+            let expected = format!("at most {MAX_TOTAL_SECONDS} s over all runs, not {total}");
+            return Err(BenchError::field("seconds", expected));
+        }
+        self.check_pipelines(view)?;
+        self.check_faults(view)
+    }
+
+    fn check_pipelines(&self, view: &ObjectView) -> Result<(), BenchError> {
+        let mut pipelines = self.load.pipelines.iter();
+        match pipelines.find(|pipeline| view.stages_of(&pipeline.name).is_none()) {
+            Some(pipeline) => Err(BenchError::field(
+                format!("load.pipeline {}", pipeline.name),
+                "a pipeline of the object file with all its stages",
+            )),
+            None => Ok(()),
+        }
+    }
+
+    fn check_faults(&self, view: &ObjectView) -> Result<(), BenchError> {
+        for scenario in &self.scenarios {
+            let mut faults = scenario.faults.iter();
+            if faults.any(|fault| fault.targets(view, self.platform).is_empty()) {
+                return Err(BenchError::field(
+                    format!("scenario {}: fault", scenario.name),
+                    "servers of the object file, or the platform's address",
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads an experiment file and the object file that it names, and checks both.
+///
+/// # Errors
+///
+/// Returns [`BenchError`] with the file, and the line or field at fault.
+pub fn read_experiment(path: &Path) -> Result<(ExperimentPlan, ObjectView), BenchError> {
+    let text = read_file(path)?;
+    let plan: ExperimentPlan =
+        toml::from_str(&text).map_err(|error| BenchError::syntax(path, error))?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    let view = crate::objects::read_objects(&folder.join(&plan.objects))?;
+    plan.check(&view)?;
+    Ok((plan, view))
+}
