Add the fault matrix over the decision machines

Cause: nothing showed how the machines behave under every fault at every step.

Ruled out: a check inside the machines, which would share their faults.

Change: cells of scenario, step and fault, alone and in pairs, over two hosts with fake servers and a fake table service; checks that read only the ledgers, the replies and the rows; faults put in on purpose; traces.

--- /dev/null
+++ b/crates/hollywheel-matrix/src/breaks.rs
@@ -0,0 +1,244 @@
+//! Faults put into the wrapper of the machines on purpose, to show that the checks find them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollywheel_config::PublishedSet;
+use hollywheel_node::{AttemptEvent, NodeInput, NodeOutput, ReplyPart};
+use hollywheel_store::{RowOutcome, StoreOp, StoreReply, StoreRequest};
+use hollywheel_types::{AttemptNonce, ConfigVersion, ExecutionVerdict, RequestId};
+
+use crate::cell::CellError;
+use crate::fixture;
+
+/// The revision of rows that a forged answer names.
+const FORGED_REVISION: u64 = 1;
+
+/// The time by which a refusal is held back.
+const HOLD: Duration = Duration::from_millis(1500);
+
+macro_rules! named_breaks {
+    ($($(#[$doc:meta])* $variant:ident = $text:literal,)*) => {
+        /// Names a fault put in on purpose.
+        #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+        pub enum DeliberateBreak {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl DeliberateBreak {
+            /// Lists every one.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Returns the name used on the command line and in reports.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)*
+                }
+            }
+        }
+    };
+}
+
+named_breaks! {
+    /// Sends a non-idempotent call twice.
+    SendTwice = "send-twice",
+    /// Answers claims without writing them.
+    SkipClaim = "skip-claim",
+    /// Says `not-run` in every refusal.
+    ForgeNotRun = "forge-not-run",
+    /// Exchanges the replies of two requests.
+    CrossReplies = "cross-replies",
+    /// Takes any echo for the right one.
+    TrustEcho = "trust-echo",
+    /// Cuts the end of complete answers.
+    CutOutput = "cut-output",
+    /// Drops a token.
+    DropToken = "drop-token",
+    /// Drops final parts.
+    DropFinal = "drop-final",
+    /// Sends final parts twice.
+    DoubleFinal = "double-final",
+    /// Holds refusals back.
+    HoldRefusal = "hold-refusal",
+    /// Answers results without writing them.
+    DropResult = "drop-result",
+    /// Wakes no machine.
+    DropTick = "drop-tick",
+    /// Tells no machine that a server is leaving.
+    IgnoreLeaving = "ignore-leaving",
+    /// Never tells that a shutdown is complete.
+    DropDrained = "drop-drained",
+    /// Lets a shutdown wait for nothing.
+    DrainAtOnce = "drain-at-once",
+    /// Drops new configurations.
+    DropConfig = "drop-config",
+    /// Installs an old configuration after a new one.
+    RevertConfig = "revert-config",
+}
+
+impl fmt::Display for DeliberateBreak {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for DeliberateBreak {
+    type Err = CellError;
+
+    fn from_str(text: &str) -> Result<Self, CellError> {
+        let found = Self::ALL.iter().copied().find(|one| one.name() == text);
+        found.ok_or_else(|| CellError {
+            kind: "deliberate break",
+            given: text.to_owned(),
+            expected: Self::ALL.iter().map(|one| one.name()).collect(),
+        })
+    }
+}
+
+/// Holds what becomes of an output.
+#[derive(Debug, Default)]
+pub struct AlteredOutput {
+    /// The outputs to carry out now.
+    pub outputs: Vec<NodeOutput>,
+    /// The outputs to carry out after a delay.
+    pub later: Vec<(Duration, NodeOutput)>,
+    /// The inputs to give to the machine.
+    pub inputs: Vec<NodeInput>,
+}
+
+impl AlteredOutput {
+    fn now(outputs: Vec<NodeOutput>) -> Self {
+        Self {
+            outputs,
+            ..Self::default()
+        }
+    }
+}
+
+/// Alters an input.
+pub fn alter_input(broken: DeliberateBreak, mut input: NodeInput) -> Vec<NodeInput> {
+    match (broken, &mut input) {
+        (DeliberateBreak::TrustEcho, NodeInput::Attempt { nonce, event }) => {
+            trust(*nonce, event);
+        }
+        (DeliberateBreak::DropTick, NodeInput::Tick)
+        | (DeliberateBreak::IgnoreLeaving, NodeInput::ServerLeaving(_)) => return Vec::new(),
+        (DeliberateBreak::DrainAtOnce, NodeInput::Drain(span)) => *span = Duration::ZERO,
+        (DeliberateBreak::DropConfig, NodeInput::Config(set)) if set.version.0 > 1 => {
+            return Vec::new();
+        }
+        (DeliberateBreak::RevertConfig, NodeInput::Config(set)) if set.version.0 > 1 => {
+            let reverted = PublishedSet {
+                version: ConfigVersion(set.version.0 + 1),
+                ..PublishedSet::clone(&fixture::first_version())
+            };
+            return vec![input, NodeInput::Config(Arc::new(reverted))];
+        }
+        _ => {}
+    }
+    vec![input]
+}
+
+fn trust(own: AttemptNonce, event: &mut AttemptEvent) {
+    match event {
+        AttemptEvent::Answer { echo, .. } | AttemptEvent::StreamEnd { echo, .. }
+            if echo.nonce != own =>
+        {
+            echo.nonce = own;
+            echo.request = RequestId(1);
+        }
+        AttemptEvent::Token { nonce, .. } => *nonce = own,
+        _ => {}
+    }
+}
+
+/// Alters an output.
+pub fn alter_output(broken: DeliberateBreak, output: NodeOutput) -> AlteredOutput {
+    match (broken, output) {
+        (DeliberateBreak::SendTwice, NodeOutput::Dispatch(call)) => send_twice(call),
+        (DeliberateBreak::SkipClaim, NodeOutput::Store { ticket, request })
+            if writes(&request, &["open"]) =>
+        {
+            forge_write(ticket, &request)
+        }
+        (DeliberateBreak::DropResult, NodeOutput::Store { ticket, request })
+            if writes(&request, &["settled", "released"]) =>
+        {
+            forge_write(ticket, &request)
+        }
+        (DeliberateBreak::DropDrained, NodeOutput::Drained) => AlteredOutput::default(),
+        (_, NodeOutput::Reply { request, part }) => alter_reply(broken, request, part),
+        (_, output) => AlteredOutput::now(vec![output]),
+    }
+}
+
+fn send_twice(call: Box<hollywheel_node::AttemptCall>) -> AlteredOutput {
+    let mut again = call.clone();
+    again.nonce.0 ^= 1;
+    let mut outputs = vec![NodeOutput::Dispatch(call)];
+    if again.idempotency_key.is_some() {
+        outputs.push(NodeOutput::Dispatch(again));
+    }
+    AlteredOutput::now(outputs)
+}
+
+fn writes(request: &StoreRequest, states: &[&str]) -> bool {
+    let StoreRequest::Txn { ops, .. } = request else {
+        return false;
+    };
+    ops.iter().any(|op| match op {
+        StoreOp::Insert { value, .. } | StoreOp::Put { value, .. } => value["state"]
+            .as_str()
+            .is_some_and(|state| states.contains(&state)),
+        StoreOp::Delete { .. } => false,
+    })
+}
+
+fn forge_write(ticket: hollywheel_node::StoreTicket, request: &StoreRequest) -> AlteredOutput {
+    let rows = match request {
+        StoreRequest::Txn { ops, .. } => ops.len(),
+        _ => 0,
+    };
+    let revision = FORGED_REVISION;
+    let outcomes = vec![RowOutcome::Applied { revision }; rows];
+    let result = Ok(StoreReply::Txn { outcomes });
+    AlteredOutput {
+        inputs: vec![NodeInput::Store { ticket, result }],
+        ..AlteredOutput::default()
+    }
+}
+
+fn alter_reply(broken: DeliberateBreak, request: RequestId, mut part: ReplyPart) -> AlteredOutput {
+    let reply = |request, part| NodeOutput::Reply { request, part };
+    let is_final = !matches!(part, ReplyPart::Token { .. });
+    match (broken, &mut part) {
+        (DeliberateBreak::ForgeNotRun, ReplyPart::Refused(refusal)) => {
+            refusal.verdict = ExecutionVerdict::NotRun;
+        }
+        (DeliberateBreak::CrossReplies, _) if request.0 < 3 => {
+            let other = RequestId(3 - request.0);
+            return AlteredOutput::now(vec![reply(other, part)]);
+        }
+        (DeliberateBreak::CutOutput, ReplyPart::Complete { output, .. }) => {
+            output.pop();
+        }
+        (DeliberateBreak::DropToken, ReplyPart::Token { index, .. }) if index.0 == 2 => {
+            return AlteredOutput::default();
+        }
+        (DeliberateBreak::DropFinal, _) if is_final => return AlteredOutput::default(),
+        (DeliberateBreak::DoubleFinal, _) if is_final => {
+            let again = part.clone();
+            return AlteredOutput::now(vec![reply(request, part), reply(request, again)]);
+        }
+        (DeliberateBreak::HoldRefusal, ReplyPart::Refused(_)) => {
+            return AlteredOutput {
+                later: vec![(HOLD, reply(request, part))],
+                ..AlteredOutput::default()
+            };
+        }
+        _ => {}
+    }
+    AlteredOutput::now(vec![reply(request, part)])
+}
--- /dev/null
+++ b/crates/hollywheel-matrix/src/check.rs
@@ -0,0 +1,429 @@
+//! The checks of a cell, made only from what can be seen from outside the machines.
+
+use std::fmt;
+use std::time::Duration;
+
+use hollywheel_claims::{ClaimRow, ClaimState};
+use hollywheel_node::{RefusalReason, ReplyPart};
+use hollywheel_types::{ExecutionVerdict, IdempotencyKey, MonoTime, RequestId};
+
+use crate::cell::{CellFault, CellScenario, MatrixCell};
+use crate::fixture;
+use crate::scene::{LedgerEvent, SceneLog, SeenPart, SentRequest, token_text, unary_output};
+
+/// The time by which a reply may be late through the granularity of a run.
+const SLACK: Duration = Duration::from_millis(10);
+
+/// The longest time from receipt to the refusal of a request whose claim cannot be written.
+const STORE_REFUSAL: Duration = Duration::from_millis(1300);
+
+/// The longest time from the last news of an attempt to a refusal because of it.
+const BACKEND_REFUSAL: Duration = Duration::from_millis(100);
+
+/// The time after which a server that is leaving gets no new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// The time in which a shutdown completes: its span and the time for the last writes.
+const DRAIN_TIME: Duration = Duration::from_millis(2600);
+
+const FIRST_TOKENS: u32 = 5;
+
+/// Names the checks.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CheckName {
+    /// A key's non-idempotent stage begins once at most.
+    AtMostOnce,
+    /// No stage of a request that was refused as not run ever began.
+    NotRunTrue,
+    /// A complete answer is the whole answer to that request, token by token.
+    OwnAnswer,
+    /// A caller who stays gets one final part, and nothing after it.
+    FinalOnce,
+    /// The final part comes by the deadline, and a refusal as soon as it is decided.
+    Prompt,
+    /// No claim of a live process stays open.
+    ClaimsSettle,
+    /// No process keeps a request.
+    Quiesce,
+    /// A leaving server gets no new work after a few seconds.
+    LeavingServer,
+    /// A shutdown completes once, in time.
+    DrainCompletes,
+    /// The newest published version is in force in every process.
+    ConfigInForce,
+    /// A request that meets no fault completes.
+    Completes,
+}
+
+impl CheckName {
+    /// Lists every check.
+    pub const ALL: [Self; 11] = [
+        Self::AtMostOnce,
+        Self::NotRunTrue,
+        Self::OwnAnswer,
+        Self::FinalOnce,
+        Self::Prompt,
+        Self::ClaimsSettle,
+        Self::Quiesce,
+        Self::LeavingServer,
+        Self::DrainCompletes,
+        Self::ConfigInForce,
+        Self::Completes,
+    ];
+
+    /// Returns the name used in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::AtMostOnce => "at-most-once",
+            Self::NotRunTrue => "not-run-true",
+            Self::OwnAnswer => "own-answer",
+            Self::FinalOnce => "final-once",
+            Self::Prompt => "prompt",
+            Self::ClaimsSettle => "claims-settle",
+            Self::Quiesce => "quiesce",
+            Self::LeavingServer => "leaving-server",
+            Self::DrainCompletes => "drain-completes",
+            Self::ConfigInForce => "config-in-force",
+            Self::Completes => "completes",
+        }
+    }
+}
+
+impl fmt::Display for CheckName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// Describes what a check found wrong.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CheckFinding {
+    /// The check.
+    pub check: CheckName,
+    /// What is wrong.
+    pub detail: String,
+}
+
+impl fmt::Display for CheckFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.check, self.detail)
+    }
+}
+
+/// Makes every check of a run.
+pub fn check_cell(cell: &MatrixCell, log: &SceneLog) -> Vec<CheckFinding> {
+    let mut checker = LogChecker {
+        log,
+        findings: Vec::new(),
+    };
+    checker.at_most_once();
+    checker.not_run_true();
+    checker.own_answers();
+    checker.finals();
+    checker.prompt();
+    checker.claims_settle();
+    checker.quiesce();
+    checker.leaving_servers();
+    checker.drains();
+    checker.config();
+    if cell
+        .points
+        .iter()
+        .all(|point| point.fault == CellFault::Nothing)
+    {
+        checker.completes();
+    }
+    checker.findings
+}
+
+struct LogChecker<'a> {
+    log: &'a SceneLog,
+    findings: Vec<CheckFinding>,
+}
+
+impl LogChecker<'_> {
+    fn find(&mut self, check: CheckName, detail: String) {
+        self.findings.push(CheckFinding { check, detail });
+    }
+
+    fn at_most_once(&mut self) {
+        let mut keys: Vec<&IdempotencyKey> = self
+            .log
+            .ledger
+            .iter()
+            .filter(|entry| entry.event == LedgerEvent::Started)
+            .filter_map(|entry| entry.key.as_ref())
+            .collect();
+        keys.sort();
+        let doubled = keys.windows(2).find(|pair| pair[0] == pair[1]);
+        if let Some(pair) = doubled {
+            let detail = format!("key {} began more than once", pair[0]);
+            self.find(CheckName::AtMostOnce, detail);
+        }
+    }
+
+    fn began(&self, request: RequestId) -> bool {
+        let mut ledger = self.log.ledger.iter();
+        ledger.any(|entry| entry.request == request && entry.event == LedgerEvent::Started)
+    }
+
+    fn not_run_true(&mut self) {
+        let told: Vec<RequestId> = self
+            .log
+            .parts
+            .iter()
+            .filter(|part| match &part.part {
+                ReplyPart::Refused(refusal) => refusal.verdict == ExecutionVerdict::NotRun,
+                _ => false,
+            })
+            .map(|part| part.request)
+            .collect();
+        for request in told {
+            if self.began(request) {
+                let detail = format!("request {request} was told not-run but began");
+                self.find(CheckName::NotRunTrue, detail);
+            }
+        }
+    }
+
+    fn own_answers(&mut self) {
+        for sent in &self.log.sent {
+            let parts = self.parts_of(sent.request);
+            if let Some(detail) = answer_fault(sent, &parts) {
+                self.find(CheckName::OwnAnswer, detail);
+            }
+            let completed = parts
+                .iter()
+                .any(|part| matches!(part.part, ReplyPart::Complete { .. }));
+            if completed && !self.was_run(sent) {
+                let detail = format!("request {} was answered but never ran", sent.request);
+                self.find(CheckName::OwnAnswer, detail);
+            }
+        }
+    }
+
+    fn was_run(&self, sent: &SentRequest) -> bool {
+        let key = sent.key.as_ref();
+        let mut ledger = self.log.ledger.iter();
+        ledger.any(|entry| {
+            let by_key = key.is_some() && entry.key.as_ref() == key;
+            entry.event == LedgerEvent::Started && (entry.request == sent.request || by_key)
+        })
+    }
+
+    fn parts_of(&self, request: RequestId) -> Vec<SeenPart> {
+        let parts = self.log.parts.iter();
+        parts
+            .filter(|part| part.request == request)
+            .cloned()
+            .collect()
+    }
+
+    fn finals(&mut self) {
+        for sent in &self.log.sent {
+            let parts = self.parts_of(sent.request);
+            let finals = parts.iter().filter(|part| part.is_final()).count();
+            let lost = self.log.lost.contains(&sent.request);
+            let request = sent.request;
+            if finals > 1 {
+                let detail = format!("request {request} got {finals} final parts");
+                self.find(CheckName::FinalOnce, detail);
+            }
+            if finals == 0 && !lost {
+                let detail = format!("request {request} got no final part");
+                self.find(CheckName::FinalOnce, detail);
+            }
+            if finals == 1 && !parts.last().is_some_and(SeenPart::is_final) {
+                let detail = format!("request {request} got a part after the final one");
+                self.find(CheckName::FinalOnce, detail);
+            }
+        }
+    }
+
+    fn was_paused(&self, host: usize, from: MonoTime, to: MonoTime) -> bool {
+        let mut pauses = self.log.pauses.iter();
+        pauses.any(|(paused, begin, end)| *paused == host && *begin <= to && from <= *end)
+    }
+
+    fn prompt(&mut self) {
+        for sent in &self.log.sent {
+            let parts = self.log.parts.iter();
+            let mut finals = parts.filter(|part| part.request == sent.request && part.is_final());
+            let Some(last) = finals.next() else {
+                continue;
+            };
+            if self.was_paused(sent.host, sent.at, last.at) {
+                continue;
+            }
+            if let Some(detail) = self.delay_fault(sent, last) {
+                self.find(CheckName::Prompt, detail);
+            }
+        }
+    }
+
+    fn delay_fault(&self, sent: &SentRequest, last: &SeenPart) -> Option<String> {
+        let request = sent.request;
+        let took = last.at.since(sent.at);
+        if took > fixture::DEADLINE + SLACK {
+            return Some(format!("request {request} was answered after {took:?}"));
+        }
+        let heard = self.log.heard.iter().rev();
+        let heard = heard
+            .filter(|(heard, at)| *heard == request && *at <= last.at)
+            .map(|(_, at)| *at)
+            .next();
+        let (since, limit) = match last.reason()? {
+            RefusalReason::StoreUnavailable => (sent.at, STORE_REFUSAL),
+            RefusalReason::BackendFailed => (heard?, BACKEND_REFUSAL),
+            _ => return None,
+        };
+        let held = last.at.since(since);
+        (held > limit).then(|| format!("request {request} was refused {held:?} too late"))
+    }
+
+    fn claims_settle(&mut self) {
+        for row in &self.log.rows {
+            let Some(claim) = ClaimRow::read(row) else {
+                self.find(
+                    CheckName::ClaimsSettle,
+                    format!("row {} is no claim", row.key),
+                );
+                continue;
+            };
+            let lives = self
+                .log
+                .ends
+                .iter()
+                .any(|end| end.host == claim.host && end.incarnation == claim.incarnation);
+            if claim.state == ClaimState::Open && lives {
+                let detail = format!("claim {} of {} is open", row.key, claim.host);
+                self.find(CheckName::ClaimsSettle, detail);
+            }
+        }
+        for end in &self.log.ends {
+            if !end.settled {
+                let detail = format!("{} has claims to settle", end.host);
+                self.find(CheckName::ClaimsSettle, detail);
+            }
+        }
+    }
+
+    fn quiesce(&mut self) {
+        if self.log.endless {
+            self.find(CheckName::Quiesce, "the events do not end".to_owned());
+        }
+        for end in &self.log.ends {
+            if end.requests > 0 {
+                let detail = format!("{} keeps {} requests", end.host, end.requests);
+                self.find(CheckName::Quiesce, detail);
+            }
+        }
+    }
+
+    fn leaving_servers(&mut self) {
+        for (server, known) in &self.log.leaving {
+            let limit = *known + LEAVING_GRACE;
+            let mut ledger = self.log.ledger.iter();
+            if ledger.any(|entry| entry.server == *server && entry.at > limit) {
+                let detail = format!("{server} got work after it was known to be leaving");
+                self.find(CheckName::LeavingServer, detail);
+            }
+        }
+    }
+
+    fn drains(&mut self) {
+        for (host, ordered) in &self.log.drain_ordered {
+            let done: Vec<MonoTime> = self
+                .log
+                .drained
+                .iter()
+                .filter(|(drained, _)| drained == host)
+                .map(|(_, at)| *at)
+                .collect();
+            let killed = self.log.killed.iter().any(|(killed, _)| killed == host);
+            let last = *ordered + DRAIN_TIME;
+            let paused = self.was_paused(*host, *ordered, last);
+            let in_time = paused || done.iter().all(|at| *at <= last);
+            if (done.len() != 1 && !killed) || !in_time {
+                let detail = format!("the shutdown of host {host} ended {} times", done.len());
+                self.find(CheckName::DrainCompletes, detail);
+            }
+        }
+    }
+
+    fn config(&mut self) {
+        for end in &self.log.ends {
+            let given = match end.host == fixture::host_name(0) {
+                true => self.log.versions[0],
+                false => self.log.versions[1],
+            };
+            let newest = self.log.versions.iter().max().copied().unwrap_or_default();
+            if end.version != given || end.version > newest {
+                let detail = format!("{} has version {}, not {given}", end.host, end.version);
+                self.find(CheckName::ConfigInForce, detail);
+            }
+        }
+    }
+
+    fn completes(&mut self) {
+        for sent in &self.log.sent {
+            let mut parts = self.log.parts.iter();
+            let complete = parts.any(|part| {
+                part.request == sent.request && matches!(part.part, ReplyPart::Complete { .. })
+            });
+            if !complete {
+                let detail = format!("request {} met no fault but failed", sent.request);
+                self.find(CheckName::Completes, detail);
+            }
+        }
+    }
+}
+
+/// Returns the tokens of the answer to a request; none if it is not streamed.
+fn expected_tokens(sent: &SentRequest) -> Option<Vec<String>> {
+    if sent.scenario != CellScenario::Question {
+        return None;
+    }
+    let previous = unary_output("encode", &sent.input, "");
+    let tokens = match sent.version == fixture::second_version().version {
+        true => fixture::SECOND_TOKENS.0,
+        false => FIRST_TOKENS,
+    };
+    let text = |index| token_text("draft", &sent.input, &previous, index);
+    Some((0..tokens).map(text).collect())
+}
+
+fn expected_output(sent: &SentRequest) -> String {
+    if let Some(tokens) = expected_tokens(sent) {
+        return tokens.concat();
+    }
+    let stages = sent.scenario.stages().iter();
+    stages.fold(String::new(), |previous, stage| {
+        unary_output(stage, &sent.input, &previous)
+    })
+}
+
+/// Compares the parts that a caller got with what the request should give.
+fn answer_fault(sent: &SentRequest, parts: &[SeenPart]) -> Option<String> {
+    let request = sent.request;
+    let expected = expected_tokens(sent).unwrap_or_default();
+    let mut tokens: usize = 0;
+    for part in parts {
+        match &part.part {
+            ReplyPart::Token { index, text } => {
+                let wanted = expected.get(tokens);
+                if usize::try_from(index.0).ok() != Some(tokens) || wanted != Some(text) {
+                    return Some(format!("request {request} got token {index} {text:?}"));
+                }
+                tokens += 1;
+            }
+            ReplyPart::Complete { output, .. } => {
+                if *output != expected_output(sent) || tokens != expected.len() {
+                    return Some(format!("request {request} got {output:?}"));
+                }
+            }
+            ReplyPart::Refused(_) => {}
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/hollywheel-matrix/src/command/mod.rs
@@ -0,0 +1,36 @@
+//! The commands of `hollywheel-matrix`, one a file.
+
+mod breaks;
+mod options;
+mod record;
+mod replay;
+mod run;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+/// Describes the command line.
+pub fn command_line() -> Command {
+    Command::new("hollywheel-matrix")
+        .about("Runs every fault at every step against the decision machines")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(run::command())
+        .subcommand(breaks::command())
+        .subcommand(record::command())
+        .subcommand(replay::command())
+}
+
+/// Runs the command that was given.
+pub fn run() -> ExitCode {
+    let matches = command_line().get_matches();
+    match matches.subcommand() {
+        Some(("run", matches)) => run::run(matches),
+        Some(("breaks", matches)) => breaks::run(matches),
+        Some(("record", matches)) => record::run(matches),
+        Some(("replay", matches)) => replay::run(matches),
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/crates/hollywheel-matrix/src/lib.rs
+++ b/crates/hollywheel-matrix/src/lib.rs
@@ -1,1 +1,21 @@
 //! Fault matrix and trace replay over the decision machines.
+
+mod breaks;
+mod cell;
+mod check;
+mod fixture;
+mod matrix;
+mod replay;
+mod scene;
+
+pub mod command;
+
+pub use breaks::DeliberateBreak;
+pub use cell::{CellError, CellFault, CellScenario, CellStep, FaultPoint, MatrixCell};
+pub use check::{CheckFinding, CheckName, check_cell};
+pub use matrix::{CellResult, MatrixSettings, MatrixSummary, run_break, run_cell, run_cells};
+pub use replay::{ReplayError, ReplaySummary, read_trace, replay_trace, write_trace};
+pub use scene::{
+    FakeTable, FaultScene, LedgerEntry, LedgerEvent, ProcessEnd, SceneLog, SceneSettings, SeenPart,
+    SentRequest, token_text, unary_output,
+};
--- a/crates/hollywheel-matrix/src/main.rs
+++ b/crates/hollywheel-matrix/src/main.rs
@@ -1,3 +1,7 @@
 //! Fault matrix and trace replay over the decision machines.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hollywheel_matrix::command::run()
+}
--- /dev/null
+++ b/crates/hollywheel-matrix/src/scene/backend.rs
@@ -0,0 +1,58 @@
+//! What fake backend servers compute, and the ledger of what ran.
+
+use hollywheel_config::StageKind;
+use hollywheel_node::AttemptCall;
+use hollywheel_types::{AttemptNonce, IdempotencyKey, MonoTime, RequestId, ServerId, StageId};
+
+/// Names what a backend server did with a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LedgerEvent {
+    /// The work began.
+    Started,
+    /// The server refused the call before any processing.
+    Refused,
+}
+
+/// Holds one line of the ledger of the backend servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LedgerEntry {
+    /// When.
+    pub at: MonoTime,
+    /// The server.
+    pub server: ServerId,
+    /// What it did.
+    pub event: LedgerEvent,
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub nonce: AttemptNonce,
+    /// The stage.
+    pub stage: StageId,
+    /// The key, for a non-idempotent stage.
+    pub key: Option<IdempotencyKey>,
+}
+
+/// Returns the output of a stage that does not stream.
+pub fn unary_output(stage: &str, input: &str, previous: &str) -> String {
+    format!("{stage}({input}|{previous})")
+}
+
+/// Returns one token of a stage that streams.
+pub fn token_text(stage: &str, input: &str, previous: &str, index: u32) -> String {
+    format!("{stage}.{index}({input}|{previous}) ")
+}
+
+/// Returns the output of a call that does not stream.
+pub fn call_output(call: &AttemptCall) -> String {
+    unary_output(call.stage.as_str(), &call.input, &call.previous)
+}
+
+/// Returns a token of a call that streams.
+pub fn call_token(call: &AttemptCall, index: u32) -> String {
+    token_text(call.stage.as_str(), &call.input, &call.previous, index)
+}
+
+/// Says whether a call is answered by a stream.
+pub fn streams(call: &AttemptCall) -> bool {
+    call.work == StageKind::Generate
+}
--- /dev/null
+++ b/crates/hollywheel-matrix/src/scene/inject.rs
@@ -0,0 +1,300 @@
+//! The faults and what they do.
+
+use std::time::Duration;
+
+use hollywheel_node::{AnswerEcho, AttemptEvent, NodeInput};
+use hollywheel_store::StoreFailure;
+use hollywheel_types::{AttemptNonce, MonoTime, RequestId, ServerId};
+
+use super::queue::{ProcessRef, SceneEvent};
+use super::run::{FOLLOW_UP, FaultScene, OBSERVED};
+use crate::cell::CellFault;
+
+/// A span longer than the deadline of every request.
+pub(super) const PAST_DEADLINE: Duration = Duration::from_secs(4);
+
+const PAUSE: Duration = Duration::from_secs(5);
+const OUTAGE: Duration = Duration::from_millis(2500);
+const RESTART: Duration = Duration::from_millis(300);
+
+/// The time after which hosts hear of a change of the other host or of a server.
+const NEWS_LAG: Duration = Duration::from_secs(1);
+
+/// The time after which a caller without an answer asks again.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
+/// Holds the faults that wait for the next call.
+#[derive(Debug, Default)]
+pub(super) struct ArmedFaults {
+    pub(super) call: CallFaults,
+    pub(super) lose_answer: u32,
+    pub(super) late_effect: u32,
+    pub(super) slow_store: u32,
+    pub(super) store_down: MonoTime,
+    pub(super) store_silent: MonoTime,
+    pub(super) peers_cut: MonoTime,
+}
+
+/// Holds the faults of one call of a backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CallFaults {
+    pub(super) refused: bool,
+    pub(super) cut_before: bool,
+    pub(super) cut_after: bool,
+    pub(super) slow: bool,
+    pub(super) stray: bool,
+    pub(super) duplicate: bool,
+    pub(super) crossed: bool,
+    pub(super) leaving: bool,
+}
+
+/// Says what else becomes of the step.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StepFate {
+    pub(super) skip: bool,
+    pub(super) kill: bool,
+    pub(super) hold: bool,
+    pub(super) kill_after: bool,
+    pub(super) pause_after: bool,
+}
+
+impl FaultScene {
+    /// Applies a fault to an input; the inputs that reach the machine are changed accordingly.
+    pub(super) fn inject_input(
+        &mut self,
+        fault: CellFault,
+        to: ProcessRef,
+        inputs: &mut Vec<NodeInput>,
+        fate: &mut StepFate,
+    ) {
+        let attempt = match inputs.first() {
+            Some(NodeInput::Attempt { nonce, .. }) => Some(*nonce),
+            _ => None,
+        };
+        let from_store = matches!(inputs.first(), Some(NodeInput::Store { .. }));
+        match (fault, attempt) {
+            (CellFault::CutBefore, Some(nonce)) => *inputs = vec![broken(nonce)],
+            (CellFault::CutAfter, Some(nonce)) => inputs.push(broken(nonce)),
+            (CellFault::Slow, Some(_)) => self.delay_inputs(to, inputs, false),
+            (CellFault::LateAnswer, Some(_)) => self.delay_inputs(to, inputs, true),
+            (CellFault::Slow | CellFault::LateAnswer, None) if from_store => {
+                self.delay_inputs(to, inputs, true);
+            }
+            (CellFault::StoreAnswerLost, None) if from_store => {
+                for input in inputs {
+                    lose_result(input);
+                }
+            }
+            (CellFault::Duplicate, _) => {
+                let again = inputs.clone();
+                inputs.extend(again);
+            }
+            (CellFault::Crossed, Some(_)) => inputs.iter_mut().for_each(cross_input),
+            _ => self.inject(fault, to, fate),
+        }
+    }
+
+    /// Applies a fault that does not change the message at hand.
+    pub(super) fn inject(&mut self, fault: CellFault, at: ProcessRef, fate: &mut StepFate) {
+        let call = &mut self.armed.call;
+        match fault {
+            CellFault::Nothing => {}
+            CellFault::KillBefore => {
+                fate.kill = true;
+                fate.skip = true;
+            }
+            CellFault::KillAfter => fate.kill_after = true,
+            CellFault::PauseBefore => fate.hold = true,
+            CellFault::PauseAfter => fate.pause_after = true,
+            CellFault::ConnectRefused => call.refused = true,
+            CellFault::CutBefore => call.cut_before = true,
+            CellFault::CutAfter => call.cut_after = true,
+            CellFault::Slow => {
+                call.slow = true;
+                self.armed.slow_store = 1;
+            }
+            CellFault::LateAnswer => {
+                call.slow = true;
+                call.stray = true;
+            }
+            CellFault::Duplicate => call.duplicate = true,
+            CellFault::Crossed => call.crossed = true,
+            CellFault::StoreDown => self.armed.store_down = self.now + OUTAGE,
+            CellFault::StoreSilent => self.armed.store_silent = self.now + OUTAGE,
+            CellFault::StoreAnswerLost => self.armed.lose_answer += 1,
+            CellFault::StoreLateEffect => self.armed.late_effect += 1,
+            CellFault::ServerLeaving => self.leave_server(at),
+            CellFault::CallerGone => self.caller_gone(at),
+            CellFault::CallerRetry => self.submit_again(1 - at.host),
+            CellFault::DuplicateRequest => self.submit_again(at.host),
+            CellFault::PeerUnreachable => self.armed.peers_cut = self.now + OUTAGE,
+        }
+    }
+
+    fn delay_inputs(&mut self, to: ProcessRef, inputs: &mut Vec<NodeInput>, stray: bool) {
+        for input in inputs.drain(..) {
+            let at = self.now + PAST_DEADLINE;
+            let seen = true;
+            let event = SceneEvent::Input {
+                to,
+                input,
+                stray,
+                seen,
+            };
+            self.queue.push(at, event);
+        }
+    }
+
+    fn leave_server(&mut self, at: ProcessRef) {
+        let open = self
+            .open_calls
+            .iter()
+            .rev()
+            .find(|(from, call)| from.host == at.host && call.request.0 == OBSERVED);
+        match open.map(|(_, call)| call.server.clone()) {
+            Some(server) => self.mark_leaving(server),
+            None => self.armed.call.leaving = true,
+        }
+    }
+
+    /// Makes a server refuse new work; the hosts hear of it later.
+    pub(super) fn mark_leaving(&mut self, server: ServerId) {
+        if self.leaving.contains(&server) {
+            return;
+        }
+        let known = self.now + NEWS_LAG;
+        for slot in &self.hosts {
+            let process = slot.process();
+            let input = NodeInput::ServerLeaving(server.clone());
+            let event = SceneEvent::Input {
+                to: process,
+                input,
+                stray: false,
+                seen: true,
+            };
+            self.queue.push(known, event);
+        }
+        self.log.leaving.push((server.clone(), known));
+        self.leaving.push(server);
+    }
+
+    fn caller_gone(&mut self, at: ProcessRef) {
+        let request = RequestId(OBSERVED);
+        self.lose_caller(request);
+        let input = NodeInput::CallerGone(request);
+        self.push_input(self.now, at, input);
+    }
+
+    /// Notes that a caller will hear no more; it asks again elsewhere.
+    pub(super) fn lose_caller(&mut self, request: RequestId) {
+        if self.log.lost.contains(&request) {
+            return;
+        }
+        self.log.lost.push(request);
+        if request.0 == OBSERVED {
+            self.follow_up();
+        }
+    }
+
+    /// Lets the caller of the observed request ask the other host with the same key.
+    pub(super) fn follow_up(&mut self) {
+        let known = self.log.sent.iter().any(|sent| sent.request.0 == FOLLOW_UP);
+        if !known {
+            self.push_submission(self.now + ASK_AGAIN, 1, FOLLOW_UP);
+        }
+    }
+
+    fn submit_again(&mut self, host: usize) {
+        self.next_number += 1;
+        let number = self.next_number;
+        self.push_submission(self.now + Duration::from_millis(1), host, number);
+    }
+
+    pub(super) fn kill(&mut self, host: usize) {
+        if self.hosts[host].machine.is_none() {
+            return;
+        }
+        self.hosts[host].stop();
+        self.log.killed.push((host, self.now));
+        self.open_calls.retain(|(from, _)| from.host != host);
+        self.lose_callers_of(host);
+        self.queue
+            .push(self.now + RESTART, SceneEvent::Restart(host));
+        let news = self.now + NEWS_LAG;
+        self.queue.push(news, SceneEvent::View { host: 1 - host });
+    }
+
+    fn lose_callers_of(&mut self, host: usize) {
+        let unanswered: Vec<RequestId> = self
+            .log
+            .sent
+            .iter()
+            .filter(|sent| sent.host == host)
+            .map(|sent| sent.request)
+            .filter(|request| !self.is_answered(*request))
+            .collect();
+        for request in unanswered {
+            self.lose_caller(request);
+        }
+    }
+
+    pub(super) fn is_answered(&self, request: RequestId) -> bool {
+        self.log
+            .parts
+            .iter()
+            .any(|part| part.request == request && part.is_final())
+    }
+
+    pub(super) fn pause(&mut self, host: usize) {
+        let slot = &mut self.hosts[host];
+        if slot.machine.is_none() || slot.paused {
+            return;
+        }
+        slot.paused = true;
+        let until = self.now + PAUSE;
+        let process = slot.process();
+        self.log.pauses.push((host, self.now, until));
+        self.queue.push(until, SceneEvent::Resume(process));
+        let other = SceneEvent::View { host: 1 - host };
+        self.queue.push(self.now + NEWS_LAG, other.clone());
+        self.queue.push(until + NEWS_LAG, other);
+    }
+}
+
+fn broken(nonce: AttemptNonce) -> NodeInput {
+    let event = AttemptEvent::Broken;
+    NodeInput::Attempt { nonce, event }
+}
+
+fn lose_result(input: &mut NodeInput) {
+    if let NodeInput::Store { result, .. } = input {
+        *result = Err(StoreFailure::Unknown);
+    }
+}
+
+fn cross_input(input: &mut NodeInput) {
+    if let NodeInput::Attempt { event, .. } = input {
+        cross(event);
+    }
+}
+
+/// Turns an answer into that of another attempt.
+pub(super) fn cross(event: &mut AttemptEvent) {
+    const OTHER: AttemptNonce = AttemptNonce(0xc0de);
+    let other_echo = |echo: &mut AnswerEcho| {
+        echo.nonce = OTHER;
+        echo.request = RequestId(super::run::BACKGROUND);
+    };
+    match event {
+        AttemptEvent::Answer { echo, output } => {
+            other_echo(echo);
+            *output = "the answer of another request".to_owned();
+        }
+        AttemptEvent::Token { nonce, text, .. } => {
+            *nonce = OTHER;
+            *text = "a token of another request ".to_owned();
+        }
+        AttemptEvent::StreamEnd { echo, .. } => other_echo(echo),
+        AttemptEvent::NotSent | AttemptEvent::Refused { .. } | AttemptEvent::Broken => {}
+    }
+}
--- a/crates/hollywheel-node/src/lib.rs
+++ b/crates/hollywheel-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod stage;
 mod table;
+mod trace;
 
 pub use input::{
     AnswerEcho, AttemptEvent, CallerRequest, HostInfo, HostView, NodeInput, StoreTicket,
@@ -27,3 +28,4 @@
     AttemptCall, NodeEvent, NodeOutput, Refusal, RefusalReason, ReplyPart, RequestSummary,
 };
 pub use settings::NodeSettings;
+pub use trace::{TraceLine, TraceOutcome, TraceRecorder, TraceSettings};
