--- a/crates/hollywheel-config/src/lib.rs
+++ b/crates/hollywheel-config/src/lib.rs
@@ -3,6 +3,7 @@
 mod change;
 mod check;
 mod install;
+mod install_message;
 mod key_hash;
 mod object;
 mod read;
@@ -10,10 +11,15 @@
 
 pub use change::{BaseMismatch, ConfigChange, ObjectChange, PublishedSet, SetDiff};
 pub use check::{CheckFault, CheckReport, check_set};
+pub use install::InstallMachine;
+pub use install_message::{
+    ChangeBatch, ChangeSummary, InstallError, InstallFault, InstallInput, InstallOutput,
+    InstallSettings, InstallTicket, PublishOrder, PublishReceipt, RollbackOrder,
+};
 pub use key_hash::{hash_key, key_matches};
 pub use object::{
     ConfigObject, ModelPlacement, ObjectKey, ObjectKind, PipelineObject, PoolKind, PoolObject,
     ServerEntry, StageKind, StageObject, TargetObject, WorkspaceObject,
 };
-pub use read::{ReadError, read_json, read_toml, write_json, write_toml};
+pub use read::{ReadError, file_schema, read_json, read_toml, write_json, write_toml};
 pub use set::ObjectSet;
