Send to a server with a free slot before any queue

Hypothesis: at a load of 0.8 there is nearly always a free slot, but two random servers are both full in a quarter of the cases, and then a short request waits behind long ones.

Change: when the better of two servers has no free slot, any server that has one is taken at random; lower classes are sent only to servers with less load than before, so that they wait at the host, where priority holds.

--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -14,7 +14,7 @@
 /// Prefix affinity accepts so many times the mean load.
 const AFFINITY_BOUND: f64 = 1.25;
 /// The requests on a server, as a multiple of its slots, up to which a class is sent to it.
-const BACKLOG: [f64; 4] = [3.0, 2.5, 2.0, 1.5];
+const BACKLOG: [f64; 4] = [2.0, 1.5, 1.0, 0.75];
 /// Each failure in a row counts as this part of the slots; failures beyond a limit add nothing.
 const FAILURE_LOAD: f64 = 0.5;
 
@@ -48,6 +48,10 @@
         self.load / f64::from(self.state.slots)
     }
 
+    fn has_room(&self) -> bool {
+        self.load + 1.0 <= f64::from(self.state.slots)
+    }
+
     fn is_saturated(&self, class: RequestClass) -> bool {
         self.relative() >= BACKLOG[class.index()]
     }
@@ -153,15 +157,32 @@
         second = (second + 1) % candidates.len();
     }
     let better = lighter(&candidates[first], &candidates[second], query.domain);
-    if !better.is_saturated(query.class) {
+    if better.has_room() {
         return Some(better);
     }
+    if let Some(free) = random_free(candidates, random) {
+        return Some(free);
+    }
     let least = candidates
         .iter()
         .min_by(|a, b| a.relative().total_cmp(&b.relative()))?;
     (!least.is_saturated(query.class)).then_some(least)
 }
 
+/// Chooses any server with a free slot. The choice is random since hosts that share a stale
+/// report would otherwise all send to the same server.
+fn random_free<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    random: &mut StdRng,
+) -> Option<&'b Candidate<'a>> {
+    let free = candidates.iter().filter(|candidate| candidate.has_room());
+    let count = free.clone().count();
+    if count == 0 {
+        return None;
+    }
+    free.clone().nth(random.random_range(0..count))
+}
+
 fn lighter<'a, 'b>(
     left: &'b Candidate<'a>,
     right: &'b Candidate<'a>,
