--- a/crates/hollywheel-daemon/src/host/running.rs
+++ b/crates/hollywheel-daemon/src/host/running.rs
@@ -2,8 +2,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use hollywheel_config::PublishedSet;
 use hollywheel_membership::MemberInput;
 use hollywheel_node::NodeInput;
 use hollywheel_orders::OrderInput;
@@ -74,6 +76,14 @@
         self.parts.core.clone()
     }
 
+    /// Puts a set in force that the caller has checked, for hosts without a table service.
+    pub async fn install(&self, published: &Arc<PublishedSet>) {
+        if self.parts.config.install(published) {
+            let input = NodeInput::Config(Arc::clone(published));
+            self.parts.core.send(input).await;
+        }
+    }
+
     /// Returns a switch that begins the graceful shutdown when it is set.
     pub fn stop_switch(&self) -> watch::Sender<bool> {
         self.parts.stop.clone()
@@ -83,7 +93,7 @@
     pub async fn run(mut self) -> bool {
         let mut stop = self.parts.stop.subscribe();
         let failure = tokio::select! {
-            _ = stop.wait_for(|stop| *stop) => None,
+            () = ordered(&mut stop) => None,
             name = self.tree.failure() => Some(name),
         };
         let drained = match failure {
@@ -131,3 +141,8 @@
         complete
     }
 }
+
+/// Waits until the switch is set.
+async fn ordered(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
--- a/crates/hollywheel-daemon/src/supervisor.rs
+++ b/crates/hollywheel-daemon/src/supervisor.rs
@@ -113,9 +113,13 @@
 
     /// Waits until a child has failed for good and returns its name.
     pub async fn failure(&mut self) -> &'static str {
-        match self.failed.wait_for(Option::is_some).await {
-            Ok(name) => name.unwrap_or("unknown"),
-            Err(_) => std::future::pending().await,
+        loop {
+            if let Some(name) = *self.failed.borrow_and_update() {
+                return name;
+            }
+            if self.failed.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
         }
     }
 
