--- a/crates/hollywheel-daemon/src/admin/route.rs
+++ b/crates/hollywheel-daemon/src/admin/route.rs
@@ -16,7 +16,7 @@
 use super::query::{number_value, text_value};
 use super::state::AdminState;
 use crate::events::{EventContext, LogEvent, log_event};
-use crate::web::{json_reply, problem_reply, read_body};
+use crate::web::{discard_body, json_reply, problem_reply, read_body};
 
 type Context<'a> = WebContext<'a, Arc<AdminState>>;
 type Reply = Result<WebResponse, AdminFault>;
@@ -140,6 +140,7 @@
 /// Answers a call.
 pub(super) async fn handle_call(mut context: Context<'_>) -> Result<WebResponse, Error> {
     let reply = answer_call(&mut context).await;
+    discard_body(context.body_get_mut()).await;
     Ok(reply.unwrap_or_else(|fault| {
         if matches!(fault, AdminFault::NoToken | AdminFault::RoleTooLow) {
             let detail = fault.to_string();
--- a/crates/hollywheel-daemon/src/events.rs
+++ b/crates/hollywheel-daemon/src/events.rs
@@ -69,8 +69,8 @@
     ClaimResolved, "HW5003", INFO, "An operator resolved a claim.", "None.";
     DrainOrdered, "HW5004", INFO, "An operator ordered the graceful shutdown.", "None.";
     HostsChanged, "HW6001", INFO, "The hosts taken for alive changed.", "None.";
-    HostSuperseded, "HW6003", ERROR, "A later process runs under the name of this host, which shuts down.", "Give every host a name of its own.";
     TransportFailed, "HW6002", ERROR, "The transport between hosts cannot be used.", "Check the certificate and --peer-listen.";
+    HostSuperseded, "HW6003", ERROR, "A later process runs under the name of this host, which shuts down.", "Give every host a name of its own.";
 }
 
 /// Says which request and trace an event belongs to.
--- a/crates/hollywheel-daemon/src/front/route.rs
+++ b/crates/hollywheel-daemon/src/front/route.rs
@@ -16,7 +16,7 @@
 use super::trace_parent::TraceParent;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::traces::TraceId;
-use crate::web::{json_reply, problem_reply, read_body};
+use crate::web::{discard_body, json_reply, problem_reply, read_body};
 
 /// Bounds the parts of one reply that wait for their caller.
 const REPLY_QUEUE: usize = 256;
@@ -39,6 +39,7 @@
         (_, "/healthz" | "/readyz") => Err(CallFault::WrongMethod),
         _ => Err(CallFault::NoPath),
     };
+    discard_body(context.body_get_mut()).await;
     let state = context.state();
     let mut reply = result.unwrap_or_else(|fault| reject(state, &fault));
     if state.is_draining() {
--- a/crates/hollywheel-daemon/src/install/handle.rs
+++ b/crates/hollywheel-daemon/src/install/handle.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hollywheel_config::{
     ChangeBatch, ChangeSummary, InstallError, InstallInput, PublishOrder, PublishReceipt,
@@ -10,6 +11,9 @@
 use hollywheel_types::ConfigVersion;
 use tokio::sync::{mpsc, oneshot};
 
+/// Bounds the wait for the machine, which ends its own calls earlier.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Takes the end of a publication.
 pub type PublishReplySender = oneshot::Sender<Result<PublishReceipt, InstallError>>;
 
@@ -78,7 +82,10 @@
         if self.sender.try_send(message(sender)).is_err() {
             return Err(InstallError::Busy);
         }
-        receiver.await.unwrap_or(Err(lost))
+        match tokio::time::timeout(ANSWER_TIMEOUT, receiver).await {
+            Ok(Ok(result)) => result,
+            _ => Err(lost),
+        }
     }
 
     /// Publishes a set.
--- a/crates/hollywheel-daemon/src/lib.rs
+++ b/crates/hollywheel-daemon/src/lib.rs
@@ -13,7 +13,7 @@
 mod log;
 pub mod metrics;
 mod orders;
-mod peers;
+pub mod peers;
 mod queue;
 pub mod settings;
 mod supervisor;
--- a/crates/hollywheel-daemon/src/settings/mod.rs
+++ b/crates/hollywheel-daemon/src/settings/mod.rs
@@ -7,7 +7,7 @@
 mod values;
 
 pub use flags::{FlagError, build_command, read_arguments};
-pub use parse::{SettingFault, SettingsError, check_settings};
+pub use parse::{RawSettings, SettingFault, SettingsError, check_settings};
 pub use secrets::{OperatorEntry, SecretSettings, SecretText, TlsSettings, parse_operators};
 pub use show::{markdown_table, print_settings};
 pub use values::{DaemonSettings, LogFormat, LogLevel, StartAction};
--- a/crates/hollywheel-daemon/src/web/body.rs
+++ b/crates/hollywheel-daemon/src/web/body.rs
@@ -9,6 +9,11 @@
 /// Bounds the time in which a caller must send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bounds the bytes that are read and dropped after a call was rejected.
+const DISCARD_LIMIT: usize = 8 * 1024 * 1024;
+/// Bounds the time for that.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Says why a body was not taken.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFault {
@@ -63,3 +68,18 @@
     }
     Ok(content.freeze())
 }
+
+/// Reads and drops the rest of a body, within bounds. Closing a connection with bytes unread
+/// resets it, and the caller would lose the answer that says why.
+pub async fn discard_body(body: &mut RequestBody) {
+    let discard = async {
+        let mut dropped = 0;
+        while let Some(Ok(part)) = body.data().await {
+            dropped += part.len();
+            if dropped > DISCARD_LIMIT {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+}
--- a/crates/hollywheel-daemon/src/web/mod.rs
+++ b/crates/hollywheel-daemon/src/web/mod.rs
@@ -4,6 +4,6 @@
 mod problem;
 mod server;
 
-pub use body::{BodyFault, read_body};
+pub use body::{BodyFault, discard_body, read_body};
 pub use problem::{ProblemReply, json_reply, problem_reply};
 pub use server::{WebServer, bind_listener};
--- a/crates/hollywheel-daemon/tests/support/mod.rs
+++ b/crates/hollywheel-daemon/tests/support/mod.rs
@@ -73,7 +73,7 @@
 }
 
 /// Waits until a condition holds.
-pub async fn wait_for<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+pub async fn wait_for(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let waiting = async {
         while !condition().await {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -240,20 +240,19 @@
         }
     }
 
-    pub fn call(&self, pipeline: &str, body: &str) -> http::request::Builder {
-        let _ = body;
+    pub fn call(&self, pipeline: &str) -> http::request::Builder {
         Request::post(format!("http://{}/v1/pipelines/{pipeline}", self.callers))
             .header("authorization", format!("Bearer {CALLER_KEY}"))
     }
 
     pub async fn post(&self, pipeline: &str, body: &str) -> Answer {
-        let request = self.call(pipeline, body);
+        let request = self.call(pipeline);
         let request = request.body(Full::from(body.to_owned())).unwrap();
         send(&self.client, request).await
     }
 
     pub async fn post_key(&self, pipeline: &str, key: &str, body: &str) -> Answer {
-        let request = self.call(pipeline, body).header("idempotency-key", key);
+        let request = self.call(pipeline).header("idempotency-key", key);
         let request = request.body(Full::from(body.to_owned())).unwrap();
         send(&self.client, request).await
     }
@@ -276,6 +275,8 @@
     }
 
     pub async fn stop(self) -> bool {
+        // Idle connections are closed, so that the host does not wait for their time-out.
+        drop(self.client);
         self.stop.send_replace(true);
         tokio::time::timeout(Duration::from_secs(20), self.run)
             .await
@@ -283,3 +284,9 @@
             .expect("no panic")
     }
 }
+
+/// Returns the way to other hosts of a host that serves alone.
+pub fn lone_peers() -> hollywheel_daemon::peers::PeerCaller {
+    let (member, _) = hollywheel_daemon::peers::member_channel();
+    hollywheel_daemon::peers::PeerCaller::new(member, Arc::default(), None)
+}
