Let each policy of an experiment have its own fleet

Cause: the routing policy is a setting of a daemon, and a fleet starts its hosts with one set of settings; policies on one set of stand-ins would need daemons started by hand.

Change: a policy names the record of its fleet, or addresses, objects and platform. Each ledger is read once for all policies that share it, so that a run counts its own work alone; a test holds that. A copied ledger says when it was truncated (no test: it takes 500,000 events).

Ruled out: one archive for each policy, which counted the work of the others on shared stand-ins.

--- a/crates/hollywheel-bench/src/command/experiment.rs
+++ b/crates/hollywheel-bench/src/command/experiment.rs
@@ -57,13 +57,13 @@
 pub(crate) async fn execute(matches: &ArgMatches) -> Result<ExitCode, BenchError> {
     let path: &PathBuf = matches.get_one("file").expect("the argument is required");
     let output: &PathBuf = matches.get_one("output").expect("the flag is required");
-    let (plan, view) = read_experiment(path)?;
+    let (plan, targets) = read_experiment(path)?;
     let file_error = |error| BenchError::File {
         path: output.clone(),
         error,
     };
     let mut file = File::create(output).map_err(file_error)?;
-    let end = run_experiment(&plan, &view, |result| {
+    let end = run_experiment(&plan, &targets, |result| {
         print_result(result);
         write_result(&mut file, result).map_err(file_error)
     })
@@ -75,8 +75,11 @@
     for row in metric_rows(&end.results) {
         println!("{row}");
     }
-    println!("all runs together:\n{}", end.report);
-    match end.report.violations {
+    for report in &end.reports {
+        println!("all runs of {}:\n{}", report.policy, report.report);
+    }
+    let violations: u64 = end.reports.iter().map(|one| one.report.violations).sum();
+    match violations {
         0 => Ok(ExitCode::SUCCESS),
         _ => Ok(ExitCode::from(VIOLATED)),
     }
--- a/crates/hollywheel-bench/src/lib.rs
+++ b/crates/hollywheel-bench/src/lib.rs
@@ -30,7 +30,7 @@
 pub use error::BenchError;
 pub use event_text::{EventReader, ServerEvent};
 pub use expect::{ExpectedAnswer, expected_answer};
-pub use experiment::{ExperimentEnd, run_experiment};
+pub use experiment::{ExperimentEnd, PolicyReport, run_experiment};
 pub use fetch::{HttpReply, get_text, post_json};
 pub use interval::{MeanInterval, mean_interval};
 pub use ledger::{LedgerBook, LedgerLine, read_ledger};
@@ -40,5 +40,7 @@
 pub use plot::draw_results;
 pub use record::{RequestRecord, read_records, write_records};
 pub use result::{ClassResult, MetricRow, RunResult, metric_rows, read_results};
-pub use scenario::{ExperimentPlan, FaultPlan, PolicyPlan, ScenarioPlan, read_experiment};
+pub use scenario::{
+    ExperimentPlan, FaultPlan, PolicyPlan, PolicyTarget, ScenarioPlan, read_experiment,
+};
 pub use summary::{LoadSummary, SummaryRow, summarize};
--- a/crates/hollywheel-standins/src/ledger.rs
+++ b/crates/hollywheel-standins/src/ledger.rs
@@ -100,12 +100,17 @@
 impl Ledger {
     pub(crate) fn record(&self, mut entry: LedgerEntry) {
         let mut pages = self.pages.lock().expect("no holder panics");
+        entry.seq = pages.entries.len() as u64 + 1;
+        entry.at_us = wall_micros();
         if pages.entries.len() >= LEDGER_ENTRIES {
             pages.dropped += 1;
+            // The copy ends here, so it says so whatever the number of events that follow.
+            if let Some(mut file) = pages.copy.take() {
+                entry.event = LedgerEvent::Truncated;
+                let _ = writeln!(file, "{}", entry_line(&entry));
+            }
             return;
         }
-        entry.seq = pages.entries.len() as u64 + 1;
-        entry.at_us = wall_micros();
         if let Some(file) = &mut pages.copy {
             // A copy that ends early shows as a missing event, which the checker reports.
             let _ = writeln!(file, "{}", entry_line(&entry));
