Bound the load of a server by what is known of it

Hypothesis: with stale reports every server was taken for as loaded as the mean of old reports, so that lower classes waited while servers were idle, until the next report.

Change: only this host's own requests and the fresh part of a report hold a class back; the mean of the pool still decides between servers.

--- a/crates/hollywheel-policy/examples/policy_load.rs
+++ b/crates/hollywheel-policy/examples/policy_load.rs
@@ -735,6 +735,13 @@
             (good as f64) < 0.97 * offered.count() as f64
         });
         measures.push(bad.map_or(0.0, |at| (at + 1 - mark) as f64));
+        let ejections: u64 = self
+            .hosts
+            .iter()
+            .flat_map(PolicyEngine::pools)
+            .map(|pool| pool.counters.ejections)
+            .sum();
+        measures.push(ejections as f64);
         measures
     }
 }
@@ -742,7 +749,7 @@
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
     println!(
-        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | attempts/request | cost ratio | refused at once % | recovery s"
+        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | attempts/request | cost ratio | refused at once % | recovery s | ejections"
     );
     for scenario in scenarios() {
         if wanted
--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -40,7 +40,10 @@
 struct Candidate<'a> {
     server: &'a ServerId,
     state: &'a ServerState,
+    /// The estimated requests on the server.
     load: f64,
+    /// The part of them that is known.
+    known: f64,
 }
 
 impl Candidate<'_> {
@@ -53,7 +56,7 @@
     }
 
     fn is_saturated(&self, class: RequestClass) -> bool {
-        self.relative() >= BACKLOG[class.index()]
+        self.known >= BACKLOG[class.index()] * f64::from(self.state.slots)
     }
 }
 
@@ -95,6 +98,7 @@
             server,
             state,
             load: 0.0,
+            known: 0.0,
         })
         .collect();
     if candidates.is_empty() && pool.subset.len() < pool.servers.len() {
@@ -105,6 +109,7 @@
                 server,
                 state,
                 load: 0.0,
+                known: 0.0,
             })
             .collect();
     }
@@ -132,10 +137,9 @@
     for (candidate, (others, weight)) in candidates.iter_mut().zip(reports) {
         let state = candidate.state;
         let failures = f64::from(state.health.failures()) * FAILURE_LOAD;
-        candidate.load = f64::from(state.in_flight)
-            + weight * others
-            + (1.0 - weight) * mean
-            + failures * f64::from(state.slots);
+        candidate.known = f64::from(state.in_flight) + weight * others;
+        let unknown = (1.0 - weight) * mean;
+        candidate.load = candidate.known + unknown + failures * f64::from(state.slots);
     }
 }
 
@@ -166,6 +170,7 @@
     let least = candidates
         .iter()
         .min_by(|a, b| a.relative().total_cmp(&b.relative()))?;
+    let least = lighter(better, least, query.domain);
     (!least.is_saturated(query.class)).then_some(least)
 }
 
