Count overdue requests as load and let servers honour priorities

Of 426 misses 342 had not begun to run, spread evenly over time, with free slots elsewhere.

Change: a request beyond the 95th percentile of its stage counts as two more. The fake servers order their queues by class, as the platform's engines do; steady-plain-queue keeps the plain queue.

--- a/crates/hollywheel-policy/examples/policy_load.rs
+++ b/crates/hollywheel-policy/examples/policy_load.rs
@@ -54,6 +54,8 @@
     piggyback: bool,
     hedge: u8,
     client_retries: u32,
+    /// Whether servers honour priorities; a plain queue otherwise.
+    priority: bool,
 }
 
 const BASE: Scenario = Scenario {
@@ -70,12 +72,18 @@
     piggyback: true,
     hedge: 0,
     client_retries: 0,
+    priority: true,
 };
 
 fn scenarios() -> Vec<Scenario> {
     let steady = BASE;
     vec![
         steady,
+        Scenario {
+            name: "steady-plain-queue",
+            priority: false,
+            ..steady
+        },
         Scenario {
             name: "slow-3x",
             slow: 3.0,
@@ -540,7 +548,13 @@
             self.at(self.now + NETWORK, Event::Answer(attempt, 1));
             return;
         }
-        self.servers[server].queue.push_back(attempt);
+        let class = |attempt: &usize| self.requests[self.attempts[*attempt].request].class;
+        let queue = &self.servers[server].queue;
+        let place = match self.scenario.priority {
+            true => queue.partition_point(|entry| class(entry) <= class(&attempt)),
+            false => queue.len(),
+        };
+        self.servers[server].queue.insert(place, attempt);
         self.serve(server);
     }
 
--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -20,7 +20,7 @@
     RefuseReason, RequestEnd, SentAttempt, ServerReport,
 };
 use crate::plan::plan_pipeline;
-use crate::pool::PoolState;
+use crate::pool::{AttemptEnd, PoolState};
 use crate::quota::QuotaTable;
 use crate::route::{RouteChoice, RouteQuery, choose_server};
 use crate::server::ServerState;
@@ -43,6 +43,7 @@
 struct AttemptState {
     sent: SentAttempt,
     sent_at: MonoTime,
+    due: MonoTime,
     trial: bool,
     progressed: bool,
 }
@@ -294,10 +295,13 @@
             request.pending.note_sent(attempt.kind);
         }
         let pool = self.pools.get_mut(&attempt.pool);
-        let trial = pool.is_some_and(|pool| pool.note_sent(&attempt.server, attempt.kind));
+        let usual = self.times.hedge_after(&attempt.stage, attempt.class);
+        let due = usual.map_or(MonoTime(u64::MAX), |usual| now + usual);
+        let trial = pool.is_some_and(|pool| pool.note_sent(&attempt.server, attempt.kind, due));
         let state = AttemptState {
             sent: attempt.clone(),
             sent_at: now,
+            due,
             trial,
             progressed: false,
         };
@@ -328,7 +332,13 @@
         let estimate = self.times.get(&sent.stage, sent.class);
         let sample = estimate.and_then(|estimate| estimate.standardise(took));
         if let Some(pool) = self.pools.get_mut(&sent.pool) {
-            pool.note_finished(now, &sent.server, attempt.trial, judged, sample);
+            let end = AttemptEnd {
+                outcome: judged,
+                sample,
+                trial: attempt.trial,
+                due: attempt.due,
+            };
+            pool.note_finished(now, &sent.server, end);
         }
         if judged == AttemptOutcome::Answered {
             self.times.record(now, &sent.stage, sent.class, took);
@@ -406,7 +416,7 @@
                 server: server.clone(),
                 condition: condition(state),
                 in_subset: pool.subset.binary_search(server).is_ok(),
-                in_flight: state.in_flight,
+                in_flight: u32::try_from(state.in_flight()).unwrap_or(u32::MAX),
                 report_age: state.report_age(self.now),
             }));
         }
--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -17,6 +17,18 @@
 /// slots which other hosts leave free.
 const HEADROOM: f64 = 2.0;
 
+/// Tells how an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptEnd {
+    pub(crate) outcome: AttemptOutcome,
+    /// The standardised time.
+    pub(crate) sample: Option<f64>,
+    /// Whether it was the trial of an ejected server.
+    pub(crate) trial: bool,
+    /// The point at which it should have been answered.
+    pub(crate) due: MonoTime,
+}
+
 /// Holds the state of one pool at this host.
 #[derive(Clone, Debug)]
 pub(crate) struct PoolState {
@@ -119,7 +131,12 @@
         share * self.pressure.factor(now) + HEADROOM * share.sqrt()
     }
 
-    pub(crate) fn note_sent(&mut self, server: &ServerId, kind: AttemptKind) -> bool {
+    pub(crate) fn note_sent(
+        &mut self,
+        server: &ServerId,
+        kind: AttemptKind,
+        due: MonoTime,
+    ) -> bool {
         match kind {
             AttemptKind::First => {
                 self.counters.first += 1;
@@ -132,19 +149,14 @@
         let Some(state) = self.servers.get_mut(server) else {
             return false;
         };
-        state.in_flight = state.in_flight.saturating_add(1);
+        state.note_sent(due);
         state.health.note_sent()
     }
 
-    /// Takes the end of an attempt; `sample` is its standardised time.
-    pub(crate) fn note_finished(
-        &mut self,
-        now: MonoTime,
-        server: &ServerId,
-        trial: bool,
-        outcome: AttemptOutcome,
-        sample: Option<f64>,
-    ) {
+    pub(crate) fn note_finished(&mut self, now: MonoTime, server: &ServerId, end: AttemptEnd) {
+        let AttemptEnd {
+            outcome, sample, ..
+        } = end;
         self.counters.count(outcome);
         if matches!(outcome, AttemptOutcome::Refused | AttemptOutcome::TimedOut) {
             self.pressure.back_off(now);
@@ -153,8 +165,8 @@
         let Some(state) = self.servers.get_mut(server) else {
             return;
         };
-        state.in_flight = state.in_flight.saturating_sub(1);
-        if trial {
+        state.note_finished(end.due);
+        if end.trial {
             end_trial(&mut state.health, now, outcome, sample);
             self.refresh_slots();
             return;
--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -18,6 +18,9 @@
 /// Each failure in a row counts as this part of the slots; failures beyond a limit add nothing.
 const FAILURE_LOAD: f64 = 0.5;
 
+/// Each request that should have been answered counts as so many, since others wait there too.
+const OVERDUE_LOAD: f64 = 2.0;
+
 /// Says what a server is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteQuery<'a> {
@@ -137,9 +140,11 @@
     for (candidate, (others, weight)) in candidates.iter_mut().zip(reports) {
         let state = candidate.state;
         let failures = f64::from(state.health.failures()) * FAILURE_LOAD;
-        candidate.known = f64::from(state.in_flight) + weight * others;
+        let overdue = state.overdue(now) as f64 * OVERDUE_LOAD;
+        candidate.known = state.in_flight() as f64 + weight * others;
         let unknown = (1.0 - weight) * mean;
-        candidate.load = candidate.known + unknown + failures * f64::from(state.slots);
+        let signs = failures * f64::from(state.slots) + overdue;
+        candidate.load = candidate.known + unknown + signs;
     }
 }
 
--- a/crates/hollywheel-policy/src/server.rs
+++ b/crates/hollywheel-policy/src/server.rs
@@ -26,7 +26,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ServerState {
     pub(crate) domain: DomainId,
-    pub(crate) in_flight: u32,
+    /// The points at which this host's requests should be answered.
+    due: Vec<MonoTime>,
     pub(crate) leaving: bool,
     pub(crate) health: ServerHealth,
     pub(crate) slots: u32,
@@ -40,7 +41,7 @@
     pub(crate) fn new(now: MonoTime, domain: DomainId, slots: u32) -> Self {
         Self {
             domain,
-            in_flight: 0,
+            due: Vec::new(),
             leaving: false,
             health: ServerHealth::new(now),
             slots: slots.max(1),
@@ -82,10 +83,29 @@
         self.sample = Some(LoadSample {
             held_at,
             total,
-            others: (total - f64::from(self.in_flight)).max(0.0),
+            others: (total - self.due.len() as f64).max(0.0),
         });
     }
 
+    pub(crate) fn in_flight(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Returns the requests of this host that should have been answered by now.
+    pub(crate) fn overdue(&self, now: MonoTime) -> usize {
+        self.due.iter().filter(|due| **due < now).count()
+    }
+
+    pub(crate) fn note_sent(&mut self, due: MonoTime) {
+        self.due.push(due);
+    }
+
+    pub(crate) fn note_finished(&mut self, due: MonoTime) {
+        if let Some(at) = self.due.iter().position(|entry| *entry == due) {
+            self.due.swap_remove(at);
+        }
+    }
+
     pub(crate) fn take_prefixes(&mut self, prefixes: &[u64]) {
         self.prefixes.clear();
         self.prefixes.extend(prefixes.iter().take(MAX_PREFIXES));
