Close the headroom of a host while no slot is free

Hypothesis: under overload requests are admitted into the headroom above the share, wait for a server there without order, and are refused near their deadlines; the predicted wait is too short since it counts on the headroom.

Change: finding no free slot closes the headroom, which comes back over a second; waits are predicted from the share alone.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -231,7 +231,10 @@
         };
         match choose_server(now, pool, &query, &mut self.random) {
             RouteChoice::Server(server) => PickDecision::Send(server),
-            RouteChoice::Saturated => self.wait_or_refuse(now, request.deadline - needed),
+            RouteChoice::Saturated => {
+                pool.pressure.note_saturated(now);
+                self.wait_or_refuse(now, request.deadline - needed)
+            }
             RouteChoice::NoServer => {
                 let trial = pool.next_trial().map(|at| at.since(now));
                 let retry_after = trial.unwrap_or(RETRY_AFTER).max(MIN_RETRY_AFTER);
--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -54,6 +54,11 @@
         pool.map_or(f64::INFINITY, |pool| pool.limit(self.now, self.hosts))
     }
 
+    fn share_of(&self, pool: &PoolId) -> f64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(f64::INFINITY, |pool| pool.share(self.now, self.hosts))
+    }
+
     /// Finds the pool of a plan that has no room for it.
     fn full_pool<'a>(&self, plan: &'a PipelinePlan, part: f64) -> Option<&'a PoolId> {
         let is_full = |leg: &&PlanLeg| {
@@ -177,7 +182,7 @@
         let mut longest = 0.0f64;
         for leg in &plan.legs {
             let work = self.work_ahead(context, class, &leg.pool, tag);
-            longest = longest.max(work / context.limit(&leg.pool).max(1.0));
+            longest = longest.max(work / context.share_of(&leg.pool).max(0.1));
         }
         Duration::from_secs_f64((longest * WAIT_FACTOR).min(3600.0))
     }
--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -128,7 +128,12 @@
     /// Returns the requests that this host may run at once in the pool.
     pub(crate) fn limit(&self, now: MonoTime, hosts: u32) -> f64 {
         let share = self.usable_slots / f64::from(hosts.max(1));
-        share * self.pressure.factor(now) + HEADROOM * share.sqrt()
+        self.share(now, hosts) + HEADROOM * share.sqrt() * self.pressure.headroom(now)
+    }
+
+    /// Returns this host's share of the slots that are usable.
+    pub(crate) fn share(&self, now: MonoTime, hosts: u32) -> f64 {
+        self.usable_slots / f64::from(hosts.max(1)) * self.pressure.factor(now)
     }
 
     pub(crate) fn note_sent(
--- a/crates/hollywheel-policy/src/pressure.rs
+++ b/crates/hollywheel-policy/src/pressure.rs
@@ -13,11 +13,15 @@
 /// The part regained each second.
 const REGAIN_PER_SECOND: f64 = 0.1;
 
+/// After a sign that no slot is free, the headroom comes back over this time.
+const HEADROOM_SPAN: Duration = Duration::from_secs(1);
+
 /// Adapts a limit: multiplicative decrease at a sign of overload, additive increase over time.
 #[derive(Clone, Debug)]
 pub(crate) struct PoolPressure {
     factor: f64,
     changed_at: MonoTime,
+    saturated_at: Option<MonoTime>,
 }
 
 impl Default for PoolPressure {
@@ -25,6 +29,7 @@
         Self {
             factor: 1.0,
             changed_at: MonoTime(0),
+            saturated_at: None,
         }
     }
 }
@@ -43,4 +48,16 @@
         self.factor = (factor * BACK_OFF).max(MIN_FACTOR);
         self.changed_at = self.changed_at.max(now);
     }
+
+    /// Returns the part of the headroom that may be used.
+    pub(crate) fn headroom(&self, now: MonoTime) -> f64 {
+        self.saturated_at.map_or(1.0, |at| {
+            let open = now.since(at).as_secs_f64() / HEADROOM_SPAN.as_secs_f64();
+            open.min(1.0)
+        })
+    }
+
+    pub(crate) const fn note_saturated(&mut self, now: MonoTime) {
+        self.saturated_at = Some(now);
+    }
 }
