--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -20,6 +20,9 @@
 const LIMIT_PART: [f64; 4] = [1.25, 1.1, 1.0, 0.9];
 /// The predicted wait is longer by this factor for the starts guaranteed to lower classes.
 const WAIT_FACTOR: f64 = 1.2;
+/// The part of the time left over by the stages that a request may be predicted to wait. A
+/// longer queue serves no more requests and takes longer to drain.
+const MAX_WAIT: f64 = 0.35;
 /// The most requests that are in progress or wait at this host.
 const MAX_REQUESTS: usize = 16_384;
 /// The shortest time after which a caller is told to come back.
@@ -166,10 +169,11 @@
     ) -> Option<Duration> {
         let wait = self.predict_wait(context, request.class, plan, tag);
         let slack = plan.latest_start(request.deadline).since(context.now);
-        if wait <= slack {
+        let limit = slack.mul_f64(MAX_WAIT);
+        if wait <= limit {
             return None;
         }
-        Some((wait - slack).max(MIN_RETRY_AFTER))
+        Some((wait - limit).max(MIN_RETRY_AFTER))
     }
 
     fn predict_wait(
