--- a/crates/hollywheel-policy/examples/policy_load.rs
+++ b/crates/hollywheel-policy/examples/policy_load.rs
@@ -54,6 +54,8 @@
     piggyback: bool,
     hedge: u8,
     client_retries: u32,
+    /// Whether servers honour priorities; a plain queue otherwise.
+    priority: bool,
 }
 
 const BASE: Scenario = Scenario {
@@ -70,12 +72,18 @@
     piggyback: true,
     hedge: 0,
     client_retries: 0,
+    priority: true,
 };
 
 fn scenarios() -> Vec<Scenario> {
     let steady = BASE;
     vec![
         steady,
+        Scenario {
+            name: "steady-plain-queue",
+            priority: false,
+            ..steady
+        },
         Scenario {
             name: "slow-3x",
             slow: 3.0,
@@ -540,7 +548,13 @@
             self.at(self.now + NETWORK, Event::Answer(attempt, 1));
             return;
         }
-        self.servers[server].queue.push_back(attempt);
+        let class = |attempt: &usize| self.requests[self.attempts[*attempt].request].class;
+        let queue = &self.servers[server].queue;
+        let place = match self.scenario.priority {
+            true => queue.partition_point(|entry| class(entry) <= class(&attempt)),
+            false => queue.len(),
+        };
+        self.servers[server].queue.insert(place, attempt);
         self.serve(server);
     }
 
@@ -735,6 +749,13 @@
             (good as f64) < 0.97 * offered.count() as f64
         });
         measures.push(bad.map_or(0.0, |at| (at + 1 - mark) as f64));
+        let ejections: u64 = self
+            .hosts
+            .iter()
+            .flat_map(PolicyEngine::pools)
+            .map(|pool| pool.counters.ejections)
+            .sum();
+        measures.push(ejections as f64);
         measures
     }
 }
@@ -742,7 +763,7 @@
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
     println!(
-        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | attempts/request | cost ratio | refused at once % | recovery s"
+        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | attempts/request | cost ratio | refused at once % | recovery s | ejections"
     );
     for scenario in scenarios() {
         if wanted
--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -20,6 +20,9 @@
 const LIMIT_PART: [f64; 4] = [1.25, 1.1, 1.0, 0.9];
 /// The predicted wait is longer by this factor for the starts guaranteed to lower classes.
 const WAIT_FACTOR: f64 = 1.2;
+/// The part of the time left over by the stages that a request may be predicted to wait. A
+/// longer queue serves no more requests and takes longer to drain.
+const MAX_WAIT: f64 = 0.35;
 /// The most requests that are in progress or wait at this host.
 const MAX_REQUESTS: usize = 16_384;
 /// The shortest time after which a caller is told to come back.
@@ -54,6 +57,11 @@
         pool.map_or(f64::INFINITY, |pool| pool.limit(self.now, self.hosts))
     }
 
+    fn share_of(&self, pool: &PoolId) -> f64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(f64::INFINITY, |pool| pool.share(self.now, self.hosts))
+    }
+
     /// Finds the pool of a plan that has no room for it.
     fn full_pool<'a>(&self, plan: &'a PipelinePlan, part: f64) -> Option<&'a PoolId> {
         let is_full = |leg: &&PlanLeg| {
@@ -161,10 +169,11 @@
     ) -> Option<Duration> {
         let wait = self.predict_wait(context, request.class, plan, tag);
         let slack = plan.latest_start(request.deadline).since(context.now);
-        if wait <= slack {
+        let limit = slack.mul_f64(MAX_WAIT);
+        if wait <= limit {
             return None;
         }
-        Some((wait - slack).max(MIN_RETRY_AFTER))
+        Some((wait - limit).max(MIN_RETRY_AFTER))
     }
 
     fn predict_wait(
@@ -177,7 +186,7 @@
         let mut longest = 0.0f64;
         for leg in &plan.legs {
             let work = self.work_ahead(context, class, &leg.pool, tag);
-            longest = longest.max(work / context.limit(&leg.pool).max(1.0));
+            longest = longest.max(work / context.share_of(&leg.pool).max(0.1));
         }
         Duration::from_secs_f64((longest * WAIT_FACTOR).min(3600.0))
     }
--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -18,6 +18,9 @@
 /// Each failure in a row counts as this part of the slots; failures beyond a limit add nothing.
 const FAILURE_LOAD: f64 = 0.5;
 
+/// Each request that should have been answered counts as so many, since others wait there too.
+const OVERDUE_LOAD: f64 = 2.0;
+
 /// Says what a server is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteQuery<'a> {
@@ -40,7 +43,10 @@
 struct Candidate<'a> {
     server: &'a ServerId,
     state: &'a ServerState,
+    /// The estimated requests on the server.
     load: f64,
+    /// The part of them that is known.
+    known: f64,
 }
 
 impl Candidate<'_> {
@@ -53,7 +59,7 @@
     }
 
     fn is_saturated(&self, class: RequestClass) -> bool {
-        self.relative() >= BACKLOG[class.index()]
+        self.known >= BACKLOG[class.index()] * f64::from(self.state.slots)
     }
 }
 
@@ -95,6 +101,7 @@
             server,
             state,
             load: 0.0,
+            known: 0.0,
         })
         .collect();
     if candidates.is_empty() && pool.subset.len() < pool.servers.len() {
@@ -105,6 +112,7 @@
                 server,
                 state,
                 load: 0.0,
+                known: 0.0,
             })
             .collect();
     }
@@ -132,10 +140,11 @@
     for (candidate, (others, weight)) in candidates.iter_mut().zip(reports) {
         let state = candidate.state;
         let failures = f64::from(state.health.failures()) * FAILURE_LOAD;
-        candidate.load = f64::from(state.in_flight)
-            + weight * others
-            + (1.0 - weight) * mean
-            + failures * f64::from(state.slots);
+        let overdue = state.overdue(now) as f64 * OVERDUE_LOAD;
+        candidate.known = state.in_flight() as f64 + weight * others;
+        let unknown = (1.0 - weight) * mean;
+        let signs = failures * f64::from(state.slots) + overdue;
+        candidate.load = candidate.known + unknown + signs;
     }
 }
 
@@ -166,6 +175,7 @@
     let least = candidates
         .iter()
         .min_by(|a, b| a.relative().total_cmp(&b.relative()))?;
+    let least = lighter(better, least, query.domain);
     (!least.is_saturated(query.class)).then_some(least)
 }
 
