--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -14,10 +14,13 @@
 /// Prefix affinity accepts so many times the mean load.
 const AFFINITY_BOUND: f64 = 1.25;
 /// The requests on a server, as a multiple of its slots, up to which a class is sent to it.
-const BACKLOG: [f64; 4] = [3.0, 2.5, 2.0, 1.5];
+const BACKLOG: [f64; 4] = [2.0, 1.5, 1.0, 0.75];
 /// Each failure in a row counts as this part of the slots; failures beyond a limit add nothing.
 const FAILURE_LOAD: f64 = 0.5;
 
+/// Each request that should have been answered counts as so many, since others wait there too.
+const OVERDUE_LOAD: f64 = 2.0;
+
 /// Says what a server is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteQuery<'a> {
@@ -40,7 +43,10 @@
 struct Candidate<'a> {
     server: &'a ServerId,
     state: &'a ServerState,
+    /// The estimated requests on the server.
     load: f64,
+    /// The part of them that is known.
+    known: f64,
 }
 
 impl Candidate<'_> {
@@ -48,8 +54,12 @@
         self.load / f64::from(self.state.slots)
     }
 
+    fn has_room(&self) -> bool {
+        self.load + 1.0 <= f64::from(self.state.slots)
+    }
+
     fn is_saturated(&self, class: RequestClass) -> bool {
-        self.relative() >= BACKLOG[class.index()]
+        self.known >= BACKLOG[class.index()] * f64::from(self.state.slots)
     }
 }
 
@@ -91,6 +101,7 @@
             server,
             state,
             load: 0.0,
+            known: 0.0,
         })
         .collect();
     if candidates.is_empty() && pool.subset.len() < pool.servers.len() {
@@ -101,6 +112,7 @@
                 server,
                 state,
                 load: 0.0,
+                known: 0.0,
             })
             .collect();
     }
@@ -128,10 +140,11 @@
     for (candidate, (others, weight)) in candidates.iter_mut().zip(reports) {
         let state = candidate.state;
         let failures = f64::from(state.health.failures()) * FAILURE_LOAD;
-        candidate.load = f64::from(state.in_flight)
-            + weight * others
-            + (1.0 - weight) * mean
-            + failures * f64::from(state.slots);
+        let overdue = state.overdue(now) as f64 * OVERDUE_LOAD;
+        candidate.known = state.in_flight() as f64 + weight * others;
+        let unknown = (1.0 - weight) * mean;
+        let signs = failures * f64::from(state.slots) + overdue;
+        candidate.load = candidate.known + unknown + signs;
     }
 }
 
@@ -153,15 +166,33 @@
         second = (second + 1) % candidates.len();
     }
     let better = lighter(&candidates[first], &candidates[second], query.domain);
-    if !better.is_saturated(query.class) {
+    if better.has_room() {
         return Some(better);
     }
+    if let Some(free) = random_free(candidates, random) {
+        return Some(free);
+    }
     let least = candidates
         .iter()
         .min_by(|a, b| a.relative().total_cmp(&b.relative()))?;
+    let least = lighter(better, least, query.domain);
     (!least.is_saturated(query.class)).then_some(least)
 }
 
+/// Chooses any server with a free slot. The choice is random since hosts that share a stale
+/// report would otherwise all send to the same server.
+fn random_free<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    random: &mut StdRng,
+) -> Option<&'b Candidate<'a>> {
+    let free = candidates.iter().filter(|candidate| candidate.has_room());
+    let count = free.clone().count();
+    if count == 0 {
+        return None;
+    }
+    free.clone().nth(random.random_range(0..count))
+}
+
 fn lighter<'a, 'b>(
     left: &'b Candidate<'a>,
     right: &'b Candidate<'a>,
