--- a/crates/hollywheel-matrix/src/breaks.rs
+++ b/crates/hollywheel-matrix/src/breaks.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollywheel_claims::ClaimAnswer;
 use hollywheel_config::PublishedSet;
-use hollywheel_node::{AttemptEvent, NodeInput, NodeOutput, ReplyPart};
-use hollywheel_store::{RowOutcome, StoreOp, StoreReply, StoreRequest};
+use hollywheel_node::{AttemptCall, AttemptEvent, NodeInput, NodeOutput, ReplyPart, StoreTicket};
+use hollywheel_store::{RowOutcome, StoreFailure, StoreOp, StoreReply, StoreRequest};
 use hollywheel_types::{AttemptNonce, ConfigVersion, ExecutionVerdict, RequestId};
 
 use crate::cell::CellError;
@@ -19,6 +20,9 @@
 /// The time by which a refusal is held back.
 const HOLD: Duration = Duration::from_millis(1500);
 
+/// The time that a forged refusal of the table service names.
+const REFUSED_RETRY: Duration = Duration::from_millis(50);
+
 macro_rules! named_breaks {
     ($($(#[$doc:meta])* $variant:ident = $text:literal,)*) => {
         /// Names a fault put in on purpose.
@@ -46,6 +50,14 @@
     SendTwice = "send-twice",
     /// Answers claims without writing them.
     SkipClaim = "skip-claim",
+    /// Takes over rows whatever their revision.
+    BlindTakeover = "blind-takeover",
+    /// Tells other hosts that running requests were never sent.
+    ForgeReleased = "forge-released",
+    /// Takes a broken connection for one that was never made.
+    BrokenAsNotSent = "broken-as-not-sent",
+    /// Takes a lost answer of the table service for a refusal.
+    LostAsRefused = "lost-as-refused",
     /// Says `not-run` in every refusal.
     ForgeNotRun = "forge-not-run",
     /// Exchanges the replies of two requests.
@@ -123,6 +135,17 @@
         (DeliberateBreak::TrustEcho, NodeInput::Attempt { nonce, event }) => {
             trust(*nonce, event);
         }
+        (DeliberateBreak::BrokenAsNotSent, NodeInput::Attempt { event, .. })
+            if *event == AttemptEvent::Broken =>
+        {
+            *event = AttemptEvent::NotSent;
+        }
+        (DeliberateBreak::LostAsRefused, NodeInput::Store { result, .. })
+            if *result == Err(StoreFailure::Unknown) =>
+        {
+            let retry_after = REFUSED_RETRY;
+            *result = Err(StoreFailure::Refused { retry_after });
+        }
         (DeliberateBreak::DropTick, NodeInput::Tick)
         | (DeliberateBreak::IgnoreLeaving, NodeInput::ServerLeaving(_)) => return Vec::new(),
         (DeliberateBreak::DrainAtOnce, NodeInput::Drain(span)) => *span = Duration::ZERO,
@@ -168,13 +191,38 @@
         {
             forge_write(ticket, &request)
         }
+        (
+            DeliberateBreak::BlindTakeover,
+            NodeOutput::Store {
+                ticket,
+                mut request,
+            },
+        ) => {
+            forget_revisions(&mut request);
+            AlteredOutput::now(vec![NodeOutput::Store { ticket, request }])
+        }
+        (DeliberateBreak::ForgeReleased, NodeOutput::AnswerHost { ticket, .. }) => {
+            let answer = ClaimAnswer::Released;
+            AlteredOutput::now(vec![NodeOutput::AnswerHost { ticket, answer }])
+        }
         (DeliberateBreak::DropDrained, NodeOutput::Drained) => AlteredOutput::default(),
         (_, NodeOutput::Reply { request, part }) => alter_reply(broken, request, part),
         (_, output) => AlteredOutput::now(vec![output]),
     }
 }
 
-fn send_twice(call: Box<hollywheel_node::AttemptCall>) -> AlteredOutput {
+fn forget_revisions(request: &mut StoreRequest) {
+    let StoreRequest::Txn { ops, .. } = request else {
+        return;
+    };
+    for op in ops {
+        if let StoreOp::Put { if_revision, .. } = op {
+            *if_revision = None;
+        }
+    }
+}
+
+fn send_twice(call: Box<AttemptCall>) -> AlteredOutput {
     let mut again = call.clone();
     again.nonce.0 ^= 1;
     let mut outputs = vec![NodeOutput::Dispatch(call)];
@@ -196,7 +244,7 @@
     })
 }
 
-fn forge_write(ticket: hollywheel_node::StoreTicket, request: &StoreRequest) -> AlteredOutput {
+fn forge_write(ticket: StoreTicket, request: &StoreRequest) -> AlteredOutput {
     let rows = match request {
         StoreRequest::Txn { ops, .. } => ops.len(),
         _ => 0,
--- a/crates/hollywheel-matrix/src/command/breaks.rs
+++ b/crates/hollywheel-matrix/src/command/breaks.rs
@@ -2,16 +2,22 @@
 
 use std::process::ExitCode;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use super::options;
 use crate::breaks::DeliberateBreak;
-use crate::cell::MatrixCell;
+use crate::cell::{CellScenario, MatrixCell};
 use crate::matrix::{MatrixSummary, run_break};
 
 pub(super) fn command() -> Command {
     Command::new("breaks")
         .about("Puts in one fault after another on purpose and shows which checks find it")
+        .arg(
+            Arg::new("pairs")
+                .long("pairs")
+                .action(ArgAction::SetTrue)
+                .help("Looks in the cells with two faults as well if none with one finds it"),
+        )
         .arg(options::seed_arg())
         .arg(options::jitter_arg())
         .arg(options::threads_arg())
@@ -22,7 +28,10 @@
     let cells = MatrixCell::singles();
     let mut missed = false;
     for broken in DeliberateBreak::ALL {
-        let summary = run_break(&cells, *broken, &settings);
+        let mut summary = run_break(&cells, *broken, &settings);
+        if summary.failing.is_empty() && matches.get_flag("pairs") {
+            summary = run_break(&pairs(), *broken, &settings);
+        }
         missed |= summary.failing.is_empty();
         println!("{broken}: {}", found(&summary));
     }
@@ -32,6 +41,11 @@
     }
 }
 
+fn pairs() -> Vec<MatrixCell> {
+    let scenarios = CellScenario::ALL.iter().copied();
+    scenarios.flat_map(MatrixCell::pairs).collect()
+}
+
 fn found(summary: &MatrixSummary) -> String {
     if summary.failing.is_empty() {
         return "found by no check".to_owned();
--- a/crates/hollywheel-matrix/src/scene/deliver.rs
+++ b/crates/hollywheel-matrix/src/scene/deliver.rs
@@ -191,6 +191,11 @@
         let outputs = std::mem::take(&mut slot.held_outputs);
         let inputs = std::mem::take(&mut slot.held_inputs);
         self.carry_out(process.host, outputs);
+        // A process that goes on may see its timers before or after what has arrived.
+        let timers_first = self.settings.jitter_us > 0 && self.draw().is_multiple_of(2);
+        if timers_first {
+            self.deliver(process, NodeInput::Tick, false, true);
+        }
         for input in inputs {
             self.deliver(process, input, false, true);
         }
--- a/crates/hollywheel-matrix/src/scene/inject.rs
+++ b/crates/hollywheel-matrix/src/scene/inject.rs
@@ -85,6 +85,10 @@
                     lose_result(input);
                 }
             }
+            // The edge numbers every request that it receives, so that a repeated one is new.
+            (CellFault::Duplicate, _) if matches!(inputs.first(), Some(NodeInput::Request(_))) => {
+                self.submit_again(to.host);
+            }
             (CellFault::Duplicate, _) => {
                 let again = inputs.clone();
                 inputs.extend(again);
@@ -163,19 +167,29 @@
             return;
         }
         let known = self.now + NEWS_LAG;
-        for slot in &self.hosts {
-            let process = slot.process();
-            let input = NodeInput::ServerLeaving(server.clone());
-            let event = SceneEvent::Input {
-                to: process,
-                input,
-                stray: false,
-                seen: true,
-            };
-            self.queue.push(known, event);
-        }
         self.log.leaving.push((server.clone(), known));
-        self.leaving.push(server);
+        self.leaving.push(server.clone());
+        for host in 0..2 {
+            self.push_leaving(known, host, server.clone());
+        }
+    }
+
+    /// Lets a process that has just started hear of the leaving servers from their reports.
+    pub(super) fn tell_leaving(&mut self, host: usize) {
+        let known = self.now + NEWS_LAG;
+        for server in self.leaving.clone() {
+            self.push_leaving(known, host, server);
+        }
+    }
+
+    fn push_leaving(&mut self, at: MonoTime, host: usize, server: ServerId) {
+        let event = SceneEvent::Input {
+            to: self.hosts[host].process(),
+            input: NodeInput::ServerLeaving(server),
+            stray: false,
+            seen: true,
+        };
+        self.queue.push(at, event);
     }
 
     fn caller_gone(&mut self, at: ProcessRef) {
@@ -187,7 +201,7 @@
 
     /// Notes that a caller will hear no more; it asks again elsewhere.
     pub(super) fn lose_caller(&mut self, request: RequestId) {
-        if self.log.lost.contains(&request) {
+        if self.log.lost.contains(&request) || self.is_answered(request) {
             return;
         }
         self.log.lost.push(request);
@@ -198,8 +212,8 @@
 
     /// Lets the caller of the observed request ask the other host with the same key.
     pub(super) fn follow_up(&mut self) {
-        let known = self.log.sent.iter().any(|sent| sent.request.0 == FOLLOW_UP);
-        if !known {
+        if !self.followed_up {
+            self.followed_up = true;
             self.push_submission(self.now + ASK_AGAIN, 1, FOLLOW_UP);
         }
     }
--- a/crates/hollywheel-matrix/src/scene/run.rs
+++ b/crates/hollywheel-matrix/src/scene/run.rs
@@ -77,6 +77,7 @@
     pub(super) call_faults: Vec<(AttemptNonce, CallFaults)>,
     pub(super) leaving: Vec<ServerId>,
     pub(super) next_number: u128,
+    pub(super) followed_up: bool,
     pub(super) recorder: Option<TraceRecorder>,
     random: u64,
 }
@@ -102,6 +103,7 @@
             call_faults: Vec::new(),
             leaving: Vec::new(),
             next_number: 100,
+            followed_up: false,
             recorder: None,
             random: settings.seed ^ 0x9e37_79b9_7f4a_7c15,
             settings,
@@ -225,6 +227,7 @@
         };
         self.feed(host, NodeInput::Config(config));
         self.tell_view(host);
+        self.tell_leaving(host);
     }
 
     fn end(&mut self) {
--- a/crates/hollywheel-matrix/src/scene/steps.rs
+++ b/crates/hollywheel-matrix/src/scene/steps.rs
@@ -59,7 +59,7 @@
             NodeInput::Request(request) if is_observed(request.request) => {
                 vec![CellStep::Receive]
             }
-            NodeInput::Store { result: Ok(_), .. } => vec![CellStep::ClaimAnswer],
+            NodeInput::Store { .. } => vec![CellStep::ClaimAnswer],
             NodeInput::Config(set) if set.version.0 > 1 => vec![CellStep::ConfigChange],
             NodeInput::Drain(_) => vec![CellStep::Drain],
             NodeInput::Attempt { nonce, event } => {
