--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -333,7 +333,7 @@
             other => other,
         };
         let estimate = self.times.get(&sent.stage, sent.class);
-        let sample = estimate.and_then(|estimate| estimate.standardise(took));
+        let sample = estimate.and_then(|estimate| estimate.baseline().standardise(took));
         if let Some(pool) = self.pools.get_mut(&sent.pool) {
             let end = AttemptEnd {
                 outcome: judged,
--- a/crates/hollywheel-policy/src/estimate.rs
+++ b/crates/hollywheel-policy/src/estimate.rs
@@ -4,18 +4,16 @@
 
 use hollywheel_types::{MonoTime, RequestClass, SortedMap, StageId};
 
+use crate::baseline::LatencyBaseline;
+
 /// Samples before an estimate is used.
 const MIN_SAMPLES: u32 = 10;
 /// Weight of a sample in the average.
 const GAIN: f64 = 0.05;
-/// The largest step of a standardised sample, so that one outlier moves little.
-const MAX_Z: f64 = 3.0;
 /// The quantile after which a hedge makes sense.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// Without samples an estimate loses half of its excess in this time, so that work is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(5);
-/// The smallest standard deviation of log latency.
-const MIN_LOG_DEVIATION: f64 = 0.05;
 
 /// Estimates the time from sending an attempt to its complete answer.
 #[derive(Clone, Debug, Default)]
@@ -23,8 +21,7 @@
     mean: f64,
     deviation: f64,
     quantile: f64,
-    log_mean: f64,
-    log_variance: f64,
+    baseline: LatencyBaseline,
     samples: u32,
     sampled_at: MonoTime,
 }
@@ -32,21 +29,18 @@
 impl TimeEstimate {
     pub(crate) fn record(&mut self, now: MonoTime, took: Duration) {
         let millis = took.as_secs_f64() * 1000.0;
-        let log = millis.max(0.001).ln();
         self.sampled_at = self.sampled_at.max(now);
         if self.samples == 0 {
             self.mean = millis;
             self.deviation = millis / 2.0;
             self.quantile = millis * 2.0;
-            self.log_mean = log;
-            self.log_variance = 0.25;
         }
         self.samples = self.samples.saturating_add(1);
         let gain = GAIN.max(1.0 / f64::from(self.samples));
         self.deviation += gain * ((millis - self.mean).abs() - self.deviation);
         self.mean += gain * (millis - self.mean);
         self.move_quantile(millis);
-        self.move_log(log, gain);
+        self.baseline.record(took);
     }
 
     fn move_quantile(&mut self, millis: f64) {
@@ -59,24 +53,9 @@
         self.quantile = self.quantile.max(self.mean);
     }
 
-    fn move_log(&mut self, log: f64, gain: f64) {
-        let sigma = self.log_deviation();
-        let step = (log - self.log_mean).clamp(-MAX_Z * sigma, MAX_Z * sigma);
-        self.log_mean += gain * step;
-        self.log_variance += gain * (step * step - self.log_variance);
-    }
-
-    fn log_deviation(&self) -> f64 {
-        self.log_variance.sqrt().max(MIN_LOG_DEVIATION)
-    }
-
-    /// Returns how far a time lies from the usual one, in standard deviations of its logarithm.
-    pub(crate) fn standardise(&self, took: Duration) -> Option<f64> {
-        if self.samples < MIN_SAMPLES {
-            return None;
-        }
-        let log = (took.as_secs_f64() * 1000.0).max(0.001).ln();
-        Some((log - self.log_mean) / self.log_deviation())
+    /// Returns the usual latency and its spread.
+    pub(crate) const fn baseline(&self) -> &LatencyBaseline {
+        &self.baseline
     }
 
     fn expected_ms(&self, now: MonoTime, min_ms: f64) -> f64 {
--- a/crates/hollywheel-policy/src/lib.rs
+++ b/crates/hollywheel-policy/src/lib.rs
@@ -1,5 +1,6 @@
 //! Routing, admission, limits, retries, health and cost decisions.
 
+mod baseline;
 mod budget;
 mod detector;
 mod engine;
@@ -22,6 +23,7 @@
 mod subset;
 mod turns;
 
+pub use baseline::LatencyBaseline;
 pub use detector::{CusumCharts, EwmaChart, RunChart};
 pub use engine::PolicyEngine;
 pub use message::{
