Cover large pools evenly by the subsets of hosts that know each other

Hypothesis: rendezvous order alone gives each of 1,000 servers a random number of the 390 hosts with 20 servers each, and some of them almost none.

Change: with the names of the hosts alive, hosts choose in turn by the hash of their names, and a server that is ahead of the mean is taken last. set_host_names brings the names; without them the own order counts as before.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -5,8 +5,8 @@
 
 use hollywheel_config::ObjectSet;
 use hollywheel_types::{
-    AttemptNonce, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId, SortedMap,
-    StageId, WorkspaceId,
+    AttemptNonce, HostId, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId,
+    SortedMap, StageId, WorkspaceId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -56,6 +56,7 @@
     random: StdRng,
     now: MonoTime,
     hosts: u32,
+    host_names: Vec<HostId>,
     pools: SortedMap<PoolId, PoolState>,
     owners: SortedMap<ServerId, PoolId>,
     times: TimeTable,
@@ -76,6 +77,7 @@
             random,
             now: MonoTime::default(),
             hosts: 1,
+            host_names: Vec::new(),
             pools: SortedMap::new(),
             owners: SortedMap::new(),
             times: TimeTable::default(),
@@ -104,7 +106,11 @@
             let kept = self.pools.remove(&object.name);
             let mut pool = kept.unwrap_or_else(|| PoolState::new(object));
             pool.install(now, object);
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
             let servers = object.servers.iter();
             owners.extend(servers.map(|entry| (entry.name.clone(), object.name.clone())));
             pools.push((object.name.clone(), pool));
@@ -120,6 +126,24 @@
         self.quotas.set_hosts(now, self.hosts);
     }
 
+    /// Sets the names of the hosts alive, this one included, which makes the subsets of all
+    /// hosts cover large pools evenly, and their number as [`PolicyEngine::set_hosts`] does.
+    pub fn set_host_names(&mut self, now: MonoTime, hosts: &[HostId]) {
+        let alive = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
+        self.set_hosts(now, alive);
+        if self.host_names == hosts {
+            return;
+        }
+        self.host_names = hosts.to_vec();
+        for pool in self.pools.values_mut() {
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
+        }
+    }
+
     /// Takes the demand for a workspace at all other hosts, in requests a second, which
     /// corrects this host's share of the workspace's rate.
     pub fn set_peer_demand(&mut self, now: MonoTime, workspace: &WorkspaceId, demand: f64) {
@@ -382,7 +406,11 @@
             return;
         };
         if pool.take_report(now, report, age) {
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
         }
     }
 
@@ -400,7 +428,11 @@
         };
         if !state.leaving {
             state.leaving = true;
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
         }
     }
 
--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -76,7 +76,7 @@
     }
 
     /// Chooses the subset again from the servers that are not leaving.
-    pub(crate) fn refresh_subset(&mut self, host: &HostId, size: usize) {
+    pub(crate) fn refresh_subset(&mut self, host: &HostId, hosts: &[HostId], size: usize) {
         let staying = self.servers.iter().filter(|(_, state)| !state.leaving);
         let members: Vec<SubsetMember> = staying
             .map(|(server, state)| SubsetMember {
@@ -84,7 +84,7 @@
                 domain: state.domain.clone(),
             })
             .collect();
-        self.subset = choose_subset(host, &members, size);
+        self.subset = choose_subset(host, hosts, &members, size);
         self.refresh_slots();
     }
 
--- a/crates/hollywheel-policy/tests/subset.rs
+++ b/crates/hollywheel-policy/tests/subset.rs
@@ -19,8 +19,8 @@
 fn a_subset_is_spread_over_failure_domains() {
     let members = members(100);
     let host: HostId = id("host-1");
-    let subset = choose_subset(&host, &members, 20);
-    assert_eq!(subset, choose_subset(&host, &members, 20));
+    let subset = choose_subset(&host, &[], &members, 20);
+    assert_eq!(subset, choose_subset(&host, &[], &members, 20));
     assert_eq!(subset.len(), 20);
     for domain in 0..3 {
         let inside = subset.iter().filter(|name| {
@@ -35,12 +35,45 @@
 fn a_server_that_goes_changes_little() {
     let all = members(100);
     let host: HostId = id("host-1");
-    let before = choose_subset(&host, &all, 20);
+    let before = choose_subset(&host, &[], &all, 20);
     let without: Vec<_> = all
         .into_iter()
         .filter(|member| member.server != before[0])
         .collect();
-    let after = choose_subset(&host, &without, 20);
+    let after = choose_subset(&host, &[], &without, 20);
     let kept = after.iter().filter(|name| before.contains(name)).count();
     assert!(kept >= 18, "{kept} of 20 stayed");
 }
+
+#[test]
+fn hosts_that_know_each_other_cover_all_servers_evenly() {
+    let members = members(300);
+    let name = |at: usize| id(&format!("host-{at:03}"));
+    let hosts: Vec<HostId> = (0..117).map(name).collect();
+    let mut uses = vec![0; members.len()];
+    for host in &hosts {
+        for server in choose_subset(host, &hosts, &members, 20) {
+            let at = members.iter().position(|member| member.server == server);
+            uses[at.expect("a member")] += 1;
+        }
+    }
+    assert_eq!(uses.iter().sum::<usize>(), 117 * 20);
+    assert!(uses.iter().all(|uses| (7..=8).contains(uses)), "{uses:?}");
+}
+
+#[test]
+fn a_host_that_goes_changes_few_subsets() {
+    let members = members(300);
+    let name = |at: usize| id(&format!("host-{at:03}"));
+    let hosts: Vec<HostId> = (0..60).map(name).collect();
+    let mut kept = 0;
+    for host in &hosts[1..] {
+        let before = choose_subset(host, &hosts, &members, 20);
+        let after = choose_subset(host, &hosts[1..], &members, 20);
+        kept += after
+            .iter()
+            .filter(|server| before.contains(server))
+            .count();
+    }
+    assert!(kept * 100 > 59 * 20 * 85, "{kept} of 1180 stayed");
+}
