Refuse waiting requests as soon as their wait is too long

Hypothesis: a request that was admitted to the queue and then overtaken by higher classes is known to be late long before its deadline, and its caller should know then.

Predictions have their own module, and so have the views of the engine.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -1,5 +1,7 @@
 //! The policy of one host behind one interface.
 
+mod view;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +15,6 @@
 
 use crate::estimate::TimeTable;
 use crate::gate::{AdmissionGate, GateContext, RequestState};
-use crate::health::HealthState;
 use crate::ledger::{AttemptCost, CostLedger};
 use crate::message::{
     AdmitDecision, AdmitNotice, AdmitRequest, AttemptOutcome, PickDecision, PickRequest,
@@ -23,9 +24,7 @@
 use crate::pool::{AttemptEnd, PoolState};
 use crate::quota::QuotaTable;
 use crate::route::{RouteChoice, RouteQuery, choose_server};
-use crate::server::ServerState;
 use crate::settings::PolicySettings;
-use crate::status::{CostReport, PoolStatus, QueueStatus, ServerCondition, ServerStatus};
 
 /// A caller is told to come back after this time when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -442,48 +441,6 @@
         pools.flat_map(|pool| pool.subset.iter().cloned()).collect()
     }
 
-    /// Lists the backend servers with their condition.
-    pub fn servers(&self) -> Vec<ServerStatus> {
-        let mut servers = Vec::new();
-        for (name, pool) in self.pools.iter() {
-            servers.extend(pool.servers.iter().map(|(server, state)| ServerStatus {
-                pool: name.clone(),
-                server: server.clone(),
-                condition: condition(state),
-                in_subset: pool.subset.binary_search(server).is_ok(),
-                in_flight: u32::try_from(state.in_flight()).unwrap_or(u32::MAX),
-                report_age: state.report_age(self.now),
-            }));
-        }
-        servers
-    }
-
-    /// Lists the pools with their counters.
-    pub fn pools(&self) -> Vec<PoolStatus> {
-        let pools = self.pools.iter();
-        let status = pools.map(|(name, pool)| PoolStatus {
-            pool: name.clone(),
-            counters: pool.counters,
-            admitted: pool.admitted,
-            limit: pool.limit(self.now, self.hosts),
-        });
-        status.collect()
-    }
-
-    /// Lists the numbers of requests that wait for admission by class.
-    pub fn queues(&self) -> [QueueStatus; 4] {
-        let lengths = self.gate.class_lengths();
-        RequestClass::ALL.map(|class| QueueStatus {
-            class,
-            waiting: lengths[class.index()],
-        })
-    }
-
-    /// Returns the backend time spent by stage, class and workspace.
-    pub fn costs(&self) -> CostReport {
-        self.ledger.report()
-    }
-
     fn advance(&mut self, now: MonoTime) -> MonoTime {
         self.now = self.now.max(now);
         self.now
@@ -529,14 +486,3 @@
         }
     }
 }
-
-fn condition(state: &ServerState) -> ServerCondition {
-    if state.leaving {
-        return ServerCondition::Leaving;
-    }
-    match state.health.state() {
-        HealthState::Serving { .. } => ServerCondition::Serving,
-        HealthState::Ejected { .. } => ServerCondition::Ejected,
-        HealthState::Trial { .. } => ServerCondition::Trial,
-    }
-}
--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -9,6 +9,7 @@
 
 use crate::estimate::TimeTable;
 use crate::fairness::FairClock;
+use crate::forecast::{find_hopeless, predict_wait};
 use crate::lanes::{LaneTable, WaitingRequest};
 use crate::ledger::PendingCost;
 use crate::message::{AdmitDecision, AdmitNotice, AdmitRequest, RefuseReason};
@@ -18,8 +19,6 @@
 
 /// The part of a pool's limit up to which requests of a class start.
 const LIMIT_PART: [f64; 4] = [1.25, 1.1, 1.0, 0.9];
-/// The predicted wait is longer by this factor for the starts guaranteed to lower classes.
-const WAIT_FACTOR: f64 = 1.2;
 /// The part of the time left over by the stages that a request may be predicted to wait. A
 /// longer queue serves no more requests and takes longer to drain.
 const MAX_WAIT: f64 = 0.35;
@@ -48,7 +47,7 @@
 }
 
 impl GateContext<'_> {
-    fn plan(&self, pipeline: &PipelineId, class: RequestClass) -> PipelinePlan {
+    pub(crate) fn plan(&self, pipeline: &PipelineId, class: RequestClass) -> PipelinePlan {
         plan_pipeline(self.now, self.set, self.times, pipeline, class, 0)
     }
 
@@ -57,7 +56,8 @@
         pool.map_or(f64::INFINITY, |pool| pool.limit(self.now, self.hosts))
     }
 
-    fn share_of(&self, pool: &PoolId) -> f64 {
+    /// Returns the requests that this host's share of a pool runs at once.
+    pub(crate) fn share_of(&self, pool: &PoolId) -> f64 {
         let pool = self.pools.get(pool);
         pool.map_or(f64::INFINITY, |pool| pool.share(self.now, self.hosts))
     }
@@ -99,6 +99,7 @@
     clock: FairClock,
     turns: ClassTurns,
     notices: Vec<AdmitNotice>,
+    shed_at: MonoTime,
 }
 
 impl AdmissionGate {
@@ -167,7 +168,7 @@
         plan: &PipelinePlan,
         tag: f64,
     ) -> Option<Duration> {
-        let wait = self.predict_wait(context, request.class, plan, tag);
+        let wait = predict_wait(&self.lanes, context, request.class, plan, tag);
         let slack = plan.latest_start(request.deadline).since(context.now);
         let limit = slack.mul_f64(MAX_WAIT);
         if wait <= limit {
@@ -176,43 +177,6 @@
         Some((wait - limit).max(MIN_RETRY_AFTER))
     }
 
-    fn predict_wait(
-        &self,
-        context: &GateContext<'_>,
-        class: RequestClass,
-        plan: &PipelinePlan,
-        tag: f64,
-    ) -> Duration {
-        let mut longest = 0.0f64;
-        for leg in &plan.legs {
-            let work = self.work_ahead(context, class, &leg.pool, tag);
-            longest = longest.max(work / context.share_of(&leg.pool).max(0.1));
-        }
-        Duration::from_secs_f64((longest * WAIT_FACTOR).min(3600.0))
-    }
-
-    /// Returns the seconds of work in a pool that starts before a newcomer.
-    fn work_ahead(
-        &self,
-        context: &GateContext<'_>,
-        class: RequestClass,
-        pool: &PoolId,
-        tag: f64,
-    ) -> f64 {
-        let mut work = 0.0;
-        for (key, _) in self.lanes.lane_lengths() {
-            if key.0 > class {
-                continue;
-            }
-            let before = if key.0 < class { f64::INFINITY } else { tag };
-            let ahead = self.lanes.count_before(key, before) as f64;
-            let plan = context.plan(&key.1, key.0);
-            let leg = plan.legs.iter().find(|leg| leg.pool == *pool);
-            work += leg.map_or(0.0, |leg| leg.time.as_secs_f64() * ahead);
-        }
-        work
-    }
-
     /// Evicts a request of lower claim when the queue is full, or refuses the newcomer.
     fn make_space(
         &mut self,
@@ -237,7 +201,7 @@
         self.clock
             .give_back(waiting.class, &waiting.workspace, waiting.cost, share);
         let plan = context.plan(&waiting.pipeline, waiting.class);
-        let wait = self.predict_wait(context, waiting.class, &plan, waiting.tag);
+        let wait = predict_wait(&self.lanes, context, waiting.class, &plan, waiting.tag);
         self.notices.push(AdmitNotice {
             request: waiting.request,
             decision: AdmitDecision::Refuse {
@@ -252,6 +216,7 @@
         for expired in self.lanes.expire(context.now) {
             self.refuse_waiting(context, &expired);
         }
+        self.shed(context);
         while let Some(started) = self.start_next(context) {
             self.notices.push(AdmitNotice {
                 request: started,
@@ -261,6 +226,19 @@
         std::mem::take(&mut self.notices)
     }
 
+    /// Refuses requests that can no longer start in time, so that their callers know at once.
+    fn shed(&mut self, context: &GateContext<'_>) {
+        if self.lanes.len() == 0 || context.now.since(self.shed_at) < POLL_SPAN {
+            return;
+        }
+        self.shed_at = context.now;
+        for request in find_hopeless(&self.lanes, context) {
+            if let Some(waiting) = self.lanes.remove(request) {
+                self.refuse_waiting(context, &waiting);
+            }
+        }
+    }
+
     fn start_next(&mut self, context: &mut GateContext<'_>) -> Option<RequestId> {
         if self.lanes.len() == 0 {
             return None;
--- a/crates/hollywheel-policy/src/lanes.rs
+++ b/crates/hollywheel-policy/src/lanes.rs
@@ -119,6 +119,11 @@
         evicted
     }
 
+    /// Returns the requests of a lane in their order.
+    pub(crate) fn entries(&self, key: &LaneKey) -> &[WaitingRequest] {
+        self.lanes.get(key).map_or(&[], Vec::as_slice)
+    }
+
     /// Counts the requests of a lane up to a start tag.
     pub(crate) fn count_before(&self, key: &LaneKey, tag: f64) -> usize {
         let lane = self.lanes.get(key);
--- a/crates/hollywheel-policy/src/lib.rs
+++ b/crates/hollywheel-policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod estimate;
 mod fairness;
+mod forecast;
 mod gate;
 mod hash;
 mod health;
