--- a/crates/hollywheel-policy/examples/policy_load.rs
+++ b/crates/hollywheel-policy/examples/policy_load.rs
@@ -129,6 +129,11 @@
             client_retries: 2,
             ..steady
         },
+        Scenario {
+            name: "hosts-40",
+            hosts: 40,
+            ..steady
+        },
         Scenario {
             name: "stale-reports",
             lag_ms: 2000,
--- /dev/null
+++ b/crates/hollywheel-policy/tests/cost.rs
@@ -0,0 +1,81 @@
+//! The ledger of backend time and the counters.
+
+mod common;
+
+use common::{MS, admit_request, id, sent, server_name, small_engine};
+use hollywheel_policy::{AttemptKind, AttemptOutcome, PolicyEngine, RequestEnd};
+use hollywheel_types::{AttemptNonce, MonoTime, RequestClass, RequestId};
+
+const NOW: MonoTime = MonoTime::from_millis(1000);
+
+/// Runs the attempts of one request, one after the other, and returns its end.
+fn run(
+    engine: &mut PolicyEngine,
+    start: MonoTime,
+    request: u128,
+    attempts: &[(AttemptKind, u32, AttemptOutcome)],
+    end: RequestEnd,
+) -> MonoTime {
+    let mut now = start;
+    let asked = admit_request(request, "office", RequestClass::Lookup, now + 1000 * MS);
+    engine.admit(now, &asked);
+    for (at, (kind, millis, outcome)) in attempts.iter().enumerate() {
+        let nonce = request * 10 + at as u128;
+        let mut sent = sent(nonce, request, &server_name(0), RequestClass::Lookup);
+        sent.kind = *kind;
+        engine.sent(now, &sent);
+        now = now + *millis * MS;
+        engine.finished(now, AttemptNonce(nonce), *outcome);
+    }
+    engine.request_ended(now, RequestId(request), end);
+    now
+}
+
+#[test]
+fn backend_time_is_split_by_use() {
+    use AttemptKind::{First, Hedge, Retry};
+    use AttemptOutcome::{Answered, Cancelled, Failed};
+    let mut engine = small_engine(4, 4);
+    let useful = [(First, 10, Answered)];
+    let now = run(&mut engine, NOW, 1, &useful, RequestEnd::Attained);
+    let late = [(First, 20, Failed), (Retry, 30, Answered)];
+    let now = run(&mut engine, now, 2, &late, RequestEnd::Late);
+    let hedged = [(Hedge, 40, Answered), (First, 50, Cancelled)];
+    let now = run(&mut engine, now, 3, &hedged, RequestEnd::Attained);
+    let left = [(First, 60, Cancelled)];
+    run(&mut engine, now, 4, &left, RequestEnd::Failed);
+    insta::assert_debug_snapshot!((engine.costs(), engine.pools()));
+}
+
+#[test]
+fn the_busiest_workspaces_are_listed() {
+    let mut engine = small_engine(4, 4);
+    let mut now = NOW;
+    for at in 0..2000u128 {
+        let mut sent = sent(at, at, &server_name(0), RequestClass::Lookup);
+        let large = at % 10 == 0;
+        let name = if large {
+            "large".to_owned()
+        } else {
+            format!("small-{at}")
+        };
+        sent.workspace = id(&name);
+        engine.sent(now, &sent);
+        let took = if large { 50 * MS } else { MS };
+        now = now + took;
+        engine.finished(now, sent.nonce, AttemptOutcome::Answered);
+    }
+    let costs = engine.costs();
+    assert!(costs.workspaces.len() <= 256, "{}", costs.workspaces.len());
+    let large = costs
+        .workspaces
+        .iter()
+        .find(|cost| cost.workspace == id("large"));
+    assert!(large.is_some_and(|cost| cost.split.useful >= 50 * MS));
+    let listed = costs.workspaces.iter().map(|cost| cost.split.total());
+    let total = listed.sum::<std::time::Duration>() + costs.other_workspaces.total();
+    assert_eq!(
+        total,
+        costs.stages.iter().map(|cost| cost.split.total()).sum()
+    );
+}
