Let the fleet tool disturb the platform on the timeline

Cause: a run under kills, pauses and store outages needs all of them on one timeline. Before: faults of processes only.

--- a/crates/hollywheel-fleet/src/commands/run.rs
+++ b/crates/hollywheel-fleet/src/commands/run.rs
@@ -136,7 +136,7 @@
         if at > begin + span || stop.before(at).await {
             return Ok(());
         }
-        fleet.apply(&fault.process, fault.action).await?;
+        fleet.apply(fault).await?;
         println!("{} ms: {:?} {}", fault.at_ms, fault.action, fault.process);
     }
     stop.before(begin + span).await;
--- a/crates/hollywheel-fleet/src/error.rs
+++ b/crates/hollywheel-fleet/src/error.rs
@@ -41,6 +41,13 @@
         /// What it printed.
         message: String,
     },
+    /// A stand-in did not take an order for faults.
+    Order {
+        /// The stand-in.
+        process: String,
+        /// The order.
+        order: String,
+    },
     /// A fault names a process that is not in the fleet.
     NoProcess(String),
 }
@@ -62,6 +69,10 @@
                 log.display()
             ),
             Self::Operator { command, message } => write!(f, "{command}: {message}"),
+            Self::Order { process, order } => write!(
+                f,
+                "{process} did not take the order {order}; docs/PLATFORM.md lists the fields"
+            ),
             Self::NoProcess(name) => write!(
                 f,
                 "the timeline names {name:?}, which is no host or stand-in that can do this"
--- a/crates/hollywheel-fleet/src/fleet.rs
+++ b/crates/hollywheel-fleet/src/fleet.rs
@@ -10,13 +10,16 @@
 
 use crate::error::FleetError;
 use crate::host::{HostPlan, HostProcess, plan_record};
+use crate::http::call_ok;
 use crate::keys::{make_authority, make_host_keys, run_operator};
 use crate::objects::{read_objects, replace_addresses, write_objects};
 use crate::process::FleetProcess;
 use crate::record::{FleetRecord, HostRecord};
 use crate::standin::{StandinProcess, start_platform, start_server};
-use crate::timeline::FaultAction;
+use crate::timeline::{FaultAction, TimedFault};
 
+/// The name of the platform in timelines.
+const PLATFORM: &str = "platform";
 const RECORD_FILE: &str = "fleet.json";
 const END_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -110,26 +113,36 @@
         &self.record
     }
 
-    /// Carries out a fault of a host or a stand-in.
-    pub(crate) async fn apply(
-        &mut self,
-        name: &str,
-        action: FaultAction,
-    ) -> Result<(), FleetError> {
-        if action == FaultAction::Start {
-            return self.find_host(name)?.start_again();
-        }
-        let process = self.find_process(name)?;
-        match action {
-            FaultAction::Continue => process.signal(Signal::SIGCONT),
-            FaultAction::Kill => process.kill().await,
-            FaultAction::Pause => process.signal(Signal::SIGSTOP),
-            FaultAction::Start => {}
-            FaultAction::Stop => process.signal(Signal::SIGTERM),
+    /// Carries out a fault of a host, a stand-in or the platform.
+    pub(crate) async fn apply(&mut self, fault: &TimedFault) -> Result<(), FleetError> {
+        let name = fault.process.as_str();
+        match fault.action {
+            FaultAction::Order => return self.order(name, &fault.order).await,
+            FaultAction::Start => return self.find_host(name)?.start_again(),
+            FaultAction::Continue => self.find_process(name)?.signal(Signal::SIGCONT),
+            FaultAction::Kill => self.find_process(name)?.kill().await,
+            FaultAction::Pause => self.find_process(name)?.signal(Signal::SIGSTOP),
+            FaultAction::Stop => self.find_process(name)?.signal(Signal::SIGTERM),
         }
         Ok(())
     }
 
+    async fn order(&self, name: &str, order: &str) -> Result<(), FleetError> {
+        let mut standins = self.record.standins.iter();
+        let address = match standins.find(|server| server.name == name) {
+            Some(server) => server.address,
+            None if name == PLATFORM => self.record.platform,
+            None => return Err(FleetError::NoProcess(name.to_owned())),
+        };
+        if call_ok(address, "POST", "/standin/faults", order).await {
+            return Ok(());
+        }
+        Err(FleetError::Order {
+            process: name.to_owned(),
+            order: order.to_owned(),
+        })
+    }
+
     fn find_host(&mut self, name: &str) -> Result<&mut HostProcess, FleetError> {
         let found = self.hosts.iter_mut().find(|host| host.record.name == name);
         found.ok_or_else(|| FleetError::NoProcess(name.to_owned()))
--- a/crates/hollywheel-fleet/src/host.rs
+++ b/crates/hollywheel-fleet/src/host.rs
@@ -4,11 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::error::FleetError;
+use crate::http::call_ok;
 use crate::keys::HostKeys;
 use crate::process::FleetProcess;
 use crate::record::HostRecord;
@@ -68,7 +67,7 @@
     async fn wait_for(&self, path: &str) -> Result<(), FleetError> {
         let limit = Instant::now() + READY_TIMEOUT;
         while Instant::now() < limit {
-            if answers_ok(self.record.callers, path).await {
+            if call_ok(self.record.callers, "GET", path, "").await {
                 return Ok(());
             }
             tokio::time::sleep(READY_POLL).await;
@@ -111,20 +110,6 @@
     FleetProcess::start(&plan.programs.join("hollywheeld"), &args, &variables, &log)
 }
 
-async fn answers_ok(address: SocketAddr, path: &str) -> bool {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
-        let request =
-            format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await?;
-        let mut answer = [0; 12];
-        stream.read_exact(&mut answer).await?;
-        Ok::<bool, std::io::Error>(answer.ends_with(b" 200"))
-    };
-    let answer = tokio::time::timeout(Duration::from_secs(1), exchange).await;
-    matches!(answer, Ok(Ok(true)))
-}
-
 /// Returns a record with ports that are free now and stay the host's for its restarts.
 pub(crate) fn plan_record(
     name: String,
--- a/crates/hollywheel-fleet/src/lib.rs
+++ b/crates/hollywheel-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fleet;
 mod host;
+mod http;
 mod keys;
 mod objects;
 mod process;
--- a/crates/hollywheel-fleet/src/timeline.rs
+++ b/crates/hollywheel-fleet/src/timeline.rs
@@ -14,6 +14,8 @@
     Continue,
     /// Kills the process.
     Kill,
+    /// Gives a stand-in an order for faults.
+    Order,
     /// Stops the process from running until it is continued.
     Pause,
     /// Starts a host in place of one that ended.
@@ -32,6 +34,9 @@
     pub process: String,
     /// What is done.
     pub action: FaultAction,
+    /// The order for faults as JSON, for the action that gives one.
+    #[serde(default)]
+    pub order: String,
 }
 
 /// Lists faults in the order of their times.
