--- a/crates/hollywheel-daemon/src/host/running.rs
+++ b/crates/hollywheel-daemon/src/host/running.rs
@@ -2,10 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use hollywheel_config::PublishedSet;
 use hollywheel_membership::MemberInput;
 use hollywheel_node::NodeInput;
 use hollywheel_orders::OrderInput;
@@ -76,14 +74,6 @@
         self.parts.core.clone()
     }
 
-    /// Puts a set in force that the caller has checked, for hosts without a table service.
-    pub async fn install(&self, published: &Arc<PublishedSet>) {
-        if self.parts.config.install(published) {
-            let input = NodeInput::Config(Arc::clone(published));
-            self.parts.core.send(input).await;
-        }
-    }
-
     /// Returns a switch that begins the graceful shutdown when it is set.
     pub fn stop_switch(&self) -> watch::Sender<bool> {
         self.parts.stop.clone()
--- a/crates/hollywheel-daemon/tests/support/mod.rs
+++ b/crates/hollywheel-daemon/tests/support/mod.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollywheel_admin::{OperatorRole, ProblemDetails};
-use hollywheel_config::{PublishedSet, hash_key, read_toml};
+use hollywheel_admin::{OperatorRole, ProblemDetails, PublishRequest};
+use hollywheel_config::{hash_key, read_toml};
 use hollywheel_daemon::RunningHost;
 use hollywheel_daemon::settings::{DaemonSettings, OperatorEntry, SecretSettings};
 use hollywheel_standins::{
     EngineSettings, PlatformSettings, PoolSettings, ServiceSettings, StandinHandle, start_engine,
     start_platform, start_pool, start_service,
 };
-use hollywheel_types::ConfigVersion;
+use hollywheel_types::{ConfigVersion, PublishId};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -217,17 +217,11 @@
         let text = objects(engine.address(), encoder.address(), service.address());
         let settings = change(host_settings(platform.address()));
         let host = RunningHost::start(settings).unwrap();
-        host.install(&Arc::new(PublishedSet {
-            version: ConfigVersion(1),
-            set: read_toml("objects", &text).unwrap(),
-            ..PublishedSet::default()
-        }))
-        .await;
         let callers = host.caller_address().unwrap();
         let operators = host.operator_address().unwrap();
         let stop = host.stop_switch();
         let run = tokio::spawn(host.run());
-        Self {
+        let started = Self {
             callers,
             operators,
             engine,
@@ -237,7 +231,27 @@
             stop,
             run,
             client: http_client(),
-        }
+        };
+        let published = started.publish(0, &text).await;
+        assert_eq!(published.status, StatusCode::OK, "{}", published.text());
+        wait_for("the configuration in force", async || {
+            started.get("/readyz").await.status == StatusCode::OK
+        })
+        .await;
+        started
+    }
+
+    /// Publishes objects on a version.
+    pub async fn publish(&self, base: u64, text: &str) -> Answer {
+        let request = PublishRequest {
+            base: ConfigVersion(base),
+            publish_id: PublishId(u128::from(base) + 1),
+            operator: "aigul".to_owned(),
+            set: read_toml("objects", text).unwrap(),
+        };
+        let body = serde_json::to_string(&request).unwrap();
+        let path = "/admin/config/publish";
+        self.admin("POST", path, Some(PUBLISHER), &body).await
     }
 
     pub fn call(&self, pipeline: &str) -> http::request::Builder {
