--- a/crates/hollywheel-matrix/src/command/mod.rs
+++ b/crates/hollywheel-matrix/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod record;
 mod replay;
 mod run;
+mod writes;
 
 use std::process::ExitCode;
 
@@ -21,6 +22,7 @@
         .subcommand(breaks::command())
         .subcommand(record::command())
         .subcommand(replay::command())
+        .subcommand(writes::command())
 }
 
 /// Runs the command that was given.
@@ -31,6 +33,7 @@
         Some(("breaks", matches)) => breaks::run(matches),
         Some(("record", matches)) => record::run(matches),
         Some(("replay", matches)) => replay::run(matches),
+        Some(("writes", matches)) => writes::run(matches),
         _ => ExitCode::FAILURE,
     }
 }
--- a/crates/hollywheel-matrix/src/lib.rs
+++ b/crates/hollywheel-matrix/src/lib.rs
@@ -7,6 +7,7 @@
 mod matrix;
 mod replay;
 mod scene;
+mod write_cost;
 
 pub mod command;
 
@@ -19,3 +20,4 @@
     FakeTable, FaultScene, LedgerEntry, LedgerEvent, ProcessEnd, SceneLog, SceneSettings, SeenPart,
     SentRequest, token_text, unary_output,
 };
+pub use write_cost::{CostSettings, WriteCost, measure_writes};
--- a/crates/hollywheel-node/src/attempt.rs
+++ b/crates/hollywheel-node/src/attempt.rs
@@ -41,7 +41,8 @@
                 nonce: echoed,
                 index,
                 text,
-            } => self.token(now, id, nonce, echoed, index, text, out),
+            } if echoed == nonce => self.token(now, id, nonce, index, text, out),
+            AttemptEvent::Token { .. } => self.mismatched(now, id, nonce, out),
             AttemptEvent::StreamEnd { echo, tokens } => {
                 self.stream_ended(now, id, nonce, &echo, tokens, out);
             }
@@ -68,13 +69,11 @@
         self.stage_done(now, id, output, out);
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn token(
         &mut self,
         now: MonoTime,
         id: RequestId,
         nonce: AttemptNonce,
-        echoed: AttemptNonce,
         index: TokenIndex,
         text: String,
         out: &mut Vec<NodeOutput>,
@@ -82,7 +81,7 @@
         let Some(run) = self.runs.get_mut(id) else {
             return;
         };
-        if echoed != nonce || !run.generates() {
+        if !run.generates() {
             self.mismatched(now, id, nonce, out);
             return;
         }
--- a/crates/hollywheel-node/src/stage.rs
+++ b/crates/hollywheel-node/src/stage.rs
@@ -138,12 +138,7 @@
 
     /// Asks again for requests that wait for a server of a pool at which an attempt ended.
     pub(crate) fn pick_waiting(&mut self, now: MonoTime, pool: &PoolId, out: &mut Vec<NodeOutput>) {
-        for id in self
-            .runs
-            .waiting_for(pool)
-            .into_iter()
-            .take(MAX_WAITING_ASKED)
-        {
+        for id in self.runs.waiting_for(pool, MAX_WAITING_ASKED) {
             if let Some(RunPhase::Picking { kind, .. }) = self.runs.get(id).map(|run| run.phase) {
                 self.pick(now, id, kind, out);
             }
--- a/crates/hollywheel-node/src/table.rs
+++ b/crates/hollywheel-node/src/table.rs
@@ -130,12 +130,13 @@
         self.timers.keys().next().map(|(wake, _)| *wake)
     }
 
-    /// Lists the requests that wait for a server of a pool, first come first.
-    pub(crate) fn waiting_for(&self, pool: &PoolId) -> Vec<RequestId> {
+    /// Lists the first requests that wait for a server of a pool.
+    pub(crate) fn waiting_for(&self, pool: &PoolId, most: usize) -> Vec<RequestId> {
         self.waiting
             .iter()
             .filter(|(_, waiting)| *waiting == pool)
             .map(|((_, _, id), _)| *id)
+            .take(most)
             .collect()
     }
 }
--- a/crates/hollywheel-node/tests/requests.rs
+++ b/crates/hollywheel-node/tests/requests.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollywheel_node::{AttemptEvent, NodeInput, NodeSettings, ReplyPart};
-use hollywheel_types::{AttemptNonce, RequestId};
-use support::{HostUnderTest, echo};
+use hollywheel_types::{AttemptNonce, ConfigVersion, RequestId, TokenCount};
+use support::{HostUnderTest, echo, published};
 
 #[test]
 fn output_of_a_stage_goes_to_the_next() {
@@ -118,6 +119,68 @@
     );
 }
 
+#[test]
+fn slow_attempt_is_replaced_while_another_may_still_end_in_time() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "review", None);
+    let first = host.last_call();
+    host.pass(3490);
+    assert_eq!(host.calls.len(), 1);
+    host.pass(20);
+    let second = host.last_call();
+    assert_eq!(
+        (host.calls.len(), host.cancelled.as_slice()),
+        (2, &[first.nonce][..])
+    );
+    assert_ne!(first.server, second.server);
+    host.answer(&second, "reviewed");
+    assert_eq!(host.outcome(1), "complete \"reviewed\" replayed=false");
+}
+
+#[test]
+fn hedge_that_wins_cancels_the_slow_attempt() {
+    let mut host = HostUnderTest::new();
+    for id in 1..=100 {
+        host.request(id, "lookup", None);
+        host.pass(10);
+        host.answer(&host.last_call(), "vector");
+        host.pass(90);
+    }
+    let before = host.calls.len();
+    host.request(200, "lookup", None);
+    let slow = host.last_call();
+    host.pass(500);
+    assert_eq!(host.calls.len(), before + 2);
+    let hedge = host.last_call();
+    assert_ne!(slow.server, hedge.server);
+    host.answer(&hedge, "vector");
+    assert_eq!(host.outcome(200), "complete \"vector\" replayed=false");
+    assert_eq!(host.cancelled, vec![slow.nonce]);
+}
+
+#[test]
+fn input_given_twice_is_taken_once() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "lookup", None);
+    host.request(1, "lookup", None);
+    assert_eq!(host.calls.len(), 1);
+}
+
+#[test]
+fn requests_keep_the_objects_that_they_began_with() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "question", None);
+    let mut next = (*published(2)).clone();
+    next.set.stages.iter_mut().for_each(|stage| {
+        stage.max_tokens = stage.max_tokens.map(|_| TokenCount(2));
+    });
+    host.input(NodeInput::Config(Arc::new(next)));
+    host.input(NodeInput::Config(published(1)));
+    assert_eq!(host.machine.config_version(), ConfigVersion(2));
+    host.answer(&host.last_call(), "vector");
+    assert_eq!(host.last_call().max_tokens, TokenCount(4));
+}
+
 #[test]
 fn deadline_ends_a_request_at_once() {
     let mut host = HostUnderTest::new();
