Fade load reports within 75 ms and judge a full pool by its whole load

Single classes that found no server also closed the headroom while slots were free.

Change: the weight of a report falls by a factor of e in 75 ms; the headroom closes only when the estimated load of the pool is above 0.95 of its slots.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -254,8 +254,10 @@
         };
         match choose_server(now, pool, &query, &mut self.random) {
             RouteChoice::Server(server) => PickDecision::Send(server),
-            RouteChoice::Saturated => {
-                pool.pressure.note_saturated(now);
+            RouteChoice::Saturated { full } => {
+                if full {
+                    pool.pressure.note_saturated(now);
+                }
                 self.wait_or_refuse(now, request.deadline - needed)
             }
             RouteChoice::NoServer => {
--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -15,6 +15,8 @@
 const AFFINITY_BOUND: f64 = 1.25;
 /// The requests on a server, as a multiple of its slots, up to which a class is sent to it.
 const BACKLOG: [f64; 4] = [2.0, 1.5, 1.0, 0.75];
+/// The load of a pool, as a part of its slots, that leaves none free to count on.
+const FULL_LOAD: f64 = 0.95;
 /// Each failure in a row counts as this part of the slots; failures beyond a limit add nothing.
 const FAILURE_LOAD: f64 = 0.5;
 
@@ -36,7 +38,10 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum RouteChoice {
     Server(ServerId),
-    Saturated,
+    /// Every server has as much as the class may add to; `full` if no slot is free at all.
+    Saturated {
+        full: bool,
+    },
     NoServer,
 }
 
@@ -84,7 +89,9 @@
     };
     match chosen {
         Some(candidate) => RouteChoice::Server(candidate.server.clone()),
-        None => RouteChoice::Saturated,
+        None => RouteChoice::Saturated {
+            full: is_pool_full(&candidates),
+        },
     }
 }
 
@@ -148,6 +155,13 @@
     }
 }
 
+/// Says whether the estimated requests fill the slots of the pool.
+fn is_pool_full(candidates: &[Candidate<'_>]) -> bool {
+    let load: f64 = candidates.iter().map(|candidate| candidate.load).sum();
+    let slots = candidates.iter().map(|candidate| candidate.state.slots);
+    load >= FULL_LOAD * slots.map(f64::from).sum::<f64>()
+}
+
 fn least_reported<'a, 'b>(candidates: &'b [Candidate<'a>]) -> Option<&'b Candidate<'a>> {
     let load = |candidate: &Candidate<'_>| candidate.state.reported_load();
     candidates
--- a/crates/hollywheel-policy/src/server.rs
+++ b/crates/hollywheel-policy/src/server.rs
@@ -8,7 +8,7 @@
 use crate::message::ServerReport;
 
 /// The weight of a report falls by a factor of e in this time.
-const REPORT_FADE: Duration = Duration::from_millis(300);
+const REPORT_FADE: Duration = Duration::from_millis(75);
 /// The most prompt prefixes remembered for one server.
 const MAX_PREFIXES: usize = 1024;
 /// The most models remembered for one server.
