--- a/crates/hollywheel-policy/src/lib.rs
+++ b/crates/hollywheel-policy/src/lib.rs
@@ -1,10 +1,12 @@
 //! Routing, admission, limits, retries, health and cost decisions.
 
+mod baseline;
 mod budget;
 mod detector;
 mod engine;
 mod estimate;
 mod fairness;
+mod forecast;
 mod gate;
 mod hash;
 mod health;
@@ -22,6 +24,7 @@
 mod subset;
 mod turns;
 
+pub use baseline::LatencyBaseline;
 pub use detector::{CusumCharts, EwmaChart, RunChart};
 pub use engine::PolicyEngine;
 pub use message::{
