Show wall-clock times as RFC 3339

Cause: history and claims showed milliseconds since the epoch, which nobody reads. Change: Display of WallTime prints RFC 3339 in UTC; rows and messages keep milliseconds. Before: 1796339661678ms. After: 2026-12-03T23:14:21.678Z; the new test passes. Conclusion: done.

--- a/crates/hollywheel-types/src/time.rs
+++ b/crates/hollywheel-types/src/time.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 
 /// Gives a point on the monotonic clock of one process, in microseconds since its start.
 #[derive(
@@ -50,7 +52,7 @@
 
 /// Gives a point on the wall clock, in milliseconds since the Unix epoch.
 ///
-/// It is shown to people and stored in rows; no decision about safety compares two of them.
+/// It is shown to people as RFC 3339 in UTC and stored in rows; no decision about safety compares two of them.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
@@ -58,6 +60,13 @@
 
 impl fmt::Display for WallTime {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}ms", self.0)
+        let nanos = i128::from(self.0) * 1_000_000;
+        let text = OffsetDateTime::from_unix_timestamp_nanos(nanos)
+            .ok()
+            .and_then(|time| time.format(&Rfc3339).ok());
+        match text {
+            Some(text) => f.write_str(&text),
+            None => write!(f, "{}ms", self.0),
+        }
     }
 }
--- a/crates/hollywheel-types/tests/values.rs
+++ b/crates/hollywheel-types/tests/values.rs
@@ -2,7 +2,7 @@
 
 use hollywheel_types::{
     ByteSize, ExecutionVerdict, IdempotencyKey, Percent, RequestClass, RequestId, RequestRate,
-    SortedMap, WorkspaceId,
+    SortedMap, WallTime, WorkspaceId,
 };
 
 #[test]
@@ -56,3 +56,10 @@
     let entries: Vec<(u32, char)> = map.iter().map(|(key, value)| (*key, *value)).collect();
     assert_eq!(entries, [(1, 'b'), (2, 'c')]);
 }
+
+#[test]
+fn wall_time_is_shown_in_utc() {
+    let time = WallTime(1_796_339_661_678);
+    assert_eq!(time.to_string(), "2026-12-03T23:14:21.678Z");
+    assert_eq!(WallTime(u64::MAX).to_string(), "18446744073709551615ms");
+}
