Refuse payments at once while the table service refuses calls

Cause: a claim waited up to 1.2 s for a table service that had said when to come back (hollywheel-matrix told payment: store-down, not-run after 1004 ms), and a slow attempt was replaced at the last moment, so that the new one could not end in time.

Ruled out: refusing at the first call without an answer; a lost answer is resolved by the next write in 43 ms.

Change: a refusal with a wait above 250 ms is passed on at once; attempts are replaced at twice the expected time before the deadline. The command told shows what callers hear.

Conclusion: callers learn of an outage at once and when to come back.

--- a/crates/hollywheel-claims/src/outage.rs
+++ b/crates/hollywheel-claims/src/outage.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreOutage {
     failures: u32,
+    /// Whether the last failure was a refusal.
+    refused: bool,
     until: MonoTime,
 }
 
@@ -26,10 +28,14 @@
         self.failures == 0
     }
 
-    /// Returns when to ask again if new claims are refused now. One failure alone is not an
-    /// outage: a lost answer must not cost every other request.
-    pub(crate) fn refuses(&self, now: MonoTime) -> Option<Duration> {
-        (self.failures > 1 && now < self.until).then(|| self.retry_after(now))
+    /// Returns when to ask again if new claims are refused now. One lost answer alone is not an
+    /// outage: it must not cost every other request.
+    pub(crate) fn refuses(&self, now: MonoTime, patience: Duration) -> Option<Duration> {
+        let refuses = match self.refused {
+            true => self.until > now + patience,
+            false => self.failures > 1 && self.until > now,
+        };
+        refuses.then(|| self.retry_after(now))
     }
 
     pub(crate) fn retry_after(&self, now: MonoTime) -> Duration {
@@ -42,6 +48,7 @@
 
     pub(crate) fn failed(&mut self, now: MonoTime, failure: &StoreFailure) {
         self.failures = self.failures.saturating_add(1);
+        self.refused = matches!(failure, StoreFailure::Refused { .. });
         let doubled = FIRST_BACKOFF.saturating_mul(1 << (self.failures - 1).min(8));
         let wait = match failure {
             StoreFailure::Refused { retry_after } => doubled
--- a/crates/hollywheel-claims/src/settings.rs
+++ b/crates/hollywheel-claims/src/settings.rs
@@ -21,8 +21,10 @@
     pub max_writes: usize,
     /// The time allowed for one call of the table service or one question to a host.
     pub store_timeout: Duration,
-    /// The longest time that a claim waits for a table service that fails.
+    /// The longest time that a claim waits for a table service that does not answer.
     pub patience: Duration,
+    /// The longest time that a claim waits for a table service that refuses calls.
+    pub refused_patience: Duration,
     /// The time between two questions about a request that runs elsewhere.
     pub ask_interval: Duration,
     /// The largest answer that is kept for callers who ask again.
@@ -45,6 +47,7 @@
             max_writes: 2,
             store_timeout: Duration::from_millis(500),
             patience: Duration::from_millis(1200),
+            refused_patience: Duration::from_millis(250),
             ask_interval: Duration::from_millis(50),
             max_answer: ByteSize::from_kib(64),
             max_unwritten: 4096,
--- a/crates/hollywheel-claims/src/table.rs
+++ b/crates/hollywheel-claims/src/table.rs
@@ -102,7 +102,7 @@
             self.join(order, &mut out);
             return out;
         }
-        if let Some(retry_after) = self.outage.refuses(now) {
+        if let Some(retry_after) = self.outage.refuses(now, self.settings.refused_patience) {
             let denial = ClaimDenial::StoreUnavailable { retry_after };
             out.push(denied(order.request, denial));
             return out;
--- a/crates/hollywheel-claims/src/write.rs
+++ b/crates/hollywheel-claims/src/write.rs
@@ -229,7 +229,9 @@
         }
         *writing = false;
         *unknown |= lost;
-        if now >= *give_up || self.outage.until() >= *give_up {
+        let patience = self.settings.refused_patience;
+        let refused = !lost && self.outage.until() > now + patience;
+        if refused || now >= *give_up || self.outage.until() >= *give_up {
             self.deny_unavailable(now, key, out);
             return;
         }
--- a/crates/hollywheel-matrix/src/command/mod.rs
+++ b/crates/hollywheel-matrix/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod record;
 mod replay;
 mod run;
+mod told;
 mod writes;
 
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
         .subcommand(breaks::command())
         .subcommand(record::command())
         .subcommand(replay::command())
+        .subcommand(told::command())
         .subcommand(writes::command())
 }
 
@@ -33,6 +35,7 @@
         Some(("breaks", matches)) => breaks::run(matches),
         Some(("record", matches)) => record::run(matches),
         Some(("replay", matches)) => replay::run(matches),
+        Some(("told", matches)) => told::run(matches),
         Some(("writes", matches)) => writes::run(matches),
         _ => ExitCode::FAILURE,
     }
--- a/crates/hollywheel-node/src/stage.rs
+++ b/crates/hollywheel-node/src/stage.rs
@@ -218,9 +218,9 @@
             .policy
             .expected_time(pipeline, run.class, run.stage + 1);
         let expected = from_here.saturating_sub(later);
-        // The last point at which another attempt may still end in time, unless this one has
-        // not even had twice its expected time by then.
-        let replace_at = run.deadline - from_here;
+        // A point from which another attempt ends in time even if all takes twice as long as
+        // expected, unless this one has not even had twice its expected time by then.
+        let replace_at = run.deadline - from_here * 2;
         let patient = replace_at > now + expected * 2 && !expected.is_zero();
         let hedge_after = match run.generates() {
             true => None,
