--- a/crates/hollywheel-daemon/src/core/status.rs
+++ b/crates/hollywheel-daemon/src/core/status.rs
@@ -21,6 +21,8 @@
     pub store_ok: bool,
     /// The backend servers as this host sees them.
     pub servers: Vec<ServerStatus>,
+    /// Ejections of backend servers since the pools were installed.
+    pub ejections: u64,
     /// What stages and workspaces spent.
     pub costs: CostReport,
 }
@@ -37,6 +39,11 @@
             claims_open: machine.claims().open_claims(),
             store_ok: machine.claims().store_ok(),
             servers: policy.servers(),
+            ejections: policy
+                .pools()
+                .iter()
+                .map(|pool| pool.counters.ejections)
+                .sum(),
             costs: policy.costs(),
         }
     }
--- a/crates/hollywheel-daemon/src/install/handle.rs
+++ b/crates/hollywheel-daemon/src/install/handle.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Bounds the wait for the machine, which ends its own calls earlier.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Takes the end of a publication.
 pub type PublishReplySender = oneshot::Sender<Result<PublishReceipt, InstallError>>;
--- a/crates/hollywheel-daemon/src/metrics/registry.rs
+++ b/crates/hollywheel-daemon/src/metrics/registry.rs
@@ -57,6 +57,7 @@
     store_failures: Family<KindLabels, Counter>,
     costs: Family<CostLabels, Gauge<f64, AtomicU64>>,
     ejected: Gauge,
+    ejections: Gauge,
     ready: Gauge,
     config_version: Gauge,
     hosts_alive: Gauge,
@@ -104,6 +105,7 @@
             store_failures: Family::default(), "store_failures", "Calls of the table service without an answer, by kind";
             costs: Family::default(), "stage_cost_milliseconds", "Time of backend servers by stage, class and what it was spent for";
             ejected: Gauge::default(), "servers_ejected", "Backend servers that are ejected now";
+            ejections: Gauge::default(), "ejections", "Ejections of backend servers since the pools were installed";
             ready: Gauge::default(), "ready", "Whether the host takes requests";
             config_version: Gauge::default(), "config_version", "Configuration version in force";
             hosts_alive: Gauge::default(), "hosts_alive", "Hosts taken for alive, this one included";
@@ -127,6 +129,7 @@
             store_failures,
             costs,
             ejected,
+            ejections,
             ready,
             config_version,
             hosts_alive,
@@ -240,6 +243,12 @@
         self.ejected.set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of ejections since the pools were installed.
+    pub fn set_ejections(&self, ejections: u64) {
+        let ejections = i64::try_from(ejections).unwrap_or(i64::MAX);
+        self.ejections.set(ejections);
+    }
+
     /// Sets whether the host takes requests.
     pub fn set_ready(&self, ready: bool) {
         self.ready.set(i64::from(ready));
--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -144,7 +144,7 @@
         "HOLLYWHEEL_CONFIG_POLL_MS",
         "MILLISECONDS",
         Some("2000"),
-        "Time between reads of the newest configuration version",
+        "Least mean time between two reads of the newest configuration version by this host",
     ),
     entry(
         "load-poll-ms",
--- a/crates/hollywheel-daemon/src/ticker.rs
+++ b/crates/hollywheel-daemon/src/ticker.rs
@@ -62,6 +62,7 @@
             .iter()
             .filter(|server| server.condition == ServerCondition::Ejected);
         self.metrics.set_ejected(ejected.count());
+        self.metrics.set_ejections(status.ejections);
         self.metrics.set_in_flight(status.requests);
         self.copy_costs(&status.costs);
         true
