--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -1,19 +1,20 @@
 //! The policy of one host behind one interface.
 
+mod view;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollywheel_config::ObjectSet;
 use hollywheel_types::{
-    AttemptNonce, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId, SortedMap,
-    StageId, WorkspaceId,
+    AttemptNonce, HostId, MonoTime, PipelineId, PoolId, RequestClass, RequestId, ServerId,
+    SortedMap, StageId, WorkspaceId,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::estimate::TimeTable;
 use crate::gate::{AdmissionGate, GateContext, RequestState};
-use crate::health::HealthState;
 use crate::ledger::{AttemptCost, CostLedger};
 use crate::message::{
     AdmitDecision, AdmitNotice, AdmitRequest, AttemptOutcome, PickDecision, PickRequest,
@@ -23,9 +24,7 @@
 use crate::pool::{AttemptEnd, PoolState};
 use crate::quota::QuotaTable;
 use crate::route::{RouteChoice, RouteQuery, choose_server};
-use crate::server::ServerState;
 use crate::settings::PolicySettings;
-use crate::status::{CostReport, PoolStatus, QueueStatus, ServerCondition, ServerStatus};
 
 /// A caller is told to come back after this time when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -56,6 +55,7 @@
     random: StdRng,
     now: MonoTime,
     hosts: u32,
+    host_names: Vec<HostId>,
     pools: SortedMap<PoolId, PoolState>,
     owners: SortedMap<ServerId, PoolId>,
     times: TimeTable,
@@ -76,6 +76,7 @@
             random,
             now: MonoTime::default(),
             hosts: 1,
+            host_names: Vec::new(),
             pools: SortedMap::new(),
             owners: SortedMap::new(),
             times: TimeTable::default(),
@@ -104,7 +105,11 @@
             let kept = self.pools.remove(&object.name);
             let mut pool = kept.unwrap_or_else(|| PoolState::new(object));
             pool.install(now, object);
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
             let servers = object.servers.iter();
             owners.extend(servers.map(|entry| (entry.name.clone(), object.name.clone())));
             pools.push((object.name.clone(), pool));
@@ -120,6 +125,24 @@
         self.quotas.set_hosts(now, self.hosts);
     }
 
+    /// Sets the names of the hosts alive, this one included, which makes the subsets of all
+    /// hosts cover large pools evenly, and their number as [`PolicyEngine::set_hosts`] does.
+    pub fn set_host_names(&mut self, now: MonoTime, hosts: &[HostId]) {
+        let alive = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
+        self.set_hosts(now, alive);
+        if self.host_names == hosts {
+            return;
+        }
+        self.host_names = hosts.to_vec();
+        for pool in self.pools.values_mut() {
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
+        }
+    }
+
     /// Takes the demand for a workspace at all other hosts, in requests a second, which
     /// corrects this host's share of the workspace's rate.
     pub fn set_peer_demand(&mut self, now: MonoTime, workspace: &WorkspaceId, demand: f64) {
@@ -231,8 +254,10 @@
         };
         match choose_server(now, pool, &query, &mut self.random) {
             RouteChoice::Server(server) => PickDecision::Send(server),
-            RouteChoice::Saturated => {
-                pool.pressure.note_saturated(now);
+            RouteChoice::Saturated { full } => {
+                if full {
+                    pool.pressure.note_saturated(now);
+                }
                 self.wait_or_refuse(now, request.deadline - needed)
             }
             RouteChoice::NoServer => {
@@ -382,7 +407,11 @@
             return;
         };
         if pool.take_report(now, report, age) {
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
         }
     }
 
@@ -400,7 +429,11 @@
         };
         if !state.leaving {
             state.leaving = true;
-            pool.refresh_subset(&self.settings.host, self.settings.subset_size);
+            pool.refresh_subset(
+                &self.settings.host,
+                &self.host_names,
+                self.settings.subset_size,
+            );
         }
     }
 
@@ -410,48 +443,6 @@
         pools.flat_map(|pool| pool.subset.iter().cloned()).collect()
     }
 
-    /// Lists the backend servers with their condition.
-    pub fn servers(&self) -> Vec<ServerStatus> {
-        let mut servers = Vec::new();
-        for (name, pool) in self.pools.iter() {
-            servers.extend(pool.servers.iter().map(|(server, state)| ServerStatus {
-                pool: name.clone(),
-                server: server.clone(),
-                condition: condition(state),
-                in_subset: pool.subset.binary_search(server).is_ok(),
-                in_flight: u32::try_from(state.in_flight()).unwrap_or(u32::MAX),
-                report_age: state.report_age(self.now),
-            }));
-        }
-        servers
-    }
-
-    /// Lists the pools with their counters.
-    pub fn pools(&self) -> Vec<PoolStatus> {
-        let pools = self.pools.iter();
-        let status = pools.map(|(name, pool)| PoolStatus {
-            pool: name.clone(),
-            counters: pool.counters,
-            admitted: pool.admitted,
-            limit: pool.limit(self.now, self.hosts),
-        });
-        status.collect()
-    }
-
-    /// Lists the numbers of requests that wait for admission by class.
-    pub fn queues(&self) -> [QueueStatus; 4] {
-        let lengths = self.gate.class_lengths();
-        RequestClass::ALL.map(|class| QueueStatus {
-            class,
-            waiting: lengths[class.index()],
-        })
-    }
-
-    /// Returns the backend time spent by stage, class and workspace.
-    pub fn costs(&self) -> CostReport {
-        self.ledger.report()
-    }
-
     fn advance(&mut self, now: MonoTime) -> MonoTime {
         self.now = self.now.max(now);
         self.now
@@ -497,14 +488,3 @@
         }
     }
 }
-
-fn condition(state: &ServerState) -> ServerCondition {
-    if state.leaving {
-        return ServerCondition::Leaving;
-    }
-    match state.health.state() {
-        HealthState::Serving { .. } => ServerCondition::Serving,
-        HealthState::Ejected { .. } => ServerCondition::Ejected,
-        HealthState::Trial { .. } => ServerCondition::Trial,
-    }
-}
