Give a class that is owed a start the limit of transactions

Cause: with a headroom of three square roots the test batch_is_not_starved failed: lookups start up to 1.1 of a pool's limit, and a batch request that was owed a start found no room below 1.0, whatever its credit. With two it passed by the rounding of the limit.

Change: a class that is owed a start is held to the limit of transactions. The headroom is three square roots of the share, before two, since it closes when the pool is full.

--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -246,7 +246,11 @@
         let mut full: Vec<(RequestClass, PoolId)> = Vec::new();
         for class in self.turns.order() {
             let owed = self.turns.is_owed(class);
-            let part = LIMIT_PART[class.index()].max(if owed { 1.0 } else { 0.0 });
+            // A class that is owed a start meets the limit of those that start before it.
+            let part = match owed {
+                true => LIMIT_PART[0],
+                false => LIMIT_PART[class.index()],
+            };
             for pipeline in self.lanes.lanes_of(class) {
                 let plan = context.plan(&pipeline, class);
                 let barred = |(above, pool): &(RequestClass, PoolId)| {
--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -15,7 +15,7 @@
 
 /// Requests above the share of slots, times the square root of the share, that let a host use
 /// slots which other hosts leave free.
-const HEADROOM: f64 = 2.0;
+const HEADROOM: f64 = 3.0;
 
 /// Tells how an attempt ended.
 #[derive(Clone, Copy, Debug)]
