Keep the headroom open for classes that somebody waits for at once

Hypothesis: under a burst the headroom closes while interactive requests still hold it, so that lookups find no room until those end, although they need little.

Change: transactions and lookups, and a class that is owed a start, are held to the limit with the whole headroom.

--- a/crates/hollywheel-policy/src/gate.rs
+++ b/crates/hollywheel-policy/src/gate.rs
@@ -51,9 +51,20 @@
         plan_pipeline(self.now, self.set, self.times, pipeline, class, 0)
     }
 
-    fn limit(&self, pool: &PoolId) -> f64 {
-        let pool = self.pools.get(pool);
-        pool.map_or(f64::INFINITY, |pool| pool.limit(self.now, self.hosts))
+    /// Returns the limit of a pool for a class; a class that is owed a start is urgent.
+    fn limit(&self, pool: &PoolId, class: RequestClass, owed: bool) -> f64 {
+        let Some(pool) = self.pools.get(pool) else {
+            return f64::INFINITY;
+        };
+        match (owed, class) {
+            (true, _) => pool.urgent_limit(self.now, self.hosts) * LIMIT_PART[0],
+            (false, RequestClass::Transaction | RequestClass::Lookup) => {
+                pool.urgent_limit(self.now, self.hosts) * LIMIT_PART[class.index()]
+            }
+            (false, RequestClass::Interactive | RequestClass::Batch) => {
+                pool.limit(self.now, self.hosts) * LIMIT_PART[class.index()]
+            }
+        }
     }
 
     /// Returns the requests that this host's share of a pool runs at once.
@@ -63,11 +74,16 @@
     }
 
     /// Finds the pool of a plan that has no room for it.
-    fn full_pool<'a>(&self, plan: &'a PipelinePlan, part: f64) -> Option<&'a PoolId> {
+    fn full_pool<'a>(
+        &self,
+        plan: &'a PipelinePlan,
+        class: RequestClass,
+        owed: bool,
+    ) -> Option<&'a PoolId> {
         let is_full = |leg: &&PlanLeg| {
             let admitted = self.pools.get(&leg.pool).map_or(0.0, |pool| pool.admitted);
             let sole = admitted + leg.part <= 1.0;
-            !sole && admitted + leg.part > self.limit(&leg.pool) * part
+            !sole && admitted + leg.part > self.limit(&leg.pool, class, owed)
         };
         plan.legs.iter().find(is_full).map(|leg| &leg.pool)
     }
@@ -115,9 +131,8 @@
         let tag = self
             .clock
             .tag(request.class, &request.workspace, cost, share);
-        let part = LIMIT_PART[request.class.index()];
         let contended = self.is_contended(context, request.class, &plan);
-        if !contended && context.full_pool(&plan, part).is_none() {
+        if !contended && context.full_pool(&plan, request.class, false).is_none() {
             self.clock.start(request.class, tag);
             context.start(request.request, plan);
             return AdmitDecision::Start;
@@ -246,11 +261,6 @@
         let mut full: Vec<(RequestClass, PoolId)> = Vec::new();
         for class in self.turns.order() {
             let owed = self.turns.is_owed(class);
-            // A class that is owed a start meets the limit of those that start before it.
-            let part = match owed {
-                true => LIMIT_PART[0],
-                false => LIMIT_PART[class.index()],
-            };
             for pipeline in self.lanes.lanes_of(class) {
                 let plan = context.plan(&pipeline, class);
                 let barred = |(above, pool): &(RequestClass, PoolId)| {
@@ -259,7 +269,7 @@
                 if full.iter().any(barred) {
                     continue;
                 }
-                if let Some(pool) = context.full_pool(&plan, part) {
+                if let Some(pool) = context.full_pool(&plan, class, owed) {
                     full.push((class, pool.clone()));
                     continue;
                 }
--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -127,8 +127,17 @@
 
     /// Returns the requests that this host may run at once in the pool.
     pub(crate) fn limit(&self, now: MonoTime, hosts: u32) -> f64 {
-        let share = self.usable_slots / f64::from(hosts.max(1));
-        self.share(now, hosts) + HEADROOM * share.sqrt() * self.pressure.headroom(now)
+        self.share(now, hosts) + self.headroom(hosts) * self.pressure.headroom(now)
+    }
+
+    /// Returns the limit for classes that somebody waits for at once: requests of lower classes
+    /// that were admitted before the headroom closed must not hold them back.
+    pub(crate) fn urgent_limit(&self, now: MonoTime, hosts: u32) -> f64 {
+        self.share(now, hosts) + self.headroom(hosts)
+    }
+
+    fn headroom(&self, hosts: u32) -> f64 {
+        HEADROOM * (self.usable_slots / f64::from(hosts.max(1))).sqrt()
     }
 
     /// Returns this host's share of the slots that are usable.
