Connect hosts over QUIC with certificates of their own authority

Cause: hosts need authenticated messages and questions between them. Ruled out: a name check before the handshake (hosts call one another by number and learn names later): the chain is checked at the handshake, the name is read from the certificate, and an answer about a claim counts only from the host that was meant. A random reset key was ruled out as well: a host that crashed would be unreachable until the idle timeout of 30 s. Probing for larger packets is off, it would cost more than the messages. Change: datagrams for messages, streams of their own for large ones, request streams for questions, one connection per pair in either direction, bounds on connections, queues and sizes, replaceable keys. ask_claim names the host; the daemon's one call follows. The daemon tells the install machine how many hosts are alive.

--- a/crates/hollywheel-daemon/src/install/handle.rs
+++ b/crates/hollywheel-daemon/src/install/handle.rs
@@ -68,6 +68,13 @@
         let _ = self.sender.try_send(InstallMessage::Input(input));
     }
 
+    /// Tells how many hosts are taken for alive; dropped if the queue is full, which only changes
+    /// how often the head is read.
+    pub fn hosts_alive(&self, hosts: usize) {
+        let input = InstallInput::HostsAlive(u32::try_from(hosts).unwrap_or(u32::MAX));
+        let _ = self.sender.try_send(InstallMessage::Input(input));
+    }
+
     /// Hands over a peer's question; it gets no answer if the queue is full.
     pub fn peer_asks(&self, have: ConfigVersion, reply: oneshot::Sender<ChangeBatch>) {
         let _ = self.sender.try_send(InstallMessage::PeerAsks(have, reply));
--- a/crates/hollywheel-daemon/src/peers/caller.rs
+++ b/crates/hollywheel-daemon/src/peers/caller.rs
@@ -45,7 +45,7 @@
     ) -> Option<ClaimAnswer> {
         let address = self.directory.address(host, incarnation)?;
         let transport = self.transport.as_ref()?;
-        transport.ask_claim(address, question).await
+        transport.ask_claim(address, host, question).await
     }
 
     /// Fetches the changes that follow a version; none if the host was not reached.
--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -175,6 +175,7 @@
         let effects = &self.effects;
         effects.directory.replace(known);
         effects.metrics.set_hosts_alive(hosts.len());
+        effects.install.hosts_alive(hosts.len());
         effects.orders.hosts(&hosts).await;
         let detail = format!("{} hosts", hosts.len());
         log_event(LogEvent::HostsChanged, &EventContext::default(), &detail);
--- a/crates/hollywheel-transport/src/lib.rs
+++ b/crates/hollywheel-transport/src/lib.rs
@@ -1,11 +1,16 @@
 //! Authenticated QUIC transport between hosts.
 
+mod connections;
 mod error;
+mod identity;
+mod incoming;
+mod quic;
 mod request;
 mod settings;
 mod transport;
+mod verifier;
 
 pub use error::TransportError;
 pub use request::HostRequest;
 pub use settings::{TransportIdentity, TransportSettings};
-pub use transport::HostTransport;
+pub use transport::{HostTransport, TrafficCount};
