--- a/crates/hollywheel-config/src/install.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Installation of published versions on a host.
