List hosts with the version in force on each

Ruled out: news that does not arrive, since each message between hosts carries the version. Change: the membership task copies the records at most twice a second. Conclusion: the list is right for hosts that probe each other; for large fleets the metric of each host tells it.

--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -24,6 +24,9 @@
 /// Gives the time between two attempts to join through the seed hosts.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Gives the least time between two copies of the records for operators.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Holds the ways out of the task.
 #[derive(Debug)]
 pub struct MemberEffects {
@@ -53,6 +56,7 @@
     receiver: SharedReceiver<MemberInput>,
     effects: MemberEffects,
     next_join: MonoTime,
+    next_refresh: MonoTime,
 }
 
 impl MemberTask {
@@ -69,6 +73,7 @@
             receiver,
             effects,
             next_join: MonoTime(0),
+            next_refresh: MonoTime(0),
         }
     }
 
@@ -126,12 +131,26 @@
     }
 
     async fn step(&mut self, input: MemberInput) {
-        let outputs = self.machine.handle(self.clock.now(), input);
+        let now = self.clock.now();
+        let outputs = self.machine.handle(now, input);
+        self.refresh(now);
         for output in outputs {
             self.carry_out(output).await;
         }
     }
 
+    /// Copies the records, whose versions in force change without a change of the hosts.
+    fn refresh(&mut self, now: MonoTime) {
+        if now < self.next_refresh {
+            return;
+        }
+        self.next_refresh = now + REFRESH_INTERVAL;
+        let records = self.machine.records();
+        if !records.is_empty() {
+            self.effects.directory.replace(records);
+        }
+    }
+
     async fn carry_out(&self, output: MemberOutput) {
         let effects = &self.effects;
         match output {
--- a/crates/hollywheel-daemon/tests/config.rs
+++ b/crates/hollywheel-daemon/tests/config.rs
@@ -62,6 +62,19 @@
     assert!(host.stop().await);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_are_listed_with_the_version_in_force() {
+    let host = TestHost::start().await;
+    let changed = text_of(&host).replace("max_tokens = 8", "max_tokens = 3");
+    assert_eq!(host.publish(1, &changed).await.status, 200);
+    wait_for("version 2 in the list of hosts", async || {
+        let list = host.admin("GET", "/admin/hosts", Some(VIEWER), "").await;
+        list.json()["hosts"][0]["config_version"] == 2
+    })
+    .await;
+    assert!(host.stop().await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_faulty_set_and_an_outage_are_told_apart() {
     let host = TestHost::start().await;
