Name the type of a sum in the test of costs

Cause: with the whole workspace built, another crate brings a second comparison with Duration and the test of costs does not compile (E0283); alone it did.

Change: the sum has a type. Ruled out: a fault of the ledger.

Conclusion: tests of this crate are also to be run together with those of its users.

--- a/crates/hollywheel-policy/tests/cost.rs
+++ b/crates/hollywheel-policy/tests/cost.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{MS, admit_request, id, sent, server_name, small_engine};
 use hollywheel_policy::{AttemptKind, AttemptOutcome, PolicyEngine, RequestEnd};
 use hollywheel_types::{AttemptNonce, MonoTime, RequestClass, RequestId};
@@ -73,9 +75,7 @@
         .find(|cost| cost.workspace == id("large"));
     assert!(large.is_some_and(|cost| cost.split.useful >= 50 * MS));
     let listed = costs.workspaces.iter().map(|cost| cost.split.total());
-    let total = listed.sum::<std::time::Duration>() + costs.other_workspaces.total();
-    assert_eq!(
-        total,
-        costs.stages.iter().map(|cost| cost.split.total()).sum()
-    );
+    let total = listed.sum::<Duration>() + costs.other_workspaces.total();
+    let stages = costs.stages.iter().map(|cost| cost.split.total());
+    assert_eq!(total, stages.sum::<Duration>());
 }
