Give the policy the names of the hosts alive

Cause: the node told the policy only how many hosts are alive, so that subsets of large pools were those of the own order alone (1 to 17 hosts for a server in fleet_size).

Change: the node passes the names, which the policy counts as well.

Conclusion: needs no change of a message.

--- a/crates/hollywheel-node/src/machine.rs
+++ b/crates/hollywheel-node/src/machine.rs
@@ -6,7 +6,7 @@
 use hollywheel_claims::{ClaimOutput, ClaimSettings, ClaimTable};
 use hollywheel_config::{ObjectSet, PublishedSet};
 use hollywheel_policy::{AdmitDecision, PolicyEngine};
-use hollywheel_types::{ConfigVersion, MonoTime, PoolId};
+use hollywheel_types::{ConfigVersion, HostId, MonoTime, PoolId};
 
 use crate::drain::DrainState;
 use crate::input::{HostView, NodeInput};
@@ -165,8 +165,8 @@
     }
 
     fn set_hosts(&mut self, now: MonoTime, view: &HostView) {
-        let alive = u32::try_from(view.hosts.len()).unwrap_or(u32::MAX);
-        self.policy.set_hosts(now, alive.max(1));
+        let names: Vec<HostId> = view.hosts.iter().map(|info| info.host.clone()).collect();
+        self.policy.set_host_names(now, &names);
         let hosts = view.hosts.iter();
         self.claims
             .set_peers(hosts.map(|info| (info.host.clone(), info.incarnation)));
