--- a/crates/hollywheel-orders/src/message.rs
+++ b/crates/hollywheel-orders/src/message.rs
@@ -46,7 +46,7 @@
     pub order_timeout: Duration,
     /// The time in which an engine must report a model that it was told to load.
     pub load_timeout: Duration,
-    /// The loads a second that the weight store allows for one pool.
+    /// The loads a second that the weight store allows; pools share it evenly.
     pub load_rate: RequestRate,
 }
 
