Let the fleet tool wait for a process before it starts the next in its place

Ruled out: a drain that hangs, since the logs show HW1005 after 0.4 s. Change: a start waits for the end of the process before, at most 10 s.

--- a/crates/hollywheel-fleet/src/fleet.rs
+++ b/crates/hollywheel-fleet/src/fleet.rs
@@ -118,7 +118,7 @@
         let name = fault.process.as_str();
         match fault.action {
             FaultAction::Order => return self.order(name, &fault.order).await,
-            FaultAction::Start => return self.find_host(name)?.start_again(),
+            FaultAction::Start => return self.find_host(name)?.start_again().await,
             FaultAction::Continue => self.find_process(name)?.signal(Signal::SIGCONT),
             FaultAction::Kill => self.find_process(name)?.kill().await,
             FaultAction::Pause => self.find_process(name)?.signal(Signal::SIGSTOP),
--- a/crates/hollywheel-fleet/src/host.rs
+++ b/crates/hollywheel-fleet/src/host.rs
@@ -12,6 +12,7 @@
 use crate::process::FleetProcess;
 use crate::record::HostRecord;
 
+const END_TIMEOUT: Duration = Duration::from_secs(10);
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 const READY_POLL: Duration = Duration::from_millis(20);
 
@@ -48,8 +49,9 @@
         })
     }
 
-    /// Starts a new process at the same addresses.
-    pub(crate) fn start_again(&mut self) -> Result<(), FleetError> {
+    /// Starts a new process at the same addresses, once the one before has ended.
+    pub(crate) async fn start_again(&mut self) -> Result<(), FleetError> {
+        self.process.end(END_TIMEOUT).await;
         self.process = spawn(&self.plan, &self.record)?;
         Ok(())
     }
