Show the version in force on each host as last heard

Cause: the hosts' list showed version 0 of other hosts for ever: the membership machine answered a newer version by fetching it but did not note it in the sender's record, and the daemon copied the records only when the hosts taken for alive changed. The test of two hosts showed it first (version 1 of both hosts on both did not come true). Ruled out: the transport; the message carried the version. Change: the version is noted by the sender's address, records are copied once a second.

--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -24,6 +24,9 @@
 /// Gives the time between two attempts to join through the seed hosts.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Gives the shortest time between two copies of what is known of the hosts.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Holds the ways out of the task.
 #[derive(Debug)]
 pub struct MemberEffects {
@@ -53,6 +56,7 @@
     receiver: SharedReceiver<MemberInput>,
     effects: MemberEffects,
     next_join: MonoTime,
+    next_refresh: MonoTime,
 }
 
 impl MemberTask {
@@ -69,6 +73,7 @@
             receiver,
             effects,
             next_join: MonoTime(0),
+            next_refresh: MonoTime(0),
         }
     }
 
@@ -130,6 +135,21 @@
         for output in outputs {
             self.carry_out(output).await;
         }
+        self.refresh_directory();
+    }
+
+    /// Copies what is known of the hosts, such as their configuration versions, which change
+    /// without a change of the hosts taken for alive.
+    fn refresh_directory(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_refresh {
+            return;
+        }
+        self.next_refresh = now + REFRESH_INTERVAL;
+        let records = self.machine.records();
+        if !records.is_empty() {
+            self.effects.directory.replace(records);
+        }
     }
 
     async fn carry_out(&self, output: MemberOutput) {
--- a/crates/hollywheel-daemon/tests/hosts.rs
+++ b/crates/hollywheel-daemon/tests/hosts.rs
@@ -69,6 +69,16 @@
         .collect()
 }
 
+async fn versions(host: &Started) -> Vec<u64> {
+    let list = host.admin("GET", "/admin/hosts", Some(VIEWER), "").await;
+    let list = list.json();
+    let hosts = list["hosts"].as_array().unwrap();
+    hosts
+        .iter()
+        .filter_map(|entry| entry["config_version"].as_u64())
+        .collect()
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn hosts_join_share_claims_and_tell_when_they_leave() {
     let base = TestHost::start().await;
@@ -86,6 +96,10 @@
         })
         .await;
     }
+    wait_for("version 1 of both hosts on both", async || {
+        versions(&first).await == [1, 1] && versions(&second).await == [1, 1]
+    })
+    .await;
     let body = r#"{"input":"pay 5"}"#;
     let paid = first.post_key("payment", "p-1", body).await;
     assert_eq!(paid.status, 200, "{}", paid.text());
--- a/crates/hollywheel-membership/src/hear.rs
+++ b/crates/hollywheel-membership/src/hear.rs
@@ -214,6 +214,13 @@
     }
 
     fn hear_in_force(&mut self, from: SocketAddr, version: ConfigVersion) {
+        let sender = self
+            .table
+            .iter_mut()
+            .find(|entry| entry.record.address == from && entry.record.config_version < version);
+        if let Some(entry) = sender {
+            entry.record.config_version = version;
+        }
         if version > self.in_force {
             self.outputs
                 .push(MemberOutput::FetchConfig { from, version });
