--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -24,8 +24,8 @@
 /// Gives the time between two attempts to join through the seed hosts.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Gives the least time between two copies of the records for operators.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
+/// Gives the shortest time between two copies of what is known of the hosts.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Holds the ways out of the task.
 #[derive(Debug)]
@@ -131,16 +131,17 @@
     }
 
     async fn step(&mut self, input: MemberInput) {
-        let now = self.clock.now();
-        let outputs = self.machine.handle(now, input);
-        self.refresh(now);
+        let outputs = self.machine.handle(self.clock.now(), input);
         for output in outputs {
             self.carry_out(output).await;
         }
+        self.refresh_directory();
     }
 
-    /// Copies the records, whose versions in force change without a change of the hosts.
-    fn refresh(&mut self, now: MonoTime) {
+    /// Copies what is known of the hosts, such as their configuration versions, which change
+    /// without a change of the hosts taken for alive.
+    fn refresh_directory(&mut self) {
+        let now = self.clock.now();
         if now < self.next_refresh {
             return;
         }
