--- a/crates/hollywheel-policy/examples/policy_load.rs
+++ b/crates/hollywheel-policy/examples/policy_load.rs
@@ -3,32 +3,30 @@
 //! `cargo run --release -p hollywheel-policy --example policy_load [SCENARIO [POLICY]]`
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollywheel_config::{
-    ObjectSet, PipelineObject, PoolKind, PoolObject, ServerEntry, StageKind, StageObject,
-    TargetObject,
-};
+use common::{MS, admit_request, id, object_set, pool_object, report, sent, server_name};
 use hollywheel_policy::{
-    AdmitDecision, AdmitRequest, AttemptKind, AttemptOutcome, PickDecision, PickRequest,
-    PolicyEngine, PolicySettings, RequestEnd, RoutingPolicy, SentAttempt, ServerReport,
-};
-use hollywheel_types::{
-    AttemptNonce, Incarnation, MonoTime, Percent, RequestClass, RequestId, ServerId, StageId,
+    AdmitDecision, AttemptKind, AttemptOutcome, PickDecision, PickRequest, PolicyEngine,
+    PolicySettings, RequestEnd, RoutingPolicy,
 };
+use hollywheel_types::{AttemptNonce, MonoTime, Percent, RequestClass, RequestId, ServerId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 const SEEDS: u64 = 5;
 /// Student's t for 95 percent and five seeds.
 const T_VALUE: f64 = 2.776;
 const SERVERS: usize = 20;
-const SLOTS: u32 = 4;
-const CAPACITY: f64 = SERVERS as f64 * SLOTS as f64;
+const SLOTS: usize = 4;
+const CAPACITY: f64 = (SERVERS * SLOTS) as f64;
 /// Share of arrivals, mean service time and deadline in milliseconds, by class.
-const MIX: [(f64, f64, u64); 4] = [
+const MIX: [(f64, f64, u32); 4] = [
     (0.20, 20.0, 300),
     (0.30, 20.0, 300),
     (0.35, 200.0, 1500),
@@ -50,125 +48,81 @@
     slow: f64,
     cut: bool,
     hosts: usize,
-    lag_ms: u64,
+    report_ms: u32,
     piggyback: bool,
     hedge: u8,
     client_retries: u32,
-    /// Whether servers honour priorities; a plain queue otherwise.
     priority: bool,
 }
 
-const BASE: Scenario = Scenario {
-    name: "steady-0.8",
-    load: 0.8,
-    peak: 0.8,
-    from: 10,
-    until: 30,
-    total: 30,
-    slow: 1.0,
-    cut: false,
-    hosts: 9,
-    lag_ms: 500,
-    piggyback: true,
-    hedge: 0,
-    client_retries: 0,
-    priority: true,
-};
+fn scenario(name: &'static str, change: fn(&mut Scenario)) -> Scenario {
+    let mut scenario = Scenario {
+        name,
+        load: 0.8,
+        peak: 0.8,
+        from: 10,
+        until: 30,
+        total: 30,
+        slow: 1.0,
+        cut: false,
+        hosts: 9,
+        report_ms: 500,
+        piggyback: true,
+        hedge: 0,
+        client_retries: 0,
+        priority: true,
+    };
+    change(&mut scenario);
+    scenario
+}
 
-fn scenarios() -> Vec<Scenario> {
-    let steady = BASE;
-    vec![
-        steady,
-        Scenario {
-            name: "steady-plain-queue",
-            priority: false,
-            ..steady
-        },
-        Scenario {
-            name: "slow-3x",
-            slow: 3.0,
-            ..steady
-        },
-        Scenario {
-            name: "slow-10x",
-            slow: 10.0,
-            ..steady
-        },
-        Scenario {
-            name: "slow-10x-hedge",
-            slow: 10.0,
-            hedge: 5,
-            ..steady
-        },
-        Scenario {
-            name: "domain-cut",
-            cut: true,
-            load: 0.6,
-            peak: 0.6,
-            ..steady
-        },
-        Scenario {
-            name: "burst-3x-10s",
-            peak: 2.4,
-            until: 20,
-            total: 40,
-            ..steady
-        },
-        Scenario {
-            name: "twice-60s",
-            peak: 2.0,
-            until: 70,
-            total: 90,
-            ..steady
-        },
-        Scenario {
-            name: "twice-60s-retry",
-            peak: 2.0,
-            until: 70,
-            total: 90,
-            client_retries: 2,
-            ..steady
-        },
-        Scenario {
-            name: "hosts-40",
-            hosts: 40,
-            ..steady
-        },
-        Scenario {
-            name: "stale-reports",
-            lag_ms: 2000,
-            piggyback: false,
-            ..steady
-        },
-        Scenario {
-            name: "stale-40-hosts",
-            lag_ms: 2000,
-            piggyback: false,
-            hosts: 40,
-            ..steady
-        },
+fn scenarios() -> [Scenario; 12] {
+    [
+        scenario("steady-0.8", |_| {}),
+        scenario("steady-plain-queue", |s| s.priority = false),
+        scenario("slow-3x", |s| s.slow = 3.0),
+        scenario("slow-10x", |s| s.slow = 10.0),
+        scenario("slow-10x-hedge", |s| (s.slow, s.hedge) = (10.0, 5)),
+        scenario("domain-cut", |s| {
+            (s.cut, s.load, s.peak) = (true, 0.6, 0.6);
+        }),
+        scenario("burst-3x-10s", |s| {
+            (s.peak, s.until, s.total) = (2.4, 20, 40);
+        }),
+        scenario("twice-60s", |s| {
+            (s.peak, s.until, s.total) = (2.0, 70, 90);
+        }),
+        scenario("twice-60s-retry", |s| {
+            (s.peak, s.until, s.total, s.client_retries) = (2.0, 70, 90, 2);
+        }),
+        scenario("hosts-40", |s| s.hosts = 40),
+        scenario("stale-reports", |s| {
+            (s.report_ms, s.piggyback) = (2000, false);
+        }),
+        scenario("stale-40-hosts", |s| {
+            (s.report_ms, s.piggyback, s.hosts) = (2000, false, 40);
+        }),
     ]
 }
 
 #[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Arrive,
-    Again { class: usize, tries: u32 },
-    Pick(usize),
+    Again(RequestClass, u32),
+    Pick(usize, AttemptKind),
     Reach(usize),
     Done(usize),
-    Answer(usize, u8),
+    Answer(usize, AttemptOutcome),
     Deadline(usize),
-    Hedge(usize, usize),
+    Hedge(usize),
     Wake(usize),
     Fault(bool),
     Report,
 }
 
 struct Server {
-    name: ServerId,
     running: Vec<usize>,
-    queue: VecDeque<usize>,
+    queue: Vec<usize>,
     factor: f64,
     cut: bool,
 }
@@ -177,6 +131,7 @@
     request: usize,
     server: usize,
     started: Option<MonoTime>,
+    ran: Duration,
     over: bool,
 }
 
@@ -188,90 +143,33 @@
     exclude: Vec<ServerId>,
     live: Vec<usize>,
     tries: u32,
+    started: bool,
     end: Option<(RequestEnd, MonoTime)>,
 }
 
-#[derive(Default)]
-struct Tally {
-    busy: f64,
-    useful: f64,
-    attempts: usize,
-    started: usize,
-}
-
 struct World {
     scenario: Scenario,
     now: MonoTime,
     random: StdRng,
-    events: BinaryHeap<Reverse<(MonoTime, u64, Event)>>,
-    order: u64,
+    events: BinaryHeap<Reverse<(MonoTime, usize, Event)>>,
     hosts: Vec<PolicyEngine>,
     servers: Vec<Server>,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
-    stages: Vec<StageId>,
     wakes: Vec<Option<MonoTime>>,
-    tally: Tally,
-}
-
-fn object_set(hedge: u8) -> ObjectSet {
-    let domain = |at: usize| ["medeu", "bostandyk", "alatau"][at % 3];
-    let entry = |at: usize| ServerEntry {
-        name: format!("server-{at:02}").parse().expect("a name"),
-        address: ([127, 0, 0, 1], 4000).into(),
-        domain: domain(at).parse().expect("a name"),
-    };
-    let mut set = ObjectSet::default();
-    set.pools.push(PoolObject {
-        name: "pool".parse().expect("a name"),
-        kind: PoolKind::Service,
-        slots: SLOTS,
-        fencing: false,
-        max_ejected: Percent::new(34),
-        retry_budget: Percent::new(10),
-        hedge_budget: Percent::new(hedge),
-        models: Vec::new(),
-        servers: (0..SERVERS).map(entry).collect(),
-    });
-    for class in RequestClass::ALL {
-        let name = class.name();
-        set.stages.push(StageObject {
-            name: name.parse().expect("a name"),
-            kind: StageKind::Call,
-            pool: "pool".parse().expect("a name"),
-            idempotent: class != RequestClass::Transaction,
-            min_ms: 1,
-            model: None,
-            max_tokens: None,
-        });
-        set.targets.push(TargetObject {
-            name: name.parse().expect("a name"),
-            class,
-            deadline_ms: MIX[class.index()].2,
-            first_token_ms: None,
-            token_gap_ms: None,
-            attainment: Percent::new(99),
-        });
-        set.pipelines.push(PipelineObject {
-            name: name.parse().expect("a name"),
-            stages: vec![name.parse().expect("a name")],
-            target: name.parse().expect("a name"),
-            workspaces: Vec::new(),
-        });
-    }
-    set.sort();
-    set
+    scheduled: usize,
+    useful: Duration,
 }
 
 impl World {
     fn new(scenario: Scenario, routing: RoutingPolicy, seed: u64) -> Self {
-        let set = Arc::new(object_set(scenario.hedge));
+        let mut pool = pool_object("pool", SERVERS, SLOTS as u32);
+        pool.hedge_budget = Percent::new(scenario.hedge);
+        let set = Arc::new(object_set(pool, Vec::new()));
         let host = |at: usize| {
             let mut engine = PolicyEngine::new(PolicySettings {
-                host: format!("host-{at}").parse().expect("a name"),
-                domain: ["medeu", "bostandyk", "alatau"][at % 3]
-                    .parse()
-                    .expect("a name"),
+                host: id(&format!("host-{at}")),
+                domain: set.pools[0].servers[at % 3].domain.clone(),
                 seed: seed * 1000 + at as u64,
                 routing,
                 ..PolicySettings::default()
@@ -280,99 +178,77 @@
             engine.set_hosts(MonoTime(0), scenario.hosts as u32);
             engine
         };
-        let server = |at: usize| Server {
-            name: set.pools[0].servers[at].name.clone(),
+        let server = |_| Server {
             running: Vec::new(),
-            queue: VecDeque::new(),
+            queue: Vec::new(),
             factor: 1.0,
             cut: false,
         };
-        let mut world = Self {
+        Self {
             scenario,
             now: MonoTime(0),
             random: StdRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
-            order: 0,
             hosts: (0..scenario.hosts).map(host).collect(),
             servers: (0..SERVERS).map(server).collect(),
             requests: Vec::new(),
             attempts: Vec::new(),
-            stages: RequestClass::ALL
-                .map(|class| class.name().parse().expect("a name"))
-                .into(),
             wakes: vec![None; scenario.hosts],
-            tally: Tally::default(),
-        };
-        world.at(MonoTime(0), Event::Arrive);
-        world.at(MonoTime(0), Event::Report);
-        world.at(
-            MonoTime::from_millis(scenario.from * 1000),
-            Event::Fault(true),
-        );
-        world.at(
-            MonoTime::from_millis(scenario.until * 1000),
-            Event::Fault(false),
-        );
-        world
+            scheduled: 0,
+            useful: Duration::ZERO,
+        }
     }
 
-    fn at(&mut self, time: MonoTime, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((time, self.order, event)));
+    fn after(&mut self, span: Duration, event: Event) {
+        self.scheduled += 1;
+        let entry = (self.now + span, self.scheduled, event);
+        self.events.push(Reverse(entry));
     }
 
     fn run(&mut self) {
+        self.after(Duration::ZERO, Event::Arrive);
+        self.after(Duration::ZERO, Event::Report);
+        self.after(Duration::from_secs(self.scenario.from), Event::Fault(true));
+        self.after(
+            Duration::from_secs(self.scenario.until),
+            Event::Fault(false),
+        );
         while let Some(Reverse((time, _, event))) = self.events.pop() {
             self.now = time;
-            self.handle(event);
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::Again(class, tries) => self.receive(class, tries),
+                Event::Pick(request, kind) => self.pick(request, kind),
+                Event::Reach(attempt) => self.reach(attempt),
+                Event::Done(attempt) => self.done(attempt),
+                Event::Answer(attempt, outcome) => self.answer(attempt, outcome),
+                Event::Deadline(request) => self.give_up(request),
+                Event::Hedge(attempt) => self.hedge(attempt),
+                Event::Wake(host) => self.wake(host),
+                Event::Fault(on) => self.fault(on),
+                Event::Report => self.report(),
+            }
         }
     }
 
-    fn is_over(&self) -> bool {
-        self.now >= MonoTime::from_millis(self.scenario.total * 1000)
-    }
-
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::Arrive => self.arrive(),
-            Event::Again { class, tries } => self.receive(RequestClass::ALL[class], tries),
-            Event::Pick(request) => self.pick(request, AttemptKind::First),
-            Event::Reach(attempt) => self.reach(attempt),
-            Event::Done(attempt) => self.done(attempt),
-            Event::Answer(attempt, outcome) => self.answer(attempt, outcome),
-            Event::Deadline(request) => {
-                if self.requests[request].end.is_none() {
-                    let id = RequestId(request as u128);
-                    let host = self.requests[request].host;
-                    self.hosts[host].withdraw(self.now, id);
-                    self.finish(request, RequestEnd::Failed, AttemptOutcome::TimedOut);
-                }
-            }
-            Event::Hedge(request, attempt) => self.hedge(request, attempt),
-            Event::Wake(host) => {
-                self.wakes[host] = None;
-                self.poll(host);
-            }
-            Event::Fault(on) => self.fault(on),
-            Event::Report => self.report(),
-        }
+    fn second(&self) -> u64 {
+        self.now.0 / 1_000_000
     }
 
     fn arrive(&mut self) {
-        if self.is_over() {
+        let Scenario {
+            from, until, total, ..
+        } = self.scenario;
+        if self.second() >= total {
             return;
         }
-        let second = self.now.0 / 1_000_000;
-        let busy = second >= self.scenario.from && second < self.scenario.until;
-        let load = if busy {
-            self.scenario.peak
-        } else {
-            self.scenario.load
+        let load = match (from..until).contains(&self.second()) {
+            true => self.scenario.peak,
+            false => self.scenario.load,
         };
-        let mean: f64 = MIX.iter().map(|(share, time, _)| share * time).sum();
-        let rate = load * CAPACITY / mean * 1000.0;
-        let gap = -(1.0 - self.random.random::<f64>()).ln() / rate;
-        self.at(self.now + Duration::from_secs_f64(gap), Event::Arrive);
+        let mean: f64 = MIX.iter().map(|(share, millis, _)| share * millis).sum();
+        let gap = -(1.0 - self.random.random::<f64>()).ln() * mean / (load * CAPACITY);
+        self.after(Duration::from_secs_f64(gap / 1000.0), Event::Arrive);
         let mut draw = self.random.random::<f64>();
         let class = MIX.iter().position(|(share, _, _)| {
             draw -= share;
@@ -382,9 +258,10 @@
     }
 
     fn receive(&mut self, class: RequestClass, tries: u32) {
-        let request = self.requests.len();
+        let at = self.requests.len();
         let host = self.random.random_range(0..self.hosts.len());
-        let deadline = self.now + Duration::from_millis(MIX[class.index()].2);
+        let span = MIX[class.index()].2 * MS;
+        let deadline = self.now + span;
         self.requests.push(Request {
             class,
             host,
@@ -393,51 +270,34 @@
             exclude: Vec::new(),
             live: Vec::new(),
             tries,
+            started: false,
             end: None,
         });
-        self.at(deadline, Event::Deadline(request));
+        self.after(span, Event::Deadline(at));
         let large = self.random.random::<f64>() < 0.9;
-        let decision = self.hosts[host].admit(
-            self.now,
-            &AdmitRequest {
-                request: RequestId(request as u128),
-                workspace: if large { "large" } else { "small" }
-                    .parse()
-                    .expect("a name"),
-                pipeline: class.name().parse().expect("a name"),
-                class,
-                deadline,
-            },
-        );
-        self.decide(request, decision);
+        let workspace = if large { "large" } else { "small" };
+        let asked = admit_request(at as u128, workspace, class, deadline);
+        let decision = self.hosts[host].admit(self.now, &asked);
+        self.decide(at, decision);
         self.poll(host);
     }
 
-    fn decide(&mut self, request: usize, decision: AdmitDecision) {
+    fn decide(&mut self, at: usize, decision: AdmitDecision) {
         match decision {
             AdmitDecision::Start => {
-                self.tally.started += 1;
-                self.pick(request, AttemptKind::First);
+                self.requests[at].started = true;
+                self.pick(at, AttemptKind::First);
             }
             AdmitDecision::Wait => {}
-            AdmitDecision::Refuse { retry_after, .. } => self.refuse(request, retry_after),
+            AdmitDecision::Refuse { retry_after, .. } => self.refuse(at, retry_after),
         }
     }
 
-    fn refuse(&mut self, request: usize, retry_after: Duration) {
-        let (class, tries) = (
-            self.requests[request].class.index(),
-            self.requests[request].tries,
-        );
-        self.finish(request, RequestEnd::Refused, AttemptOutcome::Cancelled);
+    fn refuse(&mut self, at: usize, retry_after: Duration) {
+        let (class, tries) = (self.requests[at].class, self.requests[at].tries);
+        self.finish(at, RequestEnd::Refused, AttemptOutcome::Cancelled);
         if tries < self.scenario.client_retries {
-            self.at(
-                self.now + retry_after,
-                Event::Again {
-                    class,
-                    tries: tries + 1,
-                },
-            );
+            self.after(retry_after, Event::Again(class, tries + 1));
         }
     }
 
@@ -445,207 +305,190 @@
         for notice in self.hosts[host].poll(self.now) {
             self.decide(notice.request.0 as usize, notice.decision);
         }
-        if let Some(wake) = self.hosts[host].next_wake() {
-            let wake = wake.max(self.now + Duration::from_millis(1));
-            if self.wakes[host].is_none_or(|earlier| wake < earlier) {
-                self.wakes[host] = Some(wake);
-                self.at(wake, Event::Wake(host));
-            }
+        let Some(wake) = self.hosts[host].next_wake() else {
+            return;
+        };
+        let wake = wake.max(self.now + MS);
+        if self.wakes[host].is_none_or(|earlier| wake < earlier) {
+            self.wakes[host] = Some(wake);
+            self.after(wake.since(self.now), Event::Wake(host));
         }
     }
 
+    fn wake(&mut self, host: usize) {
+        self.wakes[host] = None;
+        self.poll(host);
+    }
+
     fn pick(&mut self, at: usize, kind: AttemptKind) {
         let request = &self.requests[at];
         if request.end.is_some() {
             return;
         }
-        let (class, host) = (request.class, request.host);
-        let decision = self.hosts[host].pick(
-            self.now,
-            &PickRequest {
-                pool: &"pool".parse().expect("a name"),
-                stage: &self.stages[class.index()],
-                class,
-                model: None,
-                prefix: None,
-                exclude: &request.exclude,
-                deadline: request.deadline,
-                later_stages: Duration::ZERO,
-            },
-        );
-        match decision {
+        let question = PickRequest {
+            pool: &id("pool"),
+            stage: &id(request.class.name()),
+            class: request.class,
+            model: None,
+            prefix: None,
+            exclude: &request.exclude,
+            deadline: request.deadline,
+            later_stages: Duration::ZERO,
+        };
+        match self.hosts[request.host].pick(self.now, &question) {
             PickDecision::Send(server) => self.send(at, kind, &server),
-            PickDecision::Wait { until } if kind != AttemptKind::Hedge => {
-                self.at(until, Event::Pick(at));
-            }
-            PickDecision::Refuse { retry_after, .. } if kind != AttemptKind::Hedge => {
-                self.refuse(at, retry_after);
+            _ if kind == AttemptKind::Hedge => {}
+            PickDecision::Wait { until } => {
+                self.after(until.since(self.now), Event::Pick(at, kind));
             }
-            _ => {}
+            PickDecision::Refuse { retry_after, .. } => self.refuse(at, retry_after),
         }
     }
 
     fn send(&mut self, at: usize, kind: AttemptKind, server: &ServerId) {
         let attempt = self.attempts.len();
-        let place = self.servers.iter().position(|entry| entry.name == *server);
-        let place = place.expect("a known server");
-        let request = &mut self.requests[at];
-        request.live.push(attempt);
-        let (host, class) = (request.host, request.class);
+        let place = (0..SERVERS).find(|place| server_name(*place) == *server);
         self.attempts.push(Attempt {
             request: at,
-            server: place,
+            server: place.expect("a known server"),
             started: None,
+            ran: Duration::ZERO,
             over: false,
         });
-        self.tally.attempts += 1;
-        self.hosts[host].sent(
-            self.now,
-            &SentAttempt {
-                nonce: AttemptNonce(attempt as u128),
-                request: RequestId(at as u128),
-                server: server.clone(),
-                pool: "pool".parse().expect("a name"),
-                stage: self.stages[class.index()].clone(),
-                workspace: "large".parse().expect("a name"),
-                class,
-                kind,
-            },
-        );
-        self.at(self.now + NETWORK, Event::Reach(attempt));
-        let after = self.hosts[host].hedge_after(
-            &"pool".parse().expect("a name"),
-            &self.stages[class.index()],
-            class,
-        );
+        let request = &mut self.requests[at];
+        request.live.push(attempt);
+        let (host, class) = (request.host, request.class);
+        let mut told = sent(attempt as u128, at as u128, server, class);
+        told.kind = kind;
+        self.hosts[host].sent(self.now, &told);
+        self.after(NETWORK, Event::Reach(attempt));
+        let after = self.hosts[host].hedge_after(&told.pool, &told.stage, class);
         if let Some(after) = after
             && class != RequestClass::Transaction
             && kind == AttemptKind::First
         {
-            self.at(self.now + after, Event::Hedge(at, attempt));
+            self.after(after, Event::Hedge(attempt));
         }
     }
 
-    fn hedge(&mut self, at: usize, attempt: usize) {
+    fn hedge(&mut self, attempt: usize) {
+        let Attempt {
+            request: at,
+            server,
+            ..
+        } = self.attempts[attempt];
         let request = &mut self.requests[at];
         if request.end.is_some() || request.live != [attempt] {
             return;
         }
-        let host = request.host;
-        request
-            .exclude
-            .push(self.servers[self.attempts[attempt].server].name.clone());
-        if self.hosts[host].take_hedge(self.now, &"pool".parse().expect("a name")) {
+        request.exclude.push(server_name(server));
+        if self.hosts[request.host].take_hedge(self.now, &id("pool")) {
             self.pick(at, AttemptKind::Hedge);
         }
     }
 
     fn reach(&mut self, attempt: usize) {
-        let server = self.attempts[attempt].server;
+        let at = self.attempts[attempt].server;
         if self.attempts[attempt].over {
             return;
         }
-        if self.servers[server].cut {
-            self.at(self.now + CONNECT_TIMEOUT, Event::Answer(attempt, 2));
-            return;
+        let server = &self.servers[at];
+        if server.cut {
+            let failed = Event::Answer(attempt, AttemptOutcome::Failed);
+            return self.after(CONNECT_TIMEOUT, failed);
         }
-        if self.servers[server].queue.len() >= 4 * SLOTS as usize {
-            self.at(self.now + NETWORK, Event::Answer(attempt, 1));
-            return;
+        if server.queue.len() >= 4 * SLOTS {
+            let refused = Event::Answer(attempt, AttemptOutcome::Refused);
+            return self.after(NETWORK, refused);
         }
         let class = |attempt: &usize| self.requests[self.attempts[*attempt].request].class;
-        let queue = &self.servers[server].queue;
         let place = match self.scenario.priority {
-            true => queue.partition_point(|entry| class(entry) <= class(&attempt)),
-            false => queue.len(),
+            true => server
+                .queue
+                .partition_point(|entry| class(entry) <= class(&attempt)),
+            false => server.queue.len(),
         };
-        self.servers[server].queue.insert(place, attempt);
-        self.serve(server);
+        self.servers[at].queue.insert(place, attempt);
+        self.serve(at);
     }
 
     fn serve(&mut self, at: usize) {
-        while self.servers[at].running.len() < SLOTS as usize {
-            let Some(attempt) = self.servers[at].queue.pop_front() else {
-                return;
-            };
+        while self.servers[at].running.len() < SLOTS && !self.servers[at].queue.is_empty() {
+            let attempt = self.servers[at].queue.remove(0);
             let class = self.requests[self.attempts[attempt].request].class;
             let normal: f64 = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
             let mean = MIX[class.index()].1 * self.servers[at].factor;
             let millis = mean * (SIGMA * normal - SIGMA * SIGMA / 2.0).exp();
             self.attempts[attempt].started = Some(self.now);
             self.servers[at].running.push(attempt);
-            self.at(
-                self.now + Duration::from_secs_f64(millis / 1000.0),
+            self.after(
+                Duration::from_secs_f64(millis / 1000.0),
                 Event::Done(attempt),
             );
         }
     }
 
-    /// Takes an attempt off its server and returns the seconds that it ran.
-    fn free(&mut self, attempt: usize) -> f64 {
-        let at = self.attempts[attempt].server;
-        self.attempts[attempt].over = true;
+    /// Takes an attempt off its server.
+    fn free(&mut self, attempt: usize) {
+        let entry = &mut self.attempts[attempt];
+        if std::mem::replace(&mut entry.over, true) {
+            return;
+        }
+        entry.ran = entry
+            .started
+            .map_or(Duration::ZERO, |at| self.now.since(at));
+        let at = entry.server;
         self.servers[at].queue.retain(|entry| *entry != attempt);
         self.servers[at].running.retain(|entry| *entry != attempt);
-        let started = self.attempts[attempt].started.take();
-        let ran = started.map_or(0.0, |started| self.now.since(started).as_secs_f64());
-        self.tally.busy += ran;
         self.serve(at);
-        ran
     }
 
     fn done(&mut self, attempt: usize) {
-        if self.attempts[attempt].over {
-            return;
+        if !self.attempts[attempt].over {
+            self.free(attempt);
+            self.after(NETWORK, Event::Answer(attempt, AttemptOutcome::Answered));
         }
-        self.at(self.now + NETWORK, Event::Answer(attempt, 0));
-        let ran = self.free(attempt);
-        self.attempts[attempt].started = Some(self.now - Duration::from_secs_f64(ran));
     }
 
-    fn answer(&mut self, attempt: usize, outcome: u8) {
-        let (at, place) = (
-            self.attempts[attempt].request,
-            self.attempts[attempt].server,
-        );
-        let host = self.requests[at].host;
-        if self.requests[at].end.is_some() || !self.requests[at].live.contains(&attempt) {
+    fn answer(&mut self, attempt: usize, outcome: AttemptOutcome) {
+        let Attempt {
+            request: at,
+            server,
+            started,
+            ran,
+            ..
+        } = self.attempts[attempt];
+        let request = &mut self.requests[at];
+        if request.end.is_some() || !request.live.contains(&attempt) {
             return;
         }
-        self.requests[at].live.retain(|entry| *entry != attempt);
-        let outcomes = [
-            AttemptOutcome::Answered,
-            AttemptOutcome::Refused,
-            AttemptOutcome::Failed,
-        ];
-        let outcome = outcomes[usize::from(outcome)];
+        request.live.retain(|entry| *entry != attempt);
+        request.exclude.push(server_name(server));
+        let (host, alone) = (request.host, request.live.is_empty());
+        let repeatable = request.class != RequestClass::Transaction || started.is_none();
         self.hosts[host].finished(self.now, AttemptNonce(attempt as u128), outcome);
-        if self.scenario.piggyback && !self.servers[place].cut {
-            let report = self.load_of(place);
-            self.hosts[host].report(self.now, &report, NETWORK);
+        if self.scenario.piggyback && !self.servers[server].cut {
+            self.tell(host, server);
         }
         if outcome == AttemptOutcome::Answered {
-            let started = self.attempts[attempt].started.unwrap_or(self.now);
-            self.tally.useful += (self.now - NETWORK).since(started).as_secs_f64();
+            self.useful += ran;
             self.finish(at, RequestEnd::Attained, AttemptOutcome::Cancelled);
-            return;
-        }
-        self.requests[at]
-            .exclude
-            .push(self.servers[place].name.clone());
-        let sent_in_full = self.attempts[attempt].started.is_some();
-        let repeatable = self.requests[at].class != RequestClass::Transaction || !sent_in_full;
-        if !self.requests[at].live.is_empty() {
-            return;
-        }
-        if repeatable && self.hosts[host].take_retry(self.now, &"pool".parse().expect("a name")) {
+        } else if alone && repeatable && self.hosts[host].take_retry(self.now, &id("pool")) {
             self.pick(at, AttemptKind::Retry);
-        } else {
+        } else if alone {
             self.finish(at, RequestEnd::Failed, AttemptOutcome::Cancelled);
         }
         self.poll(host);
     }
 
+    fn give_up(&mut self, at: usize) {
+        if self.requests[at].end.is_none() {
+            let host = self.requests[at].host;
+            self.hosts[host].withdraw(self.now, RequestId(at as u128));
+            self.finish(at, RequestEnd::Failed, AttemptOutcome::TimedOut);
+        }
+    }
+
     fn finish(&mut self, at: usize, end: RequestEnd, outcome: AttemptOutcome) {
         let host = self.requests[at].host;
         for attempt in std::mem::take(&mut self.requests[at].live) {
@@ -664,147 +507,132 @@
         }
         for at in (0..SERVERS).step_by(3) {
             self.servers[at].cut = on;
-            let lost: Vec<usize> = self.servers[at]
-                .running
-                .iter()
-                .chain(&self.servers[at].queue)
-                .copied()
-                .collect();
-            for attempt in lost {
+            let server = &self.servers[at];
+            for attempt in [&server.running[..], &server.queue[..]].concat() {
                 self.free(attempt);
                 self.attempts[attempt].started = Some(self.now);
-                self.at(self.now + CONNECT_TIMEOUT, Event::Answer(attempt, 2));
+                let failed = Event::Answer(attempt, AttemptOutcome::Failed);
+                self.after(CONNECT_TIMEOUT, failed);
             }
         }
     }
 
-    fn load_of(&self, at: usize) -> ServerReport {
+    fn tell(&mut self, host: usize, at: usize) {
         let server = &self.servers[at];
-        ServerReport {
-            server: server.name.clone(),
-            incarnation: Incarnation(1),
-            running: server.running.len() as u32,
-            queued: server.queue.len() as u32,
-            slots: SLOTS,
-            leaving: false,
-            models: Vec::new(),
-            prefixes: Vec::new(),
-        }
+        let mut report = report(
+            &server_name(at),
+            1,
+            server.running.len() as u32,
+            SLOTS as u32,
+        );
+        report.queued = server.queue.len() as u32;
+        self.hosts[host].report(self.now, &report, NETWORK);
     }
 
     fn report(&mut self) {
-        if self.is_over() {
-            return;
-        }
-        // A report is as old on arrival as the lag; reports come once each lag.
-        for at in 0..SERVERS {
-            let report = self.load_of(at);
-            for host in &mut self.hosts {
-                host.report(self.now, &report, Duration::ZERO);
+        if self.second() < self.scenario.total {
+            for at in 0..SERVERS * self.hosts.len() {
+                self.tell(at / SERVERS, at % SERVERS);
             }
+            self.after(self.scenario.report_ms * MS, Event::Report);
         }
-        self.at(
-            self.now + Duration::from_millis(self.scenario.lag_ms),
-            Event::Report,
-        );
+    }
+
+    /// Returns the part of requests that were attained, of those that pass a test.
+    fn attained(&self, test: impl Fn(&Request) -> bool) -> f64 {
+        let offered = self.requests.iter().filter(|request| test(request));
+        let good = offered
+            .clone()
+            .filter(|request| is_attained(request))
+            .count();
+        good as f64 / offered.count().max(1) as f64
     }
 
     fn measures(&self) -> Vec<f64> {
-        let scenario = &self.scenario;
-        let mut measures = Vec::new();
-        let attained = |request: &&Request| matches!(request.end, Some((RequestEnd::Attained, _)));
-        for class in RequestClass::ALL {
-            let offered = self
-                .requests
-                .iter()
-                .filter(|request| request.class == class);
-            let good = offered.clone().filter(attained).count();
-            measures.push(100.0 * good as f64 / offered.count() as f64);
-        }
+        let Scenario {
+            from, until, total, ..
+        } = self.scenario;
         let second = |request: &Request| request.arrived.0 / 1_000_000;
-        let window =
-            |request: &&Request| (scenario.from..scenario.until).contains(&second(request));
-        let work: f64 = self
-            .requests
+        let mut measures: Vec<f64> = RequestClass::ALL
             .iter()
+            .map(|class| 100.0 * self.attained(|request| request.class == *class))
+            .collect();
+        let window = |request: &&Request| (from..until).contains(&second(request));
+        let good = self.requests.iter().filter(|request| is_attained(request));
+        let work = good
             .filter(window)
-            .filter(attained)
-            .map(|request| MIX[request.class.index()].1 / 1000.0)
-            .sum();
-        measures.push(work / (CAPACITY * (scenario.until - scenario.from) as f64));
-        measures.push(self.tally.attempts as f64 / self.tally.started.max(1) as f64);
-        measures.push(self.tally.busy / self.tally.useful);
-        let refused = self
+            .map(|request| MIX[request.class.index()].1);
+        measures.push(work.sum::<f64>() / 1000.0 / (CAPACITY * (until - from) as f64));
+        let started = self
             .requests
             .iter()
-            .filter_map(|request| match request.end {
-                Some((RequestEnd::Refused, at)) => Some(at.since(request.arrived)),
-                _ => None,
-            });
-        let at_once = refused.clone().filter(Duration::is_zero).count();
-        measures.push(100.0 * at_once as f64 / refused.count().max(1) as f64);
-        let fault = scenario.slow > 1.0 || scenario.cut;
-        let mark = if fault { scenario.from } else { scenario.until };
-        let bad = (mark..scenario.total).rfind(|at| {
-            let offered = self
-                .requests
-                .iter()
-                .filter(|request| second(request) == *at);
-            let good = offered.clone().filter(attained).count();
-            (good as f64) < 0.97 * offered.count() as f64
-        });
-        measures.push(bad.map_or(0.0, |at| (at + 1 - mark) as f64));
-        let ejections: u64 = self
-            .hosts
+            .filter(|request| request.started)
+            .count();
+        measures.push(self.attempts.len() as f64 / started as f64);
+        let busy: Duration = self.attempts.iter().map(|attempt| attempt.ran).sum();
+        measures.push(busy.as_secs_f64() / self.useful.as_secs_f64());
+        let ends = self
+            .requests
             .iter()
-            .flat_map(PolicyEngine::pools)
-            .map(|pool| pool.counters.ejections)
-            .sum();
-        measures.push(ejections as f64);
+            .filter_map(|request| Some((request, request.end?)));
+        let refused = ends.filter(|(_, (end, _))| *end == RequestEnd::Refused);
+        let at_once = refused
+            .clone()
+            .filter(|(request, (_, at))| *at == request.arrived);
+        measures.push(100.0 * at_once.count() as f64 / refused.count().max(1) as f64);
+        let fault = self.scenario.slow > 1.0 || self.scenario.cut;
+        let mark = if fault { from } else { until };
+        let bad = (mark..total).rfind(|at| self.attained(|request| second(request) == *at) < 0.97);
+        measures.push(bad.map_or(0.0, |at| (at + 1 - mark) as f64));
+        let pools = self.hosts.iter().flat_map(PolicyEngine::pools);
+        measures.push(pools.map(|pool| pool.counters.ejections as f64).sum());
         measures
     }
 }
 
+fn is_attained(request: &Request) -> bool {
+    matches!(request.end, Some((RequestEnd::Attained, _)))
+}
+
+fn print_line(scenario: Scenario, policy: RoutingPolicy) {
+    let run = move |seed| {
+        let mut world = World::new(scenario, policy, seed);
+        world.run();
+        world.measures()
+    };
+    let threads: Vec<_> = (1..=SEEDS)
+        .map(|seed| std::thread::spawn(move || run(seed)))
+        .collect();
+    let runs = threads
+        .into_iter()
+        .map(|thread| thread.join().expect("a complete run"));
+    let runs: Vec<Vec<f64>> = runs.collect();
+    let mut line = format!("{} {policy}", scenario.name);
+    for at in 0..runs[0].len() {
+        let mean = runs.iter().map(|run| run[at]).sum::<f64>() / SEEDS as f64;
+        let square: f64 = runs.iter().map(|run| (run[at] - mean).powi(2)).sum();
+        let error = T_VALUE * (square / (SEEDS * (SEEDS - 1)) as f64).sqrt();
+        line += &format!(" | {mean:.3}±{error:.3}");
+    }
+    println!("{line}");
+}
+
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let matches = |at: usize, name: &str| {
+        wanted
+            .get(at)
+            .is_none_or(|wanted| wanted == "all" || wanted == name)
+    };
     println!(
-        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | attempts/request | cost ratio | refused at once % | recovery s | ejections"
+        "scenario policy | transaction lookup interactive batch (% attained) | goodput/capacity | \
+         attempts/request | cost ratio | refused at once % | recovery s | ejections"
     );
     for scenario in scenarios() {
-        if wanted
-            .first()
-            .is_some_and(|name| name != "all" && name != scenario.name)
-        {
-            continue;
-        }
         for policy in RoutingPolicy::ALL {
-            if wanted.get(1).is_some_and(|name| name != policy.name()) {
-                continue;
-            }
-            let seed_run = |seed| {
-                let mut world = World::new(scenario, policy, seed);
-                world.run();
-                world.measures()
-            };
-            let columns: Vec<Vec<f64>> = std::thread::scope(|scope| {
-                let runs: Vec<_> = (1..=SEEDS)
-                    .map(|seed| scope.spawn(move || seed_run(seed)))
-                    .collect();
-                runs.into_iter()
-                    .map(|run| run.join().expect("a complete run"))
-                    .collect()
-            });
-            let mut line = format!("{} {}", scenario.name, policy.name());
-            for at in 0..columns[0].len() {
-                let mean = columns.iter().map(|column| column[at]).sum::<f64>() / SEEDS as f64;
-                let square = columns
-                    .iter()
-                    .map(|column| (column[at] - mean).powi(2))
-                    .sum::<f64>();
-                let error = T_VALUE * (square / (SEEDS as f64 * (SEEDS - 1) as f64)).sqrt();
-                line += &format!(" | {mean:.3}±{error:.3}");
+            if matches(0, scenario.name) && matches(1, policy.name()) {
+                print_line(scenario, policy);
             }
-            println!("{line}");
         }
     }
 }
