Mend three leaks of the policy

Cause: (1) a request that ended while it waited was started later and its place in the pool was never freed; (2) a request refused for overload or by eviction at arrival still took a token of its workspace's rate, so that overload turned into rate limiting; (3) a trial whose end was never told kept its server out for good.

Change: the end of a request also takes it out of the queue; a refusal gives the token back; a trial without an end is given up after 60 s.

--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -177,6 +177,9 @@
         let max_queued = self.settings.max_queued;
         let (gate, mut context) = self.split_gate();
         let decision = gate.admit(&mut context, request, max_queued);
+        if matches!(decision, AdmitDecision::Refuse { .. }) {
+            self.quotas.give_back(&request.workspace);
+        }
         self.spread(decision)
     }
 
@@ -387,6 +390,8 @@
     pub fn request_ended(&mut self, now: MonoTime, request: RequestId, end: RequestEnd) {
         self.advance(now);
         let Some(state) = self.requests.remove(&request) else {
+            let (gate, context) = self.split_gate();
+            gate.withdraw(&context, request);
             return;
         };
         for leg in &state.legs {
--- a/crates/hollywheel-policy/src/health.rs
+++ b/crates/hollywheel-policy/src/health.rs
@@ -14,6 +14,8 @@
 const MAX_EJECTION: Duration = Duration::from_secs(16);
 /// A trial that was chosen but never sent is given up after this time.
 const TRIAL_LIFETIME: Duration = Duration::from_secs(1);
+/// A trial whose end is not told is given up after this time.
+const SENT_LIFETIME: Duration = Duration::from_secs(60);
 /// The ejection count is forgotten after this time in service.
 const GOOD_SPAN: Duration = Duration::from_secs(30);
 /// The largest standardised time of a trial that brings a server back.
@@ -67,7 +69,10 @@
         match self.state {
             HealthState::Serving { .. } => false,
             HealthState::Ejected { until } => now >= until,
-            HealthState::Trial { chosen, sent } => !sent && now.since(chosen) >= TRIAL_LIFETIME,
+            HealthState::Trial { chosen, sent } => {
+                let lifetime = if sent { SENT_LIFETIME } else { TRIAL_LIFETIME };
+                now.since(chosen) >= lifetime
+            }
         }
     }
 
--- a/crates/hollywheel-policy/src/quota.rs
+++ b/crates/hollywheel-policy/src/quota.rs
@@ -96,6 +96,13 @@
         };
         quota.take(now, hosts)
     }
+
+    /// Gives back what a request took that was refused for another reason.
+    pub(crate) fn give_back(&mut self, workspace: &WorkspaceId) {
+        if let Some(quota) = self.entries.get_mut(workspace) {
+            quota.tokens += 1.0;
+        }
+    }
 }
 
 impl WorkspaceQuota {
--- a/crates/hollywheel-policy/tests/admit.rs
+++ b/crates/hollywheel-policy/tests/admit.rs
@@ -218,3 +218,41 @@
     }
     assert!(engine.pools()[0].admitted.abs() < 1e-6);
 }
+
+#[test]
+fn a_request_that_ended_while_it_waited_never_starts() {
+    let mut engine = small_engine(2, 2);
+    let full = fill(&mut engine, RequestClass::Transaction);
+    let waiting = admit(&mut engine, NOW, 2000, RequestClass::Lookup);
+    assert_eq!(waiting, AdmitDecision::Wait);
+    engine.request_ended(NOW, RequestId(2000), RequestEnd::Failed);
+    for request in 0..full {
+        engine.request_ended(NOW, RequestId(request), RequestEnd::Attained);
+    }
+    assert!(engine.poll(NOW).is_empty());
+}
+
+#[test]
+fn refusals_of_servers_shrink_the_limit_for_a_while() {
+    let mut engine = small_engine(4, 4);
+    let limit = |engine: &PolicyEngine| engine.pools()[0].limit;
+    let before = limit(&engine);
+    for nonce in 0..20 {
+        let now = NOW + nonce as u32 * 200 * MS;
+        run_attempt(
+            &mut engine,
+            now,
+            nonce,
+            &server_name(0),
+            MS,
+            AttemptOutcome::Refused,
+        );
+    }
+    assert!(
+        limit(&engine) < 0.8 * before,
+        "{} of {before}",
+        limit(&engine)
+    );
+    engine.poll(NOW + 20_000 * MS);
+    assert!((limit(&engine) - before).abs() < 1e-6);
+}
--- a/crates/hollywheel-policy/tests/health.rs
+++ b/crates/hollywheel-policy/tests/health.rs
@@ -160,3 +160,21 @@
     }
     assert_eq!(ejected(&engine), 0);
 }
+
+#[test]
+fn a_trial_without_an_end_is_tried_again() {
+    let mut engine = small_engine(9, 4);
+    let server = server_name(0);
+    fail(&mut engine, NOW, 0);
+    let later = NOW + 1100 * MS;
+    assert_eq!(
+        picked(pick(&mut engine, later, RequestClass::Lookup, &[])),
+        server
+    );
+    engine.sent(later, &sent(900, 900, &server, RequestClass::Lookup));
+    let again = later + 61_000 * MS;
+    assert_eq!(
+        picked(pick(&mut engine, again, RequestClass::Lookup, &[])),
+        server
+    );
+}
--- a/crates/hollywheel-policy/tests/quota.rs
+++ b/crates/hollywheel-policy/tests/quota.rs
@@ -157,3 +157,28 @@
     assert!(after > 85 * MS && after < 105 * MS, "{after:?}");
     assert!(engine.take_hedge(MonoTime::from_millis(500_000), &pool));
 }
+
+#[test]
+fn a_refusal_for_another_reason_takes_nothing_from_the_rate() {
+    let workspaces = vec![workspace("office", 1, Some((1.0, 40)))];
+    let set = object_set(pool_object("pool", 1, 1), workspaces);
+    let settings = PolicySettings {
+        max_queued: 0,
+        ..PolicySettings::default()
+    };
+    let mut engine = engine(settings, set);
+    let now = MonoTime(0);
+    let mut reasons = Vec::new();
+    for request in 0..60 {
+        let asked = admit_request(request, "office", RequestClass::Batch, now + 1000 * MS);
+        if let AdmitDecision::Refuse { reason, .. } = engine.admit(now, &asked) {
+            reasons.push(reason);
+        }
+    }
+    assert!(reasons.len() > 50);
+    assert!(
+        reasons
+            .iter()
+            .all(|reason| *reason == RefuseReason::Overloaded)
+    );
+}
