Test admission of pipelines that pass several pools

Cause: that a request counts in each pool for its part of the time was not shown by any test.

Conclusion: no fault found here.

--- a/crates/hollywheel-policy/tests/admit.rs
+++ b/crates/hollywheel-policy/tests/admit.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
-use common::{MS, admit, admit_request, engine, object_set, pool_object, run_attempt};
+use common::{MS, admit, admit_request, engine, id, object_set, pool_object, run_attempt};
 use common::{server_name, small_engine, workspace};
 use hollywheel_policy::{
     AdmitDecision, AttemptOutcome, PolicyEngine, PolicySettings, RefuseReason, RequestEnd,
 };
-use hollywheel_types::{MonoTime, RequestClass, RequestId};
+use hollywheel_types::{MonoTime, PipelineId, RequestClass, RequestId, StageId};
 
 const NOW: MonoTime = MonoTime::from_millis(1000);
 
@@ -256,3 +256,61 @@
     engine.poll(NOW + 20_000 * MS);
     assert!((limit(&engine) - before).abs() < 1e-6);
 }
+
+/// Builds an engine with a second pool, a pipeline `other` on it alone and a pipeline `both` on
+/// the two, all for lookups.
+fn two_pool_engine() -> PolicyEngine {
+    let mut set = object_set(pool_object("pool", 2, 2), Vec::new());
+    let mut second = pool_object("second", 2, 2);
+    for server in &mut second.servers {
+        server.name = id(&format!("second-{}", server.name));
+    }
+    set.pools.push(second);
+    let lookup: StageId = id("lookup");
+    let mut stage = set.stage(&lookup).expect("the stage of lookups").clone();
+    (stage.name, stage.pool) = (id("other"), id("second"));
+    set.stages.push(stage);
+    let lookups: PipelineId = id("lookup");
+    let pipeline = set.pipeline(&lookups).expect("the pipeline").clone();
+    for (name, stages) in [("other", vec!["other"]), ("both", vec!["lookup", "other"])] {
+        let mut pipeline = pipeline.clone();
+        pipeline.name = id(name);
+        pipeline.stages = stages.into_iter().map(id).collect();
+        set.pipelines.push(pipeline);
+    }
+    set.sort();
+    engine(PolicySettings::default(), set)
+}
+
+fn admit_to(engine: &mut PolicyEngine, request: u128, pipeline: &str) -> AdmitDecision {
+    let mut asked = admit_request(request, "office", RequestClass::Lookup, NOW + 1000 * MS);
+    asked.pipeline = id(pipeline);
+    engine.admit(NOW, &asked)
+}
+
+#[test]
+fn a_full_pool_holds_back_only_pipelines_that_pass_it() {
+    let mut engine = two_pool_engine();
+    fill(&mut engine, RequestClass::Lookup);
+    assert_eq!(admit_to(&mut engine, 2000, "both"), AdmitDecision::Wait);
+    assert_eq!(admit_to(&mut engine, 2001, "other"), AdmitDecision::Wait);
+    assert_eq!(
+        started(&mut engine, NOW),
+        [2001],
+        "it waits for the other pool alone"
+    );
+}
+
+#[test]
+fn a_request_counts_in_each_pool_for_its_part_of_the_time() {
+    let mut engine = two_pool_engine();
+    for request in 0..8 {
+        assert_eq!(admit_to(&mut engine, request, "both"), AdmitDecision::Start);
+    }
+    let admitted: Vec<f64> = engine.pools().iter().map(|pool| pool.admitted).collect();
+    assert_eq!(admitted, [4.0, 4.0]);
+    (0..8).for_each(|request| {
+        engine.request_ended(NOW, RequestId(request), RequestEnd::Attained);
+    });
+    assert!(engine.pools().iter().all(|pool| pool.admitted == 0.0));
+}
