--- a/crates/hollywheel-daemon/src/host/runs.rs
+++ b/crates/hollywheel-daemon/src/host/runs.rs
@@ -1,5 +1,6 @@
 //! How each child of the supervisor starts.
 
+use std::net::TcpListener;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 use crate::peers::{HostListReader, MemberEffects, MemberTask, RequestReceiver};
 use crate::supervisor::{ChildRun, HostPhase};
 use crate::ticker::MetricsTicker;
-use crate::web::WebServer;
+use crate::web::{WebServer, close_listener};
 
 /// Bounds the time in which open connections may finish once the process closes.
 const CLOSE_BOUND: Duration = Duration::from_secs(6);
@@ -210,7 +211,7 @@
         move || {
             let state = Arc::clone(&state);
             let started = clone_listener(&listener).and_then(|socket| start_front(state, socket));
-            serve(started, phase.clone())
+            serve(started, clone_listener(&listener), phase.clone())
         }
     }
 
@@ -221,14 +222,12 @@
         move || {
             let state = Arc::clone(&state);
             let started = clone_listener(&listener).and_then(|socket| start_admin(state, socket));
-            serve(started, phase.clone())
+            serve(started, clone_listener(&listener), phase.clone())
         }
     }
 }
 
-fn clone_listener(
-    listener: &std::io::Result<std::net::TcpListener>,
-) -> std::io::Result<std::net::TcpListener> {
+fn clone_listener(listener: &std::io::Result<TcpListener>) -> std::io::Result<TcpListener> {
     match listener {
         Ok(listener) => listener.try_clone(),
         Err(error) => Err(std::io::Error::new(error.kind(), error.to_string())),
@@ -236,9 +235,13 @@
 }
 
 /// Runs a server until the process closes, and then lets its connections finish.
-fn serve(started: std::io::Result<WebServer>, phase: watch::Receiver<HostPhase>) -> ChildRun {
-    match started {
-        Ok(server) => Box::pin(serve_until_closing(server, phase)),
+fn serve(
+    started: std::io::Result<WebServer>,
+    listener: std::io::Result<TcpListener>,
+    phase: watch::Receiver<HostPhase>,
+) -> ChildRun {
+    match started.and_then(|server| Ok((server, listener?))) {
+        Ok((server, listener)) => Box::pin(serve_until_closing(server, listener, phase)),
         Err(error) => {
             let detail = error.to_string();
             log_event(LogEvent::ListenFailed, &EventContext::default(), &detail);
@@ -247,12 +250,17 @@
     }
 }
 
-async fn serve_until_closing(mut server: WebServer, mut phase: watch::Receiver<HostPhase>) {
+async fn serve_until_closing(
+    mut server: WebServer,
+    listener: TcpListener,
+    mut phase: watch::Receiver<HostPhase>,
+) {
     let failed = tokio::select! {
         () = server.ended() => true,
         _ = phase.wait_for(|phase| *phase == HostPhase::Closing) => false,
     };
     if !failed {
+        close_listener(listener);
         server.stop(CLOSE_BOUND).await;
     }
 }
--- a/crates/hollywheel-daemon/src/web/mod.rs
+++ b/crates/hollywheel-daemon/src/web/mod.rs
@@ -6,4 +6,4 @@
 
 pub use body::{BodyFault, discard_body, read_body};
 pub use problem::{ProblemReply, json_reply, problem_reply};
-pub use server::{WebServer, bind_listener};
+pub use server::{WebServer, bind_listener, close_listener};
--- a/crates/hollywheel-daemon/src/web/server.rs
+++ b/crates/hollywheel-daemon/src/web/server.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
@@ -20,6 +21,13 @@
     Ok(listener)
 }
 
+/// Ends the listening of a socket and of every copy of it, so that callers are refused at once
+/// instead of waiting for a process that accepts no more.
+pub fn close_listener(listener: TcpListener) {
+    let socket = TcpStream::from(OwnedFd::from(listener));
+    let _ = socket.shutdown(Shutdown::Both);
+}
+
 /// Orders a server to stop; the flag lets open connections finish.
 type StopOrder = Box<dyn Fn(bool) + Send + Sync>;
 
--- a/crates/hollywheel-daemon/tests/drain.rs
+++ b/crates/hollywheel-daemon/tests/drain.rs
@@ -78,3 +78,18 @@
     let ended = tokio::time::timeout(Duration::from_secs(15), host.host.run).await;
     assert!(ended.unwrap().unwrap());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_closes_refuses_connections_instead_of_leaving_them_unanswered() {
+    let host = TestHost::start().await;
+    // An open connection keeps the host closing for some seconds.
+    let idle = tokio::net::TcpStream::connect(host.callers).await.unwrap();
+    host.stop.send_replace(true);
+    wait_for("a refused connection", async || {
+        tokio::net::TcpStream::connect(host.callers).await.is_err()
+    })
+    .await;
+    assert!(!host.run.is_finished(), "the host has ended already");
+    drop(idle);
+    assert!(host.stop().await);
+}
