Shut down gracefully on a hang-up; test a caller that does not read

Cause: SIGHUP ended the process at once, as nobody took it. A test read the metrics right after the last reply, while the end of a request is counted just after its reply, and failed once. Ruled out: a lost count; the next read had it. Change: a hang-up drains as SIGTERM does; the test waits for the count and checks the same lines.

--- a/crates/hollywheel-daemon/src/command.rs
+++ b/crates/hollywheel-daemon/src/command.rs
@@ -92,9 +92,12 @@
     Ok(host.run().await)
 }
 
+/// Holds the signals that begin the graceful shutdown. A hang-up is one of them, since it would
+/// otherwise end the process at once.
 struct StopSignals {
     terminate: tokio::signal::unix::Signal,
     interrupt: tokio::signal::unix::Signal,
+    hangup: tokio::signal::unix::Signal,
 }
 
 impl StopSignals {
@@ -102,6 +105,7 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
@@ -109,6 +113,7 @@
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
+            _ = self.hangup.recv() => {}
         }
     }
 }
--- a/crates/hollywheel-daemon/tests/callers.rs
+++ b/crates/hollywheel-daemon/tests/callers.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollywheel_node::{CallerRequest, ReplyPart};
 use hollywheel_standins::{FaultOrder, LedgerEvent, StandinHandle};
+use hollywheel_types::{RequestId, WallTime};
 use http::{Request, Version};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -115,3 +117,26 @@
     assert_eq!(started.count(), 1);
     assert!(host.stop().await);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_does_not_read_its_stream_is_cut_off() {
+    let host = TestHost::start().await;
+    let (replies, mut parts) = tokio::sync::mpsc::channel(1);
+    let request = CallerRequest {
+        request: RequestId(5),
+        workspace: "clerk-desk".parse().unwrap(),
+        pipeline: "summary".parse().unwrap(),
+        input: "x".to_owned(),
+        idempotency_key: None,
+        timeout: None,
+        max_tokens: None,
+        stream: true,
+        received_at: WallTime(0),
+    };
+    slow_engine(&host);
+    host.core.submit(request, replies).unwrap();
+    wait_cancelled(&host.engine).await;
+    assert!(matches!(parts.recv().await, Some(ReplyPart::Token { .. })));
+    assert_eq!(parts.recv().await, None);
+    assert!(host.stop().await);
+}
--- a/crates/hollywheel-daemon/tests/operators.rs
+++ b/crates/hollywheel-daemon/tests/operators.rs
@@ -11,12 +11,17 @@
         assert_eq!(host.post("look-up", r#"{"input":"x"}"#).await.status, 200);
     }
     host.post("missing", r#"{"input":"x"}"#).await;
-    let text = host.admin("GET", "/metrics", Some(VIEWER), "").await.text();
+    // What ended is counted right after its reply.
+    let mut text = String::new();
+    wait_for("the end of every request", async || {
+        text = host.admin("GET", "/metrics", Some(VIEWER), "").await.text();
+        text.contains("hollywheel_refusals_total{kind=\"no-pipeline\"} 1")
+    })
+    .await;
     for line in [
         "hollywheel_requests_received_total 4",
         "hollywheel_request_seconds_count{class=\"interactive\"} 3",
         "hollywheel_workspace_request_seconds_count{workspace=\"clerk-desk\"} 3",
-        "hollywheel_refusals_total{kind=\"no-pipeline\"} 1",
         "hollywheel_attempts_sent_total{kind=\"first\"} 3",
     ] {
         assert!(text.contains(line), "{line} is missing in\n{text}");
@@ -29,8 +34,13 @@
 async fn status_pools_and_costs_are_shown() {
     let host = TestHost::start().await;
     assert_eq!(host.post("summary", r#"{"input":"x"}"#).await.status, 200);
-    let status = host.admin("GET", "/admin/status", Some(VIEWER), "").await;
-    let status = status.json();
+    let mut status = serde_json::Value::Null;
+    wait_for("the end of the request", async || {
+        let answer = host.admin("GET", "/admin/status", Some(VIEWER), "").await;
+        status = answer.json();
+        status["classes"][2]["received"] == 1
+    })
+    .await;
     assert_eq!(status["ready"], true);
     assert_eq!(status["config_version"], 1);
     assert_eq!(status["classes"][2]["attained"], 1);
--- a/crates/hollywheel-daemon/tests/process.rs
+++ b/crates/hollywheel-daemon/tests/process.rs
@@ -30,9 +30,9 @@
         Self { child, callers }
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        let sent = Command::new("kill").args([name, &id]).status();
         assert!(sent.expect("kill runs").success());
     }
 
@@ -76,7 +76,7 @@
         !kinds.iter().any(|kind| kind.contains("io_uring")),
         "{kinds:?}"
     );
-    daemon.terminate();
+    daemon.signal("-TERM");
     let (code, log) = daemon.wait();
     assert_eq!(code, 0, "{log}");
     for code in ["HW1001", "HW1004", "HW1005", "HW1007"] {
@@ -84,6 +84,16 @@
     }
 }
 
+#[test]
+fn a_hang_up_ends_the_process_gracefully() {
+    let mut daemon = Daemon::start();
+    std::net::TcpStream::connect(&daemon.callers).expect("a listener");
+    daemon.signal("-HUP");
+    let (code, log) = daemon.wait();
+    assert_eq!(code, 0, "{log}");
+    assert!(log.contains("HW1005"), "{log}");
+}
+
 #[test]
 fn check_and_print_end_at_once() {
     let run = |arguments: &[&str]| {
