Predict longer waits, so that more refusals are decided at arrival

Hypothesis: a fifth of the refusals at twice the capacity come after a wait, since the prediction leaves out requests that arrive later and go first.

Change: predicted waits are longer by 1.5, before 1.2.

--- a/crates/hollywheel-policy/src/forecast.rs
+++ b/crates/hollywheel-policy/src/forecast.rs
@@ -8,8 +8,9 @@
 use crate::lanes::LaneTable;
 use crate::plan::PipelinePlan;
 
-/// The predicted wait is longer by this factor for the starts guaranteed to lower classes.
-const WAIT_FACTOR: f64 = 1.2;
+/// The predicted wait is longer by this factor, for the starts guaranteed to lower classes and
+/// for the requests that arrive later and go first.
+const WAIT_FACTOR: f64 = 1.5;
 /// The smallest share of a pool, in requests at once, that a wait is predicted with.
 const MIN_SHARE: f64 = 0.1;
 /// The longest wait predicted, in seconds.
