Separate expected answers from the checks

Ruled out: nothing else; no check changed.

Change: answer.rs computes what a request should get; the phase NotAdmitted names what it is.

Conclusion: behaviour is as before.

--- a/crates/hollywheel-matrix/src/check.rs
+++ b/crates/hollywheel-matrix/src/check.rs
@@ -7,9 +7,10 @@
 use hollywheel_node::{RefusalReason, ReplyPart};
 use hollywheel_types::{ExecutionVerdict, IdempotencyKey, MonoTime, RequestId};
 
-use crate::cell::{CellFault, CellScenario, MatrixCell};
+use crate::answer::answer_fault;
+use crate::cell::{CellFault, MatrixCell};
 use crate::fixture;
-use crate::scene::{LedgerEvent, SceneLog, SeenPart, SentRequest, token_text, unary_output};
+use crate::scene::{LedgerEvent, SceneLog, SeenPart, SentRequest};
 
 /// The time by which a reply may be late through the granularity of a run.
 const SLACK: Duration = Duration::from_millis(10);
@@ -26,8 +27,6 @@
 /// The time in which a shutdown completes: its span and the time for the last writes.
 const DRAIN_TIME: Duration = Duration::from_millis(2600);
 
-const FIRST_TOKENS: u32 = 5;
-
 /// Names the checks.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CheckName {
@@ -378,52 +377,3 @@
         }
     }
 }
-
-/// Returns the tokens of the answer to a request; none if it is not streamed.
-fn expected_tokens(sent: &SentRequest) -> Option<Vec<String>> {
-    if sent.scenario != CellScenario::Question {
-        return None;
-    }
-    let previous = unary_output("encode", &sent.input, "");
-    let tokens = match sent.version == fixture::second_version().version {
-        true => fixture::SECOND_TOKENS.0,
-        false => FIRST_TOKENS,
-    };
-    let text = |index| token_text("draft", &sent.input, &previous, index);
-    Some((0..tokens).map(text).collect())
-}
-
-fn expected_output(sent: &SentRequest) -> String {
-    if let Some(tokens) = expected_tokens(sent) {
-        return tokens.concat();
-    }
-    let stages = sent.scenario.stages().iter();
-    stages.fold(String::new(), |previous, stage| {
-        unary_output(stage, &sent.input, &previous)
-    })
-}
-
-/// Compares the parts that a caller got with what the request should give.
-fn answer_fault(sent: &SentRequest, parts: &[SeenPart]) -> Option<String> {
-    let request = sent.request;
-    let expected = expected_tokens(sent).unwrap_or_default();
-    let mut tokens: usize = 0;
-    for part in parts {
-        match &part.part {
-            ReplyPart::Token { index, text } => {
-                let wanted = expected.get(tokens);
-                if usize::try_from(index.0).ok() != Some(tokens) || wanted != Some(text) {
-                    return Some(format!("request {request} got token {index} {text:?}"));
-                }
-                tokens += 1;
-            }
-            ReplyPart::Complete { output, .. } => {
-                if *output != expected_output(sent) || tokens != expected.len() {
-                    return Some(format!("request {request} got {output:?}"));
-                }
-            }
-            ReplyPart::Refused(_) => {}
-        }
-    }
-    None
-}
--- a/crates/hollywheel-matrix/src/lib.rs
+++ b/crates/hollywheel-matrix/src/lib.rs
@@ -1,5 +1,6 @@
 //! Fault matrix and trace replay over the decision machines.
 
+mod answer;
 mod breaks;
 mod cell;
 mod check;
--- a/crates/hollywheel-node/src/receive.rs
+++ b/crates/hollywheel-node/src/receive.rs
@@ -99,8 +99,7 @@
         let Some(run) = self.runs.get_mut(id) else {
             return;
         };
-        // The policy has forgotten the request; there is nothing to withdraw from it.
-        run.phase = RunPhase::Claiming;
+        run.phase = RunPhase::NotAdmitted;
         self.refuse(
             now,
             id,
--- a/crates/hollywheel-node/src/run.rs
+++ b/crates/hollywheel-node/src/run.rs
@@ -17,6 +17,8 @@
 pub(crate) enum RunPhase {
     /// The decision of the policy whether it may start.
     Queued,
+    /// Nothing any more: the policy has decided against it.
+    NotAdmitted,
     /// The claim of its key.
     Claiming,
     /// A backend server.
@@ -144,7 +146,9 @@
     pub(crate) fn wake(&self) -> MonoTime {
         let pick = match self.phase {
             RunPhase::Picking { until, .. } => Some(until),
-            RunPhase::Queued | RunPhase::Claiming | RunPhase::Running => None,
+            RunPhase::Queued | RunPhase::NotAdmitted | RunPhase::Claiming | RunPhase::Running => {
+                None
+            }
         };
         [pick, self.work.hedge_at, self.work.replace_at]
             .into_iter()
