--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -73,21 +73,21 @@
         "listen",
         "HOLLYWHEEL_LISTEN",
         "IP:PORT",
-        Some("127.0.0.1:8080"),
+        Some("127.0.0.1:7600"),
         "Address for callers",
     ),
     entry(
         "admin-listen",
         "HOLLYWHEEL_ADMIN_LISTEN",
         "IP:PORT",
-        Some("127.0.0.1:8081"),
+        Some("127.0.0.1:7601"),
         "Address for operators and metrics",
     ),
     entry(
         "peer-listen",
         "HOLLYWHEEL_PEER_LISTEN",
         "IP:PORT",
-        Some("127.0.0.1:8082"),
+        Some("127.0.0.1:7602"),
         "Address for other hosts (UDP)",
     ),
     entry(
@@ -144,7 +144,7 @@
         "HOLLYWHEEL_CONFIG_POLL_MS",
         "MILLISECONDS",
         Some("2000"),
-        "Time between reads of the newest configuration version",
+        "Least mean time between two reads of the newest configuration version by this host",
     ),
     entry(
         "load-poll-ms",
--- a/crates/hollywheel-matrix/src/command/mod.rs
+++ b/crates/hollywheel-matrix/src/command/mod.rs
@@ -5,6 +5,8 @@
 mod record;
 mod replay;
 mod run;
+mod told;
+mod writes;
 
 use std::process::ExitCode;
 
@@ -21,6 +23,8 @@
         .subcommand(breaks::command())
         .subcommand(record::command())
         .subcommand(replay::command())
+        .subcommand(told::command())
+        .subcommand(writes::command())
 }
 
 /// Runs the command that was given.
@@ -31,6 +35,8 @@
         Some(("breaks", matches)) => breaks::run(matches),
         Some(("record", matches)) => record::run(matches),
         Some(("replay", matches)) => replay::run(matches),
+        Some(("told", matches)) => told::run(matches),
+        Some(("writes", matches)) => writes::run(matches),
         _ => ExitCode::FAILURE,
     }
 }
--- a/crates/hollywheel-node/src/stage.rs
+++ b/crates/hollywheel-node/src/stage.rs
@@ -138,12 +138,7 @@
 
     /// Asks again for requests that wait for a server of a pool at which an attempt ended.
     pub(crate) fn pick_waiting(&mut self, now: MonoTime, pool: &PoolId, out: &mut Vec<NodeOutput>) {
-        for id in self
-            .runs
-            .waiting_for(pool)
-            .into_iter()
-            .take(MAX_WAITING_ASKED)
-        {
+        for id in self.runs.waiting_for(pool, MAX_WAITING_ASKED) {
             if let Some(RunPhase::Picking { kind, .. }) = self.runs.get(id).map(|run| run.phase) {
                 self.pick(now, id, kind, out);
             }
@@ -223,9 +218,9 @@
             .policy
             .expected_time(pipeline, run.class, run.stage + 1);
         let expected = from_here.saturating_sub(later);
-        // The last point at which another attempt may still end in time, unless this one has
-        // not even had twice its expected time by then.
-        let replace_at = run.deadline - from_here;
+        // A point from which another attempt ends in time even if all takes twice as long as
+        // expected, unless this one has not even had twice its expected time by then.
+        let replace_at = run.deadline - from_here * 2;
         let patient = replace_at > now + expected * 2 && !expected.is_zero();
         let hedge_after = match run.generates() {
             true => None,
--- a/crates/hollywheel-policy/src/engine.rs
+++ b/crates/hollywheel-policy/src/engine.rs
@@ -177,6 +177,9 @@
         let max_queued = self.settings.max_queued;
         let (gate, mut context) = self.split_gate();
         let decision = gate.admit(&mut context, request, max_queued);
+        if matches!(decision, AdmitDecision::Refuse { .. }) {
+            self.quotas.give_back(&request.workspace);
+        }
         self.spread(decision)
     }
 
@@ -254,8 +257,10 @@
         };
         match choose_server(now, pool, &query, &mut self.random) {
             RouteChoice::Server(server) => PickDecision::Send(server),
-            RouteChoice::Saturated => {
-                pool.pressure.note_saturated(now);
+            RouteChoice::Saturated { full } => {
+                if full {
+                    pool.pressure.note_saturated(now);
+                }
                 self.wait_or_refuse(now, request.deadline - needed)
             }
             RouteChoice::NoServer => {
@@ -385,6 +390,8 @@
     pub fn request_ended(&mut self, now: MonoTime, request: RequestId, end: RequestEnd) {
         self.advance(now);
         let Some(state) = self.requests.remove(&request) else {
+            let (gate, context) = self.split_gate();
+            gate.withdraw(&context, request);
             return;
         };
         for leg in &state.legs {
