Bound the polls of backend servers' load

Cause: a host polled every server of its subset each second. The subset is 20 servers a pool, so at the target size the polls alone exceed the bound of 5 KB/s for control; a report named up to 512 prefixes of 19 bytes each. Ruled out: collecting by one host and spreading to all (1,000 reports a second are 100 KB/s a host); polling less often at a fixed interval, since the number of servers sets the cost. One poll is 48 bytes out and 284 to 588 in (stand-in engine, payload of TCP). Default 3 a second. Conclusion: at most 1.9 KB/s of payload for any number of servers.

--- a/crates/hollywheel-daemon/src/backend/load.rs
+++ b/crates/hollywheel-daemon/src/backend/load.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollywheel_types::{ServerId, SortedMap};
+use hollywheel_types::{MonoTime, ServerId, SortedMap};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::sync::Semaphore;
@@ -18,14 +18,18 @@
 
 /// Bounds the reads in progress.
 const MAX_READS: usize = 32;
-/// Gives the share of the interval by which polls are spread, in percent.
+/// Gives the time after which the subset and the due servers are looked at again.
+const ROUND: Duration = Duration::from_secs(1);
+/// Gives the share of a pause by which polls are spread, in percent.
 const JITTER_PERCENT: u64 = 20;
 
 /// Holds the settings of the collector.
 #[derive(Clone, Debug)]
 pub struct CollectorSettings {
-    /// The time between polls of one server.
+    /// The least time between polls of one server.
     pub interval: Duration,
+    /// The most polls a second, over all servers.
+    pub polls_per_second: usize,
     /// The seed of the jitter.
     pub seed: u64,
 }
@@ -52,31 +56,57 @@
     pub async fn run(self) {
         let mut random = StdRng::seed_from_u64(self.settings.seed);
         let reads = Arc::new(Semaphore::new(MAX_READS));
-        while let Some(subset) = self.core.subset().await {
+        let mut polled: SortedMap<ServerId, MonoTime> = SortedMap::new();
+        while let Some(mut subset) = self.core.subset().await {
+            subset.sort();
             let addresses = self.addresses();
-            self.reports.keep(&sorted(&subset));
-            for server in &subset {
-                if let Some(address) = addresses.get(server)
-                    && !self.is_fresh(server)
-                {
-                    self.start_read(server, *address, &reads);
+            self.reports.keep(&subset);
+            polled.retain(|server, _| subset.binary_search(server).is_ok());
+            let due = self.due_servers(subset, &polled);
+            if due.is_empty() {
+                tokio::time::sleep(self.round().min(self.settings.interval)).await;
+            }
+            let pause = self.round() / u32::try_from(due.len().max(1)).unwrap_or(u32::MAX);
+            for server in due {
+                polled.insert(server.clone(), self.clock.now());
+                if let Some(address) = addresses.get(&server) {
+                    self.start_read(&server, *address, &reads);
                 }
+                tokio::time::sleep(jittered(pause, &mut random)).await;
             }
-            tokio::time::sleep(self.pause(&mut random)).await;
         }
     }
 
-    fn pause(&self, random: &mut StdRng) -> Duration {
-        let span = u64::try_from(self.settings.interval.as_millis()).unwrap_or(u64::MAX);
-        let spread = span.saturating_mul(JITTER_PERCENT) / 100;
-        Duration::from_millis(span - spread / 2 + random.random_range(0..=spread))
+    /// Returns the length of a round, in which each server is polled at most once.
+    fn round(&self) -> Duration {
+        ROUND.min(self.settings.interval)
     }
 
-    /// Says whether an answer carried the load since the last poll.
-    fn is_fresh(&self, server: &ServerId) -> bool {
+    /// Returns the servers to poll in this round: those unheard of for longest.
+    fn due_servers(
+        &self,
+        subset: Vec<ServerId>,
+        polled: &SortedMap<ServerId, MonoTime>,
+    ) -> Vec<ServerId> {
         let now = self.clock.now();
-        let last = self.reports.last(server);
-        last.is_some_and(|last| now.since(last.at) < self.settings.interval / 2)
+        let heard = |server: &ServerId| {
+            let reported = self.reports.last(server).map(|last| last.at);
+            reported.max(polled.get(server).copied())
+        };
+        let mut due: Vec<(Option<MonoTime>, ServerId)> = subset
+            .into_iter()
+            .map(|server| (heard(&server), server))
+            .filter(|(heard, _)| heard.is_none_or(|at| now.since(at) >= self.settings.interval / 2))
+            .collect();
+        due.sort();
+        due.truncate(self.polls_per_round());
+        due.into_iter().map(|(_, server)| server).collect()
+    }
+
+    fn polls_per_round(&self) -> usize {
+        let share = self.round().as_secs_f64() / ROUND.as_secs_f64();
+        let polls = self.settings.polls_per_second as f64 * share;
+        (polls as usize).max(1)
     }
 
     fn start_read(&self, server: &ServerId, address: SocketAddr, reads: &Arc<Semaphore>) {
@@ -115,8 +145,8 @@
     }
 }
 
-fn sorted(servers: &[ServerId]) -> Vec<ServerId> {
-    let mut servers = servers.to_vec();
-    servers.sort();
-    servers
+fn jittered(span: Duration, random: &mut StdRng) -> Duration {
+    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    let spread = micros.saturating_mul(JITTER_PERCENT) / 100;
+    Duration::from_micros(micros - spread / 2 + random.random_range(0..=spread))
 }
--- a/crates/hollywheel-daemon/src/host/runs.rs
+++ b/crates/hollywheel-daemon/src/host/runs.rs
@@ -184,6 +184,7 @@
         let collector = LoadCollector {
             settings: CollectorSettings {
                 interval: self.settings.load_poll,
+                polls_per_second: self.settings.load_polls,
                 seed: self.seed,
             },
             backend: self.backend.clone(),
--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -151,7 +151,14 @@
         "HOLLYWHEEL_LOAD_POLL_MS",
         "MILLISECONDS",
         Some("1000"),
-        "Time between polls of one backend server's load",
+        "Least time between polls of one backend server's load",
+    ),
+    entry(
+        "load-polls",
+        "HOLLYWHEEL_LOAD_POLLS",
+        "POLLS",
+        Some("3"),
+        "Most polls of backend servers' load a second, over all servers",
     ),
     entry(
         "log-format",
--- a/crates/hollywheel-daemon/src/settings/parse.rs
+++ b/crates/hollywheel-daemon/src/settings/parse.rs
@@ -292,6 +292,7 @@
         workers: check.number("workers", 1, 256) as usize,
         config_poll: check.millis("config-poll-ms", 100, 60_000),
         load_poll: check.millis("load-poll-ms", 100, 60_000),
+        load_polls: check.number("load-polls", 1, 1000) as usize,
         log_format: check.named("log-format", &LOG_FORMATS),
         log_level: check.named("log-level", &LOG_LEVELS),
         secrets: check.secrets(),
--- a/crates/hollywheel-daemon/src/settings/show.rs
+++ b/crates/hollywheel-daemon/src/settings/show.rs
@@ -38,6 +38,7 @@
         "workers" => settings.workers.to_string(),
         "config-poll-ms" => settings.config_poll.as_millis().to_string(),
         "load-poll-ms" => settings.load_poll.as_millis().to_string(),
+        "load-polls" => settings.load_polls.to_string(),
         "log-format" => format_name(settings.log_format).to_owned(),
         "log-level" => level_name(settings.log_level).to_owned(),
         "platform-token" => hidden(secrets.platform_token.is_some()),
--- a/crates/hollywheel-daemon/src/settings/values.rs
+++ b/crates/hollywheel-daemon/src/settings/values.rs
@@ -74,6 +74,8 @@
     pub config_poll: Duration,
     /// The time between polls of one backend server's load.
     pub load_poll: Duration,
+    /// The most polls of backend servers' load a second.
+    pub load_polls: usize,
     /// The form of log lines.
     pub log_format: LogFormat,
     /// The least severe level that is logged.
@@ -101,6 +103,7 @@
             workers: 2,
             config_poll: Duration::from_secs(2),
             load_poll: Duration::from_secs(1),
+            load_polls: 3,
             log_format: LogFormat::Text,
             log_level: LogLevel::Info,
             secrets: SecretSettings::default(),
--- a/crates/hollywheel-standins/src/engine/cache.rs
+++ b/crates/hollywheel-standins/src/engine/cache.rs
@@ -36,6 +36,9 @@
     pub(crate) events: Vec<CacheEvent>,
 }
 
+/// Bounds the prefixes that a report names, so that a report stays below one packet.
+const REPORTED_PREFIXES: usize = 16;
+
 /// Keeps the most recently used prefixes.
 #[derive(Debug)]
 pub(crate) struct PrefixCache {
@@ -58,8 +61,15 @@
         }
     }
 
-    pub(crate) fn prefixes(&self) -> Vec<String> {
-        self.prefixes.iter().cloned().collect()
+    /// Returns the prefixes used last, as many as a report names.
+    pub(crate) fn recent_prefixes(&self) -> Vec<String> {
+        let recent = self.prefixes.iter().rev().take(REPORTED_PREFIXES);
+        recent.cloned().collect()
+    }
+
+    /// Returns the number of prefixes.
+    pub(crate) fn used(&self) -> u32 {
+        u32::try_from(self.prefixes.len()).unwrap_or(u32::MAX)
     }
 
     /// Uses a prefix; says whether it was cached.
--- a/crates/hollywheel-standins/src/engine/server.rs
+++ b/crates/hollywheel-standins/src/engine/server.rs
@@ -43,15 +43,15 @@
 
 impl EngineServer {
     pub(super) fn load(&self) -> LoadReport {
-        let prefixes = self.cache.lock().expect("no holder panics").prefixes();
+        let cache = self.cache.lock().expect("no holder panics");
         LoadReport {
             running: self.running.load(Ordering::SeqCst),
             queued: self.queued(),
             slots: self.settings.slots,
             models: self.shelf.models(),
-            cache_used: u32::try_from(prefixes.len()).unwrap_or(u32::MAX),
+            cache_used: cache.used(),
             cache_size: self.settings.cache_size,
-            prefixes,
+            prefixes: cache.recent_prefixes(),
             ..self.core.report()
         }
     }
