Let late answers settle the claims of payments

An attempt was cancelled at the deadline of its request, so its claim settled as may-have-run though the server answered a moment later, and the caller who asked again never learned the truth.

Ruled out: holding the caller until the answer comes (a request that is given up gets its final answer at once), and settling by the answer of an earlier stage, which is not the request's.

The caller is told may-have-run at the deadline as before. A non-idempotent attempt of the last stage stays connected for 10 s more, at most 256 a host, with its claim held; a whole answer that names the request, the stage and the attempt settles the claim as ran with the answer. A shutdown ends it. The policy and the metrics still count it as timed out at the deadline.

The daemon's own tests were not run for this change.

--- a/crates/hollywheel-matrix/tests/matrix.rs
+++ b/crates/hollywheel-matrix/tests/matrix.rs
@@ -3,9 +3,11 @@
 use bolero::ValueGenerator;
 use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
 use hollywheel_matrix::{
-    CellScenario, DeliberateBreak, FaultPoint, MatrixCell, MatrixSettings, MatrixSummary,
-    SceneSettings, run_break, run_cell, run_cells,
+    CellScenario, DeliberateBreak, FaultPoint, FaultScene, MatrixCell, MatrixSettings,
+    MatrixSummary, SceneSettings, check_cell, run_break, run_cell, run_cells,
 };
+use hollywheel_node::ReplyPart;
+use hollywheel_types::{ExecutionVerdict, RequestId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -109,3 +111,33 @@
     let error = "payment/lunch+slow".parse::<MatrixCell>().unwrap_err();
     insta::assert_snapshot!(error, @r#"step "lunch" is not known; expected receive, admit, claim-write, claim-answer, pick, dispatch, first-byte, mid-stream, last-byte, result-write, reply, config-change, drain"#);
 }
+
+#[test]
+fn late_answer_reaches_the_caller_who_asks_again() {
+    for point in [
+        "dispatch+slow",
+        "dispatch+slow/claim-write+store-answer-lost",
+    ] {
+        let cell: MatrixCell = format!("payment/{point}").parse().unwrap();
+        let scene = SceneSettings {
+            seed: 1,
+            ..SceneSettings::default()
+        };
+        let log = FaultScene::new(&cell, scene).run();
+        assert_eq!(check_cell(&cell, &log), Vec::new());
+        let told = |request: u128| {
+            let parts = log.parts.iter();
+            let mut own = parts.filter(|part| part.request == RequestId(request));
+            own.next().map(|part| part.part.clone())
+        };
+        let Some(ReplyPart::Refused(refusal)) = told(1) else {
+            panic!("the first submission was not refused");
+        };
+        assert_eq!(refusal.verdict, ExecutionVerdict::MayHaveRun);
+        for request in [20, 21] {
+            let part = told(request);
+            let replayed = matches!(part, Some(ReplyPart::Complete { replayed: true, .. }));
+            assert!(replayed, "{cell}: request {request} was told {part:?}");
+        }
+    }
+}
--- a/crates/hollywheel-node/src/attempt.rs
+++ b/crates/hollywheel-node/src/attempt.rs
@@ -19,6 +19,9 @@
         event: AttemptEvent,
         out: &mut Vec<NodeOutput>,
     ) {
+        if self.late_event(now, nonce, &event, out) {
+            return;
+        }
         let Some(id) = self.runs.by_attempt(nonce) else {
             note_stray(nonce, &event, out);
             return;
--- a/crates/hollywheel-node/src/drain.rs
+++ b/crates/hollywheel-node/src/drain.rs
@@ -29,6 +29,7 @@
         }
         self.drain = DrainState::Draining { until: now + span };
         self.claims.begin_drain();
+        self.drain_late(now, out);
         for id in self.runs.queued() {
             self.refuse(
                 now,
--- a/crates/hollywheel-node/src/finish.rs
+++ b/crates/hollywheel-node/src/finish.rs
@@ -90,12 +90,15 @@
         refusal: Refusal,
         out: &mut Vec<NodeOutput>,
     ) {
+        let kept = self.keep_late(now, id, refusal.reason, out);
         self.cancel_attempts(now, id, cancel_outcome(refusal.reason), out);
         let Some(run) = self.runs.remove(id) else {
             return;
         };
         push_reply(&run, ReplyPart::Refused(refusal.clone()), out);
-        self.give_up(now, &run);
+        if !kept {
+            self.give_up(now, &run);
+        }
         self.close(now, &run, refusal.verdict, Some(refusal.reason), out);
     }
 
--- a/crates/hollywheel-node/src/lib.rs
+++ b/crates/hollywheel-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod finish;
 mod input;
+mod late;
 mod machine;
 mod nonce;
 mod output;
--- a/crates/hollywheel-node/src/machine.rs
+++ b/crates/hollywheel-node/src/machine.rs
@@ -10,6 +10,7 @@
 
 use crate::drain::DrainState;
 use crate::input::{HostView, NodeInput};
+use crate::late::LateTable;
 use crate::nonce::NonceSource;
 use crate::output::NodeOutput;
 use crate::settings::NodeSettings;
@@ -28,6 +29,7 @@
     pub(crate) config: Option<Arc<ObjectSet>>,
     pub(crate) config_version: ConfigVersion,
     pub(crate) runs: RunTable,
+    pub(crate) late: LateTable,
     /// Pools at which an attempt has just ended.
     pub(crate) freed_pools: Vec<PoolId>,
     pub(crate) drain: DrainState,
@@ -53,6 +55,7 @@
             config: None,
             config_version: ConfigVersion::default(),
             runs: RunTable::default(),
+            late: LateTable::default(),
             freed_pools: Vec::new(),
             drain: DrainState::default(),
             settings,
@@ -130,6 +133,8 @@
                 self.run_due(now, id, out);
             } else if self.claim_wake.is_some_and(|wake| wake <= now) {
                 self.tick_claims(now);
+            } else if self.late.next_wake().is_some_and(|wake| wake <= now) {
+                self.end_late(now, out);
             } else if let Some(pool) = self.freed_pools.pop() {
                 self.pick_waiting(now, &pool, out);
             } else if !self.poll_policy(now, out) {
@@ -176,6 +181,7 @@
     pub fn next_wake(&self) -> Option<MonoTime> {
         [
             self.runs.next_wake(),
+            self.late.next_wake(),
             self.claim_wake,
             self.policy.next_wake(),
             self.drain_wake(),
--- a/crates/hollywheel-node/src/settings.rs
+++ b/crates/hollywheel-node/src/settings.rs
@@ -20,6 +20,11 @@
     pub store_timeout: Duration,
     /// The largest number of requests in progress.
     pub max_requests: usize,
+    /// The time after its deadline for which a non-idempotent attempt stays connected, so that
+    /// its answer settles the claim.
+    pub late_grace: Duration,
+    /// The most attempts kept so; beyond it they are cancelled at the deadline.
+    pub max_late: usize,
 }
 
 impl Default for NodeSettings {
@@ -31,6 +36,8 @@
             claim_batch: 64,
             store_timeout: Duration::from_millis(500),
             max_requests: 4096,
+            late_grace: Duration::from_secs(10),
+            max_late: 256,
         }
     }
 }
--- a/crates/hollywheel-node/src/trace.rs
+++ b/crates/hollywheel-node/src/trace.rs
@@ -68,6 +68,7 @@
             claim_batch: self.claim_batch,
             store_timeout: Duration::from_micros(self.store_timeout_us),
             max_requests: self.max_requests,
+            ..NodeSettings::default()
         }
     }
 }
--- a/crates/hollywheel-node/tests/claims.rs
+++ b/crates/hollywheel-node/tests/claims.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use hollywheel_claims::{ClaimAnswer, ClaimKey, ClaimQuestion, ClaimRow, ClaimState};
-use hollywheel_node::{AttemptEvent, NodeInput, StoreTicket};
+use hollywheel_node::{AttemptEvent, NodeEvent, NodeInput, NodeSettings, StoreTicket};
+use hollywheel_policy::AttemptOutcome;
 use hollywheel_store::{StoreFailure, StoreRow};
 use hollywheel_types::{
     AttemptNonce, BodyDigest, ExecutionVerdict, Incarnation, RequestId, WallTime,
@@ -290,3 +291,84 @@
         ("settled", 1)
     );
 }
+
+#[test]
+fn late_answer_settles_the_claim_for_the_caller_who_asks_again() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "payment", Some("k1"));
+    let call = host.last_call();
+    host.pass(3000);
+    assert_eq!(
+        host.outcome(1),
+        "may-have-run deadline-passed retry_after=None"
+    );
+    assert!(host.cancelled.is_empty());
+    host.request(2, "payment", Some("k1"));
+    assert_eq!(host.outcome(2), "none");
+    host.answer(&call, "paid");
+    host.pass(200);
+    assert_eq!(host.store.field("verdict"), "ran");
+    host.request(3, "payment", Some("k1"));
+    for id in [2, 3] {
+        assert_eq!(host.outcome(id), "complete \"paid\" replayed=true", "{id}");
+    }
+    let late = host.events.iter().filter(|event| {
+        matches!(event, NodeEvent::AttemptEnded { outcome, .. } if *outcome == AttemptOutcome::TimedOut)
+    });
+    assert_eq!((host.calls.len(), late.count()), (1, 1));
+}
+
+#[test]
+fn attempt_that_does_not_answer_in_the_grace_is_cancelled() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "payment", Some("k1"));
+    host.pass(3000);
+    host.pass(10_200);
+    assert_eq!(host.cancelled.len(), 1);
+    assert_eq!(host.store.field("verdict"), "may-have-run");
+    assert!(host.machine.claims().is_settled());
+}
+
+#[test]
+fn drain_ends_late_attempts() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "payment", Some("k1"));
+    host.pass(3000);
+    host.input(NodeInput::Drain(Duration::from_secs(2)));
+    host.pass(10);
+    assert_eq!((host.cancelled.len(), host.drained), (1, 1));
+    assert_eq!(host.store.field("verdict"), "may-have-run");
+}
+
+#[test]
+fn late_answer_of_another_attempt_settles_nothing_as_ran() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "payment", Some("k1"));
+    let call = host.last_call();
+    host.pass(3000);
+    let mut crossed = support::echo(&call);
+    crossed.nonce = AttemptNonce(99);
+    let output = "another's".to_owned();
+    host.event(
+        &call,
+        AttemptEvent::Answer {
+            echo: crossed,
+            output,
+        },
+    );
+    host.pass(200);
+    assert_eq!(host.store.field("verdict"), "may-have-run");
+    assert_eq!(host.mismatches(), 1);
+}
+
+#[test]
+fn attempts_beyond_the_bound_are_cancelled_at_the_deadline() {
+    let mut host = HostUnderTest::with(NodeSettings {
+        max_late: 1,
+        ..NodeSettings::default()
+    });
+    host.request(1, "payment", Some("k1"));
+    host.request(2, "payment", Some("k2"));
+    host.pass(3000);
+    assert_eq!(host.cancelled.len(), 1);
+}
