Give the cost examples names of their own

Cause: two example programs of different crates shared a name, of which cargo warns that it may become an error. Ruled out: one program for all; the crates don't depend on one another. Conclusion: the warning is gone from the run of the wire and transport tests.

--- a/crates/hollywheel-config/examples/capacity.rs
+++ b/crates/hollywheel-config/examples/install_cost.rs
@@ -1,7 +1,7 @@
 //! Prints what installing a version costs a host, against the number of objects, and what the
 //! fleet reads, against the number of hosts.
 //!
-//! `cargo run --release -p hollywheel-config --example capacity`
+//! `cargo run --release -p hollywheel-config --example install_cost`
 
 #[path = "../tests/world/mod.rs"]
 mod world;
--- a/crates/hollywheel-transport/examples/traffic.rs
+++ b/crates/hollywheel-transport/examples/transport_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what the transport adds to a message, on the loopback address.
 //!
-//! `cargo run --release -p hollywheel-transport --example traffic`
+//! `cargo run --release -p hollywheel-transport --example transport_cost`
 
 #[path = "../tests/keys/mod.rs"]
 mod keys;
--- a/crates/hollywheel-wire/examples/capacity.rs
+++ b/crates/hollywheel-wire/examples/membership_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what membership costs a host, against the number of hosts.
 //!
-//! `cargo run --release -p hollywheel-wire --example capacity`
+//! `cargo run --release -p hollywheel-wire --example membership_cost`
 
 #[path = "../../hollywheel-membership/tests/fleet/mod.rs"]
 mod fleet;
