Add keys that one process issues and alone may use

Payments stopped while the table service was down, since every key needs a row. A key that names the process that issued it needs none: only that process sends under it, and its memory says what became of it. Other hosts hand the request to the issuer.

Ruled out: a lease for the key (a paused holder may send after it), and forgetting ended keys without a trace (an unknown key would then be called not run): the key carries the second of its issue, and keys as old as a forgotten one are told as may-have-run.

--- a/crates/hollywheel-claims/src/entry.rs
+++ b/crates/hollywheel-claims/src/entry.rs
@@ -33,6 +33,8 @@
 pub enum ClaimDenial {
     /// The key was used with another request.
     Reused,
+    /// The key was issued by this process, or names it, and no request ran or can run under it.
+    Expired,
     /// The key belongs to another request, of which that much is known.
     Taken(ExecutionVerdict),
     /// The table service does not answer.
--- a/crates/hollywheel-claims/src/lib.rs
+++ b/crates/hollywheel-claims/src/lib.rs
@@ -4,6 +4,9 @@
 //! [`ClaimTable`] decides when that is so and what callers who ask again are told.
 
 mod entry;
+mod holder;
+mod issued;
+mod issued_key;
 mod message;
 mod outage;
 mod outcome;
@@ -16,6 +19,9 @@
 mod write;
 
 pub use entry::{ClaimDenial, ClaimOrder};
+pub use holder::KeyHolder;
+pub use issued::IssuedTable;
+pub use issued_key::IssuedKey;
 pub use message::{ClaimAnswer, ClaimKey, ClaimQuestion, StoredAnswer};
 pub use output::{ClaimOutput, ClaimTicket};
 pub use row::{
--- a/crates/hollywheel-claims/src/outcome.rs
+++ b/crates/hollywheel-claims/src/outcome.rs
@@ -164,7 +164,7 @@
         }
     }
 
-    fn is_self(&self, holder: &ClaimHolder) -> bool {
+    pub(crate) fn is_self(&self, holder: &ClaimHolder) -> bool {
         holder.host == self.settings.host && holder.incarnation == self.settings.incarnation
     }
 
--- a/crates/hollywheel-claims/src/settings.rs
+++ b/crates/hollywheel-claims/src/settings.rs
@@ -34,6 +34,14 @@
     pub max_unwritten: usize,
     /// The largest sum of answers that wait to be written. Above it an answer is not kept.
     pub max_unwritten_bytes: ByteSize,
+    /// The most issued keys that are remembered; beyond it no key is issued.
+    pub max_issued: usize,
+    /// The largest sum of answers to requests with issued keys. Above it an answer is not kept.
+    pub max_issued_bytes: ByteSize,
+    /// The time in which an issued key must be used.
+    pub issued_ttl: Duration,
+    /// The time for which the outcome under an issued key is remembered.
+    pub issued_retain: Duration,
 }
 
 impl Default for ClaimSettings {
@@ -52,6 +60,10 @@
             max_answer: ByteSize::from_kib(64),
             max_unwritten: 4096,
             max_unwritten_bytes: ByteSize::from_mib(8),
+            max_issued: 65_536,
+            max_issued_bytes: ByteSize::from_mib(64),
+            issued_ttl: Duration::from_secs(600),
+            issued_retain: Duration::from_secs(600),
         }
     }
 }
--- a/crates/hollywheel-claims/src/table.rs
+++ b/crates/hollywheel-claims/src/table.rs
@@ -9,6 +9,8 @@
 use crate::entry::{
     ClaimDenial, ClaimEntry, ClaimHolder, ClaimOrder, ClaimPhase, ClaimWords, ReleaseEntry,
 };
+use crate::issued::IssuedTable;
+use crate::issued_key::IssuedKey;
 use crate::message::{ClaimKey, StoredAnswer};
 use crate::outage::StoreOutage;
 use crate::output::{ClaimOutput, ClaimTicket};
@@ -34,6 +36,7 @@
     pub(crate) outage: StoreOutage,
     pub(crate) peers: Vec<ClaimHolder>,
     pub(crate) draining: bool,
+    pub(crate) issued: IssuedTable,
     unwritten_bytes: u64,
     forgotten: u64,
     next_ticket: u64,
@@ -55,6 +58,7 @@
             outage: StoreOutage::default(),
             peers: Vec::new(),
             draining: false,
+            issued: IssuedTable::new(),
             unwritten_bytes: 0,
             forgotten: 0,
             next_ticket: 0,
@@ -98,6 +102,10 @@
     /// later, exactly once unless it is withdrawn before.
     pub fn claim(&mut self, now: MonoTime, order: ClaimOrder) -> Vec<ClaimOutput> {
         let mut out = Vec::new();
+        if let Some(issued) = IssuedKey::read(&order.key.key) {
+            out.extend(self.claim_issued(now, &issued, order));
+            return out;
+        }
         if self.entries.contains_key(&order.key) {
             self.join(order, &mut out);
             return out;
@@ -163,6 +171,10 @@
     /// Tells that a request gave up without having sent anything under its claim.
     pub fn withdraw(&mut self, now: MonoTime, request: RequestId) -> Vec<ClaimOutput> {
         let mut out = Vec::new();
+        if self.issued.knows(request) {
+            out.extend(self.issued.leave(now, self.settings.issued_ttl, request));
+            return out;
+        }
         self.leave(now, request, &mut out);
         self.flush(now, &mut out);
         out
@@ -229,7 +241,11 @@
     ) -> Vec<ClaimOutput> {
         let mut out = Vec::new();
         if verdict == ExecutionVerdict::NotRun {
-            self.leave(now, request, &mut out);
+            return self.withdraw(now, request);
+        } else if self.issued.knows(request) {
+            return self
+                .issued
+                .settle(now, &self.settings, request, verdict, output);
         } else {
             self.settle(now, request, verdict, output, &mut out);
         }
@@ -313,6 +329,9 @@
     /// Says what is known of the execution under the key of a request that waits for its
     /// claim: `may-have-run` if another request with the key may run or have run.
     pub fn waiting_verdict(&self, request: RequestId) -> ExecutionVerdict {
+        if self.issued.waits(request) {
+            return ExecutionVerdict::MayHaveRun;
+        }
         let entry = self
             .keys
             .get(&request)
--- a/crates/hollywheel-node/src/claim.rs
+++ b/crates/hollywheel-node/src/claim.rs
@@ -127,6 +127,11 @@
                 reason: RefusalReason::KeyReused,
                 retry_after: None,
             },
+            ClaimDenial::Expired => Refusal {
+                verdict: ExecutionVerdict::NotRun,
+                reason: RefusalReason::KeyExpired,
+                retry_after: None,
+            },
             ClaimDenial::Taken(verdict) => Refusal {
                 verdict,
                 reason: RefusalReason::KeyTaken,
--- a/crates/hollywheel-node/src/finish.rs
+++ b/crates/hollywheel-node/src/finish.rs
@@ -48,14 +48,27 @@
         id: RequestId,
         output: String,
         out: &mut Vec<NodeOutput>,
+    ) {
+        self.answer_with(now, id, output, TokenCount(0), true, out);
+    }
+
+    /// Gives a request a complete answer that it did not come to itself.
+    pub(crate) fn answer_with(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        output: String,
+        tokens: TokenCount,
+        replayed: bool,
+        out: &mut Vec<NodeOutput>,
     ) {
         let Some(run) = self.runs.remove(id) else {
             return;
         };
         let part = ReplyPart::Complete {
             output,
-            tokens: TokenCount(0),
-            replayed: true,
+            tokens,
+            replayed,
         };
         push_reply(&run, part, out);
         self.close(now, &run, ExecutionVerdict::Ran, None, out);
@@ -148,6 +161,9 @@
             ExecutionVerdict::MayHaveRun => RequestEnd::Failed,
             ExecutionVerdict::NotRun => RequestEnd::Refused,
         };
+        if let Some(ticket) = run.forwarded {
+            self.forwards.remove(&ticket);
+        }
         if run.admitted {
             self.policy.request_ended(now, run.request.request, end);
         }
--- /dev/null
+++ b/crates/hollywheel-node/src/forward.rs
@@ -0,0 +1,142 @@
+//! Issued keys, and requests that the issuers of their keys run.
+
+use std::time::Duration;
+
+use hollywheel_claims::KeyHolder;
+use hollywheel_policy::RefuseReason;
+use hollywheel_types::{ExecutionVerdict, HostId, Incarnation, MonoTime, RequestId, WorkspaceId};
+
+use crate::drain::{DrainState, OTHER_HOST_RETRY};
+use crate::input::{CallerRequest, ForwardEnd, StoreTicket};
+use crate::machine::NodeMachine;
+use crate::output::{GrantedKey, NodeOutput, Refusal, RefusalReason};
+
+/// When a caller should ask again if the issuer of its key was not reached.
+const ISSUER_RETRY: Duration = Duration::from_millis(500);
+
+impl NodeMachine {
+    pub(crate) fn issue_key(
+        &mut self,
+        now: MonoTime,
+        ticket: StoreTicket,
+        workspace: &WorkspaceId,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let result = self.grant_key(now, workspace);
+        out.push(NodeOutput::KeyIssued { ticket, result });
+    }
+
+    fn grant_key(&mut self, now: MonoTime, workspace: &WorkspaceId) -> Result<GrantedKey, Refusal> {
+        if self.drain != DrainState::Serving {
+            return Err(not_run(RefusalReason::Draining, OTHER_HOST_RETRY));
+        }
+        if self.config.is_none() {
+            return Err(not_run(RefusalReason::NotReady, OTHER_HOST_RETRY));
+        }
+        let random = self.key_numbers.next().0;
+        let issued = self.claims.issue(now, workspace, random);
+        let expires = self.claims.issued_ttl();
+        issued
+            .map(|key| GrantedKey { key, expires })
+            .map_err(|retry_after| {
+                not_run(RefusalReason::Policy(RefuseReason::Overloaded), retry_after)
+            })
+    }
+
+    /// Asks for the claim of a request's key, or hands the request to the issuer of the key.
+    pub(crate) fn claim_or_forward(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let key = self.runs.get(id).map(|run| &run.request.idempotency_key);
+        let holder = key
+            .and_then(|key| key.as_ref())
+            .map(|key| self.claims.holder_of(key));
+        match holder {
+            Some(KeyHolder::Other { host, incarnation }) => {
+                self.forward(now, id, host, incarnation, out);
+            }
+            Some(KeyHolder::Row | KeyHolder::This | KeyHolder::Gone) | None => {
+                self.claim_key(now, id);
+            }
+        }
+    }
+
+    fn forward(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        host: HostId,
+        incarnation: Incarnation,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        if run.deadline <= now {
+            self.refuse(now, id, RefusalReason::DeadlinePassed, None, out);
+            return;
+        }
+        self.next_forward += 1;
+        let ticket = StoreTicket(self.next_forward);
+        run.forwarded = Some(ticket);
+        let request = Box::new(CallerRequest {
+            timeout: Some(run.deadline.since(now)),
+            stream: false,
+            ..run.request.clone()
+        });
+        self.forwards.insert(ticket, id);
+        out.push(NodeOutput::Forward {
+            ticket,
+            host,
+            incarnation,
+            request,
+        });
+    }
+
+    pub(crate) fn forward_ended(
+        &mut self,
+        now: MonoTime,
+        ticket: StoreTicket,
+        end: ForwardEnd,
+        out: &mut Vec<NodeOutput>,
+    ) {
+        let Some(id) = self.forwards.remove(&ticket) else {
+            return;
+        };
+        let waits = self.runs.get(id).and_then(|run| run.forwarded) == Some(ticket);
+        if !waits {
+            return;
+        }
+        match end {
+            ForwardEnd::Complete {
+                output,
+                tokens,
+                replayed,
+            } => self.answer_with(now, id, output, tokens, replayed, out),
+            ForwardEnd::Refused(refusal) => self.refuse_with(now, id, refusal, out),
+            ForwardEnd::NotSent => {
+                let refusal = not_run(RefusalReason::IssuerUnreachable, ISSUER_RETRY);
+                self.refuse_with(now, id, refusal, out);
+            }
+            ForwardEnd::Lost => {
+                let refusal = Refusal {
+                    verdict: ExecutionVerdict::MayHaveRun,
+                    reason: RefusalReason::IssuerUnreachable,
+                    retry_after: Some(ISSUER_RETRY),
+                };
+                self.refuse_with(now, id, refusal, out);
+            }
+        }
+    }
+}
+
+const fn not_run(reason: RefusalReason, retry_after: Duration) -> Refusal {
+    Refusal {
+        verdict: ExecutionVerdict::NotRun,
+        reason,
+        retry_after: Some(retry_after),
+    }
+}
--- a/crates/hollywheel-node/src/input.rs
+++ b/crates/hollywheel-node/src/input.rs
@@ -13,6 +13,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::output::Refusal;
+
 /// Numbers the calls of the table service and the questions to other hosts.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct StoreTicket(pub u64);
@@ -108,6 +110,27 @@
     pub hosts: Vec<HostInfo>,
 }
 
+/// Says what became of a request that was handed to the issuer of its key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "end")]
+pub enum ForwardEnd {
+    /// No byte of it left this host.
+    NotSent,
+    /// It may have arrived; no answer came.
+    Lost,
+    /// The issuer's complete answer.
+    Complete {
+        /// The output of the last stage.
+        output: String,
+        /// The tokens generated.
+        tokens: TokenCount,
+        /// Whether the answer comes from an earlier request with the same key.
+        replayed: bool,
+    },
+    /// The issuer's refusal.
+    Refused(Refusal),
+}
+
 /// Holds one input of the machine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "input", content = "with")]
@@ -159,6 +182,20 @@
         /// The answer.
         answer: Option<ClaimAnswer>,
     },
+    /// Asks for a key that only this process will send under.
+    IssueKey {
+        /// The question, for the answer.
+        ticket: StoreTicket,
+        /// The workspace.
+        workspace: WorkspaceId,
+    },
+    /// Tells what became of a request that was handed to another host.
+    Forwarded {
+        /// The question.
+        ticket: StoreTicket,
+        /// What became of it.
+        end: ForwardEnd,
+    },
     /// Begins the graceful shutdown; what is not complete after the span is given up.
     Drain(Duration),
     /// Lets time pass.
--- a/crates/hollywheel-node/src/lib.rs
+++ b/crates/hollywheel-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod drain;
 mod finish;
+mod forward;
 mod input;
 mod late;
 mod machine;
@@ -22,11 +23,12 @@
 mod trace;
 
 pub use input::{
-    AnswerEcho, AttemptEvent, CallerRequest, HostInfo, HostView, NodeInput, StoreTicket,
+    AnswerEcho, AttemptEvent, CallerRequest, ForwardEnd, HostInfo, HostView, NodeInput, StoreTicket,
 };
 pub use machine::NodeMachine;
 pub use output::{
-    AttemptCall, NodeEvent, NodeOutput, Refusal, RefusalReason, ReplyPart, RequestSummary,
+    AttemptCall, GrantedKey, NodeEvent, NodeOutput, Refusal, RefusalReason, ReplyPart,
+    RequestSummary,
 };
 pub use settings::NodeSettings;
 pub use trace::{TraceLine, TraceOutcome, TraceRecorder, TraceSettings};
--- a/crates/hollywheel-node/src/machine.rs
+++ b/crates/hollywheel-node/src/machine.rs
@@ -6,10 +6,10 @@
 use hollywheel_claims::{ClaimOutput, ClaimSettings, ClaimTable};
 use hollywheel_config::{ObjectSet, PublishedSet};
 use hollywheel_policy::{AdmitDecision, PolicyEngine};
-use hollywheel_types::{ConfigVersion, HostId, MonoTime, PoolId};
+use hollywheel_types::{ConfigVersion, HostId, MonoTime, PoolId, RequestId, SortedMap};
 
 use crate::drain::DrainState;
-use crate::input::{HostView, NodeInput};
+use crate::input::{HostView, NodeInput, StoreTicket};
 use crate::late::LateTable;
 use crate::nonce::NonceSource;
 use crate::output::NodeOutput;
@@ -30,6 +30,10 @@
     pub(crate) config_version: ConfigVersion,
     pub(crate) runs: RunTable,
     pub(crate) late: LateTable,
+    /// Requests that the issuers of their keys run.
+    pub(crate) forwards: SortedMap<StoreTicket, RequestId>,
+    pub(crate) key_numbers: NonceSource,
+    pub(crate) next_forward: u64,
     /// Pools at which an attempt has just ended.
     pub(crate) freed_pools: Vec<PoolId>,
     pub(crate) drain: DrainState,
@@ -56,6 +60,9 @@
             config_version: ConfigVersion::default(),
             runs: RunTable::default(),
             late: LateTable::default(),
+            forwards: SortedMap::new(),
+            key_numbers: NonceSource::for_keys(&settings),
+            next_forward: 0,
             freed_pools: Vec::new(),
             drain: DrainState::default(),
             settings,
@@ -120,6 +127,10 @@
                 ticket, question, ..
             } => self.host_asks(ticket, &question, out),
             NodeInput::HostAnswers { ticket, answer } => self.host_answered(now, ticket, answer),
+            NodeInput::IssueKey { ticket, workspace } => {
+                self.issue_key(now, ticket, &workspace, out);
+            }
+            NodeInput::Forwarded { ticket, end } => self.forward_ended(now, ticket, end, out),
             NodeInput::Drain(span) => self.begin_drain(now, span, out),
             NodeInput::Tick => {}
         }
--- a/crates/hollywheel-node/src/output.rs
+++ b/crates/hollywheel-node/src/output.rs
@@ -13,7 +13,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::input::StoreTicket;
+use crate::input::{CallerRequest, StoreTicket};
 
 /// Describes a call to a backend server.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -71,6 +71,11 @@
     /// The key belongs to a request that is in progress on a host that does not answer, or
     /// that ended without a known answer.
     KeyTaken,
+    /// The key names this process, and no request ran or can run under it: it expired unused or
+    /// was never issued.
+    KeyExpired,
+    /// The host that issued the key was not reached, or its answer was lost.
+    IssuerUnreachable,
     /// The table service could not record the claim.
     StoreUnavailable,
     /// The backend servers failed.
@@ -90,6 +95,8 @@
             Self::KeyMissing => "key-missing",
             Self::KeyReused => "key-reused",
             Self::KeyTaken => "key-taken",
+            Self::KeyExpired => "key-expired",
+            Self::IssuerUnreachable => "issuer-unreachable",
             Self::StoreUnavailable => "store-unavailable",
             Self::BackendFailed => "backend-failed",
             Self::DeadlinePassed => "deadline-passed",
@@ -114,6 +121,15 @@
     pub retry_after: Option<Duration>,
 }
 
+/// Holds a key that was issued to a workspace.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GrantedKey {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The time in which it must be used.
+    pub expires: Duration,
+}
+
 /// Holds one part of the reply to a caller.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "part")]
@@ -257,6 +273,24 @@
         /// The answer.
         answer: ClaimAnswer,
     },
+    /// Hands a request to the process that issued its key.
+    Forward {
+        /// The question.
+        ticket: StoreTicket,
+        /// The host.
+        host: HostId,
+        /// The incarnation that must run it.
+        incarnation: Incarnation,
+        /// The request; its timeout is the time that is left.
+        request: Box<CallerRequest>,
+    },
+    /// Answers a request for a key.
+    KeyIssued {
+        /// The request for a key.
+        ticket: StoreTicket,
+        /// The key.
+        result: Result<GrantedKey, Refusal>,
+    },
     /// Replies to a caller.
     Reply {
         /// The request.
--- a/crates/hollywheel-node/src/receive.rs
+++ b/crates/hollywheel-node/src/receive.rs
@@ -82,7 +82,7 @@
         out.push(NodeOutput::Event(NodeEvent::Admitted { request: id }));
         if run.needs_claim() {
             run.phase = RunPhase::Claiming;
-            self.claim_key(now, id);
+            self.claim_or_forward(now, id, out);
         } else {
             self.begin_stage(now, id, out);
         }
@@ -146,6 +146,7 @@
         phase: RunPhase::Queued,
         admitted: false,
         claimed: false,
+        forwarded: None,
         has_caller: true,
         stage: 0,
         previous: String::new(),
--- a/crates/hollywheel-node/src/run.rs
+++ b/crates/hollywheel-node/src/run.rs
@@ -10,7 +10,7 @@
     TokenIndex,
 };
 
-use crate::input::CallerRequest;
+use crate::input::{CallerRequest, StoreTicket};
 
 /// Says what a request waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -82,6 +82,8 @@
     pub(crate) admitted: bool,
     /// Whether it holds the claim of its key.
     pub(crate) claimed: bool,
+    /// The question by which it was handed to the issuer of its key.
+    pub(crate) forwarded: Option<StoreTicket>,
     /// Whether the caller still waits.
     pub(crate) has_caller: bool,
     pub(crate) stage: usize,
@@ -116,7 +118,7 @@
     /// Returns the verdict that a refusal now carries. No complete answer is known then, so
     /// what ran before counts as `may-have-run`.
     pub(crate) fn refusal_verdict(&self) -> ExecutionVerdict {
-        let sent = !self.work.attempts.is_empty();
+        let sent = !self.work.attempts.is_empty() || self.forwarded.is_some();
         verdict_of(sent || self.ended != ExecutionVerdict::NotRun)
     }
 
--- a/crates/hollywheel-node/tests/support/mod.rs
+++ b/crates/hollywheel-node/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use hollywheel_claims::{ClaimAnswer, ClaimQuestion};
 use hollywheel_config::{PublishedSet, read_toml};
 use hollywheel_node::{
-    AnswerEcho, AttemptCall, AttemptEvent, CallerRequest, HostInfo, HostView, NodeEvent, NodeInput,
-    NodeMachine, NodeOutput, NodeSettings, ReplyPart, StoreTicket,
+    AnswerEcho, AttemptCall, AttemptEvent, CallerRequest, GrantedKey, HostInfo, HostView,
+    NodeEvent, NodeInput, NodeMachine, NodeOutput, NodeSettings, Refusal, ReplyPart, StoreTicket,
 };
 use hollywheel_policy::PolicySettings;
 use hollywheel_store::{
@@ -102,6 +102,8 @@
     pub answers: Vec<ClaimAnswer>,
     pub events: Vec<NodeEvent>,
     pub drained: usize,
+    pub keys: Vec<Result<GrantedKey, Refusal>>,
+    pub forwards: Vec<(StoreTicket, CallerRequest)>,
 }
 
 impl HostUnderTest {
@@ -131,6 +133,8 @@
             answers: Vec::new(),
             events: Vec::new(),
             drained: 0,
+            keys: Vec::new(),
+            forwards: Vec::new(),
         };
         host.input(NodeInput::Config(published(1)));
         host.input(NodeInput::Hosts(two_hosts()));
@@ -157,6 +161,10 @@
                 ticket, question, ..
             } => self.questions.push((ticket, question)),
             NodeOutput::AnswerHost { answer, .. } => self.answers.push(answer),
+            NodeOutput::KeyIssued { result, .. } => self.keys.push(result),
+            NodeOutput::Forward {
+                ticket, request, ..
+            } => self.forwards.push((ticket, *request)),
             NodeOutput::Reply { request, part } => self.parts.push((request, part)),
             NodeOutput::Event(event) => self.events.push(event),
             NodeOutput::Drained => self.drained += 1,
@@ -187,6 +195,15 @@
         }));
     }
 
+    /// Fetches a key for the workspace of the requests.
+    pub fn issue(&mut self) -> String {
+        let ticket = StoreTicket(0);
+        let workspace = "clerks".parse().unwrap();
+        self.input(NodeInput::IssueKey { ticket, workspace });
+        let granted = self.keys.last().expect("an answer");
+        granted.as_ref().expect("a key").key.to_string()
+    }
+
     pub fn event(&mut self, call: &AttemptCall, event: AttemptEvent) {
         self.input(NodeInput::Attempt {
             nonce: call.nonce,
