Put issued keys and hand-overs through every fault

Two scenarios: a payment under a key of the same host, and one under a key of the other host, which is handed over. Three breaks: a call for a key of another host, a dispatch that is forgotten, a lost hand-over taken for one that was not made.

--- a/crates/hollywheel-matrix/src/breaks.rs
+++ b/crates/hollywheel-matrix/src/breaks.rs
@@ -1,15 +1,22 @@
 //! Faults put into the wrapper of the machines on purpose, to show that the checks find them.
 
 use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollywheel_claims::ClaimAnswer;
-use hollywheel_config::PublishedSet;
-use hollywheel_node::{AttemptCall, AttemptEvent, NodeInput, NodeOutput, ReplyPart, StoreTicket};
+use hollywheel_config::{PublishedSet, StageKind};
+use hollywheel_node::{
+    AttemptCall, AttemptEvent, CallerRequest, ForwardEnd, NodeInput, NodeOutput, ReplyPart,
+    StoreTicket,
+};
 use hollywheel_store::{RowOutcome, StoreFailure, StoreOp, StoreReply, StoreRequest};
-use hollywheel_types::{AttemptNonce, ConfigVersion, ExecutionVerdict, RequestId};
+use hollywheel_types::{
+    AttemptNonce, ConfigVersion, ExecutionVerdict, MonoTime, RequestClass, RequestId, TokenCount,
+    TokenIndex,
+};
 
 use crate::cell::CellError;
 use crate::fixture;
@@ -17,6 +24,10 @@
 /// The revision of rows that a forged answer names.
 const FORGED_REVISION: u64 = 1;
 
+/// The attempt and the server of a forged call.
+const FOREIGN_NONCE: u128 = 0xf0;
+const FOREIGN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9021);
+
 /// The time by which a refusal is held back.
 const HOLD: Duration = Duration::from_millis(1500);
 
@@ -58,6 +69,12 @@
     BrokenAsNotSent = "broken-as-not-sent",
     /// Takes a lost answer of the table service for a refusal.
     LostAsRefused = "lost-as-refused",
+    /// Sends a call for a request that is handed to the issuer of its key.
+    SendForeignKey = "send-foreign-key",
+    /// Takes an answered call for one that was never sent.
+    ForgetDispatch = "forget-dispatch",
+    /// Takes a request whose hand-over may have arrived for one that was not handed over.
+    LostForwardAsNotSent = "lost-forward-as-not-sent",
     /// Says `not-run` in every refusal.
     ForgeNotRun = "forge-not-run",
     /// Exchanges the replies of two requests.
@@ -140,6 +157,16 @@
         {
             *event = AttemptEvent::NotSent;
         }
+        (DeliberateBreak::ForgetDispatch, NodeInput::Attempt { event, .. })
+            if matches!(event, AttemptEvent::Answer { .. }) =>
+        {
+            *event = AttemptEvent::NotSent;
+        }
+        (DeliberateBreak::LostForwardAsNotSent, NodeInput::Forwarded { end, .. })
+            if *end == ForwardEnd::Lost =>
+        {
+            *end = ForwardEnd::NotSent;
+        }
         (DeliberateBreak::LostAsRefused, NodeInput::Store { result, .. })
             if *result == Err(StoreFailure::Unknown) =>
         {
@@ -205,12 +232,46 @@
             let answer = ClaimAnswer::Released;
             AlteredOutput::now(vec![NodeOutput::AnswerHost { ticket, answer }])
         }
+        (DeliberateBreak::SendForeignKey, output @ NodeOutput::Forward { .. }) => {
+            send_foreign(output)
+        }
         (DeliberateBreak::DropDrained, NodeOutput::Drained) => AlteredOutput::default(),
         (_, NodeOutput::Reply { request, part }) => alter_reply(broken, request, part),
         (_, output) => AlteredOutput::now(vec![output]),
     }
 }
 
+fn send_foreign(forward: NodeOutput) -> AlteredOutput {
+    let mut outputs = Vec::new();
+    if let NodeOutput::Forward { request, .. } = &forward {
+        outputs.push(NodeOutput::Dispatch(Box::new(foreign_call(request))));
+    }
+    outputs.push(forward);
+    AlteredOutput::now(outputs)
+}
+
+/// Forges the call that a host must not make for a key of another host.
+fn foreign_call(request: &CallerRequest) -> AttemptCall {
+    AttemptCall {
+        nonce: AttemptNonce(FOREIGN_NONCE),
+        request: request.request,
+        workspace: request.workspace.clone(),
+        class: RequestClass::Transaction,
+        server: "service-1".parse().expect("a valid name"),
+        address: FOREIGN_ADDRESS,
+        stage: "pay".parse().expect("a valid name"),
+        work: StageKind::Call,
+        deadline: MonoTime(u64::MAX),
+        input: request.input.clone(),
+        previous: String::new(),
+        idempotency_key: request.idempotency_key.clone(),
+        model: None,
+        max_tokens: TokenCount(0),
+        start_index: TokenIndex(0),
+        generated: String::new(),
+    }
+}
+
 fn forget_revisions(request: &mut StoreRequest) {
     let StoreRequest::Txn { ops, .. } = request else {
         return;
--- a/crates/hollywheel-matrix/src/cell.rs
+++ b/crates/hollywheel-matrix/src/cell.rs
@@ -63,6 +63,10 @@
         Payment = "payment",
         /// A non-idempotent stage between two idempotent ones.
         Booking = "booking",
+        /// One non-idempotent stage under a key that the host issued.
+        Issued = "issued",
+        /// The same under a key that the other host issued.
+        Forwarded = "forwarded",
     }
 }
 
--- a/crates/hollywheel-matrix/src/fixture.rs
+++ b/crates/hollywheel-matrix/src/fixture.rs
@@ -6,7 +6,9 @@
 use hollywheel_config::{ObjectSet, PublishedSet, read_toml};
 use hollywheel_node::{HostInfo, HostView, NodeSettings};
 use hollywheel_policy::PolicySettings;
-use hollywheel_types::{ConfigVersion, DomainId, HostId, Incarnation, PublishId, TokenCount};
+use hollywheel_types::{
+    ConfigVersion, DomainId, HostId, Incarnation, PublishId, TokenCount, WorkspaceId,
+};
 
 const OBJECTS: &str = include_str!("objects.toml");
 
@@ -51,6 +53,11 @@
     names[host].parse().expect("a valid name")
 }
 
+/// Returns the workspace of every caller.
+pub fn workspace() -> WorkspaceId {
+    "clerks".parse().expect("a valid name")
+}
+
 /// Returns the settings of a host's process.
 pub fn settings(host: usize, incarnation: Incarnation, seed: u64) -> NodeSettings {
     NodeSettings {
--- a/crates/hollywheel-matrix/src/scene/carry_out.rs
+++ b/crates/hollywheel-matrix/src/scene/carry_out.rs
@@ -98,7 +98,18 @@
                 question,
             } => self.send_question(from, ticket, &host, incarnation, question),
             NodeOutput::AnswerHost { ticket, answer } => self.send_answer(ticket, answer),
-            NodeOutput::Reply { request, part } => self.reply(request, part),
+            NodeOutput::Forward {
+                ticket,
+                host,
+                incarnation,
+                request,
+            } => self.send_forward(from, ticket, &host, incarnation, *request),
+            NodeOutput::KeyIssued { result, .. } => self.key_issued(result),
+            NodeOutput::Reply { request, part } => {
+                if !self.answer_forward(from, request, &part) {
+                    self.reply(request, part);
+                }
+            }
             NodeOutput::Event(_) => {}
             NodeOutput::Drained => self.drained(from.host),
         }
@@ -209,6 +220,7 @@
     fn drained(&mut self, host: usize) {
         self.log.drained.push((host, self.now));
         self.hosts[host].stop();
+        self.lose_forwards_to(host);
         self.open_calls.retain(|(from, _)| from.host != host);
         let at = self.now + std::time::Duration::from_secs(1);
         self.queue.push(at, SceneEvent::View { host: 1 - host });
--- a/crates/hollywheel-matrix/src/scene/deliver.rs
+++ b/crates/hollywheel-matrix/src/scene/deliver.rs
@@ -1,7 +1,7 @@
 //! The way of inputs to the machines.
 
 use hollywheel_node::{CallerRequest, NodeInput};
-use hollywheel_types::{IdempotencyKey, MonoTime, RequestId, WallTime};
+use hollywheel_types::{MonoTime, RequestId, WallTime};
 
 use super::inject::StepFate;
 use super::log::SentRequest;
@@ -152,13 +152,12 @@
             BACKGROUND => (CellScenario::Lookup, BACKGROUND_INPUT),
             _ => (self.scenario, OBSERVED_INPUT),
         };
-        let key: Option<IdempotencyKey> = "k1".parse().ok();
         CallerRequest {
             request: RequestId(number),
-            workspace: "clerks".parse().expect("a valid name"),
+            workspace: fixture::workspace(),
             pipeline: scenario.name().parse().expect("a valid name"),
             input: input.to_owned(),
-            idempotency_key: key.filter(|_| scenario.has_key()),
+            idempotency_key: self.caller_key().filter(|_| scenario.has_key()),
             timeout: None,
             max_tokens: None,
             stream: true,
--- a/crates/hollywheel-matrix/src/scene/inject.rs
+++ b/crates/hollywheel-matrix/src/scene/inject.rs
@@ -196,6 +196,7 @@
         let request = RequestId(OBSERVED);
         self.lose_caller(request);
         let input = NodeInput::CallerGone(request);
+        let at = self.forwarder_of(at, request).unwrap_or(at);
         self.push_input(self.now, at, input);
     }
 
@@ -229,6 +230,7 @@
             return;
         }
         self.hosts[host].stop();
+        self.lose_forwards_to(host);
         self.log.killed.push((host, self.now));
         self.open_calls.retain(|(from, _)| from.host != host);
         self.lose_callers_of(host);
--- a/crates/hollywheel-matrix/src/scene/mod.rs
+++ b/crates/hollywheel-matrix/src/scene/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod carry_out;
 mod deliver;
+mod forward;
 mod host;
 mod inject;
 mod log;
--- a/crates/hollywheel-matrix/src/scene/queue.rs
+++ b/crates/hollywheel-matrix/src/scene/queue.rs
@@ -60,6 +60,11 @@
         /// The number of the submission.
         number: u128,
     },
+    /// The caller fetches a key from a host.
+    FetchKey {
+        /// The host.
+        host: usize,
+    },
     /// The host hears of the other's process.
     View {
         /// The host.
--- a/crates/hollywheel-matrix/src/scene/run.rs
+++ b/crates/hollywheel-matrix/src/scene/run.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use hollywheel_node::{AttemptCall, NodeInput, NodeMachine, StoreTicket, TraceRecorder};
-use hollywheel_types::{AttemptNonce, Incarnation, MonoTime, ServerId};
+use hollywheel_types::{AttemptNonce, IdempotencyKey, Incarnation, MonoTime, ServerId};
 
+use super::forward::OpenForward;
 use super::host::HostSlot;
 use super::inject::{ArmedFaults, CallFaults};
 use super::log::{ProcessEnd, SceneLog};
@@ -20,6 +21,7 @@
 /// Bounds the events of a run; a run that has more does not come to an end.
 const MAX_EVENTS: usize = 20_000;
 
+const KEY_FETCH: MonoTime = MonoTime::from_millis(5);
 const START: MonoTime = MonoTime::from_millis(10);
 const BACKGROUND_START: MonoTime = MonoTime::from_millis(9);
 const CONFIG_CHANGE: MonoTime = MonoTime::from_millis(22);
@@ -74,6 +76,9 @@
     pub(super) open_calls: Vec<(ProcessRef, AttemptCall)>,
     /// Questions between hosts: the asker and its ticket, by the position.
     pub(super) questions: Vec<(ProcessRef, StoreTicket)>,
+    pub(super) forwards: Vec<OpenForward>,
+    /// The key that the caller of the observed request fetched.
+    pub(super) issued_key: Option<IdempotencyKey>,
     pub(super) call_faults: Vec<(AttemptNonce, CallFaults)>,
     pub(super) leaving: Vec<ServerId>,
     pub(super) next_number: u128,
@@ -100,6 +105,8 @@
             armed: ArmedFaults::default(),
             open_calls: Vec::new(),
             questions: Vec::new(),
+            forwards: Vec::new(),
+            issued_key: None,
             call_faults: Vec::new(),
             leaving: Vec::new(),
             next_number: 100,
@@ -127,6 +134,9 @@
         for host in 0..2 {
             self.queue.push(MonoTime(1), SceneEvent::View { host });
         }
+        if let Some(host) = cell.scenario.issuer() {
+            self.queue.push(KEY_FETCH, SceneEvent::FetchKey { host });
+        }
         self.push_submission(BACKGROUND_START, 0, BACKGROUND);
         self.push_submission(START, 0, OBSERVED);
         self.push_submission(LAST_SUBMISSION, 0, LATE);
@@ -211,6 +221,7 @@
             SceneEvent::Restart(host) => self.restart(host),
             SceneEvent::Wake(process) => self.wake(process),
             SceneEvent::Submit { host, number } => self.submit(host, number),
+            SceneEvent::FetchKey { host } => self.fetch_key(host),
             SceneEvent::View { host } => self.tell_view(host),
         }
     }
--- a/crates/hollywheel-matrix/src/scene/steps.rs
+++ b/crates/hollywheel-matrix/src/scene/steps.rs
@@ -15,7 +15,7 @@
         match self {
             Self::Lookup => &["encode"],
             Self::Question => &["encode", "draft"],
-            Self::Payment => &["pay"],
+            Self::Payment | Self::Issued | Self::Forwarded => &["pay"],
             Self::Booking => &["encode", "pay", "notify"],
         }
     }
@@ -25,13 +25,13 @@
         match self {
             Self::Lookup => "encode",
             Self::Question => "draft",
-            Self::Payment | Self::Booking => "pay",
+            Self::Payment | Self::Booking | Self::Issued | Self::Forwarded => "pay",
         }
     }
 
     /// Says whether requests have a key.
     pub const fn has_key(self) -> bool {
-        matches!(self, Self::Payment | Self::Booking)
+        !matches!(self, Self::Lookup | Self::Question)
     }
 }
 
@@ -59,7 +59,7 @@
             NodeInput::Request(request) if is_observed(request.request) => {
                 vec![CellStep::Receive]
             }
-            NodeInput::Store { .. } => vec![CellStep::ClaimAnswer],
+            NodeInput::Store { .. } | NodeInput::Forwarded { .. } => vec![CellStep::ClaimAnswer],
             NodeInput::Config(set) if set.version.0 > 1 => vec![CellStep::ConfigChange],
             NodeInput::Drain(_) => vec![CellStep::Drain],
             NodeInput::Attempt { nonce, event } => {
@@ -116,6 +116,7 @@
                 vec![CellStep::Dispatch]
             }
             NodeOutput::Store { request, .. } => write_steps(request),
+            NodeOutput::Forward { .. } => vec![CellStep::ClaimWrite],
             NodeOutput::Reply { request, part } if is_observed(*request) => match part {
                 ReplyPart::Token { .. } => Vec::new(),
                 ReplyPart::Complete { .. } | ReplyPart::Refused(_) => vec![CellStep::Reply],
--- a/crates/hollywheel-matrix/tests/matrix.rs
+++ b/crates/hollywheel-matrix/tests/matrix.rs
@@ -53,7 +53,7 @@
 fn every_pair_of_faults() {
     let summary = run_cells(&pairs(), &settings(1, 0));
     assert_clean(&summary);
-    assert_eq!(summary.run, 149_604);
+    assert_eq!(summary.run, 224_406);
 }
 
 #[test]
@@ -64,6 +64,10 @@
             let payments = MatrixCell::pairs(CellScenario::Payment);
             summary = run_break(&payments, *broken, &settings(1, 0));
         }
+        if summary.failing.is_empty() {
+            let forwarded = MatrixCell::pairs(CellScenario::Forwarded);
+            summary = run_break(&forwarded, *broken, &settings(1, 0));
+        }
         assert!(!summary.failing.is_empty(), "{broken} is found by no check");
     }
 }
