Issue keys over HTTP and hand requests to their issuers

POST /v1/keys issues a key to the caller's workspace. A host that gets a request under a key of another live host hands it over the transport within the time that is left; the edge checks the deadline once more before it sends. A question that was not sent is not-run, one without an answer may-have-run.

--- a/crates/hollywheel-daemon/src/core/effects.rs
+++ b/crates/hollywheel-daemon/src/core/effects.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollywheel_claims::ClaimQuestion;
-use hollywheel_node::{AttemptCall, NodeInput, StoreTicket};
+use hollywheel_node::{AttemptCall, CallerRequest, NodeInput, StoreTicket};
 use hollywheel_platform::PlatformService;
 use hollywheel_store::{StoreFailure, StoreRequest};
 use hollywheel_types::{AttemptNonce, HostId, Incarnation, SortedMap};
@@ -126,6 +126,22 @@
         });
     }
 
+    pub(super) fn forward(
+        &self,
+        ticket: StoreTicket,
+        host: &HostId,
+        incarnation: Incarnation,
+        request: CallerRequest,
+    ) {
+        let core = self.core.clone();
+        let peers = self.peers.clone();
+        let host = host.clone();
+        tokio::spawn(async move {
+            let end = peers.forward(&host, incarnation, request).await;
+            core.send(NodeInput::Forwarded { ticket, end }).await;
+        });
+    }
+
     pub(super) fn drained(&self) {
         self.drained.send_replace(true);
     }
--- a/crates/hollywheel-daemon/src/core/handle.rs
+++ b/crates/hollywheel-daemon/src/core/handle.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use hollywheel_claims::{ClaimAnswer, ClaimQuestion};
-use hollywheel_node::{CallerRequest, NodeInput, ReplyPart};
-use hollywheel_types::{HostId, RequestId, ServerId};
+use hollywheel_node::{CallerRequest, GrantedKey, NodeInput, Refusal, ReplyPart};
+use hollywheel_types::{HostId, RequestId, ServerId, WorkspaceId};
 use tokio::sync::{mpsc, oneshot};
 
 use super::status::CoreStatus;
@@ -12,6 +12,9 @@
 /// Takes the parts of one reply. The caller is cut off when it is full.
 pub type ReplySink = mpsc::Sender<ReplyPart>;
 
+/// Holds a key, or why none was issued.
+pub type KeyResult = Result<GrantedKey, Refusal>;
+
 /// Holds a question of another host.
 #[derive(Debug)]
 pub struct HostQuestion {
@@ -37,6 +40,13 @@
     },
     /// A question of another host.
     HostAsks(HostQuestion),
+    /// Asks for a key.
+    IssueKey {
+        /// The workspace.
+        workspace: WorkspaceId,
+        /// Takes the answer.
+        reply: oneshot::Sender<KeyResult>,
+    },
     /// Asks for the state of the machine.
     ReadStatus(oneshot::Sender<CoreStatus>),
     /// Asks for the backend servers that this host uses.
@@ -93,6 +103,18 @@
         let _ = self.sender.try_send(CoreMessage::HostAsks(question));
     }
 
+    /// Asks for a key for a workspace.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CoreUnavailable`] if the queue is full or the task has ended.
+    pub async fn issue_key(&self, workspace: WorkspaceId) -> Result<KeyResult, CoreUnavailable> {
+        let (reply, answer) = oneshot::channel();
+        let message = CoreMessage::IssueKey { workspace, reply };
+        self.sender.try_send(message).map_err(|_| CoreUnavailable)?;
+        answer.await.map_err(|_| CoreUnavailable)
+    }
+
     /// Tells that a caller is gone.
     pub fn caller_gone(&self, request: RequestId) {
         let input = CoreMessage::Input(NodeInput::CallerGone(request));
--- a/crates/hollywheel-daemon/src/core/mod.rs
+++ b/crates/hollywheel-daemon/src/core/mod.rs
@@ -8,7 +8,7 @@
 mod task;
 
 pub use effects::CoreEffects;
-pub use handle::{CoreHandle, CoreMessage, CoreUnavailable, HostQuestion, ReplySink};
+pub use handle::{CoreHandle, CoreMessage, CoreUnavailable, HostQuestion, KeyResult, ReplySink};
 pub use observer::CoreObserver;
 pub use status::CoreStatus;
 pub use task::{CoreTask, core_channel};
--- a/crates/hollywheel-daemon/src/core/task.rs
+++ b/crates/hollywheel-daemon/src/core/task.rs
@@ -3,12 +3,14 @@
 use std::collections::VecDeque;
 
 use hollywheel_claims::ClaimAnswer;
-use hollywheel_node::{AttemptEvent, NodeInput, NodeMachine, NodeOutput, StoreTicket};
+use hollywheel_node::{
+    AttemptEvent, CallerRequest, ForwardEnd, NodeInput, NodeMachine, NodeOutput, StoreTicket,
+};
 use hollywheel_types::SortedMap;
 use tokio::sync::{mpsc, oneshot};
 
 use super::effects::CoreEffects;
-use super::handle::{CoreHandle, CoreMessage};
+use super::handle::{CoreHandle, CoreMessage, KeyResult};
 use super::observer::CoreObserver;
 use super::replies::{DeliverOutcome, ReplyTable};
 use super::status::CoreStatus;
@@ -37,6 +39,7 @@
     observer: CoreObserver,
     replies: ReplyTable,
     questions: SortedMap<StoreTicket, oneshot::Sender<ClaimAnswer>>,
+    keys: SortedMap<StoreTicket, oneshot::Sender<KeyResult>>,
     next_question: u64,
     /// Inputs that follow from carrying out outputs.
     pending: VecDeque<NodeInput>,
@@ -59,6 +62,7 @@
             observer,
             replies: ReplyTable::default(),
             questions: SortedMap::new(),
+            keys: SortedMap::new(),
             next_question: 0,
             pending: VecDeque::new(),
         }
@@ -103,6 +107,12 @@
                     question: asked.question,
                 });
             }
+            CoreMessage::IssueKey { workspace, reply } => {
+                self.next_question += 1;
+                let ticket = StoreTicket(self.next_question);
+                self.keys.insert(ticket, reply);
+                self.step(NodeInput::IssueKey { ticket, workspace });
+            }
             CoreMessage::ReadStatus(reply) => {
                 let _ = reply.send(CoreStatus::of(&self.machine, self.effects.attempts()));
             }
@@ -149,6 +159,30 @@
                     let _ = reply.send(answer);
                 }
             }
+            NodeOutput::Forward {
+                ticket,
+                host,
+                incarnation,
+                request,
+                deadline,
+            } => {
+                let now = self.clock.now();
+                if now >= deadline {
+                    let end = ForwardEnd::NotSent;
+                    self.pending.push_back(NodeInput::Forwarded { ticket, end });
+                    return;
+                }
+                let request = CallerRequest {
+                    timeout: Some(deadline.since(now)),
+                    ..*request
+                };
+                self.effects.forward(ticket, &host, incarnation, request);
+            }
+            NodeOutput::KeyIssued { ticket, result } => {
+                if let Some(reply) = self.keys.remove(&ticket) {
+                    let _ = reply.send(result);
+                }
+            }
             NodeOutput::Reply { request, part } => {
                 if self.replies.deliver(request, part) == DeliverOutcome::Cut {
                     self.pending.push_back(NodeInput::CallerGone(request));
--- a/crates/hollywheel-daemon/src/front/mod.rs
+++ b/crates/hollywheel-daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod auth;
 mod event_stream;
 mod guard;
+mod keys;
 mod problem;
 mod request;
 mod route;
--- a/crates/hollywheel-daemon/src/front/problem.rs
+++ b/crates/hollywheel-daemon/src/front/problem.rs
@@ -60,8 +60,12 @@
                     "pipeline {pipeline}: the workspace is not among its workspaces"
                 )
             }
-            Self::NoPath => f.write_str("expected /v1/pipelines/NAME, /healthz or /readyz"),
-            Self::WrongMethod => f.write_str("expected POST for pipelines and GET for the rest"),
+            Self::NoPath => {
+                f.write_str("expected /v1/pipelines/NAME, /v1/keys, /healthz or /readyz")
+            }
+            Self::WrongMethod => {
+                f.write_str("expected POST for pipelines and keys and GET for the rest")
+            }
             Self::BadHeader { name, expected } => write!(f, "header {name}: expected {expected}"),
             Self::BadBody { message } => write!(f, "body: {message}"),
             Self::Body(fault) => fault.fmt(f),
@@ -104,6 +108,8 @@
         RefusalReason::KeyMissing => (422, "Idempotency key missing"),
         RefusalReason::KeyReused => (422, "Idempotency key reused"),
         RefusalReason::KeyTaken => (409, "Idempotency key taken"),
+        RefusalReason::KeyExpired => (409, "Idempotency key expired"),
+        RefusalReason::IssuerUnreachable => (503, "Issuer of the key not reached"),
         RefusalReason::StoreUnavailable => (503, "Claim not recorded"),
         RefusalReason::BackendFailed => (503, "Backend failed"),
         RefusalReason::DeadlinePassed => (504, "Deadline passed"),
@@ -128,6 +134,20 @@
     }
 }
 
+/// Builds the answer for a key that was not issued.
+pub fn key_problem(refusal: &Refusal) -> ProblemReply {
+    let (status, title) = refusal_row(refusal.reason);
+    ProblemReply {
+        status,
+        kind: refusal.reason.name(),
+        title,
+        detail: "no key was issued".to_owned(),
+        verdict: Some(refusal.verdict),
+        retry_after: refusal.retry_after,
+        ..ProblemReply::default()
+    }
+}
+
 /// Builds the answer for a request without a complete answer.
 pub fn refusal_problem(request: RequestId, refusal: &Refusal) -> ProblemReply {
     let (status, title) = refusal_row(refusal.reason);
--- a/crates/hollywheel-daemon/src/front/request.rs
+++ b/crates/hollywheel-daemon/src/front/request.rs
@@ -48,13 +48,11 @@
 ///
 /// Returns the first fault, that of the key before all others.
 pub fn parse_head(name: &str, headers: &HeaderMap) -> Result<CallHead, CallFault> {
-    let key = text_of(headers, "authorization")?
-        .and_then(bearer_key)
-        .ok_or(CallFault::NoKey)?;
+    let key = parse_key(headers)?;
     let pipeline = name.parse().map_err(|_| CallFault::NoPath)?;
     Ok(CallHead {
         pipeline,
-        key: key.to_owned(),
+        key,
         idempotency_key: idempotency_key(headers)?,
         timeout: timeout(headers)?,
         trace: text_of(headers, "traceparent")
@@ -64,6 +62,18 @@
     })
 }
 
+/// Reads the caller's key.
+///
+/// # Errors
+///
+/// Returns [`CallFault::NoKey`] if there is none, or the fault of the header.
+pub fn parse_key(headers: &HeaderMap) -> Result<String, CallFault> {
+    let key = text_of(headers, "authorization")?
+        .and_then(bearer_key)
+        .ok_or(CallFault::NoKey)?;
+    Ok(key.to_owned())
+}
+
 fn text_of<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, CallFault> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
--- a/crates/hollywheel-daemon/src/front/route.rs
+++ b/crates/hollywheel-daemon/src/front/route.rs
@@ -9,6 +9,7 @@
 
 use super::answer::write_reply;
 use super::guard::CallerGuard;
+use super::keys::issue_key;
 use super::problem::{CallFault, fault_problem};
 use super::request::{CallHead, RunBody, parse_body, parse_head};
 use super::state::FrontState;
@@ -34,8 +35,12 @@
         (Method::POST, path) if path.starts_with(PIPELINES) => {
             run_pipeline(&mut context, &path[PIPELINES.len()..]).await
         }
+        (Method::POST, "/v1/keys") => {
+            let headers = context.req().headers().clone();
+            issue_key(context.state(), &headers).await
+        }
         (_, path) if path.starts_with(PIPELINES) => Err(CallFault::WrongMethod),
-        (_, "/healthz" | "/readyz") => Err(CallFault::WrongMethod),
+        (_, "/healthz" | "/readyz" | "/v1/keys") => Err(CallFault::WrongMethod),
         _ => Err(CallFault::NoPath),
     };
     discard_body(context.body_get_mut()).await;
--- a/crates/hollywheel-daemon/src/peers/caller.rs
+++ b/crates/hollywheel-daemon/src/peers/caller.rs
@@ -6,10 +6,12 @@
 use hollywheel_claims::{ClaimAnswer, ClaimQuestion};
 use hollywheel_config::ChangeBatch;
 use hollywheel_membership::MemberInput;
+use hollywheel_node::{CallerRequest, ForwardEnd};
 use hollywheel_transport::HostTransport;
 use hollywheel_types::{ConfigVersion, HostId, Incarnation, ServerId};
 
 use super::directory::HostDirectory;
+use super::forward::{read_outcome, write_request};
 use super::handle::MemberHandle;
 
 /// Asks other hosts and spreads news; clones share the connections.
@@ -48,6 +50,23 @@
         transport.ask_claim(address, host, question).await
     }
 
+    /// Hands a request to the process that issued its key.
+    pub async fn forward(
+        &self,
+        host: &HostId,
+        incarnation: Incarnation,
+        request: CallerRequest,
+    ) -> ForwardEnd {
+        let address = self.directory.address(host, incarnation);
+        let (Some(address), Some(transport)) = (address, &self.transport) else {
+            return ForwardEnd::NotSent;
+        };
+        let Some(request) = write_request(request) else {
+            return ForwardEnd::NotSent;
+        };
+        read_outcome(transport.forward(address, host, request).await)
+    }
+
     /// Fetches the changes that follow a version; none if the host was not reached.
     pub async fn fetch_changes(
         &self,
--- a/crates/hollywheel-daemon/src/peers/mod.rs
+++ b/crates/hollywheel-daemon/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod directory;
+mod forward;
 mod handle;
 mod host_list;
 mod requests;
--- a/crates/hollywheel-daemon/src/peers/requests.rs
+++ b/crates/hollywheel-daemon/src/peers/requests.rs
@@ -3,6 +3,7 @@
 use hollywheel_membership::MemberInput;
 use hollywheel_transport::HostRequest;
 
+use super::forward::run_forward;
 use super::handle::MemberHandle;
 use crate::core::{CoreHandle, HostQuestion};
 use crate::install::InstallHandle;
@@ -44,6 +45,9 @@
                 question,
                 reply,
             }),
+            HostRequest::Forward { request, reply, .. } => {
+                run_forward(&self.core, *request, reply);
+            }
             HostRequest::Changes { have, reply, .. } => self.install.peer_asks(have, reply),
         }
     }
--- a/crates/hollywheel-daemon/tests/hosts.rs
+++ b/crates/hollywheel-daemon/tests/hosts.rs
@@ -122,6 +122,66 @@
     assert!(base.stop().await);
 }
 
+/// Fetches a key from a host.
+async fn fetch_key(host: &Started) -> String {
+    let answer = host.issue(support::CALLER_KEY).await;
+    assert_eq!(answer.status, 201, "{}", answer.text());
+    let answer = answer.json();
+    assert_eq!(answer["expires_ms"], 600_000);
+    answer["idempotency_key"].as_str().unwrap().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn issued_keys_need_no_table_service() {
+    let base = TestHost::start().await;
+    let authority = Authority::new();
+    let first = start_named(&base, &authority, "one", &[]);
+    let second = start_named(&base, &authority, "two", &[first.peers.unwrap()]);
+    for host in [&first, &second] {
+        wait_for("both hosts alive and ready", async || {
+            states(host).await == ["one:alive", "two:alive"]
+                && host.get("/readyz").await.status == 200
+        })
+        .await;
+    }
+    base.platform.set_faults(hollywheel_standins::FaultOrder {
+        outage: true,
+        ..hollywheel_standins::FaultOrder::default()
+    });
+    let body = r#"{"input":"pay 5"}"#;
+    let key = fetch_key(&first).await;
+    // The other host hands the payment over and its caller gets the answer.
+    let paid = second.post_key("payment", &key, body).await;
+    assert_eq!(paid.status, 200, "{}", paid.text());
+    assert_eq!(paid.json()["replayed"], false);
+    for host in [&first, &second] {
+        let again = host.post_key("payment", &key, body).await;
+        assert_eq!(again.json()["replayed"], true, "{}", again.text());
+        assert_eq!(again.json()["output"], paid.json()["output"]);
+    }
+    let reused = second
+        .post_key("payment", &key, r#"{"input":"pay 6"}"#)
+        .await;
+    assert_eq!(reused.problem().kind, "/problems/key-reused");
+    let starts = || {
+        let ledger = base.service.ledger();
+        let started = ledger.iter().filter(|e| e.event == LedgerEvent::Started);
+        started.count()
+    };
+    assert_eq!(starts(), 1);
+    let unused = fetch_key(&first).await;
+    assert!(first.stop().await);
+    wait_for("the news that the issuer is gone", async || {
+        let gone = second.post_key("payment", &unused, body).await;
+        let gone = gone.problem();
+        (gone.kind.as_str(), gone.status) == ("/problems/key-taken", 409)
+    })
+    .await;
+    assert_eq!(starts(), 1);
+    assert!(second.stop().await);
+    assert!(base.stop().await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_host_of_another_authority_stays_alone() {
     let base = TestHost::start().await;
--- a/crates/hollywheel-daemon/tests/support/mod.rs
+++ b/crates/hollywheel-daemon/tests/support/mod.rs
@@ -297,6 +297,13 @@
         send(&self.client, request).await
     }
 
+    /// Asks for a key.
+    pub async fn issue(&self, token: &str) -> Answer {
+        let request = Request::post(format!("http://{}/v1/keys", self.callers))
+            .header("authorization", format!("Bearer {token}"));
+        send(&self.client, request.body(Full::default()).unwrap()).await
+    }
+
     pub async fn get(&self, path: &str) -> Answer {
         let request = Request::get(format!("http://{}{path}", self.callers));
         let request = request.body(Full::default()).unwrap();
--- a/crates/hollywheel-matrix/src/scene/carry_out.rs
+++ b/crates/hollywheel-matrix/src/scene/carry_out.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 
-use hollywheel_node::{AttemptCall, AttemptEvent, NodeInput, NodeOutput, ReplyPart, StoreTicket};
+use hollywheel_node::{
+    AttemptCall, AttemptEvent, CallerRequest, NodeInput, NodeOutput, ReplyPart, StoreTicket,
+};
 use hollywheel_store::StoreRequest;
 use hollywheel_types::{HostId, Incarnation, RequestId};
 
@@ -103,7 +105,14 @@
                 host,
                 incarnation,
                 request,
-            } => self.send_forward(from, ticket, &host, incarnation, *request),
+                deadline,
+            } => {
+                let request = CallerRequest {
+                    timeout: Some(deadline.since(self.now)),
+                    ..*request
+                };
+                self.send_forward(from, ticket, &host, incarnation, request);
+            }
             NodeOutput::KeyIssued { result, .. } => self.key_issued(result),
             NodeOutput::Reply { request, part } => {
                 if !self.answer_forward(from, request, &part) {
--- a/crates/hollywheel-matrix/src/scene/forward.rs
+++ b/crates/hollywheel-matrix/src/scene/forward.rs
@@ -58,8 +58,11 @@
     ) {
         let target = (0..2).find(|host_at| fixture::host_name(*host_at) == *host);
         let target = target.map(|host| ProcessRef { host, incarnation });
-        let reached =
-            target.filter(|to| self.hosts[to.host].runs(*to) && self.now >= self.armed.peers_cut);
+        // The edge does not send what has no time left.
+        let in_time = request.timeout.is_some_and(|left| !left.is_zero());
+        let reached = target.filter(|to| {
+            in_time && self.hosts[to.host].runs(*to) && self.now >= self.armed.peers_cut
+        });
         let at = self.after(ONE_WAY_US);
         let Some(to) = reached else {
             let end = ForwardEnd::NotSent;
--- a/crates/hollywheel-node/src/forward.rs
+++ b/crates/hollywheel-node/src/forward.rs
@@ -82,8 +82,9 @@
         self.next_forward += 1;
         let ticket = StoreTicket(self.next_forward);
         run.forwarded = Some(ticket);
+        let deadline = run.deadline;
         let request = Box::new(CallerRequest {
-            timeout: Some(run.deadline.since(now)),
+            timeout: Some(deadline.since(now)),
             stream: false,
             ..run.request.clone()
         });
@@ -93,6 +94,7 @@
             host,
             incarnation,
             request,
+            deadline,
         });
     }
 
--- a/crates/hollywheel-node/src/output.rs
+++ b/crates/hollywheel-node/src/output.rs
@@ -104,6 +104,32 @@
     }
 }
 
+impl RefusalReason {
+    /// Lists every reason.
+    pub const ALL: &'static [Self] = &[
+        Self::Policy(RefuseReason::DeadlineTooShort),
+        Self::Policy(RefuseReason::NoServer),
+        Self::Policy(RefuseReason::Overloaded),
+        Self::Policy(RefuseReason::RateLimited),
+        Self::NoPipeline,
+        Self::Draining,
+        Self::NotReady,
+        Self::KeyMissing,
+        Self::KeyReused,
+        Self::KeyTaken,
+        Self::KeyExpired,
+        Self::IssuerUnreachable,
+        Self::StoreUnavailable,
+        Self::BackendFailed,
+        Self::DeadlinePassed,
+    ];
+
+    /// Finds a reason by its name.
+    pub fn find(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|one| one.name() == name)
+    }
+}
+
 impl fmt::Display for RefusalReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.name())
@@ -283,6 +309,8 @@
         incarnation: Incarnation,
         /// The request; its timeout is the time that is left.
         request: Box<CallerRequest>,
+        /// The point after which it must not be sent.
+        deadline: MonoTime,
     },
     /// Answers a request for a key.
     KeyIssued {
--- a/crates/hollywheel-transport/src/incoming.rs
+++ b/crates/hollywheel-transport/src/incoming.rs
@@ -2,11 +2,12 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 
-use hollywheel_types::HostId;
+use hollywheel_types::{ExecutionVerdict, HostId};
 use hollywheel_wire::{
-    HostAnswer, HostQuestion, MAX_MEMBER_BYTES, MAX_QUESTION_BYTES, decode_member, decode_question,
-    encode_answer,
+    ForwardAnswer, ForwardedRequest, HostAnswer, HostQuestion, MAX_FORWARD_BYTES, MAX_MEMBER_BYTES,
+    decode_member, decode_question, encode_answer,
 };
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 use tokio::sync::oneshot;
@@ -19,6 +20,9 @@
 /// Tells a caller that its certificate is for no host.
 const NO_HOST: VarInt = VarInt::from_u32(2);
 
+/// When a request that found the queue full should be handed over again.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
 /// Accepts callers until the transport is closed or dropped.
 pub(crate) async fn accept_callers(core: Weak<TransportCore>, endpoint: Endpoint) {
     while let Some(incoming) = endpoint.accept().await {
@@ -116,21 +120,44 @@
     mut receive: RecvStream,
 ) {
     let limit = core.settings.request_timeout;
-    let answer = timeout(limit, find_answer(&core, host, &mut receive)).await;
-    let answer = answer.ok().flatten().unwrap_or(HostAnswer::None);
+    let question = timeout(limit, read_question(&core, &host, &mut receive)).await;
+    let answer = match question.ok().flatten() {
+        Some(HostQuestion::Forward(request)) => run_forward(&core, host, request).await,
+        Some(question) => {
+            let answer = timeout(limit, find_answer(&core, host, question)).await;
+            answer.ok().flatten()
+        }
+        None => None,
+    };
+    let answer = answer.unwrap_or(HostAnswer::None);
     if send.write_all(&encode_answer(&answer)).await.is_ok() {
         let _ = send.finish();
     }
 }
 
+async fn read_question(
+    core: &TransportCore,
+    host: &HostId,
+    receive: &mut RecvStream,
+) -> Option<HostQuestion> {
+    let bytes = receive.read_to_end(MAX_FORWARD_BYTES).await.ok()?;
+    match decode_question(&bytes) {
+        Ok(question) => Some(question),
+        Err(error) => {
+            debug!(%host, %error, "question refused");
+            drop_one(core);
+            None
+        }
+    }
+}
+
 async fn find_answer(
     core: &TransportCore,
     host: HostId,
-    receive: &mut RecvStream,
+    question: HostQuestion,
 ) -> Option<HostAnswer> {
-    let bytes = receive.read_to_end(MAX_QUESTION_BYTES).await.ok()?;
-    match decode_question(&bytes) {
-        Ok(HostQuestion::Claim(question)) => {
+    match question {
+        HostQuestion::Claim(question) => {
             let (reply, answer) = oneshot::channel();
             let request = HostRequest::Claim {
                 host,
@@ -140,17 +167,41 @@
             hand_over(core, request)?;
             answer.await.ok().map(HostAnswer::Claim)
         }
-        Ok(HostQuestion::Changes(have)) => {
+        HostQuestion::Changes(have) => {
             let (reply, answer) = oneshot::channel();
             hand_over(core, HostRequest::Changes { host, have, reply })?;
             answer.await.ok().map(HostAnswer::Changes)
         }
-        Err(error) => {
-            debug!(%host, %error, "question refused");
-            drop_one(core);
-            None
-        }
+        HostQuestion::Forward(request) => run_forward(core, host, request).await,
+    }
+}
+
+/// Lets the host run a request that it was handed, for as long as the request may take.
+async fn run_forward(
+    core: &TransportCore,
+    host: HostId,
+    request: ForwardedRequest,
+) -> Option<HostAnswer> {
+    let limit = request.timeout + core.settings.request_timeout;
+    let (reply, answer) = oneshot::channel();
+    let request = Box::new(request);
+    let taken = hand_over(
+        core,
+        HostRequest::Forward {
+            host,
+            request,
+            reply,
+        },
+    );
+    if taken.is_none() {
+        return Some(HostAnswer::Forward(ForwardAnswer::Refused {
+            verdict: ExecutionVerdict::NotRun,
+            reason: "overloaded".to_owned(),
+            retry_after: Some(FULL_RETRY),
+        }));
     }
+    let answer = timeout(limit, answer).await.ok()?;
+    answer.ok().map(HostAnswer::Forward)
 }
 
 fn hand_over(core: &TransportCore, request: HostRequest) -> Option<()> {
--- a/crates/hollywheel-transport/src/lib.rs
+++ b/crates/hollywheel-transport/src/lib.rs
@@ -11,6 +11,6 @@
 mod verifier;
 
 pub use error::TransportError;
-pub use request::HostRequest;
+pub use request::{ForwardOutcome, HostRequest};
 pub use settings::{TransportIdentity, TransportSettings};
 pub use transport::{HostTransport, TrafficCount};
--- a/crates/hollywheel-transport/src/transport.rs
+++ b/crates/hollywheel-transport/src/transport.rs
@@ -10,7 +10,9 @@
 use hollywheel_config::ChangeBatch;
 use hollywheel_membership::MemberMessage;
 use hollywheel_types::{ConfigVersion, HostId};
-use hollywheel_wire::{HostAnswer, HostQuestion, decode_answer, encode_member, encode_question};
+use hollywheel_wire::{
+    ForwardedRequest, HostAnswer, HostQuestion, decode_answer, encode_member, encode_question,
+};
 use quinn::{ClientConfig, Connection, Endpoint, SendDatagramError, VarInt};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -21,7 +23,7 @@
 use crate::identity::{LoadedIdentity, names_of};
 use crate::incoming::{accept_callers, serve_connection};
 use crate::quic::{client_config, endpoint_config, server_config};
-use crate::request::HostRequest;
+use crate::request::{ForwardOutcome, HostRequest};
 use crate::settings::{TransportIdentity, TransportSettings};
 
 /// The name that calls state; hosts are told apart by their certificates instead.
@@ -152,6 +154,28 @@
         }
     }
 
+    /// Hands a request to the host that issued its key and waits for the answer for as long as
+    /// the request may take.
+    pub async fn forward(
+        &self,
+        to: SocketAddr,
+        host: &HostId,
+        request: ForwardedRequest,
+    ) -> ForwardOutcome {
+        let limit = request.timeout;
+        let connection = timeout(limit, self.connection(to, Some(host))).await;
+        let Some(connection) = connection.ok().flatten() else {
+            return ForwardOutcome::NotSent;
+        };
+        let question = HostQuestion::Forward(request);
+        // From here on bytes may have left.
+        let answer = timeout(limit, self.ask_on(&connection, to, &question)).await;
+        match answer.ok().flatten() {
+            Some(HostAnswer::Forward(answer)) => ForwardOutcome::Answer(answer),
+            _ => ForwardOutcome::Lost,
+        }
+    }
+
     async fn ask(
         &self,
         to: SocketAddr,
@@ -169,14 +193,26 @@
         host: Option<&HostId>,
         question: &HostQuestion,
     ) -> Option<HostAnswer> {
+        let connection = self.connection(to, host).await?;
+        self.ask_on(&connection, to, question).await
+    }
+
+    async fn connection(&self, to: SocketAddr, host: Option<&HostId>) -> Option<Connection> {
         let known = self.core.connections().get(to);
         let connection = match known {
             Some(connection) => connection,
             None => self.core.connect(to).await?,
         };
-        if host.is_some() && host_of(&connection).as_ref() != host {
-            return None;
-        }
+        let right = host.is_none() || host_of(&connection).as_ref() == host;
+        right.then_some(connection)
+    }
+
+    async fn ask_on(
+        &self,
+        connection: &Connection,
+        to: SocketAddr,
+        question: &HostQuestion,
+    ) -> Option<HostAnswer> {
         let (mut send, mut receive) = connection.open_bi().await.ok()?;
         send.write_all(&encode_question(question)).await.ok()?;
         send.finish().ok()?;
--- a/crates/hollywheel-transport/tests/transport.rs
+++ b/crates/hollywheel-transport/tests/transport.rs
@@ -10,8 +10,13 @@
 use hollywheel_claims::{ClaimAnswer, ClaimKey, ClaimQuestion};
 use hollywheel_config::{ChangeBatch, ObjectSet, PublishedSet, read_toml};
 use hollywheel_membership::{MemberMessage, MemberNews};
-use hollywheel_transport::{HostRequest, HostTransport, TransportError, TransportSettings};
-use hollywheel_types::{AttemptNonce, BodyDigest, ConfigVersion, HostId};
+use hollywheel_transport::{
+    ForwardOutcome, HostRequest, HostTransport, TransportError, TransportSettings,
+};
+use hollywheel_types::{
+    AttemptNonce, BodyDigest, ConfigVersion, HostId, RequestId, TokenCount, WallTime,
+};
+use hollywheel_wire::{ForwardAnswer, ForwardedRequest};
 use keys::Authority;
 use tokio::sync::mpsc::Receiver;
 
@@ -138,7 +143,7 @@
                 }
                 HostRequest::Claim { reply, .. } => kept.push(reply),
                 HostRequest::Changes { reply, .. } => drop(reply),
-                HostRequest::Member { .. } => {}
+                HostRequest::Member { .. } | HostRequest::Forward { .. } => {}
             }
         }
     });
@@ -157,6 +162,53 @@
     answers.abort();
 }
 
+fn handed_over(input: &str) -> ForwardedRequest {
+    ForwardedRequest {
+        request: RequestId(7),
+        workspace: "clerks".parse().unwrap(),
+        pipeline: "payment".parse().unwrap(),
+        input: input.to_owned(),
+        key: "issue:alatau-2:1:00".parse().unwrap(),
+        timeout: Duration::from_secs(2),
+        max_tokens: None,
+        received_at: WallTime(0),
+    }
+}
+
+#[tokio::test]
+async fn requests_are_handed_over_and_a_lost_answer_is_told_apart() {
+    let authority = Authority::new();
+    let (one, _at_one) = bind(authority.settings("medeu-1"));
+    let (two, mut at_two) = bind(authority.settings("alatau-2"));
+    let to = two.local_address();
+    let answer = ForwardAnswer::Complete {
+        output: "paid".to_owned(),
+        tokens: TokenCount(0),
+        replayed: false,
+    };
+    let sent = answer.clone();
+    let answers = tokio::spawn(async move {
+        while let Some(request) = at_two.recv().await {
+            if let HostRequest::Forward { request, reply, .. } = request
+                && request.input == "pay"
+            {
+                reply.send(sent.clone()).unwrap();
+            }
+        }
+    });
+    let target = host("alatau-2");
+    let paid = one.forward(to, &target, handed_over("pay")).await;
+    assert_eq!(paid, ForwardOutcome::Answer(answer));
+    let lost = one.forward(to, &target, handed_over("drop")).await;
+    assert_eq!(lost, ForwardOutcome::Lost);
+    let other = one.forward(to, &host("alatau-3"), handed_over("pay")).await;
+    assert_eq!(other, ForwardOutcome::NotSent);
+    let nobody = "127.0.0.1:9".parse().unwrap();
+    let nobody = one.forward(nobody, &target, handed_over("pay")).await;
+    assert_eq!(nobody, ForwardOutcome::NotSent);
+    answers.abort();
+}
+
 fn large_set() -> ObjectSet {
     let mut text = "format = 1\n".to_owned();
     for at in 0..4800 {
--- a/crates/hollywheel-wire/src/claim.rs
+++ b/crates/hollywheel-wire/src/claim.rs
@@ -73,7 +73,7 @@
     })
 }
 
-const fn write_verdict(verdict: ExecutionVerdict) -> wire::ExecutionVerdict {
+pub(crate) const fn write_verdict(verdict: ExecutionVerdict) -> wire::ExecutionVerdict {
     match verdict {
         ExecutionVerdict::NotRun => wire::ExecutionVerdict::NotRun,
         ExecutionVerdict::MayHaveRun => wire::ExecutionVerdict::MayHaveRun,
@@ -81,7 +81,9 @@
     }
 }
 
-const fn read_verdict(verdict: wire::ExecutionVerdict) -> Result<ExecutionVerdict, WireError> {
+pub(crate) const fn read_verdict(
+    verdict: wire::ExecutionVerdict,
+) -> Result<ExecutionVerdict, WireError> {
     match verdict {
         wire::ExecutionVerdict::NotRun => Ok(ExecutionVerdict::NotRun),
         wire::ExecutionVerdict::MayHaveRun => Ok(ExecutionVerdict::MayHaveRun),
--- a/crates/hollywheel-wire/src/lib.rs
+++ b/crates/hollywheel-wire/src/lib.rs
@@ -3,6 +3,7 @@
 mod claim;
 mod error;
 mod fields;
+mod forward;
 mod member;
 mod question;
 
@@ -13,8 +14,9 @@
 }
 
 pub use error::WireError;
+pub use forward::{ForwardAnswer, ForwardedRequest};
 pub use member::{MAX_MEMBER_BYTES, decode_member, encode_member};
 pub use question::{
-    HostAnswer, HostQuestion, MAX_QUESTION_BYTES, decode_answer, decode_question, encode_answer,
-    encode_question,
+    HostAnswer, HostQuestion, MAX_FORWARD_BYTES, MAX_QUESTION_BYTES, decode_answer,
+    decode_question, encode_answer, encode_question,
 };
