Keep answers under issued keys over a planned stop

A process that shuts down writes a settled row for each key whose request ran, as far as the bounds of unwritten results allow, before it says that it is drained. A host that gets a key whose issuer is gone, or was not reached, reads the row; without one it says what it said before.

--- a/crates/hollywheel-claims/src/issued.rs
+++ b/crates/hollywheel-claims/src/issued.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use hollywheel_types::{
-    BodyDigest, ExecutionVerdict, IdempotencyKey, MonoTime, RequestId, SortedMap, WorkspaceId,
+    ExecutionVerdict, IdempotencyKey, MonoTime, RequestId, SortedMap, WorkspaceId,
 };
 
-use crate::entry::{ClaimDenial, ClaimOrder};
+use crate::entry::{ClaimDenial, ClaimOrder, ClaimWords};
 use crate::issued_key::IssuedKey;
 use crate::message::{ClaimKey, StoredAnswer};
 use crate::output::ClaimOutput;
@@ -24,17 +24,40 @@
     Unused { expires: MonoTime },
     /// The first of the requests may run, the others wait for it.
     Held {
-        digest: BodyDigest,
+        words: ClaimWords,
         requests: Vec<RequestId>,
     },
     /// Its request ended, and something was sent.
     Ended {
-        digest: BodyDigest,
+        words: ClaimWords,
         verdict: ExecutionVerdict,
         output: Option<String>,
     },
 }
 
+/// Holds what is written about a key whose request ran.
+#[derive(Clone, Debug)]
+pub(crate) struct RanAnswer {
+    pub(crate) words: ClaimWords,
+    pub(crate) output: Option<String>,
+}
+
+impl RanAnswer {
+    fn of(phase: &IssuedPhase) -> Option<Self> {
+        match phase {
+            IssuedPhase::Ended {
+                words,
+                verdict: ExecutionVerdict::Ran,
+                output,
+            } => Some(Self {
+                words: words.clone(),
+                output: output.clone(),
+            }),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct IssuedEntry {
     second: u32,
@@ -159,14 +182,19 @@
         match &mut entry.phase {
             IssuedPhase::Unused { .. } => {
                 entry.phase = IssuedPhase::Held {
-                    digest: order.digest,
+                    words: ClaimWords {
+                        request,
+                        nonce: order.nonce,
+                        digest: order.digest,
+                        claimed_at: order.claimed_at,
+                    },
                     requests: vec![request],
                 };
                 self.keys.insert(request, order.key);
                 Some(ClaimOutput::Granted { request })
             }
-            IssuedPhase::Held { digest, .. } | IssuedPhase::Ended { digest, .. }
-                if *digest != order.digest =>
+            IssuedPhase::Held { words, .. } | IssuedPhase::Ended { words, .. }
+                if words.digest != order.digest =>
             {
                 Some(denied(request, ClaimDenial::Reused))
             }
@@ -176,11 +204,11 @@
                 None
             }
             IssuedPhase::Ended {
-                digest,
+                words,
                 verdict,
                 output,
             } => {
-                let digest = *digest;
+                let digest = words.digest;
                 let answer = output.clone().map(|output| StoredAnswer { digest, output });
                 Some(ended(request, *verdict, answer))
             }
@@ -228,10 +256,11 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return Vec::new();
         };
-        let IssuedPhase::Held { digest, requests } = &mut entry.phase else {
+        let IssuedPhase::Held { words, requests } = &mut entry.phase else {
             return Vec::new();
         };
-        let digest = *digest;
+        let digest = words.digest;
+        let words = words.clone();
         let waiting = std::mem::take(requests);
         let kept = output.clone().filter(|text| {
             let bytes = text.len() as u64;
@@ -240,7 +269,7 @@
         });
         self.answer_bytes += kept.as_ref().map_or(0, |text| text.len() as u64);
         entry.phase = IssuedPhase::Ended {
-            digest,
+            words,
             verdict,
             output: kept,
         };
@@ -254,6 +283,25 @@
         told.collect()
     }
 
+    /// Lists the keys whose request ran, for those who ask after this process is gone.
+    pub(crate) fn ran(&self) -> Vec<(ClaimKey, RanAnswer)> {
+        let ran = self.entries.iter().filter_map(|(key, entry)| {
+            let answer = RanAnswer::of(&entry.phase)?;
+            Some((key.clone(), answer))
+        });
+        ran.collect()
+    }
+
+    /// Returns the answer under a key whose request ran.
+    pub(crate) fn ran_under(&self, key: &ClaimKey) -> Option<RanAnswer> {
+        RanAnswer::of(&self.entries.get(key)?.phase)
+    }
+
+    /// Returns the key that a request holds or waits for.
+    pub(crate) fn key_of(&self, request: RequestId) -> Option<ClaimKey> {
+        self.keys.get(&request).cloned()
+    }
+
     /// Says whether a request waits for another one with its key.
     pub(crate) fn waits(&self, request: RequestId) -> bool {
         let key = self.keys.get(&request);
--- a/crates/hollywheel-claims/src/outcome.rs
+++ b/crates/hollywheel-claims/src/outcome.rs
@@ -4,6 +4,7 @@
 use hollywheel_types::{AttemptNonce, MonoTime};
 
 use crate::entry::{ClaimDenial, ClaimHolder, ClaimPhase};
+use crate::issued_key::IssuedKey;
 use crate::message::{ClaimKey, StoredAnswer};
 use crate::output::{ClaimOutput, ClaimTicket};
 use crate::row::{ClaimRow, ClaimState};
@@ -114,7 +115,7 @@
         }
     }
 
-    fn judge_settled(
+    pub(crate) fn judge_settled(
         &mut self,
         now: MonoTime,
         key: &ClaimKey,
@@ -236,6 +237,10 @@
         let Some((key, before)) = found else {
             return;
         };
+        if IssuedKey::read(&key.key).is_some() {
+            self.reread_issued(now, &key, result, out);
+            return;
+        }
         let Ok(StoreReply::Rows { rows }) = result else {
             self.deny_taken(now, &key, out);
             return;
--- a/crates/hollywheel-claims/src/peer.rs
+++ b/crates/hollywheel-claims/src/peer.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    fn read_again(
+    pub(crate) fn read_again(
         &mut self,
         now: MonoTime,
         key: &ClaimKey,
--- a/crates/hollywheel-claims/src/table.rs
+++ b/crates/hollywheel-claims/src/table.rs
@@ -37,7 +37,7 @@
     pub(crate) peers: Vec<ClaimHolder>,
     pub(crate) draining: bool,
     pub(crate) issued: IssuedTable,
-    unwritten_bytes: u64,
+    pub(crate) unwritten_bytes: u64,
     forgotten: u64,
     next_ticket: u64,
 }
@@ -76,6 +76,9 @@
     /// Writes results and releases without waiting for others to join them.
     pub fn begin_drain(&mut self) {
         self.draining = true;
+        for (key, answer) in self.issued.ran() {
+            self.record(key, answer);
+        }
     }
 
     /// Says whether nothing is left to write and no request holds or awaits a claim.
@@ -103,7 +106,7 @@
     pub fn claim(&mut self, now: MonoTime, order: ClaimOrder) -> Vec<ClaimOutput> {
         let mut out = Vec::new();
         if let Some(issued) = IssuedKey::read(&order.key.key) {
-            out.extend(self.claim_issued(now, &issued, order));
+            self.claim_issued(now, &issued, order, &mut out);
             return out;
         }
         if self.entries.contains_key(&order.key) {
@@ -145,7 +148,7 @@
         self.entries.insert(order.key, entry);
     }
 
-    fn join(&mut self, order: ClaimOrder, out: &mut Vec<ClaimOutput>) {
+    pub(crate) fn join(&mut self, order: ClaimOrder, out: &mut Vec<ClaimOutput>) {
         let Some(entry) = self.entries.get_mut(&order.key) else {
             return;
         };
@@ -243,9 +246,9 @@
         if verdict == ExecutionVerdict::NotRun {
             return self.withdraw(now, request);
         } else if self.issued.knows(request) {
-            return self
-                .issued
-                .settle(now, &self.settings, request, verdict, output);
+            out.extend(self.settle_issued(now, request, verdict, output));
+            self.flush(now, &mut out);
+            return out;
         } else {
             self.settle(now, request, verdict, output, &mut out);
         }
@@ -291,7 +294,7 @@
         self.bound_unwritten();
     }
 
-    fn may_keep(&self, text: &str) -> bool {
+    pub(crate) fn may_keep(&self, text: &str) -> bool {
         let bytes = text.len() as u64;
         bytes <= self.settings.max_answer.0
             && self.unwritten_bytes + bytes <= self.settings.max_unwritten_bytes.0
@@ -310,7 +313,7 @@
         }
     }
 
-    fn bound_unwritten(&mut self) {
+    pub(crate) fn bound_unwritten(&mut self) {
         while self.closing.len() > self.settings.max_unwritten {
             let Some(item) = self.closing.pop_front() else {
                 return;
--- a/crates/hollywheel-claims/src/write.rs
+++ b/crates/hollywheel-claims/src/write.rs
@@ -20,6 +20,9 @@
     Release { key: ClaimKey, nonce: AttemptNonce },
 }
 
+/// Stands for the revision of a row that is not there yet.
+pub(crate) const NO_ROW: u64 = 0;
+
 /// Holds a write whose answer is due.
 #[derive(Debug)]
 pub(crate) struct PendingWrite {
@@ -138,7 +141,8 @@
         let row = entry
             .words
             .row(&self.settings, state, *verdict, output.clone());
-        Some(write_row(key, row.to_value(), Some(*revision)))
+        let replaces = Some(*revision).filter(|revision| *revision != NO_ROW);
+        Some(write_row(key, row.to_value(), replaces))
     }
 
     /// Takes the answer of a write; returns whether the call was one.
--- a/crates/hollywheel-node/src/claim.rs
+++ b/crates/hollywheel-node/src/claim.rs
@@ -132,11 +132,15 @@
                 reason: RefusalReason::KeyExpired,
                 retry_after: None,
             },
-            ClaimDenial::Taken(verdict) => Refusal {
-                verdict,
-                reason: RefusalReason::KeyTaken,
-                retry_after: None,
-            },
+            ClaimDenial::Taken(verdict) => {
+                let unreached = self.unreached_refusal(id);
+                let unreached = unreached.filter(|_| verdict == ExecutionVerdict::MayHaveRun);
+                unreached.unwrap_or(Refusal {
+                    verdict,
+                    reason: RefusalReason::KeyTaken,
+                    retry_after: None,
+                })
+            }
             ClaimDenial::StoreUnavailable { retry_after } => Refusal {
                 verdict: ExecutionVerdict::NotRun,
                 reason: RefusalReason::StoreUnavailable,
--- a/crates/hollywheel-node/src/forward.rs
+++ b/crates/hollywheel-node/src/forward.rs
@@ -98,6 +98,21 @@
         });
     }
 
+    /// Looks for the answer that the issuer may have written when it was shut down.
+    fn issuer_unreached(&mut self, now: MonoTime, id: RequestId) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.forwarded = None;
+            run.unreached = true;
+        }
+        self.claim_key(now, id);
+    }
+
+    /// Returns the refusal of a request that did not reach the issuer of its key.
+    pub(crate) fn unreached_refusal(&self, id: RequestId) -> Option<Refusal> {
+        let unreached = self.runs.get(id).is_some_and(|run| run.unreached);
+        unreached.then(|| not_run(RefusalReason::IssuerUnreachable, ISSUER_RETRY))
+    }
+
     pub(crate) fn forward_ended(
         &mut self,
         now: MonoTime,
@@ -119,10 +134,7 @@
                 replayed,
             } => self.answer_with(now, id, output, tokens, replayed, out),
             ForwardEnd::Refused(refusal) => self.refuse_with(now, id, refusal, out),
-            ForwardEnd::NotSent => {
-                let refusal = not_run(RefusalReason::IssuerUnreachable, ISSUER_RETRY);
-                self.refuse_with(now, id, refusal, out);
-            }
+            ForwardEnd::NotSent => self.issuer_unreached(now, id),
             ForwardEnd::Lost => {
                 let refusal = Refusal {
                     verdict: ExecutionVerdict::MayHaveRun,
--- a/crates/hollywheel-node/src/receive.rs
+++ b/crates/hollywheel-node/src/receive.rs
@@ -147,6 +147,7 @@
         admitted: false,
         claimed: false,
         forwarded: None,
+        unreached: false,
         has_caller: true,
         stage: 0,
         previous: String::new(),
--- a/crates/hollywheel-node/src/run.rs
+++ b/crates/hollywheel-node/src/run.rs
@@ -84,6 +84,8 @@
     pub(crate) claimed: bool,
     /// The question by which it was handed to the issuer of its key.
     pub(crate) forwarded: Option<StoreTicket>,
+    /// Whether the issuer of its key was not reached.
+    pub(crate) unreached: bool,
     /// Whether the caller still waits.
     pub(crate) has_caller: bool,
     pub(crate) stage: usize,
--- a/crates/hollywheel-node/tests/issued.rs
+++ b/crates/hollywheel-node/tests/issued.rs
@@ -148,6 +148,33 @@
     assert!(host.calls.is_empty());
 }
 
+#[test]
+fn answer_under_an_issued_key_outlives_a_planned_stop() {
+    let mut first = HostUnderTest::new();
+    let key = first.issue();
+    let second_key = first.issue();
+    first.request(1, "payment", Some(&key));
+    first.answer(&first.last_call(), "paid");
+    first.request(2, "payment", Some(&second_key));
+    first.input(NodeInput::Drain(Duration::from_secs(2)));
+    assert_eq!(first.drained, 0);
+    first.answer(&first.last_call(), "paid too");
+    first.pass(200);
+    assert_eq!((first.drained, first.store.rows.len()), (1, 2));
+    let mut next = HostUnderTest::with(hollywheel_node::NodeSettings {
+        incarnation: hollywheel_types::Incarnation(2),
+        ..hollywheel_node::NodeSettings::default()
+    });
+    next.store = std::mem::take(&mut first.store);
+    next.request(1, "payment", Some(&key));
+    next.request(2, "payment", Some(&second_key));
+    next.request(3, "checked-payment", Some(&key));
+    assert_eq!(next.outcome(1), "complete \"paid\" replayed=true");
+    assert_eq!(next.outcome(2), "complete \"paid too\" replayed=true");
+    assert_eq!(next.outcome(3), "not-run key-reused retry_after=None");
+    assert!(next.calls.is_empty());
+}
+
 /// Returns a host that has handed a request to the issuer of its key, after one second.
 fn forwarded() -> (HostUnderTest, StoreTicket) {
     let mut host = HostUnderTest::new();
