--- a/crates/hollywheel-bench/src/caller.rs
+++ b/crates/hollywheel-bench/src/caller.rs
@@ -18,6 +18,7 @@
 use crate::record::RequestRecord;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[derive(Serialize)]
@@ -28,6 +29,11 @@
     stream: bool,
 }
 
+#[derive(Deserialize)]
+struct KeyBody {
+    idempotency_key: String,
+}
+
 #[derive(Deserialize)]
 struct CompleteBody {
     request: String,
@@ -109,10 +115,37 @@
         }
     }
 
-    /// Makes one try and completes its record.
-    pub(crate) async fn call(&self, record: &mut RequestRecord, settings: &CallSettings) {
+    /// Takes a turn: the position of the host to begin with.
+    pub(crate) fn take_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Fetches a key from the host whose turn it is; none if it issues none in time.
+    pub(crate) async fn fetch_key(&self, turn: usize, settings: &CallSettings) -> Option<String> {
+        let host = self.hosts[turn % self.hosts.len()];
+        let authorization = format!("Bearer {}", settings.workspace_key);
+        let request = Request::post(format!("http://{host}/v1/keys"))
+            .header(header::AUTHORIZATION, authorization)
+            .body(Full::default())
+            .ok()?;
+        let fetch = async {
+            let reply = self.client.request(request).await.ok()?;
+            let body = reply.into_body().collect().await.ok()?.to_bytes();
+            let key: KeyBody = serde_json::from_slice(&body).ok()?;
+            Some(key.idempotency_key)
+        };
+        tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
+    }
+
+    /// Makes one try, beginning with the host whose turn it is, and completes its record.
+    pub(crate) async fn call(
+        &self,
+        turn: usize,
+        record: &mut RequestRecord,
+        settings: &CallSettings,
+    ) {
         record.sent_us = micros(settings.start.elapsed());
-        let exchange = self.exchange(record, settings);
+        let exchange = self.exchange(turn, record, settings);
         if tokio::time::timeout(settings.give_up, exchange)
             .await
             .is_err()
@@ -123,8 +156,8 @@
         record.latency_us = micros(Instant::now().saturating_duration_since(intended));
     }
 
-    async fn exchange(&self, record: &mut RequestRecord, settings: &CallSettings) {
-        let Some(reply) = self.send(record, settings).await else {
+    async fn exchange(&self, turn: usize, record: &mut RequestRecord, settings: &CallSettings) {
+        let Some(reply) = self.send(turn, record, settings).await else {
             return;
         };
         record.status = reply.status().as_u16();
@@ -140,11 +173,11 @@
     /// Sends to the next host that can be connected to.
     async fn send(
         &self,
+        turn: usize,
         record: &mut RequestRecord,
         settings: &CallSettings,
     ) -> Option<Response<Incoming>> {
         // The turn is taken once, so that no host is passed over for other requests' turns.
-        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         for step in 0..self.hosts.len() {
             let host = self.hosts[(turn + step) % self.hosts.len()];
             let request = build_request(host, record, settings)?;
--- a/crates/hollywheel-bench/src/lib.rs
+++ b/crates/hollywheel-bench/src/lib.rs
@@ -36,7 +36,7 @@
 pub use ledger::{LedgerBook, LedgerLine, read_ledger};
 pub use load::run_load;
 pub use objects::{ObjectView, PipelineView, ServerView, StageView, read_objects};
-pub use plan::{BurstPlan, LoadPlan, PipelinePlan, WorkspacePlan, read_plan};
+pub use plan::{BurstPlan, KeySource, LoadPlan, PipelinePlan, WorkspacePlan, read_plan};
 pub use plot::draw_results;
 pub use record::{RequestRecord, read_records, write_records};
 pub use result::{ClassResult, MetricRow, RunResult, metric_rows, read_results};
--- a/crates/hollywheel-bench/src/load.rs
+++ b/crates/hollywheel-bench/src/load.rs
@@ -10,7 +10,7 @@
 use crate::arrival::{PlannedRequest, arrivals};
 use crate::caller::{CallSettings, HostCaller, micros};
 use crate::error::BenchError;
-use crate::plan::LoadPlan;
+use crate::plan::{KeySource, LoadPlan};
 use crate::record::RequestRecord;
 
 /// Bounds the wait before another try.
@@ -93,7 +93,7 @@
     plan: &LoadPlan,
     caller: &HostCaller,
     request: &PlannedRequest,
-    first: RequestRecord,
+    mut first: RequestRecord,
     start: Instant,
 ) -> Vec<RequestRecord> {
     let settings = CallSettings {
@@ -102,13 +102,24 @@
         give_up: Duration::from_millis(plan.give_up_ms),
         start,
     };
+    let mut turn = caller.take_turn();
+    let source = plan.pipelines[request.pipeline].keys;
+    if source == KeySource::Issued
+        && !first.key.is_empty()
+        && let Some(key) = caller.fetch_key(turn, &settings).await
+    {
+        first.key = key;
+    }
     let mut tries = Vec::new();
     for try_number in 1..=plan.retries + 1 {
         let mut record = RequestRecord {
             try_number,
             ..first.clone()
         };
-        caller.call(&mut record, &settings).await;
+        if try_number > 1 {
+            turn = caller.take_turn();
+        }
+        caller.call(turn, &mut record, &settings).await;
         let wait = record.retry_after_ms.unwrap_or(0).max(plan.retry_ms);
         let wait = Duration::from_millis(wait).min(MAX_RETRY_WAIT);
         // A client error stays one.
--- a/crates/hollywheel-bench/src/plan.rs
+++ b/crates/hollywheel-bench/src/plan.rs
@@ -42,6 +42,17 @@
     pub weight: f64,
 }
 
+/// Says where the idempotency keys of requests come from.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum KeySource {
+    /// The caller makes them.
+    #[default]
+    Own,
+    /// The host issues them; a caller that gets none makes its own.
+    Issued,
+}
+
 /// Describes the requests to one pipeline.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +81,9 @@
     /// Whether each request has an idempotency key.
     #[serde(default)]
     pub keyed: bool,
+    /// Where the keys come from.
+    #[serde(default)]
+    pub keys: KeySource,
     /// The time that the caller allows, sent as a header, in milliseconds.
     #[serde(default)]
     pub timeout_ms: Option<u64>,
--- a/crates/hollywheel-bench/tests/common/mod.rs
+++ b/crates/hollywheel-bench/tests/common/mod.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hollywheel_bench::{
-    LoadPlan, ObjectView, PipelinePlan, ServerView, WorkspacePlan, expected_answer, post_json,
+    KeySource, LoadPlan, ObjectView, PipelinePlan, ServerView, WorkspacePlan, expected_answer,
+    post_json,
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -49,6 +51,7 @@
         stream: false,
         max_tokens: None,
         keyed: false,
+        keys: KeySource::Own,
         timeout_ms: None,
         workspaces: Vec::new(),
         prefixes: 0,
@@ -120,6 +123,17 @@
     reply(status, "application/problem+json", body.to_string())
 }
 
+/// Issues a key unless the server refuses everything.
+fn issued_key(habit: &ServerHabit) -> Response<Full<Bytes>> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    if matches!(habit, ServerHabit::Refuse) {
+        return problem("not-run");
+    }
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let body = json!({"idempotency_key": format!("issue:one:1:{number}"), "expires_ms": 1000});
+    reply(StatusCode::CREATED, "application/json", body.to_string())
+}
+
 async fn answer(
     request: Request<Incoming>,
     habit: Arc<ServerHabit>,
@@ -134,6 +148,9 @@
             .to_owned()
     };
     assert_eq!(header("authorization"), "Bearer sample-key");
+    if path == "/v1/keys" {
+        return Ok(issued_key(&habit));
+    }
     let key = header("idempotency-key");
     let id = header("traceparent")[3..35].to_owned();
     let body = request
--- a/crates/hollywheel-bench/tests/load.rs
+++ b/crates/hollywheel-bench/tests/load.rs
@@ -7,8 +7,8 @@
 
 use common::{ServerHabit, objects, pipeline, plan, start_server};
 use hollywheel_bench::{
-    EventReader, LoadPlan, ServerEvent, check_outcomes, read_records, run_load, summarize,
-    write_records,
+    EventReader, KeySource, LoadPlan, ServerEvent, check_outcomes, read_records, run_load,
+    summarize, write_records,
 };
 use tokio::net::TcpListener;
 
@@ -104,6 +104,31 @@
     assert_eq!(records[0].retry_after_ms, Some(5));
 }
 
+#[tokio::test]
+async fn issued_keys_are_fetched_first_and_own_ones_used_without_them() {
+    let mut keyed = pipeline("payment");
+    keyed.keyed = true;
+    keyed.keys = KeySource::Issued;
+    let issuing = LoadPlan {
+        addresses: vec![quick_server().await],
+        ..plan(vec![keyed.clone()])
+    };
+    let records = run_load(&issuing, "run").await.unwrap();
+    assert!(!records.is_empty());
+    let mut keys: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
+    assert!(keys.iter().all(|key| key.starts_with("issue:one:1:")));
+    keys.sort();
+    keys.dedup();
+    assert_eq!(keys.len(), records.len());
+    let refusing = LoadPlan {
+        addresses: vec![start_server(ServerHabit::Refuse).await],
+        ..plan(vec![keyed])
+    };
+    let records = run_load(&refusing, "run").await.unwrap();
+    assert!(!records.is_empty());
+    assert!(records.iter().all(|record| record.key.starts_with("run-")));
+}
+
 #[tokio::test]
 async fn answers_after_the_target_are_not_attained() {
     let after = Duration::from_millis(50);
--- a/crates/hollywheel-transport/src/transport.rs
+++ b/crates/hollywheel-transport/src/transport.rs
@@ -11,7 +11,8 @@
 use hollywheel_membership::MemberMessage;
 use hollywheel_types::{ConfigVersion, HostId};
 use hollywheel_wire::{
-    ForwardedRequest, HostAnswer, HostQuestion, decode_answer, encode_member, encode_question,
+    ForwardedRequest, HostAnswer, HostQuestion, MAX_FORWARD_BYTES, MAX_QUESTION_BYTES,
+    decode_answer, encode_member, encode_question,
 };
 use quinn::{ClientConfig, Connection, Endpoint, SendDatagramError, VarInt};
 use tokio::sync::mpsc;
@@ -155,13 +156,16 @@
     }
 
     /// Hands a request to the host that issued its key and waits for the answer for as long as
-    /// the request may take.
+    /// the request may take. A request with an input of more than 1 MiB is not sent.
     pub async fn forward(
         &self,
         to: SocketAddr,
         host: &HostId,
         request: ForwardedRequest,
     ) -> ForwardOutcome {
+        if request.input.len() > MAX_FORWARD_BYTES - MAX_QUESTION_BYTES {
+            return ForwardOutcome::NotSent;
+        }
         let limit = request.timeout;
         let connection = timeout(limit, self.connection(to, Some(host))).await;
         let Some(connection) = connection.ok().flatten() else {
--- a/crates/hollywheel-transport/tests/transport.rs
+++ b/crates/hollywheel-transport/tests/transport.rs
@@ -203,6 +203,9 @@
     assert_eq!(lost, ForwardOutcome::Lost);
     let other = one.forward(to, &host("alatau-3"), handed_over("pay")).await;
     assert_eq!(other, ForwardOutcome::NotSent);
+    let large = handed_over(&"x".repeat(1024 * 1024 + 1));
+    let large = one.forward(to, &target, large).await;
+    assert_eq!(large, ForwardOutcome::NotSent);
     let nobody = "127.0.0.1:9".parse().unwrap();
     let nobody = one.forward(nobody, &target, handed_over("pay")).await;
     assert_eq!(nobody, ForwardOutcome::NotSent);
