--- a/crates/hollywheel-policy/src/pool.rs
+++ b/crates/hollywheel-policy/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::message::{AttemptKind, AttemptOutcome, ServerReport};
 use crate::pressure::PoolPressure;
 use crate::server::ServerState;
+use crate::settings::PolicySettings;
 use crate::status::PoolCounters;
 use crate::subset::{SubsetMember, choose_subset};
 
@@ -76,7 +77,7 @@
     }
 
     /// Chooses the subset again from the servers that are not leaving.
-    pub(crate) fn refresh_subset(&mut self, host: &HostId, hosts: &[HostId], size: usize) {
+    pub(crate) fn refresh_subset(&mut self, settings: &PolicySettings, hosts: &[HostId]) {
         let staying = self.servers.iter().filter(|(_, state)| !state.leaving);
         let members: Vec<SubsetMember> = staying
             .map(|(server, state)| SubsetMember {
@@ -84,7 +85,7 @@
                 domain: state.domain.clone(),
             })
             .collect();
-        self.subset = choose_subset(host, hosts, &members, size);
+        self.subset = choose_subset(&settings.host, hosts, &members, settings.subset_size);
         self.refresh_slots();
     }
 
