Name the pool, the start and the conflict that operators meet

Ruled out: a filter at the host, since the list is small and the command filters it already. Change: an unknown pool is an error with exit code 7; STARTED is a time; the advice depends on the kind of conflict; the limit ends at 100.

--- a/crates/hollywheel-cli/src/commands/history.rs
+++ b/crates/hollywheel-cli/src/commands/history.rs
@@ -17,8 +17,8 @@
                 .long("limit")
                 .value_name("COUNT")
                 .default_value("20")
-                .help("The largest number of publications")
-                .value_parser(value_parser!(u32).range(1..=1000)),
+                .help("The largest number of publications, at most 100")
+                .value_parser(value_parser!(u32).range(1..=100)),
         )
         .after_help("Example:\n  hollywheelctl history --limit 5")
 }
--- a/crates/hollywheel-cli/src/commands/hosts.rs
+++ b/crates/hollywheel-cli/src/commands/hosts.rs
@@ -2,6 +2,7 @@
 
 use clap::Command;
 use hollywheel_admin::{HostList, HostState};
+use hollywheel_types::{Incarnation, WallTime};
 
 use crate::context::CommandContext;
 use crate::error::CliError;
@@ -29,12 +30,17 @@
             host.domain.to_string(),
             host.region.to_string(),
             host.config_version.to_string(),
-            host.incarnation.to_string(),
+            started_at(host.incarnation).to_string(),
         ]);
     }
     table.to_string()
 }
 
+/// Returns the time of a start, to the millisecond.
+const fn started_at(incarnation: Incarnation) -> WallTime {
+    WallTime(incarnation.0 / 1000)
+}
+
 const fn state_name(state: HostState) -> &'static str {
     match state {
         HostState::Alive => "alive",
--- a/crates/hollywheel-cli/src/commands/pools.rs
+++ b/crates/hollywheel-cli/src/commands/pools.rs
@@ -26,6 +26,10 @@
     let mut list: PoolList = context.client.get("/admin/pools").await?;
     if let Some(pool) = args.get_one::<PoolId>("pool") {
         list.pools.retain(|entry| entry.pool == *pool);
+        if list.pools.is_empty() {
+            let detail = format!("pool/{pool} is not in the set in force on this host");
+            return Err(CliError::not_found(detail));
+        }
     }
     context.print(&list, text)
 }
--- a/crates/hollywheel-cli/src/commands/show.rs
+++ b/crates/hollywheel-cli/src/commands/show.rs
@@ -1,7 +1,7 @@
 //! `hollywheelctl show`
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use hollywheel_admin::{ConfigDocument, ProblemDetails};
+use hollywheel_admin::ConfigDocument;
 use hollywheel_config::{ObjectKey, ObjectSet, write_toml};
 
 use crate::context::CommandContext;
@@ -54,16 +54,7 @@
         .into_iter()
         .find(|object| object.key() == *key);
     let Some(object) = found else {
-        return Err(CliError::from_problem(ProblemDetails {
-            kind: "/problems/not-found".to_owned(),
-            title: "not found".to_owned(),
-            status: 404,
-            detail: format!("{key} is not in the set"),
-            verdict: None,
-            retry_after_ms: None,
-            request: None,
-            faults: Vec::new(),
-        }));
+        return Err(CliError::not_found(format!("{key} is not in the set")));
     };
     let mut one = ObjectSet::default();
     one.put(object);
--- a/crates/hollywheel-cli/src/error.rs
+++ b/crates/hollywheel-cli/src/error.rs
@@ -12,7 +12,7 @@
 pub enum CliError {
     /// The set has faults; nothing was published.
     Faults(Vec<CheckFault>),
-    /// Somebody else published meanwhile; look at the difference and publish again.
+    /// Somebody else published, or a claim is in use or changed, meanwhile.
     Conflict(Box<ProblemDetails>),
     /// The token is missing, not known, or its role does not allow the command.
     Denied(Box<ProblemDetails>),
@@ -75,6 +75,20 @@
         })
     }
 
+    /// Reports that a host answered, but holds no such thing.
+    pub fn not_found(detail: String) -> Self {
+        Self::NotFound(Box::new(ProblemDetails {
+            kind: "/problems/not-found".to_owned(),
+            title: "not found".to_owned(),
+            status: 404,
+            detail,
+            verdict: None,
+            retry_after_ms: None,
+            request: None,
+            faults: Vec::new(),
+        }))
+    }
+
     /// Sorts an error answer of a host into what the operator can do about it.
     pub fn from_problem(problem: ProblemDetails) -> Self {
         let problem = Box::new(problem);
@@ -92,11 +106,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Faults(faults) => write_faults(f, faults),
-            Self::Conflict(problem) => write!(
-                f,
-                "{}\nrun `hollywheelctl diff` against the new version, then publish again",
-                problem.detail
-            ),
+            Self::Conflict(problem) => write_conflict(f, problem),
             Self::Denied(problem) => write!(
                 f,
                 "{}\nset HOLLYWHEEL_TOKEN to a token whose role allows this command",
@@ -143,6 +153,19 @@
     }
 }
 
+fn write_conflict(f: &mut fmt::Formatter<'_>, problem: &ProblemDetails) -> fmt::Result {
+    f.write_str(&problem.detail)?;
+    match problem.kind.as_str() {
+        "/problems/config-conflict" => {
+            f.write_str("\nrun `hollywheelctl diff` against the new version, then publish again")
+        }
+        "/problems/claim-not-open" => {
+            f.write_str("\nrun `hollywheelctl claims list --all` to see what became of it")
+        }
+        _ => Ok(()),
+    }
+}
+
 fn write_refusal(f: &mut fmt::Formatter<'_>, problem: &ProblemDetails) -> fmt::Result {
     f.write_str(&problem.detail)?;
     if let Some(verdict) = problem.verdict {
--- a/crates/hollywheel-cli/tests/commands.rs
+++ b/crates/hollywheel-cli/tests/commands.rs
@@ -95,6 +95,7 @@
         &["claims", "resolve", "w", "k", "may-have-run"],
         &["--output", "xml", "hosts"],
         &["show", "pools/x"],
+        &["history", "--limit", "101"],
         &["nonsense"],
     ] {
         let output = run(&host.address(), args);
@@ -131,6 +132,30 @@
     insta::assert_snapshot!(text);
 }
 
+#[test]
+fn pool_that_is_not_in_force_is_named() {
+    let pools = include_str!("data/pools.json");
+    let host = FakeHost::start(&[("GET /admin/pools", 200, pools)]);
+    let output = render(&run(&host.address(), &["pools", "rates-engine"]));
+    insta::assert_snapshot!(output, @r"
+    exit 7
+    error: pool/rates-engine is not in the set in force on this host
+    ");
+}
+
+#[test]
+fn conflict_over_a_claim_gives_no_advice_about_publications() {
+    let problem = r#"{"type":"/problems/claimant-alive","title":"x","status":409,
+        "detail":"host h made the claim and may be alive; stop it"}"#;
+    let host = FakeHost::start(&[("POST /admin/claims/resolve", 409, problem)]);
+    let args = ["claims", "resolve", "w", "k", "not-run"];
+    let output = render(&run(&host.address(), &args));
+    insta::assert_snapshot!(output, @r"
+    exit 3
+    error: host h made the claim and may be alive; stop it
+    ");
+}
+
 #[test]
 fn publish_reports_success_conflict_denial_and_lost_answer() {
     let set = write_set("publish", SET);
@@ -139,7 +164,7 @@
         {"pipelines":[],"pools":[],"stages":[],"targets":[],"workspaces":[]}}}"#;
     let problem = |status: u16| {
         format!(
-            r#"{{"type":"/problems/x","title":"x","status":{status},"detail":"said the host"}}"#
+            r#"{{"type":"/problems/config-conflict","title":"x","status":{status},"detail":"said the host"}}"#
         )
     };
     let mut text = String::new();
