Name the object and the field of a wrong value in an object file

Cause: a value of a wrong type was reported with its line and `expected u8`; the operator had to look the object up, and the type says nothing to somebody who writes no Rust. Ruled out: a deserializer for each field, since the reader knows the place already. Change: the message begins with object and field, and integer types are given as ranges. JSON keeps line and column: it comes from programs. Before and after: `expected u8` before, `target/clerk-answer: attainment: ... expected a whole number from 0 to 255` after; cargo test -p hollywheel-config passes with INSTA_UPDATE=no.

--- a/crates/hollywheel-config/src/lib.rs
+++ b/crates/hollywheel-config/src/lib.rs
@@ -4,6 +4,7 @@
 mod check;
 mod install;
 mod key_hash;
+mod locate;
 mod object;
 mod read;
 mod set;
--- a/crates/hollywheel-config/src/read.rs
+++ b/crates/hollywheel-config/src/read.rs
@@ -5,6 +5,7 @@
 use schemars::{JsonSchema, Schema, schema_for};
 use serde::{Deserialize, Serialize};
 
+use crate::locate::describe_fault;
 use crate::object::{PipelineObject, PoolObject, StageObject, TargetObject, WorkspaceObject};
 use crate::set::ObjectSet;
 
@@ -18,7 +19,7 @@
     Syntax {
         /// The file or source of the text.
         source_name: String,
-        /// What the reader reported, with line and field.
+        /// What the reader reported, with object, field and line where they are known.
         message: String,
     },
     /// The text states a format that is not known.
@@ -104,11 +105,11 @@
 ///
 /// # Errors
 ///
-/// Returns [`ReadError`] with the line and field at fault.
+/// Returns [`ReadError`] with the object, field and line at fault.
 pub fn read_toml(source_name: &str, text: &str) -> Result<ObjectSet, ReadError> {
     let file: ObjectFile = toml::from_str(text).map_err(|error| ReadError::Syntax {
         source_name: source_name.to_owned(),
-        message: error.to_string(),
+        message: describe_fault(text, &error),
     })?;
     file.into_set(source_name)
 }
--- a/crates/hollywheel-config/tests/check.rs
+++ b/crates/hollywheel-config/tests/check.rs
@@ -105,6 +105,24 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn wrong_value_is_named_with_its_object_field_and_range() {
+    let faults = [
+        ("share = 2", "share = -1"),
+        ("deadline_ms = 8000", "deadline_ms = \"8 s\""),
+        ("slots = 8", "slots = 4.5"),
+        ("name = \"draft\"\n", "name = \"draft\"\nidempotent = 1\n"),
+        ("name = \"rates-question\"\n", ""),
+    ];
+    let mut text = String::new();
+    for (good, bad) in faults {
+        assert!(GOOD.contains(good), "{good}");
+        let error = read_toml("set.toml", &GOOD.replacen(good, bad, 1)).unwrap_err();
+        text += &format!("{error}\n\n");
+    }
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn wrong_field_is_named_with_its_line() {
     let text = GOOD.replace("deadline_ms", "dead_line");
