--- a/crates/hollywheel-config/src/locate.rs
+++ b/crates/hollywheel-config/src/locate.rs
@@ -19,14 +19,14 @@
 fn with_plain_types(fault: &str) -> String {
     let fault = fault.trim_end();
     let ranges = [
-        ("u8", u64::from(u8::MAX)),
-        ("u16", u64::from(u16::MAX)),
-        ("u32", u64::from(u32::MAX)),
-        ("u64", u64::MAX),
+        // Only percentages are bytes in objects.
+        ("u8", "a whole number of percent from 0 to 100"),
+        ("u32", "a whole number from 0 to 4294967295"),
+        ("u64", "a whole number, 0 or more"),
     ];
-    for (name, most) in ranges {
+    for (name, range) in ranges {
         if let Some(start) = fault.strip_suffix(&format!("expected {name}")) {
-            return format!("{start}expected a whole number from 0 to {most}");
+            return format!("{start}expected {range}");
         }
     }
     fault.to_owned()
--- a/crates/hollywheel-config/tests/check.rs
+++ b/crates/hollywheel-config/tests/check.rs
@@ -111,6 +111,8 @@
         ("share = 2", "share = -1"),
         ("deadline_ms = 8000", "deadline_ms = \"8 s\""),
         ("slots = 8", "slots = 4.5"),
+        ("deadline_ms = 8000", "deadline_ms = 8000\nattainment = 400"),
+        ("deadline_ms = 8000", "deadline_ms = 8000\nattainment = 150"),
         ("name = \"draft\"\n", "name = \"draft\"\nidempotent = 1\n"),
         ("name = \"rates-question\"\n", ""),
     ];
