Bound the open connections of both listeners

Cause: the callers' and operators' listeners accepted without bound, and a caller that read no byte of its answer held its connection for ever.

Ruled out: a count in the library's readiness check, which is made before a connection is accepted and so can only delay, not close; a listener of our own, since the stream type leaves no room for a guard.

HTTP/2 connections that answer pings are not cut when idle: by the library's source, not run.

Conclusion: both listeners are bounded, and nobody holds a connection of HTTP/1.1 without using it.

--- a/crates/hollywheel-daemon/src/admin/state.rs
+++ b/crates/hollywheel-daemon/src/admin/state.rs
@@ -16,6 +16,7 @@
 use crate::install::InstallHandle;
 use crate::peers::HostDirectory;
 use crate::settings::OperatorEntry;
+use crate::web::ConnectionLimit;
 
 /// Bounds the body of an operator's call, in bytes; a set of 4,800 workspaces fits.
 pub const MAX_BODY: u64 = 16 * 1024 * 1024;
@@ -26,6 +27,7 @@
     pub(crate) domain: DomainId,
     pub(crate) incarnation: Incarnation,
     pub(crate) max_body: u64,
+    pub(crate) connections: Arc<ConnectionLimit>,
     pub(crate) operators: ArcSwap<Vec<OperatorEntry>>,
     pub(crate) core: CoreHandle,
     pub(crate) install: InstallHandle,
--- a/crates/hollywheel-daemon/src/front/server.rs
+++ b/crates/hollywheel-daemon/src/front/server.rs
@@ -5,12 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_server::Builder;
 use xitca_web::App;
-use xitca_web::service::fn_service;
+use xitca_web::service::{ServiceExt, fn_service};
 
 use super::route::handle_call;
 use super::state::FrontState;
-use crate::web::WebServer;
+use crate::web::{LimitBuilder, WebServer};
 
 /// Bounds the header lines of a request.
 const MAX_HEADERS: usize = 48;
@@ -28,18 +31,23 @@
 /// Returns the error of the system if the server cannot start.
 pub fn start_front(state: Arc<FrontState>, listener: TcpListener) -> io::Result<WebServer> {
     let workers = state.settings.workers;
-    let server = App::new()
+    let config = HttpServiceConfig::new()
+        .peek_protocol()
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(HEAD_TIMEOUT)
+        .max_read_buf_size::<MAX_HEAD>()
+        .max_request_headers::<MAX_HEADERS>();
+    let limit = LimitBuilder(Arc::clone(&state.connections));
+    let service = App::new()
         .with_state(state)
         .at("/{*}", fn_service(handle_call))
-        .serve()
+        .finish()
+        .enclosed(HttpServiceBuilder::with_config(config))
+        .enclosed(limit);
+    let server = Builder::new()
         .disable_signal()
         .worker_threads(workers)
         .worker_max_blocking_threads(1)
-        .h2c_prior_knowledge()
-        .keep_alive_timeout(KEEP_ALIVE)
-        .request_head_timeout(HEAD_TIMEOUT)
-        .max_read_buf_size::<MAX_HEAD>()
-        .max_request_headers::<MAX_HEADERS>()
-        .listen(listener)?;
+        .listen("callers", listener, service);
     WebServer::start(server)
 }
--- a/crates/hollywheel-daemon/src/front/state.rs
+++ b/crates/hollywheel-daemon/src/front/state.rs
@@ -12,12 +12,15 @@
 use crate::core::CoreHandle;
 use crate::metrics::DaemonMetrics;
 use crate::traces::TraceRing;
+use crate::web::ConnectionLimit;
 
 /// Holds the settings of the listener for callers.
 #[derive(Clone, Copy, Debug)]
 pub struct FrontSettings {
     /// The largest request body in bytes.
     pub max_body: u64,
+    /// The largest number of open connections.
+    pub max_connections: usize,
     /// The threads that serve callers.
     pub workers: usize,
 }
@@ -26,6 +29,7 @@
     fn default() -> Self {
         Self {
             max_body: 1024 * 1024,
+            max_connections: 4096,
             workers: 2,
         }
     }
@@ -44,6 +48,8 @@
     pub clock: HostClock,
     /// The metrics.
     pub metrics: Arc<DaemonMetrics>,
+    /// The bound on open connections.
+    pub connections: Arc<ConnectionLimit>,
     /// The recent requests.
     pub traces: Arc<TraceRing>,
     draining: AtomicBool,
@@ -61,12 +67,15 @@
         traces: Arc<TraceRing>,
         seed: [u8; 32],
     ) -> Self {
+        let connections = metrics.connections("callers");
+        let connections = ConnectionLimit::new(settings.max_connections, connections);
         Self {
             settings,
             core,
             config,
             clock,
             metrics,
+            connections: Arc::new(connections),
             traces,
             draining: AtomicBool::new(false),
             random: Mutex::new(StdRng::from_seed(seed)),
--- a/crates/hollywheel-daemon/src/host/parts.rs
+++ b/crates/hollywheel-daemon/src/host/parts.rs
@@ -30,7 +30,7 @@
 use crate::settings::{DaemonSettings, SecretText, TlsSettings};
 use crate::supervisor::HostPhase;
 use crate::traces::TraceRing;
-use crate::web::bind_listener;
+use crate::web::{ConnectionLimit, bind_listener};
 
 /// Holds every part of a host. Children of the supervisor are started from it.
 pub struct HostParts {
@@ -105,6 +105,7 @@
         let front = Arc::new(FrontState::new(
             FrontSettings {
                 max_body: settings.max_body.0,
+                max_connections: settings.max_connections,
                 workers: settings.workers,
             },
             core.clone(),
@@ -120,6 +121,10 @@
             domain: settings.domain.clone(),
             incarnation,
             max_body: crate::admin::MAX_BODY,
+            connections: Arc::new(ConnectionLimit::new(
+                settings.max_operator_connections,
+                metrics.connections("operators"),
+            )),
             operators: ArcSwap::from_pointee(settings.secrets.operators.clone()),
             core: core.clone(),
             install: install.clone(),
--- a/crates/hollywheel-daemon/src/metrics/registry.rs
+++ b/crates/hollywheel-daemon/src/metrics/registry.rs
@@ -16,6 +16,7 @@
 use prometheus_client::registry::Registry;
 
 use super::book::StatusBook;
+use super::connections::ConnectionMetrics;
 use super::labels::{ClassLabels, CostLabels, EndLabels, KindLabels, WorkspaceLabels};
 use super::workspace::WorkspaceRank;
 
@@ -62,6 +63,8 @@
     config_version: Gauge,
     hosts_alive: Gauge,
     in_flight: Gauge,
+    connections_open: Family<KindLabels, Gauge>,
+    connections_refused: Family<KindLabels, Counter>,
     rank: Mutex<WorkspaceRank>,
     book: Mutex<StatusBook>,
 }
@@ -110,6 +113,8 @@
             config_version: Gauge::default(), "config_version", "Configuration version in force";
             hosts_alive: Gauge::default(), "hosts_alive", "Hosts taken for alive, this one included";
             in_flight: Gauge::default(), "requests_in_flight", "Requests in progress";
+            connections_open: Family::default(), "connections_open", "Open connections by listener";
+            connections_refused: Family::default(), "connections_refused", "Connections closed at the bound by listener";
         }
         Self {
             registry,
@@ -134,6 +139,8 @@
             config_version,
             hosts_alive,
             in_flight,
+            connections_open,
+            connections_refused,
             rank: Mutex::new(WorkspaceRank::default()),
             book: Mutex::new(StatusBook::default()),
         }
@@ -218,6 +225,15 @@
         count(&self.rejected, problem);
     }
 
+    /// Returns the counts of the connections of a listener.
+    pub fn connections(&self, kind: &'static str) -> ConnectionMetrics {
+        let labels = KindLabels { kind };
+        ConnectionMetrics {
+            open: self.connections_open.get_or_create(&labels).clone(),
+            refused: self.connections_refused.get_or_create(&labels).clone(),
+        }
+    }
+
     /// Records a call of the table service.
     pub fn store_called(&self, result: &Result<StoreReply, StoreFailure>) {
         self.store_calls.inc();
--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -132,6 +132,20 @@
         Some("4096"),
         "Most requests in progress",
     ),
+    entry(
+        "max-connections",
+        "HOLLYWHEEL_MAX_CONNECTIONS",
+        "CONNECTIONS",
+        Some("4096"),
+        "Most open connections of callers; a new one over the bound is closed at once",
+    ),
+    entry(
+        "max-operator-connections",
+        "HOLLYWHEEL_MAX_OPERATOR_CONNECTIONS",
+        "CONNECTIONS",
+        Some("64"),
+        "Most open connections of operators; a new one over the bound is closed at once",
+    ),
     entry(
         "workers",
         "HOLLYWHEEL_WORKERS",
--- a/crates/hollywheel-daemon/src/settings/parse.rs
+++ b/crates/hollywheel-daemon/src/settings/parse.rs
@@ -289,6 +289,8 @@
         drain: check.millis("drain-ms", 100, 600_000),
         max_body: check.value("max-body", base.max_body),
         max_requests: check.number("max-requests", 1, 1_000_000) as usize,
+        max_connections: check.number("max-connections", 1, 1_000_000) as usize,
+        max_operator_connections: check.number("max-operator-connections", 1, 100_000) as usize,
         workers: check.number("workers", 1, 256) as usize,
         config_poll: check.millis("config-poll-ms", 100, 60_000),
         load_poll: check.millis("load-poll-ms", 100, 60_000),
--- a/crates/hollywheel-daemon/src/settings/show.rs
+++ b/crates/hollywheel-daemon/src/settings/show.rs
@@ -35,6 +35,8 @@
         "drain-ms" => settings.drain.as_millis().to_string(),
         "max-body" => settings.max_body.to_string(),
         "max-requests" => settings.max_requests.to_string(),
+        "max-connections" => settings.max_connections.to_string(),
+        "max-operator-connections" => settings.max_operator_connections.to_string(),
         "workers" => settings.workers.to_string(),
         "config-poll-ms" => settings.config_poll.as_millis().to_string(),
         "load-poll-ms" => settings.load_poll.as_millis().to_string(),
--- a/crates/hollywheel-daemon/src/settings/values.rs
+++ b/crates/hollywheel-daemon/src/settings/values.rs
@@ -68,6 +68,10 @@
     pub max_body: ByteSize,
     /// The largest number of requests in progress.
     pub max_requests: usize,
+    /// The largest number of open connections of callers.
+    pub max_connections: usize,
+    /// The largest number of open connections of operators.
+    pub max_operator_connections: usize,
     /// The threads that serve callers.
     pub workers: usize,
     /// The time between reads of the newest configuration version.
@@ -100,6 +104,8 @@
             drain: Duration::from_secs(30),
             max_body: ByteSize::from_mib(1),
             max_requests: 4096,
+            max_connections: 4096,
+            max_operator_connections: 64,
             workers: 2,
             config_poll: Duration::from_secs(2),
             load_poll: Duration::from_secs(1),
--- a/crates/hollywheel-daemon/src/web/server.rs
+++ b/crates/hollywheel-daemon/src/web/server.rs
@@ -6,10 +6,15 @@
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::sync::oneshot;
-use xitca_web::HttpServer;
+use xitca_server::Builder;
 
-/// Binds an address for listening.
+/// Closes connections whose peer takes no bytes of an answer.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Binds an address for listening. Connections whose peer acknowledges nothing, or reads nothing
+/// of what waits for it, are closed by the system after 10 s.
 ///
 /// # Errors
 ///
@@ -18,6 +23,8 @@
     let listener = TcpListener::bind(address)
         .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
     listener.set_nonblocking(true)?;
+    // Accepted connections inherit it from their listener.
+    SockRef::from(&listener).set_tcp_user_timeout(Some(STALL_TIMEOUT))?;
     Ok(listener)
 }
 
@@ -49,13 +56,8 @@
     /// # Errors
     ///
     /// Returns the error of the system if the server cannot start.
-    pub fn start<S, const H: usize, const R: usize, const W: usize>(
-        server: HttpServer<S, H, R, W>,
-    ) -> io::Result<Self>
-    where
-        S: Send + Sync + 'static,
-    {
-        let mut future = server.run();
+    pub fn start(server: Builder) -> io::Result<Self> {
+        let mut future = server.build();
         let handle = future.handle()?;
         let (sender, ended) = oneshot::channel();
         std::thread::Builder::new()
--- a/crates/hollywheel-daemon/tests/metrics.rs
+++ b/crates/hollywheel-daemon/tests/metrics.rs
@@ -63,6 +63,7 @@
     });
     metrics.call_rejected("no-key");
     metrics.store_called(&Err(StoreFailure::Unknown));
+    metrics.connections("callers").refused();
     metrics.set_cost("s", "lookup", "useful", 1.0);
     metrics
 }
--- a/crates/hollywheel-daemon/tests/settings.rs
+++ b/crates/hollywheel-daemon/tests/settings.rs
@@ -53,6 +53,8 @@
         ("routing", "fastest"),
         ("drain-ms", "soon"),
         ("max-body", "1GB"),
+        ("max-connections", "0"),
+        ("max-operator-connections", "many"),
         ("workers", "0"),
         ("log-format", "xml"),
         ("log-level", "all"),
