Split the policy load trial by job

Ruled out: sharing it with fleet_size and detector_compare, which simulate other things. No behaviour changes.

--- /dev/null
+++ b/crates/hollywheel-policy/examples/policy_load/faults.rs
@@ -0,0 +1,47 @@
+//! Faults and load reports of the servers.
+
+use hollywheel_policy::AttemptOutcome;
+
+use crate::common::{MS, report, server_name};
+use crate::scenario::{CONNECT_TIMEOUT, NETWORK, SERVERS, SLOTS};
+use crate::world::{Event, World};
+
+impl World {
+    pub(crate) fn fault(&mut self, on: bool) {
+        self.servers[0].factor = if on { self.scenario.slow } else { 1.0 };
+        if !self.scenario.cut {
+            return;
+        }
+        for at in (0..SERVERS).step_by(3) {
+            self.servers[at].cut = on;
+            let server = &self.servers[at];
+            for attempt in [&server.running[..], &server.queue[..]].concat() {
+                self.free(attempt);
+                self.attempts[attempt].started = Some(self.now);
+                let failed = Event::Answer(attempt, AttemptOutcome::Failed);
+                self.after(CONNECT_TIMEOUT, failed);
+            }
+        }
+    }
+
+    pub(crate) fn tell(&mut self, host: usize, at: usize) {
+        let server = &self.servers[at];
+        let mut report = report(
+            &server_name(at),
+            1,
+            server.running.len() as u32,
+            SLOTS as u32,
+        );
+        report.queued = server.queue.len() as u32;
+        self.hosts[host].report(self.now, &report, NETWORK);
+    }
+
+    pub(crate) fn report(&mut self) {
+        if self.second() < self.scenario.total {
+            for at in 0..SERVERS * self.hosts.len() {
+                self.tell(at / SERVERS, at % SERVERS);
+            }
+            self.after(self.scenario.report_ms * MS, Event::Report);
+        }
+    }
+}
