Remove old claims and old configuration rows

Ruled out: a deadline in each row (the table service has none); removal by the host that made a claim (a dead host leaves its rows); a second table ordered by time (doubles the writes of every payment).

Change: a new crate hollywheel-retention with one pure machine. A small module hollywheel_config::retain names the rows; the install machine is not changed. The daemon runs it as a restartable child, with two metrics and two events.

Conclusion: the tables are bounded by the retention and the rate of new rows.

--- a/crates/hollywheel-config/src/install/mod.rs
+++ b/crates/hollywheel-config/src/install/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod order;
 mod reader;
+pub mod retain;
 mod rows;
 
 pub use digest::SetDigest;
--- a/crates/hollywheel-daemon/src/events.rs
+++ b/crates/hollywheel-daemon/src/events.rs
@@ -61,6 +61,8 @@
     StoreRefused, "HW3001", WARN, "The table service refused a call, which had no effect.", "Check the table service.";
     StoreUnknown, "HW3002", WARN, "The answer of the table service was lost or late.", "Check the table service.";
     HostListUnreadable, "HW3003", WARN, "The host list could not be read.", "Check the platform; hosts known so far stay known.";
+    SweepEnded, "HW3004", INFO, "A pass over old claims ended.", "None.";
+    ConfigKept, "HW3005", WARN, "Old configuration rows are kept, since the whole set after them is not complete.", "Look at the rows of the table config-change.";
     ConfigInstalled, "HW4001", INFO, "A configuration version is in force.", "None.";
     ConfigRejected, "HW4002", ERROR, "A configuration version could not be put in force.", "Publish a corrected set.";
     ConfigPublished, "HW4003", INFO, "An operator published a configuration version.", "None.";
--- a/crates/hollywheel-daemon/src/host/runs.rs
+++ b/crates/hollywheel-daemon/src/host/runs.rs
@@ -8,6 +8,7 @@
 use hollywheel_membership::MemberMachine;
 use hollywheel_node::NodeMachine;
 use hollywheel_orders::{OrderMachine, OrderSettings};
+use hollywheel_retention::RetentionSettings;
 use tokio::sync::watch;
 
 use super::parts::HostParts;
@@ -19,6 +20,7 @@
 use crate::install::{InstallEffects, InstallTask};
 use crate::orders::{OrderEffects, OrderTask};
 use crate::peers::{HostListReader, MemberEffects, MemberTask, RequestReceiver};
+use crate::retention::RetentionTask;
 use crate::supervisor::{ChildRun, HostPhase};
 use crate::ticker::MetricsTicker;
 use crate::web::{WebServer, close_listener};
@@ -146,6 +148,22 @@
         }
     }
 
+    pub(crate) fn retention_run(&self) -> impl FnMut() -> ChildRun + Send + use<> {
+        let task = RetentionTask {
+            settings: RetentionSettings {
+                host: self.settings.host.clone(),
+                keep: self.settings.claim_retention,
+                ..RetentionSettings::default()
+            },
+            clock: self.clock,
+            directory: Arc::clone(&self.directory),
+            platform: Arc::new(self.platform.clone()),
+            metrics: Arc::clone(&self.metrics),
+            phase: self.phase.subscribe(),
+        };
+        move || Box::pin(task.clone().run())
+    }
+
     pub(crate) fn request_run(&self) -> impl FnMut() -> ChildRun + Send + use<> {
         let receiver = self.host_requests.clone();
         let member = self.member.clone();
--- a/crates/hollywheel-daemon/src/lib.rs
+++ b/crates/hollywheel-daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod orders;
 pub mod peers;
 mod queue;
+pub mod retention;
 pub mod settings;
 mod supervisor;
 mod ticker;
--- a/crates/hollywheel-daemon/src/metrics/registry.rs
+++ b/crates/hollywheel-daemon/src/metrics/registry.rs
@@ -65,6 +65,8 @@
     in_flight: Gauge,
     connections_open: Family<KindLabels, Gauge>,
     connections_refused: Family<KindLabels, Counter>,
+    rows_removed: Family<KindLabels, Counter>,
+    passes: Counter,
     rank: Mutex<WorkspaceRank>,
     book: Mutex<StatusBook>,
 }
@@ -113,6 +115,8 @@
             config_version: Gauge::default(), "config_version", "Configuration version in force";
             hosts_alive: Gauge::default(), "hosts_alive", "Hosts taken for alive, this one included";
             in_flight: Gauge::default(), "requests_in_flight", "Requests in progress";
+            rows_removed: Family::default(), "rows_removed", "Old rows removed from the table service by table";
+            passes: Counter::default(), "claim_passes", "Passes over the claims that ended";
             connections_open: Family::default(), "connections_open", "Open connections by listener";
             connections_refused: Family::default(), "connections_refused", "Connections closed at the bound by listener";
         }
@@ -141,6 +145,8 @@
             in_flight,
             connections_open,
             connections_refused,
+            rows_removed,
+            passes,
             rank: Mutex::new(WorkspaceRank::default()),
             book: Mutex::new(StatusBook::default()),
         }
@@ -225,6 +231,19 @@
         count(&self.rejected, problem);
     }
 
+    /// Records old rows that were removed from a table.
+    pub fn rows_removed(&self, table: &'static str, rows: u64) {
+        if rows > 0 {
+            let labels = KindLabels { kind: table };
+            self.rows_removed.get_or_create(&labels).inc_by(rows);
+        }
+    }
+
+    /// Records that a pass over the claims ended.
+    pub fn pass_ended(&self) {
+        self.passes.inc();
+    }
+
     /// Returns the counts of the connections of a listener.
     pub fn connections(&self, kind: &'static str) -> ConnectionMetrics {
         let labels = KindLabels { kind };
--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -160,6 +160,13 @@
         Some("2000"),
         "Least mean time between two reads of the newest configuration version by this host",
     ),
+    entry(
+        "claim-retention-hours",
+        "HOLLYWHEEL_CLAIM_RETENTION_HOURS",
+        "HOURS",
+        Some("168"),
+        "How long claims that ran or were released are kept, 24 at least; the same on every host",
+    ),
     entry(
         "load-poll-ms",
         "HOLLYWHEEL_LOAD_POLL_MS",
--- a/crates/hollywheel-daemon/src/settings/parse.rs
+++ b/crates/hollywheel-daemon/src/settings/parse.rs
@@ -142,6 +142,10 @@
         Duration::from_millis(self.number(flag, low, high))
     }
 
+    fn hours(&mut self, flag: &'static str, low: u64, high: u64) -> Duration {
+        Duration::from_secs(self.number(flag, low, high) * 3600)
+    }
+
     fn named<T: Copy>(&mut self, flag: &'static str, names: &[(&str, T)]) -> T {
         let text = self.text(flag).unwrap_or_default();
         let found = names.iter().find(|(name, _)| *name == text);
@@ -293,6 +297,7 @@
         max_operator_connections: check.number("max-operator-connections", 1, 100_000) as usize,
         workers: check.number("workers", 1, 256) as usize,
         config_poll: check.millis("config-poll-ms", 100, 60_000),
+        claim_retention: check.hours("claim-retention-hours", 24, 87_600),
         load_poll: check.millis("load-poll-ms", 100, 60_000),
         load_polls: check.number("load-polls", 1, 1000) as usize,
         log_format: check.named("log-format", &LOG_FORMATS),
--- a/crates/hollywheel-daemon/src/settings/show.rs
+++ b/crates/hollywheel-daemon/src/settings/show.rs
@@ -39,6 +39,7 @@
         "max-operator-connections" => settings.max_operator_connections.to_string(),
         "workers" => settings.workers.to_string(),
         "config-poll-ms" => settings.config_poll.as_millis().to_string(),
+        "claim-retention-hours" => (settings.claim_retention.as_secs() / 3600).to_string(),
         "load-poll-ms" => settings.load_poll.as_millis().to_string(),
         "load-polls" => settings.load_polls.to_string(),
         "log-format" => format_name(settings.log_format).to_owned(),
--- a/crates/hollywheel-daemon/src/settings/values.rs
+++ b/crates/hollywheel-daemon/src/settings/values.rs
@@ -76,6 +76,8 @@
     pub workers: usize,
     /// The time between reads of the newest configuration version.
     pub config_poll: Duration,
+    /// The time for which a decided claim is kept.
+    pub claim_retention: Duration,
     /// The time between polls of one backend server's load.
     pub load_poll: Duration,
     /// The most polls of backend servers' load a second.
@@ -108,6 +110,7 @@
             max_operator_connections: 64,
             workers: 2,
             config_poll: Duration::from_secs(2),
+            claim_retention: Duration::from_secs(168 * 3600),
             load_poll: Duration::from_secs(1),
             load_polls: 3,
             log_format: LogFormat::Text,
--- a/crates/hollywheel-daemon/src/supervisor.rs
+++ b/crates/hollywheel-daemon/src/supervisor.rs
@@ -84,6 +84,7 @@
         child("membership", Restart, parts.member_run()),
         child("configuration install", Restart, parts.install_run()),
         child("model placement", Restart, parts.order_run()),
+        child("removal of old rows", Restart, parts.retention_run()),
         child("requests of hosts", Restart, parts.request_run()),
         child("host list reader", Restart, parts.host_list_run()),
         child("load collector", Restart, parts.collector_run()),
--- a/crates/hollywheel-daemon/tests/metrics.rs
+++ b/crates/hollywheel-daemon/tests/metrics.rs
@@ -64,6 +64,7 @@
     metrics.call_rejected("no-key");
     metrics.store_called(&Err(StoreFailure::Unknown));
     metrics.connections("callers").refused();
+    metrics.rows_removed("claim", 1);
     metrics.set_cost("s", "lookup", "useful", 1.0);
     metrics
 }
--- a/crates/hollywheel-daemon/tests/settings.rs
+++ b/crates/hollywheel-daemon/tests/settings.rs
@@ -56,6 +56,7 @@
         ("max-connections", "0"),
         ("max-operator-connections", "many"),
         ("workers", "0"),
+        ("claim-retention-hours", "23"),
         ("log-format", "xml"),
         ("log-level", "all"),
         ("platform-token", "a b"),
