Give the stand-ins' commands their common flags from one place

Cause: engine, pool and service each spelt out name, slots and queue limit, and pool and service the four flags of their service times. Ruled out: clap's flattening of derived structs; the project uses the builder. Change: place_flags and time_flags in command/flag.rs.

--- a/crates/hollywheel-standins/src/command/engine.rs
+++ b/crates/hollywheel-standins/src/command/engine.rs
@@ -6,30 +6,18 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use hollywheel_standins::{EngineSettings, StandinHandle, start_engine};
 
-use super::flag::{flag, get, get_micros, get_millis, listen, optional};
+use super::flag::{flag, get, get_micros, get_millis, listen, optional, place_flags};
 
 pub(crate) fn command() -> Command {
     let settings = EngineSettings::default();
     Command::new("engine")
         .about("Stands in for a model engine")
         .arg(listen())
-        .arg(flag(
-            "name",
-            value_parser!(String),
+        .args(place_flags(
+            "Streams",
             settings.name,
-            "Name of the server",
-        ))
-        .arg(flag(
-            "slots",
-            value_parser!(u32),
             settings.slots,
-            "Streams that run at once",
-        ))
-        .arg(flag(
-            "queue-limit",
-            value_parser!(u32),
             settings.queue_limit,
-            "Streams that wait; further ones are refused as not run",
         ))
         .arg(
             Arg::new("model")
--- a/crates/hollywheel-standins/src/command/flag.rs
+++ b/crates/hollywheel-standins/src/command/flag.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use clap::builder::ValueParser;
+use clap::builder::{StyledStr, ValueParser};
 use clap::{Arg, ArgMatches, value_parser};
 
 /// Returns a flag with a default; its variable is `HOLLYWHEEL_STANDIN_` and the name.
@@ -13,7 +13,7 @@
     name: &'static str,
     parser: impl Into<ValueParser>,
     default: impl Display,
-    help: &'static str,
+    help: impl Into<StyledStr>,
 ) -> Arg {
     optional(name, parser, help).default_value(default.to_string())
 }
@@ -22,14 +22,14 @@
 pub(crate) fn optional(
     name: &'static str,
     parser: impl Into<ValueParser>,
-    help: &'static str,
+    help: impl Into<StyledStr>,
 ) -> Arg {
     let variable = name.to_uppercase().replace('-', "_");
     Arg::new(name)
         .long(name)
         .env(format!("HOLLYWHEEL_STANDIN_{variable}"))
         .value_parser(parser)
-        .help(help)
+        .help(help.into())
 }
 
 /// Returns the flag for the address.
@@ -42,6 +42,55 @@
     )
 }
 
+/// Returns the flags for the name of a server and for what it runs and holds at once.
+pub(crate) fn place_flags(work: &str, name: String, slots: u32, queue_limit: u32) -> [Arg; 3] {
+    [
+        flag("name", value_parser!(String), name, "Name of the server"),
+        flag(
+            "slots",
+            value_parser!(u32),
+            slots,
+            format!("{work} that run at once"),
+        ),
+        flag(
+            "queue-limit",
+            value_parser!(u32),
+            queue_limit,
+            format!("{work} that wait; further ones are refused as not run"),
+        ),
+    ]
+}
+
+/// Returns the flags for service times that are drawn, and for the lag of load reports.
+pub(crate) fn time_flags(median: Duration, sigma: f64, load_lag: Duration, seed: u64) -> [Arg; 4] {
+    [
+        flag(
+            "median-us",
+            value_parser!(u64),
+            median.as_micros(),
+            "Median of the service times, in microseconds",
+        ),
+        flag(
+            "sigma",
+            value_parser!(f64),
+            sigma,
+            "Standard deviation of the logarithm of the service times",
+        ),
+        flag(
+            "load-lag-ms",
+            value_parser!(u64),
+            load_lag.as_millis(),
+            "Lag of load reports, in milliseconds",
+        ),
+        flag(
+            "seed",
+            value_parser!(u64),
+            seed,
+            "Seed of the service times",
+        ),
+    ]
+}
+
 /// Returns the value of a flag that has a default.
 pub(crate) fn get<T: Any + Clone + Send + Sync>(matches: &ArgMatches, name: &str) -> T {
     let value: Option<&T> = matches.get_one(name);
