Say where a claim was looked for; keep colour codes out of log files

Cause: a claim that no row holds was "not known on this host", though claims are rows of the table service; the text log held terminal codes when standard error was a file. Ruled out: a setting for colours, since whether it is a terminal is known. Change: the fault carries the place; colours only on a terminal. The log was not looked at again.

--- a/crates/hollywheel-daemon/src/admin/claims.rs
+++ b/crates/hollywheel-daemon/src/admin/claims.rs
@@ -74,6 +74,7 @@
         };
         let not_found = || AdminFault::NotFound {
             what: format!("claim {key}"),
+            place: "to the table service",
         };
         let rows = self.read_rows(read_request(&key)).await?;
         let row = rows.into_iter().next().ok_or_else(not_found)?;
--- a/crates/hollywheel-daemon/src/admin/fault.rs
+++ b/crates/hollywheel-daemon/src/admin/fault.rs
@@ -35,10 +35,12 @@
     },
     /// The body did not arrive.
     Body(BodyFault),
-    /// What was asked for is not known here.
+    /// What was asked for is not known.
     NotFound {
         /// What was asked for.
         what: String,
+        /// Where it was looked for.
+        place: &'static str,
     },
     /// The install machine refused.
     Install(InstallError),
@@ -74,7 +76,7 @@
             Self::BadQuery { name, expected } => write!(f, "query {name}: expected {expected}"),
             Self::BadBody { message } => write!(f, "body: {message}"),
             Self::Body(fault) => fault.fmt(f),
-            Self::NotFound { what } => write!(f, "{what} is not known on this host"),
+            Self::NotFound { what, place } => write!(f, "{what} is not known {place}"),
             Self::Install(error) => error.fmt(f),
             Self::Store(failure) => failure.fmt(f),
             Self::Resolve(error) => error.fmt(f),
--- a/crates/hollywheel-daemon/src/admin/route.rs
+++ b/crates/hollywheel-daemon/src/admin/route.rs
@@ -257,6 +257,7 @@
 fn show_trace(state: &AdminState, request: &str) -> Reply {
     let not_found = || AdminFault::NotFound {
         what: format!("request {request}"),
+        place: "on this host",
     };
     let id: RequestId = request.parse().map_err(|_| AdminFault::BadQuery {
         name: "request",
--- a/crates/hollywheel-daemon/src/log.rs
+++ b/crates/hollywheel-daemon/src/log.rs
@@ -1,5 +1,7 @@
 //! Set-up of the log.
 
+use std::io::IsTerminal;
+
 use tracing::level_filters::LevelFilter;
 
 use crate::settings::{LogFormat, LogLevel};
@@ -16,6 +18,7 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_target(false);
     // A log that is set up already, as in tests, stays.
     let _ = match format {
--- a/crates/hollywheel-daemon/tests/operators.rs
+++ b/crates/hollywheel-daemon/tests/operators.rs
@@ -81,6 +81,8 @@
     let missing = order.replace("p-1", "p-2");
     let answer = host.admin("POST", path, Some(PUBLISHER), &missing).await;
     assert_eq!(answer.status, 404);
+    let detail = "claim clerk-desk/p-2 is not known to the table service";
+    assert_eq!(answer.problem().detail, detail);
     assert!(host.stop().await);
 }
 
