Make routing candidates in one place

Cause: two places of route.rs filled in the same empty candidate. Ruled out: joining the two loops, since the second runs over the whole pool only as a fallback. Change: Candidate::new. No behaviour changes. Before and after: cargo test -p hollywheel-policy passes, clippy -D warnings is clean.

--- a/crates/hollywheel-policy/src/route.rs
+++ b/crates/hollywheel-policy/src/route.rs
@@ -54,7 +54,16 @@
     known: f64,
 }
 
-impl Candidate<'_> {
+impl<'a> Candidate<'a> {
+    const fn new((server, state): (&'a ServerId, &'a ServerState)) -> Self {
+        Self {
+            server,
+            state,
+            load: 0.0,
+            known: 0.0,
+        }
+    }
+
     fn relative(&self) -> f64 {
         self.load / f64::from(self.state.slots)
     }
@@ -104,23 +113,13 @@
     let mut candidates: Vec<Candidate<'a>> = subset
         .filter_map(|server| Some((server, pool.servers.get(server)?)))
         .filter(|(server, state)| is_eligible(server, state, query))
-        .map(|(server, state)| Candidate {
-            server,
-            state,
-            load: 0.0,
-            known: 0.0,
-        })
+        .map(Candidate::new)
         .collect();
     if candidates.is_empty() && pool.subset.len() < pool.servers.len() {
         let servers = pool.servers.iter();
         candidates = servers
             .filter(|(server, state)| is_eligible(server, state, query))
-            .map(|(server, state)| Candidate {
-                server,
-                state,
-                load: 0.0,
-                known: 0.0,
-            })
+            .map(Candidate::new)
             .collect();
     }
     estimate_loads(now, &mut candidates);
