Describe the arguments of claims resolve

Cause: the help of `claims resolve` showed WORKSPACE and KEY without a word. Ruled out: nothing. Change: one line of help each. Conclusion: kept.

--- a/crates/hollywheel-cli/src/commands/claims.rs
+++ b/crates/hollywheel-cli/src/commands/claims.rs
@@ -53,12 +53,14 @@
             Arg::new("workspace")
                 .required(true)
                 .value_name("WORKSPACE")
+                .help("Workspace of the request")
                 .value_parser(value_parser!(WorkspaceId)),
         )
         .arg(
             Arg::new("key")
                 .required(true)
                 .value_name("KEY")
+                .help("Idempotency key of the request")
                 .value_parser(value_parser!(IdempotencyKey)),
         )
         .arg(
