--- a/crates/hollywheel-daemon/tests/hosts.rs
+++ b/crates/hollywheel-daemon/tests/hosts.rs
@@ -2,82 +2,9 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
-use hollywheel_daemon::settings::{SecretSettings, SecretText, TlsSettings};
 use hollywheel_standins::LedgerEvent;
-use rcgen::{
-    BasicConstraints, CertificateParams, CertifiedIssuer, ExtendedKeyUsagePurpose, IsCa, KeyPair,
-};
-use support::{PUBLISHER, Started, TestHost, VIEWER, http_client, start_host, wait_for};
-
-struct Authority {
-    issuer: CertifiedIssuer<'static, KeyPair>,
-}
-
-impl Authority {
-    fn new() -> Self {
-        let mut params = CertificateParams::new(Vec::new()).unwrap();
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        let key = KeyPair::generate().unwrap();
-        Self {
-            issuer: CertifiedIssuer::self_signed(params, key).unwrap(),
-        }
-    }
-
-    fn keys_of(&self, host: &str) -> TlsSettings {
-        let mut params = CertificateParams::new(vec![host.to_owned()]).unwrap();
-        params.extended_key_usages = vec![
-            ExtendedKeyUsagePurpose::ServerAuth,
-            ExtendedKeyUsagePurpose::ClientAuth,
-        ];
-        let key = KeyPair::generate().unwrap();
-        let certificate = params.signed_by(&key, &self.issuer).unwrap();
-        TlsSettings {
-            certificate: certificate.pem(),
-            key: SecretText::new(key.serialize_pem()),
-            authority: self.issuer.pem(),
-        }
-    }
-}
-
-fn start_named(
-    host: &TestHost,
-    authority: &Authority,
-    name: &str,
-    seeds: &[SocketAddr],
-) -> Started {
-    let settings = support::host_settings(host.platform.address());
-    start_host(hollywheel_daemon::settings::DaemonSettings {
-        host: name.parse().unwrap(),
-        seed_hosts: seeds.to_vec(),
-        secrets: SecretSettings {
-            tls: Some(authority.keys_of(name)),
-            ..settings.secrets.clone()
-        },
-        ..settings
-    })
-}
-
-async fn states(host: &Started) -> Vec<String> {
-    let list = host.admin("GET", "/admin/hosts", Some(VIEWER), "").await;
-    let list = list.json();
-    let hosts = list["hosts"].as_array().unwrap().clone();
-    hosts
-        .iter()
-        .map(|entry| format!("{}:{}", entry["host"], entry["state"]).replace('"', ""))
-        .collect()
-}
-
-async fn versions(host: &Started) -> Vec<u64> {
-    let list = host.admin("GET", "/admin/hosts", Some(VIEWER), "").await;
-    let list = list.json();
-    let hosts = list["hosts"].as_array().unwrap();
-    hosts
-        .iter()
-        .filter_map(|entry| entry["config_version"].as_u64())
-        .collect()
-}
+use support::keys::{Authority, start_named, states, versions};
+use support::{PUBLISHER, Started, TestHost, http_client, wait_for};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn hosts_join_share_claims_and_tell_when_they_leave() {
--- a/crates/hollywheel-daemon/tests/support/mod.rs
+++ b/crates/hollywheel-daemon/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A host in this process with stand-ins around it.
 #![allow(dead_code)]
 
+pub mod keys;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
