Let a planned stop go on when answers under issued keys can't be written

It now ends once the service refuses calls for longer than a claim would wait and nothing else is left to write.

--- a/crates/hollywheel-claims/src/holder.rs
+++ b/crates/hollywheel-claims/src/holder.rs
@@ -164,6 +164,15 @@
         told
     }
 
+    /// Says whether a process may end: nothing is left to write, or only answers under issued
+    /// keys while the table service refuses calls for longer than a claim would wait.
+    pub fn may_leave(&self, now: MonoTime) -> bool {
+        let records = |entry: &ClaimEntry| matches!(entry.phase, ClaimPhase::Settle { revision, .. } if revision == NO_ROW);
+        let only_records = self.releases.is_empty() && self.entries.values().all(records);
+        let refused = self.outage.refuses(now, self.settings.patience).is_some();
+        self.is_settled() || (only_records && refused)
+    }
+
     /// Lets the answer under an issued key be written, since this process is about to end.
     pub(crate) fn record(&mut self, key: ClaimKey, answer: RanAnswer) {
         let output = answer.output.filter(|text| self.may_keep(text));
--- a/crates/hollywheel-node/src/drain.rs
+++ b/crates/hollywheel-node/src/drain.rs
@@ -64,7 +64,7 @@
             self.give_up_all(now, out);
         }
         let left = until + self.settings.store_timeout <= now;
-        if self.runs.is_empty() && (self.claims.is_settled() || left) {
+        if self.runs.is_empty() && (self.claims.may_leave(now) || left) {
             self.drain = DrainState::Drained;
             out.push(NodeOutput::Drained);
         }
--- a/crates/hollywheel-node/tests/issued.rs
+++ b/crates/hollywheel-node/tests/issued.rs
@@ -175,6 +175,23 @@
     assert!(next.calls.is_empty());
 }
 
+#[test]
+fn outage_does_not_hold_a_planned_stop_for_issued_keys() {
+    let mut host = HostUnderTest::new();
+    let key = host.issue();
+    host.request(1, "payment", Some(&key));
+    host.answer(&host.last_call(), "paid");
+    host.store_answers = false;
+    host.input(NodeInput::Drain(Duration::from_secs(20)));
+    for _ in 0..30 {
+        host.answer_store(Some(hollywheel_store::StoreFailure::Refused {
+            retry_after: Duration::from_millis(100),
+        }));
+        host.pass(100);
+    }
+    assert_eq!(host.drained, 1);
+}
+
 /// Returns a host that has handed a request to the issuer of its key, after one second.
 fn forwarded() -> (HostUnderTest, StoreTicket) {
     let mut host = HostUnderTest::new();
