Count the versions of the secrets test without a counter of its own

Change: the loop counts with zip; what is tested is the same.

Conclusion: no change of the product.

--- a/crates/hollywheel-daemon/tests/secrets.rs
+++ b/crates/hollywheel-daemon/tests/secrets.rs
@@ -135,8 +135,7 @@
         ("new certificates", [&one_new, &two_new], vec![&old, &new]),
         ("old authority dropped", [&one_new, &two_new], vec![&new]),
     ];
-    let mut version = 1;
-    for (step, keys, authorities) in &steps {
+    for (base_version, (step, keys, authorities)) in (1..).zip(&steps) {
         for (host, keys) in [&first, &second].into_iter().zip(keys) {
             let order = tls_order(keys, authorities);
             assert_eq!(replace(host, PUBLISHER, &order).await, 200, "{step}");
@@ -148,12 +147,12 @@
             base.encoder.address(),
             base.service.address(),
         );
-        let hash = hollywheel_config::hash_key(&format!("key-{version}"));
-        let workspace = format!("name = \"w-{version}\"\nkey_hashes = [\"{hash}\"]\n");
+        let hash = hollywheel_config::hash_key(&format!("key-{base_version}"));
+        let workspace = format!("name = \"w-{base_version}\"\nkey_hashes = [\"{hash}\"]\n");
         let text = format!("{text}[[workspace]]\n{workspace}");
-        let published = first.publish(version, &text).await;
+        let published = first.publish(base_version, &text).await;
         assert_eq!(published.status, 200, "{step}: {}", published.text());
-        version += 1;
+        let version = base_version + 1;
         // What a host tells of another's version came over the transport.
         wait_for(step, async || {
             let expected = [version, version];
