Prove racing operators and a leaving server with real processes

Cause: both were shown on the decision machines only. Ruled out: fixed waits; the tests wait for the version and read the servers' ledgers. Change: two system tests. Two operators publish on the same base at once: one ends with 0, the other with 3, and the winner's set must be in force on each host within 7 s. A payment server says that it leaves under load: no call may reach it later than 3 s after the last that it took. The fleets run one at a time.

--- a/crates/hollywheel-fleet/tests/system.rs
+++ b/crates/hollywheel-fleet/tests/system.rs
@@ -5,8 +5,17 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Output, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hollywheel_fleet::FleetRecord;
+use hollywheel_fleet::{FleetRecord, HostRecord};
+use serde_json::Value;
+
+/// The bound on the time until a configuration is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+/// The bound on the time until a leaving backend server gets no new work.
+const LEAVING: Duration = Duration::from_secs(3);
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -31,8 +40,12 @@
     directory
 }
 
+/// Lets one fleet run at a time, so that their processes do not slow each other down.
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// Holds a running fleet and reads its output line by line.
 struct TestFleet {
+    _alone: MutexGuard<'static, ()>,
     child: Child,
     lines: std::io::Lines<BufReader<ChildStdout>>,
     directory: PathBuf,
@@ -40,6 +53,7 @@
 
 impl TestFleet {
     fn start(name: &str, timeline: &str) -> Self {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&directory);
         let mut child = Command::new(programs().join("hollywheel-fleet"))
@@ -55,6 +69,7 @@
         let output = child.stdout.take().unwrap();
         let lines = BufReader::new(output).lines();
         let mut fleet = Self {
+            _alone: alone,
             child,
             lines,
             directory,
@@ -111,10 +126,11 @@
         command.output().unwrap()
     }
 
-    /// Lets the timeline come to its end, ends the fleet and returns its last line.
-    fn end(mut self, last_fault: &str) -> String {
-        while let Some(line) = self.next_line() {
-            if line.contains(last_fault) {
+    /// Waits for a fault of the timeline if one is named, ends the fleet and returns its last line.
+    fn end(mut self, last_fault: Option<&str>) -> String {
+        while let Some(fault) = last_fault {
+            let line = self.next_line();
+            if line.is_none_or(|line| line.contains(fault)) {
                 break;
             }
         }
@@ -143,6 +159,123 @@
     let check = fleet.check();
     assert!(check.status.success(), "{}\n{}", text(&load), text(&check));
     assert!(text(&check).contains("violations 0"), "{}", text(&check));
-    let last = fleet.end("Stop medeu-host-1");
+    let last = fleet.end(Some("Stop medeu-host-1"));
     assert_eq!(last, "ended 3 hosts, 0 of them not cleanly");
 }
+
+fn operator(fleet: &TestFleet, host: &HostRecord, args: &[&str]) -> Command {
+    let mut command = Command::new(programs().join("hollywheelctl"));
+    command
+        .env("HOLLYWHEEL_ADMIN", host.admin.to_string())
+        .env("HOLLYWHEEL_TOKEN", fleet.record().token)
+        .args(args)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    command
+}
+
+fn version_in_force(fleet: &TestFleet, host: &HostRecord) -> u64 {
+    let output = operator(fleet, host, &["--output", "json", "show"])
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{}", text(&output));
+    let document: Value = serde_json::from_slice(&output.stdout).unwrap();
+    document["published"]["version"].as_u64().unwrap()
+}
+
+fn write_set(fleet: &TestFleet, name: &str, old: &str, new: &str) -> String {
+    let set = std::fs::read_to_string(fleet.record().objects).unwrap();
+    assert!(set.contains(old));
+    let path = fleet.directory.join(name);
+    std::fs::write(&path, set.replace(old, new)).unwrap();
+    path.display().to_string()
+}
+
+#[test]
+fn of_two_racing_operators_one_wins_and_its_set_is_in_force_everywhere() {
+    let fleet = TestFleet::start("race", "examples/loads/no-faults.toml");
+    let hosts = fleet.record().hosts;
+    let sets = [
+        write_set(
+            &fleet,
+            "a.toml",
+            "deadline_ms = 60000",
+            "deadline_ms = 61000",
+        ),
+        write_set(
+            &fleet,
+            "b.toml",
+            "deadline_ms = 60000",
+            "deadline_ms = 62000",
+        ),
+    ];
+    let racing = sets.iter().zip(&hosts).map(|(set, host)| {
+        let args = ["publish", set.as_str(), "--base", "1"];
+        operator(&fleet, host, &args).spawn().unwrap()
+    });
+    let racing: Vec<Child> = racing.collect();
+    let ended = racing
+        .into_iter()
+        .map(|child| child.wait_with_output().unwrap());
+    let ended: Vec<Output> = ended.collect();
+    let mut codes: Vec<i32> = ended
+        .iter()
+        .filter_map(|output| output.status.code())
+        .collect();
+    codes.sort_unstable();
+    assert_eq!(codes, [0, 3], "{}\n{}", text(&ended[0]), text(&ended[1]));
+    let begin = Instant::now();
+    while !hosts.iter().all(|host| version_in_force(&fleet, host) == 2) {
+        assert!(
+            begin.elapsed() < IN_FORCE,
+            "version 2 is not in force everywhere"
+        );
+    }
+    println!(
+        "in force on every host after {} ms",
+        begin.elapsed().as_millis()
+    );
+    assert_eq!(fleet.end(None), "ended 3 hosts, 0 of them not cleanly");
+}
+
+#[test]
+fn a_leaving_backend_server_gets_no_new_work_after_the_bound() {
+    let fleet = TestFleet::start("leaving", "examples/loads/leaving.toml");
+    let load = fleet.load();
+    assert!(load.status.success(), "{}", text(&load));
+    let record = fleet.record();
+    let mut servers = record.standins.iter();
+    let server = servers
+        .find(|server| server.name == "medeu-payments-1")
+        .unwrap();
+    let ledger = std::fs::read_to_string(&server.ledger).unwrap();
+    let entries: Vec<Value> = ledger
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let calls = |event: &str| -> Vec<u64> {
+        let found = entries.iter().filter(|entry| entry["event"] == event);
+        found
+            .map(|entry| entry["at_us"].as_u64().unwrap())
+            .collect()
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let started = calls("started");
+    let refused = calls("refused");
+    assert!(!started.is_empty(), "the server got no work before it left");
+    let left = *started.last().unwrap();
+    assert!(now.as_micros() as u64 > left + 2 * LEAVING.as_micros() as u64);
+    let last = refused.iter().max().copied().unwrap_or(left);
+    println!(
+        "last new work {} ms after the last start",
+        (last - left) / 1000
+    );
+    assert!(
+        last <= left + LEAVING.as_micros() as u64,
+        "new work until {last}"
+    );
+    assert_eq!(
+        fleet.end(Some("Order medeu-payments-1")),
+        "ended 3 hosts, 0 of them not cleanly"
+    );
+}
