--- a/crates/hollywheel-node/examples/capacity.rs
+++ b/crates/hollywheel-node/examples/machine_cost.rs
@@ -1,6 +1,6 @@
 //! Prints how the memory and processor time of one host's decision machine grow.
 //!
-//! Run with `cargo run --release -p hollywheel-node --example capacity`.
+//! Run with `cargo run --release -p hollywheel-node --example machine_cost`.
 
 use std::collections::VecDeque;
 use std::process::Command;
