Name what a refused call gave; count refusals in their pipeline's class

Cause: a body with a wrong value was refused without its field, a missing or reused key and an unknown pipeline with "the request has not run and will not" alone; requests without a key counted as class batch and lowered its attainment. Ruled out: the class as an option in the summary, since an unknown pipeline has none and must be counted somewhere. Change: the path of the field comes with the message; refusals that the caller can mend name the header and what was expected; the class is that of the pipeline if there is one.

--- a/crates/hollywheel-daemon/src/front/problem.rs
+++ b/crates/hollywheel-daemon/src/front/problem.rs
@@ -116,6 +116,26 @@
     }
 }
 
+/// Names what the caller gave and what was expected, for refusals that the caller can mend.
+const fn refusal_advice(reason: RefusalReason) -> Option<&'static str> {
+    match reason {
+        RefusalReason::NoPipeline => Some("no pipeline of this name is configured"),
+        RefusalReason::KeyMissing => Some(
+            "header idempotency-key: expected a key, since a stage of the pipeline is not idempotent",
+        ),
+        RefusalReason::KeyReused => {
+            Some("header idempotency-key: the key was used with another pipeline or input")
+        }
+        RefusalReason::KeyTaken => {
+            Some("header idempotency-key: another request has the key; ask again with the same key")
+        }
+        RefusalReason::KeyExpired => {
+            Some("header idempotency-key: the key was not used in time; fetch another")
+        }
+        _ => None,
+    }
+}
+
 /// Builds the answer for a call that never became a request.
 pub fn fault_problem(fault: &CallFault) -> ProblemReply {
     let (status, kind, title) = fault_row(fault);
@@ -160,7 +180,10 @@
         status,
         kind: refusal.reason.name(),
         title,
-        detail: detail.to_owned(),
+        detail: match refusal_advice(refusal.reason) {
+            Some(advice) => format!("{detail}; {advice}"),
+            None => detail.to_owned(),
+        },
         verdict: Some(refusal.verdict),
         retry_after: refusal.retry_after,
         request: Some(request),
--- a/crates/hollywheel-daemon/src/front/request.rs
+++ b/crates/hollywheel-daemon/src/front/request.rs
@@ -122,7 +122,18 @@
 ///
 /// Returns [`CallFault::BadBody`] with the field at fault.
 pub fn parse_body(body: &[u8]) -> Result<RunBody, CallFault> {
-    serde_json::from_slice(body).map_err(|error| CallFault::BadBody {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let parsed = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let field = error.path().to_string();
+        let message = error.into_inner().to_string();
+        let message = match field.as_str() {
+            "." | "?" => message,
+            _ => format!("field `{field}`: {message}"),
+        };
+        CallFault::BadBody { message }
+    })?;
+    reader.end().map_err(|error| CallFault::BadBody {
         message: error.to_string(),
-    })
+    })?;
+    Ok(parsed)
 }
--- a/crates/hollywheel-node/src/receive.rs
+++ b/crates/hollywheel-node/src/receive.rs
@@ -35,11 +35,23 @@
                 self.runs.insert(run);
                 self.admit(now, &admission, out);
             }
-            // The class is not known then; such requests count in the lowest.
-            Err(refusal) => push_refusal(request, RequestClass::Batch, refusal, out),
+            Err(refusal) => {
+                let class = self.class_of(&request);
+                push_refusal(request, class, refusal, out);
+            }
         }
     }
 
+    /// Returns the class of the pipeline, the lowest if there is no such pipeline.
+    fn class_of(&self, request: &CallerRequest) -> RequestClass {
+        let pipeline = |set: &Arc<ObjectSet>| {
+            let target = &set.pipeline(&request.pipeline)?.target;
+            set.target(target).map(|target| target.class)
+        };
+        let class = self.config.as_ref().and_then(pipeline);
+        class.unwrap_or(RequestClass::Batch)
+    }
+
     fn check(&self, now: MonoTime, request: &CallerRequest) -> Result<RequestRun, Refusal> {
         if !matches!(self.drain, DrainState::Serving) {
             return Err(not_run(RefusalReason::Draining, Some(OTHER_HOST_RETRY)));
--- a/crates/hollywheel-node/tests/requests.rs
+++ b/crates/hollywheel-node/tests/requests.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollywheel_node::{AttemptEvent, NodeInput, NodeSettings, ReplyPart};
-use hollywheel_types::{AttemptNonce, ConfigVersion, RequestId, TokenCount};
+use hollywheel_node::{AttemptEvent, NodeEvent, NodeInput, NodeSettings, ReplyPart};
+use hollywheel_types::{AttemptNonce, ConfigVersion, RequestClass, RequestId, TokenCount};
 use support::{HostUnderTest, echo, published};
 
 #[test]
@@ -261,3 +261,19 @@
     );
     assert_eq!(host.drained, 1);
 }
+
+#[test]
+fn refused_request_counts_in_the_class_of_its_pipeline() {
+    let mut host = HostUnderTest::new();
+    host.request(1, "payment", None);
+    host.request(2, "nowhere", None);
+    let classes: Vec<RequestClass> = host
+        .events
+        .iter()
+        .filter_map(|event| match event {
+            NodeEvent::Ended(summary) => Some(summary.class),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(classes, [RequestClass::Transaction, RequestClass::Batch]);
+}
