--- a/crates/hollywheel-daemon/src/clock.rs
+++ b/crates/hollywheel-clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The clocks and the randomness of the process.
+//! The clocks and the randomness of a process.
 
 use std::fs::File;
 use std::io::{self, Read};
@@ -59,7 +59,7 @@
 }
 
 /// Sleeps until a point in time, or forever if there is none.
-pub(crate) async fn sleep_until(clock: &HostClock, wake: Option<MonoTime>) {
+pub async fn sleep_until(clock: &HostClock, wake: Option<MonoTime>) {
     match wake {
         Some(time) => tokio::time::sleep_until(clock.instant(time).into()).await,
         None => std::future::pending().await,
--- a/crates/hollywheel-daemon/src/admin/state.rs
+++ b/crates/hollywheel-daemon/src/admin/state.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::backend::ReportIntake;
-use crate::clock::HostClock;
+use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::front::FrontState;
--- a/crates/hollywheel-daemon/src/backend/caller.rs
+++ b/crates/hollywheel-daemon/src/backend/caller.rs
@@ -22,7 +22,7 @@
 use super::send_body::SendBody;
 use super::wire::{CancelBody, LoadBody, RunBody};
 use super::{stream, unary};
-use crate::clock::HostClock;
+use hollywheel_clock::HostClock;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::traces::TraceRing;
--- a/crates/hollywheel-daemon/src/backend/load.rs
+++ b/crates/hollywheel-daemon/src/backend/load.rs
@@ -11,7 +11,7 @@
 
 use super::caller::BackendCaller;
 use super::reports::ReportIntake;
-use crate::clock::HostClock;
+use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
--- a/crates/hollywheel-daemon/src/backend/reports.rs
+++ b/crates/hollywheel-daemon/src/backend/reports.rs
@@ -7,7 +7,7 @@
 use hollywheel_policy::ServerReport;
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
-use crate::clock::HostClock;
+use hollywheel_clock::HostClock;
 use crate::core::CoreHandle;
 use crate::peers::PeerCaller;
 
--- a/crates/hollywheel-daemon/src/command.rs
+++ b/crates/hollywheel-daemon/src/command.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::process::ExitCode;
 
+use hollywheel_gateway::run_gateway;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::host::{HostError, RunningHost};
@@ -19,8 +20,16 @@
 /// Counts the threads for everything but callers' connections.
 const RUNTIME_THREADS: usize = 2;
 
+/// Serves callers on the users' platform, with settings of its own.
+const GATEWAY: &str = "gateway";
+
 /// Runs the program with its arguments.
 pub fn run_command(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let mut arguments: Vec<OsString> = arguments.into_iter().collect();
+    if arguments.get(1).is_some_and(|word| word == GATEWAY) {
+        arguments.remove(1);
+        return run_gateway(arguments);
+    }
     let (action, raw) = match read_arguments(arguments) {
         Ok(read) => read,
         Err(error) => {
--- a/crates/hollywheel-daemon/src/core/task.rs
+++ b/crates/hollywheel-daemon/src/core/task.rs
@@ -14,7 +14,7 @@
 use super::observer::CoreObserver;
 use super::replies::{DeliverOutcome, ReplyTable};
 use super::status::CoreStatus;
-use crate::clock::{HostClock, sleep_until};
+use hollywheel_clock::{HostClock, sleep_until};
 
 /// Bounds the messages that wait for the machine; requests beyond it are refused as not run.
 const QUEUE: usize = 4096;
--- a/crates/hollywheel-daemon/src/front/state.rs
+++ b/crates/hollywheel-daemon/src/front/state.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::clock::HostClock;
+use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::metrics::DaemonMetrics;
--- a/crates/hollywheel-daemon/src/host/parts.rs
+++ b/crates/hollywheel-daemon/src/host/parts.rs
@@ -18,7 +18,7 @@
 use super::error::HostError;
 use crate::admin::AdminState;
 use crate::backend::{BackendCaller, BackendSettings, ReportIntake};
-use crate::clock::{HostClock, random_seed};
+use hollywheel_clock::{HostClock, random_seed};
 use crate::config_view::ConfigView;
 use crate::core::{CoreHandle, CoreMessage, core_channel};
 use crate::front::{FrontSettings, FrontState};
--- a/crates/hollywheel-daemon/src/install/task.rs
+++ b/crates/hollywheel-daemon/src/install/task.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::handle::{InstallHandle, InstallMessage, PublishReplySender};
-use crate::clock::{HostClock, sleep_until};
+use hollywheel_clock::{HostClock, sleep_until};
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
--- a/crates/hollywheel-daemon/src/lib.rs
+++ b/crates/hollywheel-daemon/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod admin;
 pub mod backend;
-mod clock;
 mod command;
 mod config_view;
 pub mod core;
@@ -23,7 +22,7 @@
 mod traces;
 mod web;
 
-pub use clock::{HostClock, random_seed};
+pub use hollywheel_clock::{HostClock, random_seed};
 pub use command::run_command;
 pub use config_view::{ConfigInForce, ConfigView};
 pub use events::{EventContext, LogEvent, events_table, log_event};
--- a/crates/hollywheel-daemon/src/orders/task.rs
+++ b/crates/hollywheel-daemon/src/orders/task.rs
@@ -13,7 +13,7 @@
 
 use super::handle::OrderHandle;
 use crate::backend::BackendCaller;
-use crate::clock::{HostClock, sleep_until};
+use hollywheel_clock::{HostClock, sleep_until};
 use crate::metrics::DaemonMetrics;
 use crate::queue::SharedReceiver;
 
--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use super::directory::HostDirectory;
-use crate::clock::{HostClock, sleep_until};
+use hollywheel_clock::{HostClock, sleep_until};
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::install::InstallHandle;
--- a/crates/hollywheel-daemon/src/retention/task.rs
+++ b/crates/hollywheel-daemon/src/retention/task.rs
@@ -12,7 +12,7 @@
 use hollywheel_types::HostId;
 use tokio::sync::{mpsc, watch};
 
-use crate::clock::{HostClock, sleep_until};
+use hollywheel_clock::{HostClock, sleep_until};
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::metrics::DaemonMetrics;
 use crate::peers::HostDirectory;
--- /dev/null
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -0,0 +1,439 @@
+//! The duty of collecting the pieces for a pool: the calls around its batcher.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
+
+use hollywheel_adapter::{RUN_PATH, StagePiece};
+use hollywheel_serving::{
+    BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
+    PieceHandle, PieceResult, PoolBatcher, ServerRecord, StageInput,
+};
+use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
+
+use crate::host::Host;
+use crate::log::log_line;
+
+/// Groups that wait are looked at this often for those that have expired and for servers whose
+/// pause has ended.
+const TICK: Duration = Duration::from_millis(20);
+/// Servers whose entries may have lapsed are listed anew this often.
+const LIST_TIME: Duration = Duration::from_millis(200);
+/// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
+const FREE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Holds the order of one stage's pieces.
+#[derive(Clone, Debug)]
+pub(crate) struct PieceGroup {
+    pub(crate) pool: PoolId,
+    pub(crate) kind: String,
+    pub(crate) attempt: String,
+    pub(crate) stage: usize,
+    pub(crate) pieces: usize,
+    pub(crate) key: String,
+    pub(crate) input: StageInput,
+    pub(crate) result_bytes: u64,
+    pub(crate) due: MonoTime,
+    pub(crate) expires: MonoTime,
+    pub(crate) domain: Option<DomainId>,
+}
+
+/// Says what became of the pieces of a stage.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum GroupEnd {
+    /// All were made.
+    Made(Vec<PieceHandle>),
+    /// They can't be made in time.
+    Refused {
+        /// When the request may come back with hope.
+        retry_after: Duration,
+    },
+    /// Their time was over.
+    Late,
+    /// A result that they are made from is gone.
+    InputGone,
+    /// No server could make them.
+    Failed,
+}
+
+struct GroupWork {
+    group: PieceGroup,
+    handles: Vec<Option<PieceHandle>>,
+    reply: oneshot::Sender<GroupEnd>,
+}
+
+struct PoolDuty {
+    batcher: PoolBatcher,
+    groups: SortedMap<GroupTicket, GroupWork>,
+    listed_change: u64,
+    listed_at: MonoTime,
+}
+
+/// Holds the pools whose pieces this host collects.
+#[derive(Default)]
+pub(crate) struct BatchDuty {
+    pools: RefCell<SortedMap<PoolId, PoolDuty>>,
+    last_ticket: Cell<u64>,
+    work: Notify,
+}
+
+/// Withdraws a group whose request ends before it does.
+struct GroupGuard<'a> {
+    duty: &'a BatchDuty,
+    pool: PoolId,
+    ticket: GroupTicket,
+}
+
+impl Drop for GroupGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.duty.pools.borrow_mut().get_mut(&self.pool) {
+            pool.abandon(self.ticket);
+        }
+    }
+}
+
+impl PoolDuty {
+    fn new(policy: BatchPolicy) -> Self {
+        Self {
+            batcher: PoolBatcher::new(policy),
+            groups: SortedMap::new(),
+            listed_change: 0,
+            listed_at: MonoTime::default(),
+        }
+    }
+
+    /// Forgets a group and frees what was made for it.
+    fn abandon(&mut self, ticket: GroupTicket) {
+        self.batcher.withdraw(ticket);
+        if let Some(work) = self.groups.remove(&ticket) {
+            let made: Vec<PieceHandle> = work.handles.into_iter().flatten().collect();
+            self.batcher.release(&made);
+        }
+    }
+
+    /// Passes what became of pieces on to their groups.
+    fn deliver(&mut self, deliveries: Vec<PieceDelivery>) {
+        for delivery in deliveries {
+            let ticket = delivery.piece.ticket;
+            let end = match delivery.result {
+                PieceResult::Made(handle) => self.note_made(ticket, delivery.piece.position, handle),
+                PieceResult::Late => Some(GroupEnd::Late),
+                PieceResult::InputGone => Some(GroupEnd::InputGone),
+                PieceResult::NoRoom | PieceResult::Failed => Some(GroupEnd::Failed),
+            };
+            if let Some(end) = end {
+                self.end_group(ticket, end);
+            }
+        }
+    }
+
+    fn note_made(
+        &mut self,
+        ticket: GroupTicket,
+        position: usize,
+        handle: PieceHandle,
+    ) -> Option<GroupEnd> {
+        let Some(work) = self.groups.get_mut(&ticket) else {
+            self.batcher.release(&[handle]);
+            return None;
+        };
+        work.handles[position] = Some(handle);
+        let made: Option<Vec<PieceHandle>> = work.handles.iter().cloned().collect();
+        made.map(GroupEnd::Made)
+    }
+
+    fn end_group(&mut self, ticket: GroupTicket, end: GroupEnd) {
+        let Some(work) = self.groups.remove(&ticket) else {
+            return;
+        };
+        self.batcher.withdraw(ticket);
+        let made: Vec<PieceHandle> = work.handles.into_iter().flatten().collect();
+        let complete = matches!(end, GroupEnd::Made(_));
+        // The request may have ended in between; its results are not needed then.
+        if work.reply.send(end).is_err() || !complete {
+            self.batcher.release(&made);
+        }
+    }
+}
+
+impl BatchDuty {
+    /// Makes the pieces of a group. Dropping the future withdraws it.
+    pub(crate) async fn make(&self, host: &Host, group: PieceGroup) -> GroupEnd {
+        let pool = group.pool.clone();
+        let Some(policy) = current_policy(host, &pool) else {
+            return GroupEnd::Failed;
+        };
+        let ticket = GroupTicket(self.last_ticket.get() + 1);
+        self.last_ticket.set(ticket.0);
+        let now = host.now();
+        let (reply, end) = oneshot::channel();
+        {
+            let mut pools = self.pools.borrow_mut();
+            let duty = pools.get_or_insert_with(pool.clone(), || PoolDuty::new(policy));
+            duty.batcher.set_policy(policy);
+            refresh_servers(host, &pool, duty);
+            let request = GroupRequest {
+                ticket,
+                kind: group.kind.clone(),
+                pieces: group.pieces,
+                result_bytes: group.result_bytes,
+                due: group.due,
+                expires: group.expires,
+                domain: group.domain.clone(),
+            };
+            if let GroupVerdict::Refused { retry_after } = duty.batcher.offer(now, request) {
+                return GroupEnd::Refused { retry_after };
+            }
+            let work = GroupWork {
+                handles: vec![None; group.pieces],
+                group,
+                reply,
+            };
+            duty.groups.insert(ticket, work);
+        }
+        let _guard = GroupGuard {
+            duty: self,
+            pool: pool.clone(),
+            ticket,
+        };
+        self.pump(host, &pool);
+        self.work.notify_one();
+        end.await.unwrap_or(GroupEnd::Failed)
+    }
+
+    /// Returns the wait that a later group of a pool would meet.
+    pub(crate) fn forecast(&self, now: MonoTime, pool: &PoolId) -> Option<Duration> {
+        let pools = self.pools.borrow();
+        pools.get(pool).map(|duty| duty.batcher.forecast(now))
+    }
+
+    /// Notes that results are not needed any more.
+    pub(crate) fn release(&self, pool: &PoolId, handles: &[PieceHandle]) {
+        if let Some(duty) = self.pools.borrow_mut().get_mut(pool) {
+            duty.batcher.release(handles);
+        }
+    }
+
+    /// Frees results that are not needed any more at their servers.
+    pub(crate) fn free_unneeded(&self, host: &Host) {
+        for duty in self.pools.borrow_mut().values_mut() {
+            for (server, handles) in duty.batcher.take_unneeded() {
+                tokio::task::spawn_local(free_results(host.clone(), server, handles));
+            }
+        }
+    }
+
+    /// Sends the calls that are due.
+    fn pump(&self, host: &Host, pool: &PoolId) {
+        let mut pools = self.pools.borrow_mut();
+        let Some(duty) = pools.get_mut(pool) else {
+            return;
+        };
+        let now = host.now();
+        let expired = duty.batcher.drop_expired(now);
+        duty.deliver(expired);
+        while let Some(plan) = duty.batcher.next_call(now) {
+            let pieces = plan_pieces(now, duty, &plan);
+            let name = host.metrics.name(pool.as_str());
+            host.metrics.calls.get_or_create(&name).inc();
+            let count = u64::try_from(pieces.len()).unwrap_or(u64::MAX);
+            host.metrics.call_pieces.get_or_create(&name).inc_by(count);
+            let call = run_call(host.clone(), pool.clone(), plan, pieces);
+            tokio::task::spawn_local(call);
+        }
+    }
+
+    fn finish(&self, host: &Host, pool: &PoolId, call: u64, outcome: CallOutcome) {
+        if let Some(duty) = self.pools.borrow_mut().get_mut(pool) {
+            let deliveries = duty.batcher.finish_call(host.now(), call, outcome);
+            duty.deliver(deliveries);
+        }
+        self.pump(host, pool);
+    }
+}
+
+fn current_policy(host: &Host, pool: &PoolId) -> Option<BatchPolicy> {
+    let set = host.set()?;
+    set.piece_pool(pool).map(|pool| BatchPolicy { pool: *pool })
+}
+
+fn refresh_servers(host: &Host, pool: &PoolId, duty: &mut PoolDuty) {
+    let change = host.registry.borrow().change();
+    let now = host.now();
+    if duty.listed_change == change && now.since(duty.listed_at) < LIST_TIME {
+        return;
+    }
+    duty.listed_change = change;
+    duty.listed_at = now;
+    let servers = host.pool_servers(pool).into_iter();
+    duty.batcher
+        .set_servers(servers.map(|(server, record)| (server, record.domain, record.born)));
+}
+
+fn plan_pieces(now: MonoTime, duty: &PoolDuty, plan: &CallPlan) -> Vec<StagePiece> {
+    let pieces = plan.pieces.iter().filter_map(|piece| {
+        let group = &duty.groups.get(&piece.ticket)?.group;
+        let remaining = group.expires.since(now).as_millis();
+        Some(StagePiece {
+            attempt: group.attempt.clone(),
+            stage: group.stage,
+            position: piece.position,
+            remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX),
+            key: group.key.clone(),
+            input: group.input.clone(),
+        })
+    });
+    pieces.collect()
+}
+
+/// Looks after groups that wait while no call ends and no group comes.
+pub(crate) async fn tick_batches(host: Host) {
+    loop {
+        let waiting: Vec<PoolId> = {
+            let mut pools = host.batches.pools.borrow_mut();
+            pools
+                .iter_mut()
+                .filter(|(_, duty)| duty.batcher.waiting() > 0)
+                .map(|(pool, duty)| {
+                    refresh_servers(&host, pool, duty);
+                    pool.clone()
+                })
+                .collect()
+        };
+        if waiting.is_empty() {
+            host.batches.work.notified().await;
+        }
+        for pool in &waiting {
+            host.batches.pump(&host, pool);
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn run_call(host: Host, pool: PoolId, plan: CallPlan, pieces: Vec<StagePiece>) {
+    let started = host.now();
+    let record = usable(&host, &plan.server);
+    let call = send_call(&host, &plan.server, record, &pieces);
+    let outcome = timeout(plan.timeout, call)
+        .await
+        .unwrap_or(CallOutcome::Failed);
+    let whole = matches!(&outcome, CallOutcome::Answered(results)
+        if results.iter().all(|result| matches!(result, PieceResult::Made(_))));
+    if !whole {
+        log_line!(
+            host,
+            info,
+            CallEnded,
+            pool = %pool,
+            server = %plan.server,
+            pieces = pieces.len(),
+            outcome = ?summarize(&outcome),
+            took_ms = host.now().since(started).as_millis(),
+            timeout_ms = plan.timeout.as_millis()
+        );
+    }
+    host.batches.finish(&host, &pool, plan.call, outcome);
+}
+
+/// Names the outcome of a call by the first piece that was not made.
+fn summarize(outcome: &CallOutcome) -> &'static str {
+    match outcome {
+        CallOutcome::Refused => "refused",
+        CallOutcome::Failed => "failed",
+        CallOutcome::Answered(results) => results
+            .iter()
+            .find_map(|result| match result {
+                PieceResult::Made(_) => None,
+                PieceResult::Late => Some("late"),
+                PieceResult::InputGone => Some("input gone"),
+                PieceResult::NoRoom => Some("no room"),
+                PieceResult::Failed => Some("piece failed"),
+            })
+            .unwrap_or("made"),
+    }
+}
+
+fn usable(host: &Host, server: &ServerId) -> Option<ServerRecord> {
+    let registry = host.registry.borrow();
+    registry.usable(host.now(), server).cloned()
+}
+
+async fn send_call(
+    host: &Host,
+    server: &ServerId,
+    record: Option<ServerRecord>,
+    pieces: &[StagePiece],
+) -> CallOutcome {
+    let Some(record) = record else {
+        return CallOutcome::Refused;
+    };
+    let Ok(body) = hollywheel_adapter::write_run(pieces) else {
+        return CallOutcome::Failed;
+    };
+    let Some(request) = stage_request(server, &record, RUN_PATH, body) else {
+        return CallOutcome::Failed;
+    };
+    let Ok((answer, held)) = host.engines.send(server, record.address, request).await else {
+        return CallOutcome::Failed;
+    };
+    let facts = hollywheel_adapter::read_answer(&answer, "");
+    let status = answer.status();
+    let Ok(body) = answer.into_body().collect().await else {
+        return CallOutcome::Failed;
+    };
+    host.engines.keep(held, facts.idle_time);
+    if facts.not_run {
+        return CallOutcome::Refused;
+    }
+    if status != StatusCode::OK {
+        return CallOutcome::Failed;
+    }
+    match hollywheel_adapter::read_run(&body.to_bytes()) {
+        Ok(results) if results.len() == pieces.len() => CallOutcome::Answered(results),
+        Ok(_) | Err(_) => CallOutcome::Failed,
+    }
+}
+
+fn stage_request(
+    server: &ServerId,
+    record: &ServerRecord,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<Request<Full<Bytes>>> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, record.address.to_string())
+        .body(Full::new(Bytes::from(body)));
+    let mut request = request.ok()?;
+    let headers = hollywheel_adapter::stage_headers(server);
+    request.headers_mut().extend(headers);
+    Some(request)
+}
+
+async fn free_results(host: Host, server: ServerId, handles: Vec<PieceHandle>) {
+    let Some(record) = usable(&host, &server) else {
+        return;
+    };
+    let Ok(body) = hollywheel_adapter::write_free(&handles) else {
+        return;
+    };
+    let path = hollywheel_adapter::FREE_PATH;
+    let Some(request) = stage_request(&server, &record, path, body) else {
+        return;
+    };
+    let call = async {
+        let (answer, held) = host.engines.send(&server, record.address, request).await.ok()?;
+        let facts = hollywheel_adapter::read_answer(&answer, "");
+        answer.into_body().collect().await.ok()?;
+        host.engines.keep(held, facts.idle_time);
+        Some(())
+    };
+    // A result that could not be freed is dropped by its server after its lifetime.
+    let _ = timeout(FREE_LIMIT, call).await;
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -0,0 +1,62 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::connect::accept;
+use crate::host::Host;
+use crate::request::answer_request;
+
+/// The platform gives a host that is not ready no new connections after two questions, one a
+/// second; connections that are idle after this time are closed while the host stops.
+const SETTLE_TIME: Duration = Duration::from_millis(2500);
+/// A connection is kept for this time beyond the time for which callers use an idle one.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// Accepts connections of callers until the process ends.
+pub(crate) async fn serve_callers(host: Host, listener: Rc<TcpListener>) {
+    loop {
+        let stream = accept(&listener).await;
+        tokio::task::spawn_local(serve_connection(host.clone(), stream));
+    }
+}
+
+async fn serve_connection(host: Host, stream: TcpStream) {
+    let limits = host.set().map(|set| set.limits).unwrap_or_default();
+    let service = {
+        let host = host.clone();
+        service_fn(move |request| {
+            let host = host.clone();
+            async move { Ok::<_, Infallible>(answer_request(host, request).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time + IDLE_SLACK)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut stopping = host.stopping.subscribe();
+    let settled = async {
+        // The sender lives as long as the host.
+        let _ = stopping.wait_for(|stops| *stops).await;
+        tokio::time::sleep(SETTLE_TIME).await;
+    };
+    // An error ends the connection; what it means for a request is logged with the request.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = settled => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+/// The smallest buffer that the HTTP library takes.
+const MIN_BUFFER: usize = 16 * 1024;
--- /dev/null
+++ b/crates/hollywheel-gateway/src/connect.rs
@@ -0,0 +1,59 @@
+//! Sockets: how they are opened, and what ends one that has gone silent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+/// Data that is not acknowledged for this time ends a connection. A lossy link repeats a packet
+/// within some hundred milliseconds; deadlines are seconds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+/// Connections that wait to be accepted; an opening packet beyond them is repeated only after a
+/// second.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// Sets the options that every connection has.
+fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))
+}
+
+/// Opens a connection within a time limit.
+pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Opens a listener.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+/// Accepts a connection; an error that concerns one connection only is passed over after a
+/// pause.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    /// Time for descriptors to become free when none is left.
+    const PAUSE: Duration = Duration::from_millis(20);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if tune(&stream).is_ok() {
+                    return stream;
+                }
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -0,0 +1,83 @@
+//! The catalogue of log events of a host on the platform.
+
+use std::fmt::Write as _;
+
+/// Describes one event of the catalogue.
+struct EventEntry {
+    event: GatewayEvent,
+    code: &'static str,
+    title: &'static str,
+    fields: &'static str,
+}
+
+macro_rules! gateway_events {
+    ($($name:ident, $code:literal, $title:literal, $fields:literal;)*) => {
+        /// Names the events of the log. The number of an event never changes its meaning.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum GatewayEvent {
+            $(#[doc = $title] $name,)*
+        }
+
+        const CATALOGUE: &[EventEntry] = &[
+            $(EventEntry {
+                event: GatewayEvent::$name,
+                code: $code,
+                title: $title,
+                fields: $fields,
+            },)*
+        ];
+    };
+}
+
+gateway_events! {
+    HostStarted, "HW7001", "The host has started.", "host, domain, incarnation, callers, peers";
+    StopBegan, "HW7002", "The graceful stop has begun.", "grace_ms, requests";
+    StopEnded, "HW7003", "The graceful stop has ended.", "requests, took_ms";
+    SettingsReloaded, "HW7004", "The settings file was read again.", "outcome, detail";
+    PartFailed, "HW7005", "A part of the process failed; it is started again.", "part, detail";
+    ReadyChanged, "HW7006", "The host's answer to the readiness question has changed.", "ready, reason";
+    DependencyLost, "HW7101", "A dependency does not answer.", "dependency, detail, age_ms";
+    DependencyRegained, "HW7102", "A dependency answers again.", "dependency, away_ms";
+    ConfigInForce, "HW7103", "A configuration version is in force.", "version, before, source, pipelines, pools";
+    ConfigUnreadable, "HW7104", "A configuration could not be read; the one before stays in force.", "source, detail";
+    ServerChanged, "HW7105", "What is known of a backend server has changed.", "server, revision, state, pool, source";
+    EntryUnreadable, "HW7106", "An entry does not describe a backend server and is not used.", "server, revision, detail";
+    HostJoined, "HW7107", "Another host is known.", "host, incarnation, source";
+    HostLeft, "HW7108", "Another host has left.", "host, source";
+    HostPassedOver, "HW7109", "Another host did not answer and is passed over for a while.", "host, duty, detail";
+    ServerPassedOver, "HW7110", "A backend server failed too often and is passed over for a while.", "server, failures";
+    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, took_ms, stages_ms, first_ms, remaining_ms";
+    AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
+    StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, batcher, reason, took_ms, retry_after_ms";
+    CallEnded, "HW7204", "A call for pieces has ended without results for all of them.", "pool, server, pieces, outcome, took_ms, timeout_ms";
+    LinesSuppressed, "HW7901", "Log lines were left out to bound their number.", "count, event";
+}
+
+impl GatewayEvent {
+    fn entry(self) -> &'static EventEntry {
+        CATALOGUE
+            .iter()
+            .find(|entry| entry.event == self)
+            .unwrap_or(&CATALOGUE[0])
+    }
+
+    /// Returns the number, such as `HW7001`.
+    pub fn code(self) -> &'static str {
+        self.entry().code
+    }
+
+    /// Returns what the event means.
+    pub fn title(self) -> &'static str {
+        self.entry().title
+    }
+}
+
+/// Writes the catalogue as the table in `docs/EVENTS.md`.
+pub fn events_table() -> String {
+    let mut text = String::from("| event | meaning | fields |\n| --- | --- | --- |\n");
+    for entry in CATALOGUE {
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "| {} | {} | {} |", entry.code, entry.title, entry.fields);
+    }
+    text
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -0,0 +1,303 @@
+//! Hosts that read the store for others, and hosts that follow them.
+//!
+//! A few hosts follow the store's feeds. The others ask one of these for what has changed, which
+//! also reaches hosts that the store turns away. A host that hears of no fresh view reads the
+//! store itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use hollywheel_serving::{FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord};
+use hollywheel_types::MonoTime;
+use hollywheel_wire::serving::{FollowReply, FollowRequest, ServerEntry};
+
+use crate::host::{FRESH_VIEW, Host};
+use crate::peer_client::FOLLOW_PATH;
+use crate::peer_server::micros;
+use crate::store_feed::{read_host, write_host};
+
+/// The duty of reading the store.
+const READER_DUTY: &str = "store";
+/// The fewest hosts that read the store: with three, one may be cut off and one restart.
+const MIN_READERS: usize = 3;
+/// One reader serves so many hosts.
+const HOSTS_PER_READER: usize = 16;
+/// A follower is answered after this time if nothing has changed.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// An answer that comes later than this after the wait counts as lost.
+const ANSWER_SLACK: Duration = Duration::from_millis(400);
+/// A host that found no fresh view reads the store itself for this time.
+const OWN_READING: Duration = Duration::from_secs(5);
+/// The pause after a failed call.
+const RETRY_TIME: Duration = Duration::from_millis(60);
+
+/// Says whether this host reads the store.
+pub(crate) struct ReadingDuty {
+    reads: watch::Sender<bool>,
+}
+
+impl Default for ReadingDuty {
+    fn default() -> Self {
+        Self {
+            reads: watch::Sender::new(true),
+        }
+    }
+}
+
+impl ReadingDuty {
+    /// Waits until this host reads the store.
+    pub(crate) async fn wait_for_reading(&self) {
+        // The sender lives as long as this value.
+        let _ = self.reads.subscribe().wait_for(|reads| *reads).await;
+    }
+
+    fn set(&self, reads: bool) {
+        self.reads.send_if_modified(|known| {
+            let changed = *known != reads;
+            *known = reads;
+            changed
+        });
+    }
+}
+
+fn readers(host: &Host) -> Vec<HostRecord> {
+    let hosts = host.hosts.borrow();
+    let mut order = hosts.duty_order(host.now(), READER_DUTY);
+    let count = hosts.known_count().div_ceil(HOSTS_PER_READER);
+    order.truncate(count.max(MIN_READERS));
+    order
+}
+
+/// Holds what a host that is followed has told so far.
+#[derive(Clone, Copy, Default)]
+struct FollowCursor {
+    incarnation: u64,
+    server_change: u64,
+    host_change: u64,
+}
+
+/// Decides whether this host reads the store, and follows another host if it does not, or if the
+/// store does not answer it.
+pub(crate) async fn follow_hosts(host: Host) {
+    let mut cursor = FollowCursor::default();
+    let mut reads_until = MonoTime::default();
+    loop {
+        let readers = readers(&host);
+        let own = host.hosts.borrow().own().clone();
+        let now = host.now();
+        let is_reader = readers.iter().any(|reader| reader.name == own);
+        host.reading.set(is_reader || now < reads_until);
+        let fresh = host.view.borrow().health(now, FRESH_VIEW) == FeedHealth::Following;
+        if is_reader && fresh {
+            tokio::time::sleep(FOLLOW_WAIT).await;
+            continue;
+        }
+        let sources = sources(&host, &readers);
+        if !follow_any(&host, &sources, &mut cursor).await {
+            reads_until = host.now() + OWN_READING;
+            host.reading.set(true);
+            tokio::time::sleep(RETRY_TIME).await;
+        }
+    }
+}
+
+/// Lists the hosts to follow: the readers in an order of this host's own, then some others,
+/// which may see the store when the readers do not, then the addresses of the settings.
+fn sources(host: &Host, readers: &[HostRecord]) -> Vec<HostRecord> {
+    /// Others that are asked when no reader has a fresh view.
+    const OTHERS: usize = 3;
+    let hosts = host.hosts.borrow();
+    let own = hosts.own();
+    let order = hosts.duty_order(host.now(), &format!("follow/{own}"));
+    let is_reader = |record: &HostRecord| readers.iter().any(|reader| reader.name == record.name);
+    let (first, others): (Vec<HostRecord>, Vec<HostRecord>) = order
+        .into_iter()
+        .filter(|record| record.name != *own)
+        .partition(is_reader);
+    let mut sources = first;
+    sources.extend(others.into_iter().take(OTHERS));
+    if sources.is_empty() {
+        sources.extend(host.settings().seeds.iter().filter_map(|address| {
+            Some(HostRecord {
+                name: address.to_string().parse().ok()?,
+                address: *address,
+                domain: host.settings().domain.clone(),
+                incarnation: 0,
+            })
+        }));
+        sources.retain(|record| record.address != host.settings().peers);
+    }
+    sources
+}
+
+/// Follows the first source whose view is fresh; returns whether there was one.
+async fn follow_any(host: &Host, sources: &[HostRecord], cursor: &mut FollowCursor) -> bool {
+    for source in sources {
+        let asked = host.now();
+        if let Some(reply) = ask(host, source, *cursor).await {
+            let age = reply.age_us.map(Duration::from_micros);
+            take_reply(host, source, reply, cursor, asked);
+            if age.is_some_and(|age| age <= FRESH_VIEW) {
+                return true;
+            }
+        }
+    }
+    false
+}
+
+async fn ask(host: &Host, source: &HostRecord, cursor: FollowCursor) -> Option<FollowReply> {
+    let message = FollowRequest {
+        incarnation: cursor.incarnation,
+        server_change: cursor.server_change,
+        host_change: cursor.host_change,
+        config_version: host.set().map_or(0, |set| set.version.0),
+        wait_ms: u32::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u32::MAX),
+    };
+    let limit = FOLLOW_WAIT + ANSWER_SLACK;
+    let body = message.encode_to_vec();
+    match host.peers.call(source, FOLLOW_PATH, body, limit).await {
+        Ok(reply) => {
+            host.hosts.borrow_mut().note_answer(&source.name);
+            FollowReply::decode(reply).ok()
+        }
+        Err(failure) => {
+            host.pass_over(&source.name, "follow", failure.name());
+            None
+        }
+    }
+}
+
+fn take_reply(
+    host: &Host,
+    source: &HostRecord,
+    reply: FollowReply,
+    cursor: &mut FollowCursor,
+    asked: MonoTime,
+) {
+    let name = source.name.as_str();
+    if let Some(returned) = reply.store_returned_us {
+        let at = host.now() - Duration::from_micros(returned);
+        host.registry.borrow_mut().note_store_return(at);
+    }
+    if !reply.config.is_empty() {
+        host.install(&reply.config, name);
+    }
+    for entry in &reply.servers {
+        if let Some(change) = read_server(entry) {
+            host.apply_server(change, name);
+        }
+    }
+    let hosts: Vec<HostRecord> = reply.hosts.iter().filter_map(read_host).collect();
+    for record in &hosts {
+        host.upsert_host(record.clone(), name);
+    }
+    if let Some(age) = reply.age_us {
+        let confirmed = asked - Duration::from_micros(age);
+        host.view.borrow_mut().confirm(confirmed);
+    }
+    *cursor = FollowCursor {
+        incarnation: reply.incarnation,
+        server_change: reply.server_change,
+        host_change: reply.host_change,
+    };
+}
+
+/// Answers a host that follows this one, as soon as there is something new for it.
+pub(crate) async fn answer_follow(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    let request = FollowRequest::decode(body.clone()).ok()?;
+    let wait = Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT);
+    let news = async {
+        loop {
+            let changed = host.changed.notified();
+            if has_news(host, &request) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // Without news the answer still tells the age of the view.
+    let _ = timeout(wait, news).await;
+    Some(write_reply(host, &request).encode_to_vec())
+}
+
+fn has_news(host: &Host, request: &FollowRequest) -> bool {
+    let version = host.set().map_or(0, |set| set.version.0);
+    request.incarnation != host.incarnation
+        || version > request.config_version
+        || host.registry.borrow().change() != request.server_change
+        || host.host_change.get() != request.host_change
+}
+
+fn write_reply(host: &Host, request: &FollowRequest) -> FollowReply {
+    let now = host.now();
+    let same = request.incarnation == host.incarnation;
+    let registry = host.registry.borrow();
+    let after = if same { request.server_change } else { 0 };
+    let servers = registry.changes_after(after);
+    let tells_hosts = !same || host.host_change.get() != request.host_change;
+    let hosts = host.hosts.borrow();
+    let installed = host.installed();
+    let newer = installed.filter(|known| known.set.version.0 > request.config_version);
+    FollowReply {
+        incarnation: host.incarnation,
+        server_change: registry.change(),
+        host_change: host.host_change.get(),
+        servers: servers.iter().map(write_server).collect(),
+        hosts: if tells_hosts {
+            hosts.records().map(write_host).collect()
+        } else {
+            Vec::new()
+        },
+        config_version: newer.as_ref().map_or(0, |known| known.set.version.0),
+        config: newer.map(|known| known.document).unwrap_or_default(),
+        age_us: host.view.borrow().age(now).map(micros),
+        store_returned_us: registry.store_returned_at().map(|at| micros(now.since(at))),
+    }
+}
+
+fn write_server(change: &RowChange) -> ServerEntry {
+    let mut entry = ServerEntry {
+        server: change.server.to_string(),
+        revision: change.revision,
+        removed: true,
+        ..ServerEntry::default()
+    };
+    if let Some(record) = &change.record {
+        entry.removed = false;
+        entry.pool = record.pool.to_string();
+        entry.address = record.address.to_string();
+        entry.domain = record.domain.to_string();
+        entry.slots = record.slots;
+        entry.draining = record.phase == ServerPhase::Draining;
+        entry.born = record.born;
+    }
+    entry
+}
+
+fn read_server(entry: &ServerEntry) -> Option<RowChange> {
+    let record = if entry.removed {
+        None
+    } else {
+        Some(ServerRecord {
+            pool: entry.pool.parse().ok()?,
+            address: entry.address.parse().ok()?,
+            domain: entry.domain.parse().ok()?,
+            slots: entry.slots,
+            phase: if entry.draining {
+                ServerPhase::Draining
+            } else {
+                ServerPhase::Ready
+            },
+            born: entry.born,
+        })
+    };
+    Some(RowChange {
+        server: entry.server.parse().ok()?,
+        revision: entry.revision,
+        record,
+    })
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -0,0 +1,274 @@
+//! What the parts of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{Notify, watch};
+
+use hollywheel_adapter::HostSettings;
+use hollywheel_clock::HostClock;
+use hollywheel_serving::{
+    HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange, ServerRecord,
+    ServerRegistry, ServingSet, StoreView,
+};
+use hollywheel_types::{MonoTime, PoolId, ServerId, SortedMap};
+
+use crate::batch_duty::BatchDuty;
+use crate::engine_pool::EnginePool;
+use crate::follow::ReadingDuty;
+use crate::log::{LogBound, log_line};
+use crate::metrics::HostMetrics;
+use crate::peer_client::PeerClient;
+use crate::results::ResultOutbox;
+
+/// A view of the store that is younger than this follows it; the store's answers come every
+/// second or sooner.
+pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1500);
+
+/// Holds a configuration with the document that it was read from, for other hosts.
+#[derive(Clone)]
+pub(crate) struct InstalledSet {
+    pub(crate) set: Rc<ServingSet>,
+    pub(crate) document: Bytes,
+}
+
+/// Holds what the parts of the process share.
+pub(crate) struct HostState {
+    settings: RefCell<Rc<HostSettings>>,
+    pub(crate) clock: HostClock,
+    pub(crate) incarnation: u64,
+    pub(crate) log: LogBound,
+    pub(crate) metrics: HostMetrics,
+    installed: RefCell<Option<InstalledSet>>,
+    pub(crate) registry: RefCell<ServerRegistry>,
+    pub(crate) hosts: RefCell<HostTable>,
+    pub(crate) host_change: Cell<u64>,
+    pub(crate) view: RefCell<StoreView>,
+    pub(crate) loads: RefCell<LoadTable>,
+    budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
+    pub(crate) forecast: RefCell<PathForecast>,
+    pub(crate) pool_waits: RefCell<SortedMap<PoolId, (Duration, MonoTime)>>,
+    pub(crate) engines: EnginePool,
+    pub(crate) batches: BatchDuty,
+    pub(crate) peers: PeerClient,
+    pub(crate) outbox: ResultOutbox,
+    pub(crate) reading: ReadingDuty,
+    /// Wakes those that wait for a change of the view.
+    pub(crate) changed: Notify,
+    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) requests: Cell<u64>,
+    next_tie: Cell<u64>,
+}
+
+/// Names the shared state.
+pub(crate) type Host = Rc<HostState>;
+
+impl HostState {
+    pub(crate) fn new(settings: HostSettings, clock: HostClock) -> Host {
+        let incarnation = clock.incarnation().0;
+        let own = HostRecord {
+            name: settings.host.clone(),
+            address: settings.peers,
+            domain: settings.domain.clone(),
+            incarnation,
+        };
+        Rc::new(Self {
+            log: LogBound::new(clock),
+            metrics: HostMetrics::new(),
+            installed: RefCell::default(),
+            registry: RefCell::default(),
+            hosts: RefCell::new(HostTable::new(own)),
+            host_change: Cell::new(1),
+            view: RefCell::default(),
+            loads: RefCell::default(),
+            budgets: RefCell::default(),
+            forecast: RefCell::default(),
+            pool_waits: RefCell::default(),
+            engines: EnginePool::default(),
+            batches: BatchDuty::default(),
+            peers: PeerClient::default(),
+            outbox: ResultOutbox::default(),
+            reading: ReadingDuty::default(),
+            changed: Notify::new(),
+            stopping: watch::Sender::new(false),
+            requests: Cell::new(0),
+            next_tie: Cell::new(incarnation),
+            settings: RefCell::new(Rc::new(settings)),
+            clock,
+            incarnation,
+        })
+    }
+
+    /// Returns the settings in force.
+    pub(crate) fn settings(&self) -> Rc<HostSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts other settings in force. Addresses that are listened on stay.
+    pub(crate) fn replace_settings(&self, settings: HostSettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    /// Says whether the graceful stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn set(&self) -> Option<Rc<ServingSet>> {
+        let installed = self.installed.borrow();
+        installed.as_ref().map(|installed| Rc::clone(&installed.set))
+    }
+
+    /// Returns the configuration in force with its document.
+    pub(crate) fn installed(&self) -> Option<InstalledSet> {
+        self.installed.borrow().clone()
+    }
+
+    /// Reads a configuration and puts it in force if it is newer than the one in force.
+    pub(crate) fn install(&self, document: &Bytes, source: &str) {
+        let set = match hollywheel_adapter::read_config(document) {
+            Ok(set) => set,
+            Err(error) => {
+                log_line!(self, error, ConfigUnreadable, source, detail = %error);
+                return;
+            }
+        };
+        let before = self.set().map_or(0, |set| set.version.0);
+        if set.version.0 <= before {
+            return;
+        }
+        log_line!(
+            self,
+            info,
+            ConfigInForce,
+            version = set.version.0,
+            before,
+            source,
+            pipelines = set.pipelines.len(),
+            pools = set.pools.len()
+        );
+        self.metrics.config_version.set(i64::try_from(set.version.0).unwrap_or(i64::MAX));
+        *self.installed.borrow_mut() = Some(InstalledSet {
+            set: Rc::new(set),
+            document: document.clone(),
+        });
+        self.changed.notify_waiters();
+    }
+
+    /// Applies a change of a backend server.
+    pub(crate) fn apply_server(&self, change: RowChange, source: &str) {
+        let (server, revision) = (change.server.clone(), change.revision);
+        let now = self.now();
+        let differs = self.registry.borrow_mut().apply(now, change);
+        if differs {
+            self.note_server(&server, revision, source);
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn note_server(&self, server: &ServerId, revision: u64, source: &str) {
+        let registry = self.registry.borrow();
+        let usable = registry.usable(self.now(), server);
+        let state = if usable.is_some() { "usable" } else { "not usable" };
+        let pool = usable.map(|record| record.pool.to_string());
+        log_line!(
+            self,
+            info,
+            ServerChanged,
+            server = %server,
+            revision,
+            state,
+            pool,
+            source
+        );
+    }
+
+    /// Lists the servers of a pool that may be used now.
+    pub(crate) fn pool_servers(&self, pool: &PoolId) -> Vec<(ServerId, ServerRecord)> {
+        let registry = self.registry.borrow();
+        registry
+            .pool_servers(self.now(), pool)
+            .map(|(server, record)| (server.clone(), record.clone()))
+            .collect()
+    }
+
+    /// Counts a request for a pool that is sent for the first time.
+    pub(crate) fn count_request(&self, pool: &PoolId) {
+        self.with_budget(pool, |budget, now, _| budget.count_request(now));
+    }
+
+    /// Takes one repeated send from the budget of a pool.
+    pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
+        self.with_budget(pool, RetryBudget::take_repeat)
+    }
+
+    fn with_budget<T>(
+        &self,
+        pool: &PoolId,
+        act: impl FnOnce(&mut RetryBudget, MonoTime, usize) -> T,
+    ) -> T {
+        let now = self.now();
+        let hosts = self.hosts.borrow().known_count();
+        let settings = self.settings();
+        let bounds = &settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_or_insert_with(pool.clone(), || {
+            RetryBudget::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
+        });
+        act(budget, now, hosts)
+    }
+
+    /// Adds a host or replaces what is known of it.
+    pub(crate) fn upsert_host(&self, record: HostRecord, source: &str) {
+        let mut hosts = self.hosts.borrow_mut();
+        if record.name == *hosts.own() || hosts.records().any(|known| *known == record) {
+            return;
+        }
+        log_line!(
+            self,
+            info,
+            HostJoined,
+            host = %record.name,
+            incarnation = record.incarnation,
+            source
+        );
+        hosts.upsert(record);
+        self.host_change.set(self.host_change.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a host that has left.
+    pub(crate) fn remove_host(&self, name: &hollywheel_types::HostId, source: &str) {
+        let mut hosts = self.hosts.borrow_mut();
+        if hosts.records().any(|known| known.name == *name) && name != hosts.own() {
+            log_line!(self, info, HostLeft, host = %name, source);
+            hosts.remove(name);
+            self.host_change.set(self.host_change.get() + 1);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Notes that a host did not answer in a duty.
+    pub(crate) fn pass_over(&self, name: &hollywheel_types::HostId, duty: &str, detail: &str) {
+        log_line!(self, warn, HostPassedOver, host = %name, duty, detail);
+        let now = self.now();
+        self.hosts.borrow_mut().note_unreachable(now, name);
+    }
+
+    /// Returns a number that differs between requests and hosts.
+    pub(crate) fn tie(&self) -> u64 {
+        /// The step of a Weyl sequence over 64 bits (the golden ratio), which spreads numbers
+        /// evenly.
+        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+        let tie = self.next_tie.get().wrapping_add(STEP);
+        self.next_tie.set(tie);
+        tie
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/host_rows.rs
@@ -0,0 +1,62 @@
+//! The row by which the other hosts learn of this one.
+
+use std::time::Duration;
+
+use prost::Message;
+
+use hollywheel_adapter::StoreCall;
+use hollywheel_serving::HostRecord;
+
+use crate::host::Host;
+use crate::store_client::{StoreConnection, StoreFailure};
+use crate::store_feed::write_host;
+
+/// The longest time to wait for the answer to a write.
+const WRITE_LIMIT: Duration = Duration::from_secs(2);
+/// The first pause after a failed write, and the longest one.
+const RETRY_TIME: Duration = Duration::from_millis(300);
+const MAX_RETRY_TIME: Duration = Duration::from_secs(3);
+/// While the host stops, the row is removed within this time or stays.
+const REMOVE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Writes the host's row, and removes it when the graceful stop begins, so that no duty is given
+/// to this host any more.
+pub(crate) async fn keep_row(host: Host) {
+    let mut connection = StoreConnection::new(&host);
+    let mut stopping = host.stopping.subscribe();
+    tokio::select! {
+        () = write_row(&host, &mut connection) => {}
+        _ = stopping.wait_for(|stops| *stops) => {}
+    }
+    // The sender lives as long as the host.
+    let _ = stopping.wait_for(|stops| *stops).await;
+    remove_row(&host, &mut connection).await;
+    std::future::pending::<()>().await;
+}
+
+async fn write_row(host: &Host, connection: &mut StoreConnection) {
+    let record = HostRecord {
+        name: host.settings().host.clone(),
+        address: host.settings().peers,
+        domain: host.settings().domain.clone(),
+        incarnation: host.incarnation,
+    };
+    let call = StoreCall::SetHost {
+        key: record.name.to_string(),
+        value: write_host(&record).encode_to_vec(),
+    };
+    let mut pause = RETRY_TIME;
+    // The write has the same effect each time, so a lost answer is no reason not to repeat it.
+    while let Err(_failure) = connection.call(&call, WRITE_LIMIT).await {
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_RETRY_TIME);
+    }
+}
+
+async fn remove_row(host: &Host, connection: &mut StoreConnection) {
+    let call = StoreCall::RemoveHost {
+        key: host.settings().host.to_string(),
+    };
+    // A row that stays costs the other hosts one failed connection.
+    let _: Result<_, StoreFailure> = connection.call(&call, REMOVE_LIMIT).await;
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! The process between callers and the backend servers of the users' platform: sockets, clocks
+//! and tasks around the decisions of `hollywheel-serving`.
+//!
+//! The process has one thread; its parts share one [`host::HostState`].
+
+mod batch_duty;
+mod body;
+mod caller_server;
+mod command;
+mod connect;
+mod engine_pool;
+mod events;
+mod follow;
+mod host;
+mod host_rows;
+mod log;
+mod metrics;
+mod peer_client;
+mod peer_server;
+mod plain_call;
+mod request;
+mod respond;
+mod results;
+mod run;
+mod send;
+mod side_server;
+mod stage_run;
+mod store_client;
+mod store_feed;
+mod stream_call;
+mod supervisor;
+
+pub use command::run_gateway;
+pub use events::{GatewayEvent, events_table};
--- /dev/null
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -0,0 +1,144 @@
+//! Counters and histograms.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency buckets in seconds, from the time of a plain call to the longest
+/// deadline described.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
+/// Series of one family; more pipelines or pools than this are counted under `other`.
+const MAX_SERIES: usize = 256;
+
+/// Labels a request's end.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RequestLabels {
+    pub(crate) pipeline: String,
+    pub(crate) outcome: &'static str,
+}
+
+/// Labels something by its pipeline or pool.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct NameLabel {
+    pub(crate) name: String,
+}
+
+/// Holds the counters and histograms of a host.
+pub(crate) struct HostMetrics {
+    registry: Registry,
+    pub(crate) requests: Family<RequestLabels, Counter>,
+    pub(crate) request_seconds: Family<NameLabel, Histogram>,
+    pub(crate) first_seconds: Family<NameLabel, Histogram>,
+    pub(crate) stage_seconds: Family<NameLabel, Histogram>,
+    pub(crate) repeats: Family<NameLabel, Counter>,
+    pub(crate) calls: Family<NameLabel, Counter>,
+    pub(crate) call_pieces: Family<NameLabel, Counter>,
+    pub(crate) store_calls: Counter,
+    pub(crate) config_version: Gauge,
+    names: std::cell::RefCell<Vec<String>>,
+}
+
+fn latency() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+impl HostMetrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(latency),
+            first_seconds: Family::new_with_constructor(latency),
+            stage_seconds: Family::new_with_constructor(latency),
+            repeats: Family::default(),
+            calls: Family::default(),
+            call_pieces: Family::default(),
+            store_calls: Counter::default(),
+            config_version: Gauge::default(),
+            names: std::cell::RefCell::default(),
+        };
+        metrics.registered()
+    }
+
+    fn registered(mut self) -> Self {
+        let registry = &mut self.registry;
+        registry.register(
+            "hollywheel_requests",
+            "Requests by pipeline and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "hollywheel_request_seconds",
+            "Time to the end of an answer by pipeline",
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "hollywheel_first_seconds",
+            "Time to the beginning of an answer by pipeline",
+            self.first_seconds.clone(),
+        );
+        registry.register(
+            "hollywheel_stage_seconds",
+            "Time of a stage by pool",
+            self.stage_seconds.clone(),
+        );
+        registry.register(
+            "hollywheel_repeats",
+            "Repeated sends by pool",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "hollywheel_piece_calls",
+            "Calls for pieces by pool",
+            self.calls.clone(),
+        );
+        registry.register(
+            "hollywheel_pieces",
+            "Pieces in calls by pool",
+            self.call_pieces.clone(),
+        );
+        registry.register(
+            "hollywheel_store_calls",
+            "Calls of the platform's store",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "hollywheel_config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        self
+    }
+
+    /// Returns the label of a pipeline or pool; those beyond the bound share one.
+    pub(crate) fn name(&self, name: &str) -> NameLabel {
+        let mut names = self.names.borrow_mut();
+        let known = names.binary_search_by(|known| known.as_str().cmp(name));
+        let name = match known {
+            Ok(_) => name,
+            Err(position) if names.len() < MAX_SERIES => {
+                names.insert(position, name.to_owned());
+                name
+            }
+            Err(_) => "other",
+        };
+        NameLabel {
+            name: name.to_owned(),
+        }
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# the metrics can't be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -0,0 +1,146 @@
+//! The side of calls between hosts that answers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prost::Message;
+use tokio::net::TcpListener;
+
+use hollywheel_serving::StageInput;
+use hollywheel_types::PoolId;
+use hollywheel_wire::serving::{FreeResults, PieceAnswer, PieceEnd, PieceOrder};
+
+use crate::batch_duty::{GroupEnd, PieceGroup};
+use crate::connect::accept;
+use crate::follow::answer_follow;
+use crate::host::Host;
+use crate::peer_client::{FOLLOW_PATH, FREE_PATH, LocalExecutor, PIECES_PATH};
+
+/// Connections whose other end is silent are closed after a probe is not answered for this time.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+/// A prompt's keys and handles take some kilobytes; larger calls are refused.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// Accepts connections of other hosts.
+pub(crate) async fn serve_peers(host: Host, listener: Rc<TcpListener>) {
+    loop {
+        let stream = accept(&listener).await;
+        let host = host.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| answer(host.clone(), request));
+            // The caller sees every error of the connection and asks another host.
+            let _ = http2::Builder::new(LocalExecutor)
+                .timer(TokioTimer::new())
+                .keep_alive_interval(PROBE_INTERVAL)
+                .keep_alive_timeout(PROBE_LIMIT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    host: Host,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let body = http_body_util::Limited::new(request.into_body(), MAX_BODY);
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Ok(reply(StatusCode::BAD_REQUEST, Vec::new())),
+    };
+    let answered = match path.as_str() {
+        PIECES_PATH => make_pieces(&host, &body).await,
+        FREE_PATH => free(&host, &body),
+        FOLLOW_PATH => answer_follow(&host, &body).await,
+        _ => None,
+    };
+    Ok(match answered {
+        Some(body) => reply(StatusCode::OK, body),
+        None => reply(StatusCode::BAD_REQUEST, Vec::new()),
+    })
+}
+
+fn reply(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+fn free(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    let message = FreeResults::decode(body.clone()).ok()?;
+    let pool: PoolId = message.pool.parse().ok()?;
+    host.batches.release(&pool, &message.handles);
+    Some(Vec::new())
+}
+
+async fn make_pieces(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    let order = PieceOrder::decode(body.clone()).ok()?;
+    let group = read_order(host, order)?;
+    let pool = group.pool.clone();
+    let end = host.batches.make(host, group).await;
+    let forecast = host.batches.forecast(host.now(), &pool);
+    Some(write_answer(end, forecast.unwrap_or_default()).encode_to_vec())
+}
+
+fn read_order(host: &Host, order: PieceOrder) -> Option<PieceGroup> {
+    let now = host.now();
+    let due = Duration::from_micros(order.due_us.unsigned_abs());
+    let domain = match order.domain.as_str() {
+        "" => None,
+        name => Some(name.parse().ok()?),
+    };
+    Some(PieceGroup {
+        pool: order.pool.parse().ok()?,
+        kind: order.kind,
+        attempt: order.attempt,
+        stage: usize::try_from(order.stage).ok()?,
+        pieces: usize::try_from(order.pieces).ok()?,
+        input: if order.inputs.is_empty() {
+            StageInput::Key
+        } else {
+            StageInput::Results(order.inputs)
+        },
+        key: order.key,
+        result_bytes: order.result_bytes,
+        due: if order.due_us < 0 { now - due } else { now + due },
+        expires: now + Duration::from_micros(order.expires_us),
+        domain,
+    })
+}
+
+fn write_answer(end: GroupEnd, forecast: Duration) -> PieceAnswer {
+    let mut answer = PieceAnswer {
+        forecast_us: micros(forecast),
+        ..PieceAnswer::default()
+    };
+    let end = match end {
+        GroupEnd::Made(handles) => {
+            answer.handles = handles;
+            PieceEnd::Made
+        }
+        GroupEnd::Refused { retry_after } => {
+            answer.retry_after_us = micros(retry_after);
+            PieceEnd::Refused
+        }
+        GroupEnd::Late => PieceEnd::Late,
+        GroupEnd::InputGone => PieceEnd::InputGone,
+        GroupEnd::Failed => PieceEnd::Failed,
+    };
+    answer.set_end(end);
+    answer
+}
+
+/// Returns the microseconds of a span.
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -0,0 +1,232 @@
+//! Requests of plain services: one call, answered as a whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use hollywheel_serving::{PlaceQuery, PlaceVerdict, ServerRecord, choose_least};
+use hollywheel_types::{ExecutionVerdict, ServerId};
+
+use crate::body::AnswerBody;
+use crate::host::Host;
+use crate::request::{RequestContext, RequestGuard};
+use crate::respond::{RequestEnd, answer_own, build_answer};
+use crate::send::{AttemptExtras, AttemptFailure, note_failure, send_attempt};
+
+/// A server queues about so many times its slots; above that it refuses.
+const FULL_LOAD: f64 = 4.5;
+/// A request that no server takes is told to come back after this time, in which a server with
+/// a full queue ends some calls.
+const FULL_RETRY: Duration = Duration::from_millis(150);
+/// Servers that are tried while none of them has received the request.
+const MAX_TRIES: u32 = 4;
+/// The part of its objective after which a request that may run twice is tried elsewhere.
+const FIRST_TRY_PART: f64 = 0.75;
+
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Follows the attempts of one request.
+struct CallState {
+    excluded: Vec<ServerId>,
+    tries: u32,
+    arrivals: u32,
+    verdict: ExecutionVerdict,
+    reason: &'static str,
+    kept: Option<WholeAnswer>,
+}
+
+/// Serves a request of a plain service.
+pub(crate) async fn call_plain(
+    host: &Host,
+    context: &RequestContext,
+    guard: &RequestGuard,
+) -> Response<AnswerBody> {
+    let mut state = CallState {
+        excluded: Vec::new(),
+        tries: 0,
+        arrivals: 0,
+        verdict: ExecutionVerdict::NotRun,
+        reason: "",
+        kept: None,
+    };
+    let left = context.deadline.since(host.now());
+    let answered = timeout(left, try_servers(host, context, &mut state)).await;
+    if answered.is_err() {
+        state.reason = "the time was over";
+    }
+    finish(host, context, guard, state)
+}
+
+/// Tries servers until there is an answer, or no reason to try another one.
+async fn try_servers(host: &Host, context: &RequestContext, state: &mut CallState) {
+    loop {
+        let Some((server, record)) = choose(host, context, state) else {
+            return;
+        };
+        state.tries += 1;
+        let sent_at = host.now();
+        let attempt = attempt_whole(host, context, &server, &record);
+        let limit = attempt_limit(host, context, state);
+        let ended = timeout(limit, attempt).await.unwrap_or(Err(AttemptFailure {
+            verdict: ExecutionVerdict::MayHaveRun,
+            arrived: true,
+            reason: "no answer in time",
+        }));
+        match ended {
+            Ok(answer) => {
+                state.arrivals += 1;
+                state.verdict = ExecutionVerdict::Ran;
+                let failed = answer.status.is_server_error();
+                let taken = host.now().since(sent_at);
+                host.loads.borrow_mut().note_success(&server, taken);
+                state.kept = Some(answer);
+                if !failed || !may_try_again(host, context, state) {
+                    return;
+                }
+            }
+            Err(failure) => {
+                note_failure(host, context, &server, state.tries, &failure, sent_at);
+                state.arrivals += u32::from(failure.arrived);
+                state.verdict = state.verdict.join(failure.verdict);
+                state.reason = failure.reason;
+                if !may_try_again(host, context, state) {
+                    return;
+                }
+            }
+        }
+        state.excluded.push(server);
+    }
+}
+
+/// Says whether the request is sent once more: it has not run or may run twice, has tries left,
+/// and the budget that all hosts share holds another send.
+fn may_try_again(host: &Host, context: &RequestContext, state: &CallState) -> bool {
+    let pipeline = &context.pipeline;
+    if state.tries >= MAX_TRIES {
+        return false;
+    }
+    if state.verdict != ExecutionVerdict::NotRun
+        && (!pipeline.may_repeat() || state.arrivals >= pipeline.max_attempts)
+    {
+        return false;
+    }
+    if state.arrivals == 0 {
+        return true;
+    }
+    let taken = host.take_repeat(&context.pool);
+    if taken {
+        let name = host.metrics.name(context.pool.as_str());
+        host.metrics.repeats.get_or_create(&name).inc();
+    }
+    taken
+}
+
+fn choose(
+    host: &Host,
+    context: &RequestContext,
+    state: &mut CallState,
+) -> Option<(ServerId, ServerRecord)> {
+    let servers = host.pool_servers(&context.pool);
+    let query = PlaceQuery {
+        now: host.now(),
+        servers: &servers,
+        exclude: &state.excluded,
+        tie: context.tie,
+        domain: Some(&host.settings().domain),
+    };
+    let placed = choose_least(&query, &host.loads.borrow(), FULL_LOAD);
+    match placed {
+        PlaceVerdict::Server(server) => servers.into_iter().find(|(name, _)| *name == server),
+        PlaceVerdict::Full => {
+            state.reason = "every server is full";
+            None
+        }
+        PlaceVerdict::NoServer => {
+            if state.reason.is_empty() {
+                state.reason = "no server";
+            }
+            None
+        }
+    }
+}
+
+fn attempt_limit(host: &Host, context: &RequestContext, state: &CallState) -> Duration {
+    let left = context.deadline.since(host.now());
+    let repeats = context.pipeline.may_repeat() && state.arrivals + 1 < context.pipeline.max_attempts;
+    if repeats {
+        left.min(context.pipeline.objective.mul_f64(FIRST_TRY_PART))
+    } else {
+        left
+    }
+}
+
+async fn attempt_whole(
+    host: &Host,
+    context: &RequestContext,
+    server: &ServerId,
+    record: &ServerRecord,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let mut answer = send_attempt(host, context, server, record, AttemptExtras::default()).await?;
+    let body = (&mut answer.body).collect().await.map_err(|_| AttemptFailure {
+        verdict: ExecutionVerdict::MayHaveRun,
+        arrived: true,
+        reason: "the answer ended early",
+    })?;
+    let whole = WholeAnswer {
+        status: answer.status,
+        headers: hollywheel_adapter::caller_headers(&answer.headers),
+        body: body.to_bytes(),
+    };
+    answer.complete(host);
+    Ok(whole)
+}
+
+fn finish(
+    host: &Host,
+    context: &RequestContext,
+    guard: &RequestGuard,
+    state: CallState,
+) -> Response<AnswerBody> {
+    let mut end = RequestEnd {
+        verdict: state.verdict,
+        reason: state.reason,
+        attempts: state.tries,
+        workspace: context.workspace.as_ref().map(|name| name.as_str()),
+        config: context.set.version.0,
+        remaining: context.deadline.since(host.now()),
+        ..RequestEnd::default()
+    };
+    if let Some(answer) = state.kept {
+        end.status = answer.status.as_u16();
+        end.first_took = Some(host.now().since(context.arrived));
+        guard.end(&end);
+        return build_answer(host, answer.status, answer.headers, AnswerBody::whole(answer.body));
+    }
+    let (outcome, status, retry_after) = match state.verdict {
+        ExecutionVerdict::NotRun => (
+            "refused",
+            StatusCode::SERVICE_UNAVAILABLE,
+            Some(FULL_RETRY),
+        ),
+        ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => {
+            let timed_out = host.now() >= context.deadline;
+            let status = if timed_out {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::BAD_GATEWAY
+            };
+            ("failed", status, None)
+        }
+    };
+    end.outcome = outcome;
+    end.status = status.as_u16();
+    guard.end(&end);
+    answer_own(host, &context.head.attempt, status, retry_after)
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/respond.rs
@@ -0,0 +1,136 @@
+//! Answers of the host's own, and the log line at the end of each request.
+
+use std::time::Duration;
+
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Response, StatusCode};
+
+use hollywheel_types::{ExecutionVerdict, MonoTime};
+
+use crate::body::AnswerBody;
+use crate::host::HostState;
+use crate::log::log_line;
+use crate::metrics::RequestLabels;
+
+/// Describes how a request ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestEnd<'a> {
+    pub(crate) outcome: &'static str,
+    pub(crate) verdict: ExecutionVerdict,
+    pub(crate) status: u16,
+    pub(crate) reason: &'a str,
+    pub(crate) attempts: u32,
+    pub(crate) stages_took: Duration,
+    pub(crate) first_took: Option<Duration>,
+    pub(crate) workspace: Option<&'a str>,
+    pub(crate) config: u64,
+    pub(crate) remaining: Duration,
+}
+
+impl Default for RequestEnd<'_> {
+    fn default() -> Self {
+        Self {
+            outcome: "answered",
+            verdict: ExecutionVerdict::NotRun,
+            status: 0,
+            reason: "",
+            attempts: 0,
+            stages_took: Duration::ZERO,
+            first_took: None,
+            workspace: None,
+            config: 0,
+            remaining: Duration::ZERO,
+        }
+    }
+}
+
+impl RequestEnd<'_> {
+    /// Describes a request whose caller left.
+    pub(crate) fn cancelled() -> Self {
+        Self {
+            outcome: "cancelled",
+            verdict: ExecutionVerdict::MayHaveRun,
+            reason: "the caller left",
+            ..Self::default()
+        }
+    }
+
+    /// Describes a request that was turned away before anything was done for it.
+    pub(crate) fn rejected(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            outcome: "rejected",
+            status: status.as_u16(),
+            reason,
+            ..Self::default()
+        }
+    }
+}
+
+/// Writes the end of a request to the log and the metrics.
+pub(crate) fn log_end(
+    host: &HostState,
+    attempt: &str,
+    pipeline: &str,
+    arrived: MonoTime,
+    end: &RequestEnd<'_>,
+) {
+    let took = host.now().since(arrived);
+    let name = host.metrics.name(pipeline);
+    let labels = RequestLabels {
+        pipeline: name.name.clone(),
+        outcome: end.outcome,
+    };
+    host.metrics.requests.get_or_create(&labels).inc();
+    let seconds = host.metrics.request_seconds.get_or_create(&name);
+    seconds.observe(took.as_secs_f64());
+    if let Some(first) = end.first_took {
+        let seconds = host.metrics.first_seconds.get_or_create(&name);
+        seconds.observe(first.as_secs_f64());
+    }
+    log_line!(
+        host,
+        info,
+        RequestEnded,
+        request = attempt,
+        pipeline,
+        workspace = end.workspace,
+        config = end.config,
+        outcome = end.outcome,
+        verdict = end.verdict.name(),
+        status = end.status,
+        reason = end.reason,
+        attempts = end.attempts,
+        took_ms = took.as_millis(),
+        stages_ms = end.stages_took.as_millis(),
+        first_ms = end.first_took.map(|first| first.as_millis()),
+        remaining_ms = end.remaining.as_millis()
+    );
+}
+
+/// Makes an answer that the host gives itself.
+pub(crate) fn answer_own(
+    host: &HostState,
+    attempt: &str,
+    status: StatusCode,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let headers = hollywheel_adapter::refusal_headers(attempt, retry_after);
+    build_answer(host, status, headers, AnswerBody::empty())
+}
+
+/// Makes an answer; while the host stops it asks the caller to connect elsewhere.
+pub(crate) fn build_answer(
+    host: &HostState,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    if host.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -0,0 +1,128 @@
+//! Results of stages that requests hold, and those that nothing needs any more.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use prost::Message as _;
+
+use hollywheel_serving::PieceHandle;
+use hollywheel_types::{HostId, PoolId, SortedMap};
+use hollywheel_wire::serving::FreeResults;
+
+use crate::host::Host;
+use crate::peer_client::FREE_PATH;
+
+/// Results that are not needed any more are collected for this time, so that one call frees
+/// many; at full load a server's room lasts for about ten times as long.
+const FLUSH_TIME: Duration = Duration::from_millis(40);
+/// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
+const FREE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Names the host that collects the pieces of a pool, which knows the room of its servers.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct ResultOwner {
+    pub(crate) host: HostId,
+    pub(crate) pool: PoolId,
+}
+
+/// Collects results that nothing needs any more.
+#[derive(Default)]
+pub(crate) struct ResultOutbox {
+    unneeded: RefCell<SortedMap<ResultOwner, Vec<PieceHandle>>>,
+}
+
+impl ResultOutbox {
+    pub(crate) fn put(&self, owner: &ResultOwner, handles: Vec<PieceHandle>) {
+        if handles.is_empty() {
+            return;
+        }
+        self.unneeded
+            .borrow_mut()
+            .get_or_insert_with(owner.clone(), Vec::new)
+            .extend(handles);
+    }
+}
+
+/// Sends what the outbox holds, again and again.
+pub(crate) async fn flush_results(host: Host) {
+    loop {
+        tokio::time::sleep(FLUSH_TIME).await;
+        let unneeded = host.outbox.unneeded.take();
+        for (owner, handles) in unneeded.iter() {
+            if *host.hosts.borrow().own() == owner.host {
+                host.batches.release(&owner.pool, handles);
+            } else {
+                let message = FreeResults {
+                    pool: owner.pool.to_string(),
+                    handles: handles.clone(),
+                };
+                tokio::task::spawn_local(send_free(host.clone(), owner.host.clone(), message));
+            }
+        }
+        host.batches.free_unneeded(&host);
+    }
+}
+
+async fn send_free(host: Host, owner: HostId, message: FreeResults) {
+    let record = {
+        let hosts = host.hosts.borrow();
+        hosts.records().find(|record| record.name == owner).cloned()
+    };
+    let Some(record) = record else {
+        return;
+    };
+    let body = message.encode_to_vec();
+    let sent = host.peers.call(&record, FREE_PATH, body, FREE_LIMIT).await;
+    if let Err(failure) = sent {
+        host.pass_over(&owner, "results", failure.name());
+    }
+}
+
+struct HeldStage {
+    owner: ResultOwner,
+    handles: Vec<PieceHandle>,
+}
+
+/// Holds the results of a request's stages; those that are left when it is dropped are freed.
+pub(crate) struct HeldResults {
+    host: Host,
+    stages: Vec<HeldStage>,
+}
+
+impl HeldResults {
+    pub(crate) fn new(host: &Host) -> Self {
+        Self {
+            host: host.clone(),
+            stages: Vec::new(),
+        }
+    }
+
+    pub(crate) fn hold(&mut self, owner: ResultOwner, handles: Vec<PieceHandle>) {
+        self.stages.push(HeldStage { owner, handles });
+    }
+
+    /// Frees some of the results.
+    pub(crate) fn release(&mut self, unneeded: &[PieceHandle]) {
+        for stage in &mut self.stages {
+            let (freed, kept) = std::mem::take(&mut stage.handles)
+                .into_iter()
+                .partition(|handle| unneeded.contains(handle));
+            stage.handles = kept;
+            self.host.outbox.put(&stage.owner, freed);
+        }
+        self.stages.retain(|stage| !stage.handles.is_empty());
+    }
+
+    /// Frees all results.
+    pub(crate) fn release_all(&mut self) {
+        for stage in self.stages.drain(..) {
+            self.host.outbox.put(&stage.owner, stage.handles);
+        }
+    }
+}
+
+impl Drop for HeldResults {
+    fn drop(&mut self) {
+        self.release_all();
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -0,0 +1,275 @@
+//! The view of the platform's store: configuration, backend servers and hosts.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+
+use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
+use hollywheel_serving::{HostRecord, RowChange};
+use hollywheel_types::{MonoTime, ServerId};
+use hollywheel_wire::serving::HostEntry;
+
+use crate::host::Host;
+use crate::log::log_line;
+use crate::store_client::{StoreConnection, StoreFailure};
+
+/// A feed is answered after this time if nothing has changed. A connection that has gone silent
+/// is noticed this time and the slack later, within the 2 s in which a configuration must be in
+/// force.
+const FEED_WAIT: Duration = Duration::from_millis(800);
+/// The store's answers take milliseconds; at 50 times that a call still ends within this.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Entries of backend servers change many times a second; they are collected for this time, a
+/// tenth of the time in which a server that leaves must get nothing new.
+const COLLECT_TIME: Duration = Duration::from_millis(200);
+/// The pause after a failed call, and the longest one; both well below the 2 s bound.
+const RETRY_TIME: Duration = Duration::from_millis(100);
+const MAX_RETRY_TIME: Duration = Duration::from_millis(500);
+
+/// Follows one table.
+struct TableFeed {
+    host: Host,
+    table: StoreTable,
+    connection: StoreConnection,
+    /// The revision up to which changes are known; none asks for a listing.
+    cursor: Option<u64>,
+    /// The newest revision seen; a listing that is older is stale.
+    newest: u64,
+    lost_at: Option<MonoTime>,
+}
+
+/// Follows a table of the store while this host reads it.
+pub(crate) async fn follow_table(host: Host, table: StoreTable) {
+    let mut feed = TableFeed {
+        connection: StoreConnection::new(&host),
+        host: host.clone(),
+        table,
+        cursor: None,
+        newest: 0,
+        lost_at: None,
+    };
+    let mut pause = RETRY_TIME;
+    loop {
+        host.reading.wait_for_reading().await;
+        match feed.advance().await {
+            Ok(wait) => {
+                feed.note_answer();
+                pause = RETRY_TIME;
+                tokio::time::sleep(wait).await;
+            }
+            Err(StoreFailure::HistoryLost) => {
+                feed.cursor = None;
+            }
+            Err(failure) => {
+                feed.note_failure(&failure);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_RETRY_TIME);
+            }
+        }
+    }
+}
+
+impl TableFeed {
+    /// Takes the next changes; returns how long to wait before the next call.
+    async fn advance(&mut self) -> Result<Duration, StoreFailure> {
+        let Some(after) = self.cursor else {
+            return self.list().await;
+        };
+        let call = StoreCall::Feed {
+            table: self.table,
+            after,
+            wait_ms: u64::try_from(FEED_WAIT.as_millis()).unwrap_or(u64::MAX),
+        };
+        let asked = self.host.now();
+        let answer = self.connection.call(&call, FEED_WAIT + ANSWER_SLACK).await?;
+        let changed = !answer.rows.is_empty();
+        for row in answer.rows {
+            self.apply(row);
+        }
+        self.cursor = Some(answer.revision.max(after));
+        self.newest = self.newest.max(answer.revision);
+        if self.table == StoreTable::Servers {
+            self.host.view.borrow_mut().confirm(asked);
+        }
+        let collects = changed && self.table == StoreTable::Servers;
+        Ok(if collects { COLLECT_TIME } else { Duration::ZERO })
+    }
+
+    async fn list(&mut self) -> Result<Duration, StoreFailure> {
+        let mut rows: Vec<StoreRow> = Vec::new();
+        let mut revision = None;
+        let asked = self.host.now();
+        loop {
+            let call = StoreCall::List {
+                table: self.table,
+                from: rows.last().map(|row| next_key(&row.key)).unwrap_or_default(),
+            };
+            let page = self.connection.call(&call, FEED_WAIT + ANSWER_SLACK).await?;
+            // Changes after the first page may be missing from it; the feed repeats them.
+            revision.get_or_insert(page.revision);
+            let ends = !page.has_more || page.rows.is_empty();
+            rows.extend(page.rows);
+            if ends {
+                break;
+            }
+        }
+        let revision = revision.unwrap_or_default();
+        if revision < self.newest {
+            return Err(StoreFailure::Refused {
+                detail: format!("the listing is stale: {revision} before {}", self.newest),
+            });
+        }
+        self.apply_listing(revision, rows);
+        self.newest = revision;
+        self.cursor = Some(revision);
+        if self.table == StoreTable::Servers {
+            self.host.view.borrow_mut().confirm(asked);
+        }
+        Ok(Duration::ZERO)
+    }
+
+    fn apply_listing(&self, revision: u64, rows: Vec<StoreRow>) {
+        if self.table == StoreTable::Hosts {
+            let listed: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+            let hosts = self.host.hosts.borrow();
+            let missing = hosts.records().map(|record| record.name.clone());
+            let missing: Vec<_> = missing
+                .filter(|name| !listed.contains(&name.as_str()))
+                .collect();
+            drop(hosts);
+            for name in missing {
+                self.host.remove_host(&name, "store");
+            }
+        }
+        if self.table == StoreTable::Servers {
+            let changes = rows.into_iter().filter_map(|row| self.read_server(row));
+            let changes: Vec<RowChange> = changes.collect();
+            let now = self.host.now();
+            let mut registry = self.host.registry.borrow_mut();
+            registry.apply_listing(now, revision, changes);
+            self.host.changed.notify_waiters();
+            return;
+        }
+        for row in rows {
+            self.apply(row);
+        }
+    }
+
+    fn apply(&self, row: StoreRow) {
+        match self.table {
+            StoreTable::Operator => self.apply_config(row),
+            StoreTable::Servers => {
+                if let Some(change) = self.read_server(row) {
+                    self.host.apply_server(change, "store");
+                }
+            }
+            StoreTable::Hosts => self.apply_host(&row),
+        }
+    }
+
+    fn apply_config(&self, row: StoreRow) {
+        if let Some(document) = row.value.as_ref().filter(|_| row.is_config()) {
+            self.host.install(&Bytes::from(document.clone()), "store");
+        }
+    }
+
+    /// Reads the row of a server; an entry that can't be read names none.
+    fn read_server(&self, row: StoreRow) -> Option<RowChange> {
+        let server: ServerId = row.key.parse().ok()?;
+        let record = row.value.and_then(|value| {
+            let read = hollywheel_adapter::read_server(&value);
+            read.map_err(|error| {
+                log_line!(
+                    self.host,
+                    warn,
+                    EntryUnreadable,
+                    server = %server,
+                    revision = row.revision,
+                    detail = %error
+                );
+            })
+            .ok()
+        });
+        Some(RowChange {
+            server,
+            revision: row.revision,
+            record,
+        })
+    }
+
+    fn apply_host(&self, row: &StoreRow) {
+        match row.value.as_deref().map(HostEntry::decode) {
+            Some(Ok(entry)) => {
+                if let Some(record) = read_host(&entry) {
+                    self.host.upsert_host(record, "store");
+                }
+            }
+            Some(Err(_)) => {}
+            None => {
+                if let Ok(name) = row.key.parse() {
+                    self.host.remove_host(&name, "store");
+                }
+            }
+        }
+    }
+
+    fn note_failure(&mut self, failure: &StoreFailure) {
+        if self.lost_at.is_some() {
+            return;
+        }
+        let now = self.host.now();
+        self.lost_at = Some(now);
+        let age = self.host.view.borrow().age(now);
+        log_line!(
+            self.host,
+            warn,
+            DependencyLost,
+            dependency = self.table.name(),
+            detail = failure.detail(),
+            age_ms = age.map(|age| age.as_millis())
+        );
+    }
+
+    fn note_answer(&mut self) {
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        let now = self.host.now();
+        if self.table == StoreTable::Servers {
+            self.host.registry.borrow_mut().note_store_return(now);
+        }
+        log_line!(
+            self.host,
+            info,
+            DependencyRegained,
+            dependency = self.table.name(),
+            away_ms = now.since(lost_at).as_millis()
+        );
+    }
+}
+
+/// Returns the first key after a key.
+fn next_key(key: &str) -> String {
+    format!("{key}\0")
+}
+
+/// Reads the entry of a host.
+pub(crate) fn read_host(entry: &HostEntry) -> Option<HostRecord> {
+    Some(HostRecord {
+        name: entry.host.parse().ok()?,
+        address: entry.address.parse().ok()?,
+        domain: entry.domain.parse().ok()?,
+        incarnation: entry.incarnation,
+    })
+}
+
+/// Writes the entry of a host.
+pub(crate) fn write_host(record: &HostRecord) -> HostEntry {
+    HostEntry {
+        host: record.name.to_string(),
+        address: record.address.to_string(),
+        domain: record.domain.to_string(),
+        incarnation: record.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -0,0 +1,506 @@
+//! Requests that are answered by a stream of events: their stages, their final call, and the
+//! passing on of whole events.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use hollywheel_serving::{
+    EventCutter, PieceHandle, PlaceQuery, PlaceVerdict, ServerRecord, StageGraph, choose_engine,
+    choose_least,
+};
+use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
+
+use crate::body::AnswerBody;
+use crate::host::Host;
+use crate::request::{RequestContext, RequestGuard};
+use crate::respond::{RequestEnd, answer_own, build_answer};
+use crate::results::HeldResults;
+use crate::send::{AttemptExtras, AttemptFailure, OpenAnswer, note_failure, send_attempt};
+use crate::stage_run::{StageContext, StageFailure, run_stages};
+
+/// A model engine runs its slots at once and queues about as many; a request that waits behind
+/// those has lost its objective.
+const FULL_LOAD: f64 = 1.8;
+/// A request that no engine takes is told to come back after this time, in which engines end
+/// some streams.
+const FULL_RETRY: Duration = Duration::from_millis(300);
+/// A request whose stages failed is told to come back after this time, in which pieces can be
+/// made anew.
+const STAGE_RETRY: Duration = Duration::from_millis(200);
+/// Servers that are tried while none of them has received the request.
+const MAX_TRIES: u32 = 5;
+/// The stages of a request are run so many times at most.
+const MAX_STAGE_RUNS: u32 = 3;
+/// A stream that may continue elsewhere and is silent for so many times its pause objective is
+/// taken from its engine; callers leave after eight times.
+const SILENCE_FACTOR: u32 = 5;
+/// The shortest such silence.
+const MIN_SILENCE: Duration = Duration::from_millis(1000);
+
+/// Says how the opening of a stream ended without one.
+enum OpenEnd {
+    /// The request has not run; the caller may come back.
+    Refused { retry_after: Duration },
+    /// The request may have run.
+    Failed,
+    /// A server's answer that is not a stream.
+    Whole(StatusCode, HeaderMap, Bytes),
+}
+
+/// Holds a stream whose first event has arrived.
+struct OpenStream {
+    answer: OpenAnswer,
+    cutter: EventCutter,
+    chunk: Option<Bytes>,
+    ended: bool,
+}
+
+/// Follows one request from its stages to the end of its stream.
+struct StreamJob {
+    host: Host,
+    context: Rc<RequestContext>,
+    guard: RequestGuard,
+    graph: StageGraph,
+    held: HeldResults,
+    stage_runs: u32,
+    excluded: Vec<ServerId>,
+    tries: u32,
+    arrivals: u32,
+    verdict: ExecutionVerdict,
+    reason: &'static str,
+    stages_took: Duration,
+    first_took: Option<Duration>,
+    last_event: Option<u64>,
+}
+
+/// Serves a request that is answered by a stream.
+pub(crate) async fn call_stream(
+    host: &Host,
+    context: Rc<RequestContext>,
+    guard: RequestGuard,
+) -> Response<AnswerBody> {
+    let mut job = StreamJob::new(host, context, guard);
+    let left = job.context.deadline.since(host.now());
+    let opened = timeout(left, job.open()).await;
+    let opened = opened.unwrap_or_else(|_| {
+        job.reason = "the time was over";
+        Err(match job.verdict {
+            ExecutionVerdict::NotRun => OpenEnd::Refused {
+                retry_after: STAGE_RETRY,
+            },
+            ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenEnd::Failed,
+        })
+    });
+    match opened {
+        Ok(open) => job.pass_on(open),
+        Err(OpenEnd::Whole(status, headers, body)) => {
+            job.end("answered", status);
+            build_answer(host, status, headers, AnswerBody::whole(body))
+        }
+        Err(OpenEnd::Refused { retry_after }) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            job.end("refused", status);
+            answer_own(host, &job.context.head.attempt, status, Some(retry_after))
+        }
+        Err(OpenEnd::Failed) => {
+            let status = if host.now() >= job.context.deadline {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::BAD_GATEWAY
+            };
+            job.end("failed", status);
+            answer_own(host, &job.context.head.attempt, status, None)
+        }
+    }
+}
+
+impl StreamJob {
+    fn new(host: &Host, context: Rc<RequestContext>, guard: RequestGuard) -> Self {
+        Self {
+            graph: StageGraph::new(&context.pipeline.stages, &context.head.pieces),
+            held: HeldResults::new(host),
+            last_event: context.head.last_event.filter(|_| context.pipeline.resumable),
+            host: host.clone(),
+            context,
+            guard,
+            stage_runs: 0,
+            excluded: Vec::new(),
+            tries: 0,
+            arrivals: 0,
+            verdict: ExecutionVerdict::NotRun,
+            reason: "",
+            stages_took: Duration::ZERO,
+            first_took: None,
+        }
+    }
+
+    fn end(&self, outcome: &'static str, status: StatusCode) {
+        let context = &self.context;
+        self.guard.end(&RequestEnd {
+            outcome,
+            verdict: self.verdict,
+            status: status.as_u16(),
+            reason: self.reason,
+            attempts: self.tries,
+            stages_took: self.stages_took,
+            first_took: self.first_took,
+            workspace: context.workspace.as_ref().map(|name| name.as_str()),
+            config: context.set.version.0,
+            remaining: context.deadline.since(self.host.now()),
+        });
+    }
+
+    /// Runs the stages and sends the final call until a stream has begun.
+    async fn open(&mut self) -> Result<OpenStream, OpenEnd> {
+        loop {
+            self.make_inputs().await?;
+            let (server, record) = self.choose()?;
+            self.tries += 1;
+            let sent_at = self.host.now();
+            let failure = match self.attempt(&server, &record).await {
+                Ok(open) if open.answer.status.is_success() => {
+                    self.note_first(sent_at);
+                    return Ok(open);
+                }
+                Ok(open) => return Err(self.read_whole(open.answer).await),
+                Err(failure) => failure,
+            };
+            note_failure(&self.host, &self.context, &server, self.tries, &failure, sent_at);
+            self.arrivals += u32::from(failure.arrived);
+            self.verdict = self.verdict.join(failure.verdict);
+            self.reason = failure.reason;
+            if !self.may_try_again() {
+                return Err(self.give_up());
+            }
+            self.excluded.push(server);
+        }
+    }
+
+    /// Runs the stages unless their results are there.
+    async fn make_inputs(&mut self) -> Result<(), OpenEnd> {
+        while !self.graph.is_complete() {
+            self.stage_runs += 1;
+            let started = self.host.now();
+            let domain = self.choose_domain();
+            let stages = StageContext {
+                set: Rc::clone(&self.context.set),
+                pipeline: Rc::clone(&self.context.pipeline),
+                attempt: self.context.head.attempt.clone(),
+                piece_key: self.context.head.piece_key.clone(),
+                objective: self.context.objective,
+                deadline: self.context.deadline,
+                domain,
+            };
+            let ran = run_stages(&self.host, &stages, &mut self.graph, &mut self.held).await;
+            self.stages_took += self.host.now().since(started);
+            let Err(failure) = ran else {
+                return Ok(());
+            };
+            let again = failure == StageFailure::InputGone && self.stage_runs < MAX_STAGE_RUNS;
+            if !again {
+                self.reason = failure.name();
+                return Err(self.stage_end(failure));
+            }
+            self.restart_stages();
+        }
+        Ok(())
+    }
+
+    fn restart_stages(&mut self) {
+        self.held.release_all();
+        self.graph.restart();
+    }
+
+    fn stage_end(&self, failure: StageFailure) -> OpenEnd {
+        if self.verdict != ExecutionVerdict::NotRun {
+            return OpenEnd::Failed;
+        }
+        let retry_after = match failure {
+            StageFailure::Refused { retry_after } => retry_after,
+            StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => STAGE_RETRY,
+        };
+        OpenEnd::Refused { retry_after }
+    }
+
+    fn give_up(&self) -> OpenEnd {
+        match self.verdict {
+            ExecutionVerdict::NotRun => OpenEnd::Refused {
+                retry_after: FULL_RETRY,
+            },
+            ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenEnd::Failed,
+        }
+    }
+
+    /// Says whether the final call is sent once more: the request has not run or may continue,
+    /// has tries left, and the budget that all hosts share holds another send.
+    fn may_try_again(&mut self) -> bool {
+        if self.tries >= MAX_TRIES {
+            return false;
+        }
+        let pipeline = &self.context.pipeline;
+        if self.verdict != ExecutionVerdict::NotRun
+            && (!pipeline.may_repeat() || self.arrivals >= pipeline.max_attempts)
+        {
+            return false;
+        }
+        let input_gone = self.reason == "an input is gone";
+        if input_gone {
+            if self.stage_runs >= MAX_STAGE_RUNS {
+                return false;
+            }
+            self.restart_stages();
+        }
+        if self.arrivals == 0 {
+            return true;
+        }
+        let taken = self.host.take_repeat(&self.context.pool);
+        if taken {
+            let name = self.host.metrics.name(self.context.pool.as_str());
+            self.host.metrics.repeats.get_or_create(&name).inc();
+        }
+        taken
+    }
+
+    fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlaceVerdict {
+        let settings = self.host.settings();
+        let query = PlaceQuery {
+            now: self.host.now(),
+            servers,
+            exclude: &self.excluded,
+            tie: self.context.tie,
+            domain: Some(&settings.domain),
+        };
+        let loads = self.host.loads.borrow();
+        if self.context.pipeline.prompt_affinity {
+            choose_engine(&query, &loads, &self.context.head.parts, FULL_LOAD)
+        } else {
+            choose_least(&query, &loads, FULL_LOAD)
+        }
+    }
+
+    /// Returns the domain of the engine that would be chosen now, so that results are made
+    /// where they are read.
+    fn choose_domain(&self) -> Option<DomainId> {
+        let servers = self.host.pool_servers(&self.context.pool);
+        match self.place(&servers) {
+            PlaceVerdict::Server(server) => servers
+                .into_iter()
+                .find(|(name, _)| *name == server)
+                .map(|(_, record)| record.domain),
+            PlaceVerdict::Full | PlaceVerdict::NoServer => None,
+        }
+    }
+
+    fn choose(&mut self) -> Result<(ServerId, ServerRecord), OpenEnd> {
+        let servers = self.host.pool_servers(&self.context.pool);
+        let reason = match self.place(&servers) {
+            PlaceVerdict::Server(server) => {
+                if let Some(found) = servers.into_iter().find(|(name, _)| *name == server) {
+                    return Ok(found);
+                }
+                "no engine"
+            }
+            PlaceVerdict::Full => "every engine is full",
+            PlaceVerdict::NoServer => "no engine",
+        };
+        if self.reason.is_empty() {
+            self.reason = reason;
+        }
+        Err(self.give_up())
+    }
+
+    /// Sends the final call and waits for the first event.
+    async fn attempt(
+        &self,
+        server: &ServerId,
+        record: &ServerRecord,
+    ) -> Result<OpenStream, AttemptFailure> {
+        let handles: Vec<PieceHandle> = self.graph.final_handles();
+        let has_stages = !self.context.pipeline.stages.is_empty();
+        let extras = AttemptExtras {
+            inputs: has_stages.then_some(handles.as_slice()),
+            last_event: self.last_event,
+        };
+        let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
+        let mut open = OpenStream {
+            answer,
+            cutter: EventCutter::new(),
+            chunk: None,
+            ended: false,
+        };
+        if open.answer.status.is_success() {
+            open.chunk = open.read_events().await.map_err(|_| AttemptFailure {
+                verdict: ExecutionVerdict::MayHaveRun,
+                arrived: true,
+                reason: "the stream broke before its first event",
+            })?;
+        }
+        Ok(open)
+    }
+
+    fn note_first(&mut self, sent_at: MonoTime) {
+        self.arrivals += 1;
+        self.verdict = ExecutionVerdict::Ran;
+        self.reason = "";
+        let now = self.host.now();
+        self.first_took.get_or_insert(now.since(self.context.arrived));
+        let name = &self.context.pipeline.name;
+        let mut forecast = self.host.forecast.borrow_mut();
+        forecast.learn_first_answer(name, now.since(sent_at));
+        drop(forecast);
+        // The engine has read its inputs once the first event is there.
+        self.held.release_all();
+        self.graph.restart();
+    }
+
+    async fn read_whole(&mut self, answer: OpenAnswer) -> OpenEnd {
+        self.verdict = ExecutionVerdict::Ran;
+        let OpenAnswer {
+            status,
+            headers,
+            body,
+            ..
+        } = answer;
+        match body.collect().await {
+            Ok(body) => {
+                let headers = hollywheel_adapter::caller_headers(&headers);
+                OpenEnd::Whole(status, headers, body.to_bytes())
+            }
+            Err(_) => OpenEnd::Failed,
+        }
+    }
+
+    /// Makes the answer whose body passes the stream on.
+    fn pass_on(self, open: OpenStream) -> Response<AnswerBody> {
+        let headers = hollywheel_adapter::caller_headers(&open.answer.headers);
+        let status = open.answer.status;
+        let host = self.host.clone();
+        let state = PassState {
+            job: self,
+            open: Some(open),
+        };
+        let chunks = stream::unfold(state, |mut state| async move {
+            let chunk = state.next().await?;
+            Some((chunk, state))
+        });
+        build_answer(&host, status, headers, AnswerBody::Stream(Box::pin(chunks)))
+    }
+}
+
+impl OpenStream {
+    /// Reads until at least one event is complete; none if the stream has ended. What follows
+    /// the last event of a stream that ended is part of it.
+    async fn read_events(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        loop {
+            let Some(frame) = self.answer.body.frame().await else {
+                self.ended = true;
+                let rest = Bytes::copy_from_slice(self.cutter.rest());
+                return Ok((!rest.is_empty()).then_some(rest));
+            };
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            let events = self.cutter.take(&data);
+            if !events.is_empty() {
+                let bytes = events.into_iter().flat_map(|event| event.bytes);
+                return Ok(Some(bytes.collect()));
+            }
+        }
+    }
+}
+
+/// Passes a stream on, and continues it at another engine where that is allowed.
+struct PassState {
+    job: StreamJob,
+    open: Option<OpenStream>,
+}
+
+impl PassState {
+    /// Returns the next bytes for the caller; an error ends the connection, so that the answer
+    /// does not look complete.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let open = self.open.as_mut()?;
+            if let Some(chunk) = open.chunk.take() {
+                self.note_events(&chunk);
+                return Some(Ok(chunk));
+            }
+            if open.ended {
+                self.finish();
+                return None;
+            }
+            let limit = self.read_limit();
+            let read = timeout(limit, self.open.as_mut()?.read_events()).await;
+            self.job.reason = match read {
+                Ok(Ok(chunk)) => {
+                    self.open.as_mut()?.chunk = chunk;
+                    continue;
+                }
+                Ok(Err(_)) => "the stream broke",
+                Err(_) => "the stream was silent or the time was over",
+            };
+            if let Err(error) = self.go_on().await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    fn note_events(&mut self, chunk: &[u8]) {
+        let last = EventCutter::new().take(chunk).into_iter().rev();
+        let id = last.filter_map(|event| event.id).next();
+        self.job.last_event = id.or(self.job.last_event);
+    }
+
+    fn read_limit(&self) -> Duration {
+        let context = &self.job.context;
+        let left = context.deadline.since(self.job.host.now());
+        if !context.pipeline.resumable {
+            return left;
+        }
+        let pause = context.pipeline.pause_objective.unwrap_or_default();
+        left.min((pause * SILENCE_FACTOR).max(MIN_SILENCE))
+    }
+
+    /// Continues a broken stream after its last event, or ends the answer.
+    async fn go_on(&mut self) -> io::Result<()> {
+        let job = &mut self.job;
+        if let Some(broken) = self.open.take() {
+            let failure = AttemptFailure {
+                verdict: ExecutionVerdict::MayHaveRun,
+                arrived: true,
+                reason: job.reason,
+            };
+            let server = broken.answer.server.clone();
+            let sent_at = broken.answer.sent_at;
+            note_failure(&job.host, &job.context, &server, job.tries, &failure, sent_at);
+            job.excluded.push(server);
+        }
+        let left = job.context.deadline.since(job.host.now());
+        let resumes = job.last_event.is_some() && !left.is_zero() && job.may_try_again();
+        if resumes && let Ok(Ok(open)) = timeout(left, job.open()).await {
+            self.open = Some(open);
+            return Ok(());
+        }
+        job.verdict = ExecutionVerdict::MayHaveRun;
+        job.end("broken", StatusCode::OK);
+        Err(io::Error::other(job.reason))
+    }
+
+    fn finish(&mut self) {
+        if let Some(open) = self.open.take() {
+            let host = &self.job.host;
+            let taken = host.now().since(open.answer.sent_at);
+            let server = open.answer.server.clone();
+            host.loads.borrow_mut().note_success(&server, taken);
+            open.answer.complete(host);
+        }
+        self.job.end("answered", StatusCode::OK);
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -0,0 +1,468 @@
+//! Calls that hold pieces of many requests, from all hosts.
+//!
+//! A pool whose servers need a fixed time for each call, whatever it holds, carries its load
+//! only if pieces of many requests share a call. One host, or a few, collect the pieces for a
+//! pool. This machine decides what goes into which call, and when.
+
+mod message;
+mod queue;
+mod servers;
+
+use std::time::Duration;
+
+use hollywheel_types::{DomainId, MonoTime, ServerId, SortedMap};
+
+pub use message::{
+    CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery, PieceResult,
+    WorkPiece,
+};
+use queue::{OrderedGroup, QueuedGroup, WorkQueue};
+use servers::{PieceServer, find_holder};
+
+use crate::call_time::CallTimes;
+use crate::serving_set::PiecePool;
+use crate::stage_graph::PieceHandle;
+
+/// A piece is tried at so many servers before its request is told that it failed.
+const MAX_TRIES: u32 = 4;
+/// A call is given up after so many times its expected time.
+const TIMEOUT_FACTOR: f64 = 2.5;
+/// A call is given up at the earliest this long after its expected end, so that the delays of a
+/// lossy link do not end good calls.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(350);
+/// A server that takes so many times the expected time gets only what can wait for it.
+const SLOW_RATIO: f64 = 1.6;
+/// Told to a request when no server of the pool is known; entries are read within this time.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
+/// The shortest time that a refused request is told to wait.
+const MIN_RETRY: Duration = Duration::from_millis(100);
+
+/// Holds the settings of a batcher that are its own.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BatchPolicy {
+    /// The limits of the pool.
+    pub pool: PiecePool,
+}
+
+#[derive(Clone, Debug)]
+struct RunningCall {
+    server: ServerId,
+    pieces: Vec<WorkPiece>,
+    kinds: Vec<(String, usize)>,
+    bytes: Vec<u64>,
+    started: MonoTime,
+    expected: Duration,
+}
+
+/// Decides which pieces go into which call of one pool.
+#[derive(Clone, Debug)]
+pub struct PoolBatcher {
+    policy: BatchPolicy,
+    times: CallTimes,
+    queue: WorkQueue,
+    servers: SortedMap<ServerId, PieceServer>,
+    calls: SortedMap<u64, RunningCall>,
+    last_call: u64,
+    unneeded: SortedMap<ServerId, Vec<PieceHandle>>,
+}
+
+impl PoolBatcher {
+    /// Creates a batcher without servers.
+    pub fn new(policy: BatchPolicy) -> Self {
+        Self {
+            times: CallTimes::new(policy.pool.call_time, policy.pool.piece_time),
+            policy,
+            queue: WorkQueue::default(),
+            servers: SortedMap::new(),
+            calls: SortedMap::new(),
+            last_call: 0,
+            unneeded: SortedMap::new(),
+        }
+    }
+
+    /// Replaces the limits of the pool.
+    pub fn set_policy(&mut self, policy: BatchPolicy) {
+        if policy != self.policy {
+            self.times = CallTimes::new(policy.pool.call_time, policy.pool.piece_time);
+            self.policy = policy;
+        }
+    }
+
+    /// Replaces the list of servers. Calls at a server that is not listed any more go on.
+    pub fn set_servers(
+        &mut self,
+        listed: impl IntoIterator<Item = (ServerId, DomainId, Option<u64>)>,
+    ) {
+        for state in self.servers.values_mut() {
+            state.set_absent();
+        }
+        for (server, domain, born) in listed {
+            match self.servers.get_mut(&server) {
+                Some(state) => state.refresh(domain, born),
+                None => {
+                    self.servers.insert(server, PieceServer::new(domain, born));
+                }
+            }
+        }
+        self.servers.retain(|_, state| !state.is_forgotten());
+    }
+
+    /// Takes a group of pieces, or refuses it if it can't be done before it expires.
+    ///
+    /// Answers a burst beyond what the pool carries: a group whose objective is lost still
+    /// waits behind those that can meet theirs, and is refused at once when the work ahead of
+    /// it outlasts its deadline.
+    pub fn offer(&mut self, now: MonoTime, request: GroupRequest) -> GroupVerdict {
+        let Some(expected) = self.expected_time(now, &request) else {
+            return GroupVerdict::Refused {
+                retry_after: NO_SERVER_RETRY,
+            };
+        };
+        if now + expected > request.expires {
+            let excess = expected.saturating_sub(request.expires.since(now));
+            return GroupVerdict::Refused {
+                retry_after: excess.max(MIN_RETRY),
+            };
+        }
+        self.queue.push(now, request);
+        GroupVerdict::Queued { expected }
+    }
+
+    /// Estimates the time until a group would be done: the work ahead of it at the rate of
+    /// full calls, and its own call.
+    fn expected_time(&self, now: MonoTime, request: &GroupRequest) -> Option<Duration> {
+        let own = self.times.call([(request.kind.as_str(), request.pieces)]);
+        let late = now + own > request.due;
+        let ahead = self.queue.pieces_ahead(now, request, late);
+        Some(self.expected_wait(now, &request.kind, ahead)? + own)
+    }
+
+    /// Estimates the time until a call can hold a piece that has so many pieces before it;
+    /// none if the pool has no server.
+    fn expected_wait(&self, now: MonoTime, kind: &str, ahead: usize) -> Option<Duration> {
+        let servers: Vec<&PieceServer> = self
+            .servers
+            .values()
+            .filter(|server| server.is_present())
+            .collect();
+        let earliest = servers.iter().map(|server| server.free_at(now)).min()?;
+        let speed: f64 = servers.iter().map(|server| 1.0 / server.slowness()).sum();
+        let batch = self.policy.pool.batch.max(1);
+        let calls = ahead as f64 / batch as f64;
+        let full = self.times.call([(kind, batch)]);
+        Some(earliest.since(now) + full.mul_f64(calls / speed))
+    }
+
+    /// Returns the expected wait of a group that would be offered now, for the deadline plan of
+    /// requests that come to this pool later.
+    pub fn forecast(&self, now: MonoTime) -> Duration {
+        let wait = self.expected_wait(now, "", self.queue.waiting());
+        wait.unwrap_or(NO_SERVER_RETRY)
+    }
+
+    /// Forgets a group whose request has ended. Results that are made for it later are freed.
+    pub fn withdraw(&mut self, ticket: GroupTicket) {
+        self.queue.remove(ticket);
+    }
+
+    /// Returns a call that should be sent now; called until there is none.
+    pub fn next_call(&mut self, now: MonoTime) -> Option<CallPlan> {
+        for server in self.servers.values_mut() {
+            server.drop_expired(now);
+        }
+        let idle: Vec<ServerId> = self
+            .servers
+            .iter()
+            .filter(|(_, state)| state.is_idle(now))
+            .map(|(server, _)| server.clone())
+            .collect();
+        if idle.is_empty() || self.queue.waiting() == 0 {
+            return None;
+        }
+        let order = self.queue.order(now, &self.times);
+        let server = self.choose_server(now, &idle, &order)?;
+        let pieces = self.fill_call(now, &server, &order);
+        if pieces.is_empty() {
+            return None;
+        }
+        Some(self.start_call(now, server, pieces))
+    }
+
+    /// Chooses the server for the most urgent work that an idle server can take: a fast one
+    /// before a slow one, and one in the domain where the results are read.
+    fn choose_server(
+        &self,
+        now: MonoTime,
+        idle: &[ServerId],
+        order: &[OrderedGroup<'_>],
+    ) -> Option<ServerId> {
+        order.iter().find_map(|OrderedGroup { group, .. }| {
+            let fits = idle.iter().filter_map(|server| {
+                let state = self.servers.get(server)?;
+                let room = state.free_bytes(now, self.policy.pool.room_bytes);
+                let fits = room >= group.result_bytes && self.may_use(now, state, group);
+                fits.then_some((server, state))
+            });
+            let best = fits.min_by(|(_, left), (_, right)| {
+                let is_slow = |state: &PieceServer| state.slowness() > SLOW_RATIO;
+                let foreign = |state: &PieceServer| !group.prefers(&state.domain);
+                is_slow(left)
+                    .cmp(&is_slow(right))
+                    .then_with(|| foreign(left).cmp(&foreign(right)))
+                    .then_with(|| left.slowness().total_cmp(&right.slowness()))
+            });
+            best.map(|(server, _)| server.clone())
+        })
+    }
+
+    /// Says whether a server is fast enough for a group: one that is slow gets a group only if
+    /// that meets its objective there, or has lost it anyway and the pool has more work than
+    /// its other servers take next.
+    fn may_use(&self, now: MonoTime, server: &PieceServer, group: &QueuedGroup) -> bool {
+        if server.slowness() <= SLOW_RATIO {
+            return true;
+        }
+        let own = self.times.call([(group.kind.as_str(), group.waiting())]);
+        let finish = now + own.mul_f64(server.slowness());
+        if finish <= group.due {
+            return true;
+        }
+        let fast = self.servers.values().filter(|other| {
+            other.is_present() && other.slowness() <= SLOW_RATIO
+        });
+        let next = fast.map(|other| other.free_at(now)).min();
+        let elsewhere = next.map(|at| at + own);
+        let crowded = self.queue.waiting() > 2 * self.policy.pool.batch;
+        elsewhere.is_none_or(|at| at > finish) || (crowded && group.is_late(now, own))
+    }
+
+    fn fill_call(
+        &self,
+        now: MonoTime,
+        server: &ServerId,
+        order: &[OrderedGroup<'_>],
+    ) -> Vec<WorkPiece> {
+        let Some(state) = self.servers.get(server) else {
+            return Vec::new();
+        };
+        let mut room = state.free_bytes(now, self.policy.pool.room_bytes);
+        let mut pieces = Vec::new();
+        let is_near = |ordered: &&OrderedGroup<'_>| {
+            ordered.urgent || ordered.group.prefers(&state.domain)
+        };
+        let near = order.iter().filter(is_near);
+        let far = order.iter().filter(|ordered| !is_near(ordered));
+        for OrderedGroup { group, .. } in near.chain(far) {
+            if !self.may_use(now, state, group) {
+                continue;
+            }
+            for position in group.waiting_positions() {
+                if pieces.len() >= self.policy.pool.batch || room < group.result_bytes {
+                    break;
+                }
+                room -= group.result_bytes;
+                pieces.push(WorkPiece {
+                    ticket: group.ticket,
+                    position,
+                });
+            }
+        }
+        pieces
+    }
+
+    fn start_call(&mut self, now: MonoTime, server: ServerId, pieces: Vec<WorkPiece>) -> CallPlan {
+        let mut kinds: Vec<(String, usize)> = Vec::new();
+        let mut bytes = Vec::with_capacity(pieces.len());
+        for piece in &pieces {
+            let (kind, size) = self.queue.take(*piece);
+            bytes.push(size);
+            match kinds.iter_mut().find(|(known, _)| *known == kind) {
+                Some((_, count)) => *count += 1,
+                None => kinds.push((kind, 1)),
+            }
+        }
+        let counts = kinds.iter().map(|(kind, count)| (kind.as_str(), *count));
+        let expected = self.times.call(counts);
+        let mut slowness = 1.0;
+        if let Some(state) = self.servers.get_mut(&server) {
+            slowness = state.slowness().max(1.0);
+            state.begin_call(now + expected.mul_f64(slowness), bytes.iter().sum());
+        }
+        self.last_call += 1;
+        let scaled = expected.mul_f64(slowness);
+        let plan = CallPlan {
+            call: self.last_call,
+            server: server.clone(),
+            pieces: pieces.clone(),
+            timeout: scaled.mul_f64(TIMEOUT_FACTOR).max(scaled + TIMEOUT_SLACK),
+        };
+        let running = RunningCall {
+            server,
+            pieces,
+            kinds,
+            bytes,
+            started: now,
+            expected,
+        };
+        self.calls.insert(self.last_call, running);
+        plan
+    }
+
+    /// Notes how a call ended and returns what became of pieces that are not tried again.
+    pub fn finish_call(
+        &mut self,
+        now: MonoTime,
+        call: u64,
+        outcome: CallOutcome,
+    ) -> Vec<PieceDelivery> {
+        let Some(running) = self.calls.remove(&call) else {
+            return Vec::new();
+        };
+        let taken = now.since(running.started);
+        if let Some(state) = self.servers.get_mut(&running.server) {
+            state.end_call(running.bytes.iter().sum());
+            match &outcome {
+                CallOutcome::Answered(_) => state.note_answer(taken, running.expected),
+                CallOutcome::Refused => state.note_refused(now),
+                CallOutcome::Failed => {
+                    state.note_answer(taken.max(running.expected), running.expected);
+                    state.note_failed(now);
+                }
+            }
+            let ordinary = (0.6..=SLOW_RATIO).contains(&state.slowness());
+            if ordinary && matches!(outcome, CallOutcome::Answered(_)) {
+                self.times.learn(&running.kinds, taken);
+            }
+        }
+        match outcome {
+            CallOutcome::Answered(results) => self.deliver(now, &running, results),
+            CallOutcome::Refused | CallOutcome::Failed => {
+                let again = running.pieces.iter();
+                again.filter_map(|piece| self.try_again(*piece)).collect()
+            }
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        now: MonoTime,
+        running: &RunningCall,
+        results: Vec<PieceResult>,
+    ) -> Vec<PieceDelivery> {
+        let mut deliveries = Vec::new();
+        let all = results.into_iter().chain(std::iter::repeat(PieceResult::Failed));
+        for ((piece, bytes), result) in running.pieces.iter().zip(&running.bytes).zip(all) {
+            match result {
+                PieceResult::Made(handle) => {
+                    if let Some(delivery) = self.take_result(now, running, *piece, handle, *bytes) {
+                        deliveries.push(delivery);
+                    }
+                }
+                PieceResult::NoRoom | PieceResult::Failed => {
+                    if result == PieceResult::NoRoom
+                        && let Some(state) = self.servers.get_mut(&running.server)
+                    {
+                        state.note_refused(now);
+                    }
+                    deliveries.extend(self.try_again(*piece));
+                }
+                PieceResult::Late | PieceResult::InputGone => {
+                    if self.queue.finish(*piece) {
+                        deliveries.push(PieceDelivery {
+                            piece: *piece,
+                            result,
+                        });
+                    }
+                }
+            }
+        }
+        deliveries
+    }
+
+    fn take_result(
+        &mut self,
+        now: MonoTime,
+        running: &RunningCall,
+        piece: WorkPiece,
+        handle: PieceHandle,
+        bytes: u64,
+    ) -> Option<PieceDelivery> {
+        if let Some(state) = self.servers.get_mut(&running.server) {
+            let until = now + self.policy.pool.result_lifetime;
+            state.hold(handle.clone(), bytes, until);
+        }
+        if !self.queue.finish(piece) {
+            self.release(&[handle]);
+            return None;
+        }
+        Some(PieceDelivery {
+            piece,
+            result: PieceResult::Made(handle),
+        })
+    }
+
+    fn try_again(&mut self, piece: WorkPiece) -> Option<PieceDelivery> {
+        if self.queue.put_back(piece, MAX_TRIES) || !self.queue.finish(piece) {
+            return None;
+        }
+        Some(PieceDelivery {
+            piece,
+            result: PieceResult::Failed,
+        })
+    }
+
+    /// Removes the waiting pieces that can't be made before their group expires.
+    pub fn drop_expired(&mut self, now: MonoTime) -> Vec<PieceDelivery> {
+        let expired = self.queue.take_expired(now, &self.times);
+        expired
+            .into_iter()
+            .map(|piece| PieceDelivery {
+                piece,
+                result: PieceResult::Late,
+            })
+            .collect()
+    }
+
+    /// Notes that results are not needed any more.
+    pub fn release(&mut self, handles: &[PieceHandle]) {
+        for handle in handles {
+            if let Some(server) = find_holder(&mut self.servers, handle).cloned() {
+                self.unneeded
+                    .get_or_insert_with(server, Vec::new)
+                    .push(handle.clone());
+            }
+        }
+    }
+
+    /// Takes the results that should be freed now, by server.
+    pub fn take_unneeded(&mut self) -> Vec<(ServerId, Vec<PieceHandle>)> {
+        let taken = std::mem::take(&mut self.unneeded);
+        taken
+            .iter()
+            .map(|(server, handles)| (server.clone(), handles.clone()))
+            .collect()
+    }
+
+    /// Returns the next point at which [`PoolBatcher::next_call`] may have a call although no
+    /// call has ended and no group has come.
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        if self.queue.waiting() == 0 {
+            return None;
+        }
+        let pauses = self.servers.values().filter(|server| server.is_present());
+        pauses
+            .map(PieceServer::paused_until)
+            .filter(|until| *until > now)
+            .min()
+    }
+
+    /// Returns the number of pieces that wait for a call.
+    pub const fn waiting(&self) -> usize {
+        self.queue.waiting()
+    }
+
+    /// Returns the number of calls in progress.
+    pub const fn running(&self) -> usize {
+        self.calls.len()
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -0,0 +1,153 @@
+//! The hosts of the system, and which of them does a duty.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollywheel_types::{DomainId, HostId, MonoTime, SortedMap};
+use xxhash_rust::xxh3::Xxh3;
+
+/// A host that could not be reached is passed over for this time before it is tried again, and
+/// twice as long after each further failure. Below the length of a short outage (seconds).
+const PASS_OVER: Duration = Duration::from_millis(1500);
+/// The longest time for which a host is passed over; one that starts again is used at once.
+const MAX_PASS_OVER: Duration = Duration::from_secs(24);
+
+/// Describes one host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostRecord {
+    /// The name.
+    pub name: HostId,
+    /// The address for calls between hosts.
+    pub address: SocketAddr,
+    /// The failure domain.
+    pub domain: DomainId,
+    /// The start of its process, which tells two processes of one name apart.
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug)]
+struct HostState {
+    record: HostRecord,
+    passed_over_until: Option<MonoTime>,
+    failures: u32,
+}
+
+/// Holds the hosts that are known and which of them do not answer.
+#[derive(Clone, Debug)]
+pub struct HostTable {
+    own: HostId,
+    hosts: SortedMap<HostId, HostState>,
+}
+
+/// Returns the weight of a host for a duty, the same on every host.
+fn duty_weight(duty: &str, host: &HostId) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(duty.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(host.as_str().as_bytes());
+    hasher.digest()
+}
+
+impl HostTable {
+    /// Creates a table that holds this host only.
+    pub fn new(own: HostRecord) -> Self {
+        let name = own.name.clone();
+        let mut hosts = SortedMap::new();
+        hosts.insert(
+            name.clone(),
+            HostState {
+                record: own,
+                passed_over_until: None,
+                failures: 0,
+            },
+        );
+        Self { own: name, hosts }
+    }
+
+    /// Adds a host or replaces what is known of it.
+    pub fn upsert(&mut self, record: HostRecord) {
+        if record.name == self.own {
+            return;
+        }
+        let state = HostState {
+            passed_over_until: None,
+            failures: 0,
+            record,
+        };
+        let same = self
+            .hosts
+            .get(&state.record.name)
+            .is_some_and(|known| known.record == state.record);
+        if !same {
+            self.hosts.insert(state.record.name.clone(), state);
+        }
+    }
+
+    /// Removes a host that has left.
+    pub fn remove(&mut self, name: &HostId) {
+        if *name != self.own {
+            self.hosts.remove(name);
+        }
+    }
+
+    /// Notes that a host did not answer.
+    pub fn note_unreachable(&mut self, now: MonoTime, name: &HostId) {
+        if *name == self.own {
+            return;
+        }
+        if let Some(state) = self.hosts.get_mut(name) {
+            // Calls that fail together count once.
+            if state.is_live(now) {
+                let time = PASS_OVER * 2u32.pow(state.failures.min(8));
+                state.failures = state.failures.saturating_add(1);
+                state.passed_over_until = Some(now + time.min(MAX_PASS_OVER));
+            }
+        }
+    }
+
+    /// Notes that a host answered.
+    pub fn note_answer(&mut self, name: &HostId) {
+        if let Some(state) = self.hosts.get_mut(name) {
+            state.passed_over_until = None;
+            state.failures = 0;
+        }
+    }
+
+    /// Returns the number of hosts that count as alive, this one included.
+    pub fn live_count(&self, now: MonoTime) -> usize {
+        self.hosts.values().filter(|state| state.is_live(now)).count()
+    }
+
+    /// Returns the number of hosts known, this one included.
+    pub const fn known_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Lists the live hosts for a duty, the one that has it first (rendezvous hashing).
+    pub fn duty_order(&self, now: MonoTime, duty: &str) -> Vec<HostRecord> {
+        let mut order: Vec<(u64, &HostRecord)> = self
+            .hosts
+            .values()
+            .filter(|state| state.is_live(now))
+            .map(|state| (duty_weight(duty, &state.record.name), &state.record))
+            .collect();
+        order.sort_by(|left, right| right.0.cmp(&left.0));
+        order.into_iter().map(|(_, record)| record.clone()).collect()
+    }
+
+    /// Returns the name of this host.
+    pub const fn own(&self) -> &HostId {
+        &self.own
+    }
+
+    /// Lists every host that is known.
+    pub fn records(&self) -> impl Iterator<Item = &HostRecord> {
+        self.hosts.values().map(|state| &state.record)
+    }
+}
+
+impl HostState {
+    fn is_live(&self, now: MonoTime) -> bool {
+        self.passed_over_until.is_none_or(|until| until <= now)
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -0,0 +1,37 @@
+//! Decisions about requests whose content is opaque: which pipeline a request belongs to,
+//! how pieces of many requests share a call, which backend server takes what, and what is
+//! refused.
+//!
+//! Nothing here reads a clock or opens a socket; time is an input.
+
+mod batch;
+mod budget;
+mod call_time;
+mod events;
+mod forecast;
+mod hosts;
+mod load;
+mod place;
+mod registry;
+mod serving_set;
+mod stage_graph;
+mod store_view;
+
+pub use batch::{PieceDelivery, 
+    BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceResult,
+    PoolBatcher, WorkPiece,
+};
+pub use budget::RetryBudget;
+pub use call_time::CallTimes;
+pub use events::{EventCutter, StreamEvent};
+pub use forecast::PathForecast;
+pub use hosts::{HostRecord, HostTable};
+pub use load::{LoadReport, LoadTable};
+pub use place::{PlaceQuery, PlaceVerdict, PromptPart, choose_engine, choose_least};
+pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
+pub use serving_set::{
+    CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
+    PoolWork, RequestKind, ServingSet, SetFault, StageStep,
+};
+pub use stage_graph::{PieceHandle, StageGraph, StageInput};
+pub use store_view::{FeedHealth, StoreView};
--- /dev/null
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -0,0 +1,222 @@
+//! The backend servers, as their entries in the platform's store tell of them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
+
+/// An entry that is missing after an outage of the store may come back within about two seconds
+/// if its server lives; the server is used for this time, which is below the 2 s within which a
+/// server that has left must get nothing new.
+const RETURN_TIME: Duration = Duration::from_millis(1700);
+/// Removals that are read within this time of the store's return may be lapses of live servers.
+const LAPSE_WINDOW: Duration = Duration::from_millis(2500);
+
+/// Says whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerPhase {
+    /// It takes new work.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// Describes one incarnation of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerRecord {
+    /// The pool.
+    pub pool: PoolId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The failure domain.
+    pub domain: DomainId,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: ServerPhase,
+    /// The start of its process, if it says so.
+    pub born: Option<u64>,
+}
+
+/// Holds one change of a row of the servers' table.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RowChange {
+    /// The server, which is the key of the row.
+    pub server: ServerId,
+    /// The revision of the row, from the counter of the whole store.
+    pub revision: u64,
+    /// The entry; none if it was removed or does not describe a server.
+    pub record: Option<ServerRecord>,
+}
+
+#[derive(Clone, Debug)]
+struct RegistryEntry {
+    revision: u64,
+    record: Option<ServerRecord>,
+    /// The last record before a removal that may be a lapse, usable until that point.
+    lapsed: Option<(ServerRecord, MonoTime)>,
+    changed_at: u64,
+}
+
+/// Holds the backend servers that are known.
+///
+/// A revision orders all changes of a row, so a read that is older than what is known changes
+/// nothing. A server that drains does so for the rest of its incarnation.
+#[derive(Clone, Debug, Default)]
+pub struct ServerRegistry {
+    entries: SortedMap<ServerId, RegistryEntry>,
+    change: u64,
+    returned_at: Option<MonoTime>,
+}
+
+impl ServerRegistry {
+    /// Creates a registry without servers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub const fn note_store_return(&mut self, now: MonoTime) {
+        self.returned_at = Some(now);
+    }
+
+    /// Returns when the store answered again after its last outage.
+    pub const fn store_returned_at(&self) -> Option<MonoTime> {
+        self.returned_at
+    }
+
+    /// Applies one change; returns whether it changed what is known.
+    pub fn apply(&mut self, now: MonoTime, change: RowChange) -> bool {
+        let known = self.entries.get(&change.server);
+        if known.is_some_and(|entry| entry.revision >= change.revision) {
+            return false;
+        }
+        let before = known.and_then(|entry| entry.record.clone());
+        let record = keep_draining(before.as_ref(), change.record);
+        let lapsed = match (&record, &before) {
+            (None, Some(last)) if last.phase == ServerPhase::Ready && self.may_lapse(now) => {
+                Some((last.clone(), now + RETURN_TIME))
+            }
+            _ => None,
+        };
+        let differs = record != before;
+        if differs {
+            self.change += 1;
+        }
+        let changed_at = if differs {
+            self.change
+        } else {
+            known.map_or(self.change, |entry| entry.changed_at)
+        };
+        let entry = RegistryEntry {
+            revision: change.revision,
+            record,
+            lapsed,
+            changed_at,
+        };
+        self.entries.insert(change.server, entry);
+        differs
+    }
+
+    /// Applies a complete listing as of a revision: servers that it does not hold are removed,
+    /// unless their entry is newer than the listing.
+    pub fn apply_listing(&mut self, now: MonoTime, revision: u64, rows: Vec<RowChange>) {
+        let mut listed: Vec<ServerId> = rows.iter().map(|row| row.server.clone()).collect();
+        listed.sort();
+        let missing: Vec<ServerId> = self
+            .entries
+            .iter()
+            .filter(|(server, entry)| {
+                entry.record.is_some()
+                    && entry.revision <= revision
+                    && listed.binary_search(server).is_err()
+            })
+            .map(|(server, _)| server.clone())
+            .collect();
+        for row in rows {
+            self.apply(now, row);
+        }
+        for server in missing {
+            // The revision of the removal is not listed; it is at most that of the listing.
+            self.apply(
+                now,
+                RowChange {
+                    server,
+                    revision,
+                    record: None,
+                },
+            );
+        }
+    }
+
+    fn may_lapse(&self, now: MonoTime) -> bool {
+        self.returned_at
+            .is_some_and(|returned| now.since(returned) <= LAPSE_WINDOW)
+    }
+
+    /// Returns the record of a server that may be used now.
+    pub fn usable(&self, now: MonoTime, server: &ServerId) -> Option<&ServerRecord> {
+        self.entries.get(server)?.usable(now)
+    }
+
+    /// Lists the servers of a pool that may be used now.
+    pub fn pool_servers<'a>(
+        &'a self,
+        now: MonoTime,
+        pool: &'a PoolId,
+    ) -> impl Iterator<Item = (&'a ServerId, &'a ServerRecord)> + 'a {
+        self.entries.iter().filter_map(move |(server, entry)| {
+            let record = entry.usable(now)?;
+            (record.pool == *pool).then_some((server, record))
+        })
+    }
+
+    /// Returns the number of the last change, which rises with every change.
+    pub const fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Lists what has changed after a change number, for other hosts.
+    pub fn changes_after(&self, change: u64) -> Vec<RowChange> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.changed_at > change)
+            .map(|(server, entry)| RowChange {
+                server: server.clone(),
+                revision: entry.revision,
+                record: entry.record.clone(),
+            })
+            .collect()
+    }
+
+    /// Returns the number of servers that have an entry.
+    pub fn server_count(&self) -> usize {
+        let records = self.entries.values().filter(|entry| entry.record.is_some());
+        records.count()
+    }
+}
+
+impl RegistryEntry {
+    fn usable(&self, now: MonoTime) -> Option<&ServerRecord> {
+        let lapsed = self.lapsed.as_ref().filter(|(_, until)| now < *until);
+        let record = self.record.as_ref().or(lapsed.map(|(record, _)| record))?;
+        (record.phase == ServerPhase::Ready).then_some(record)
+    }
+}
+
+/// Keeps a server draining while its incarnation is the same.
+fn keep_draining(
+    before: Option<&ServerRecord>,
+    record: Option<ServerRecord>,
+) -> Option<ServerRecord> {
+    let mut record = record?;
+    let drains = before.is_some_and(|known| {
+        known.phase == ServerPhase::Draining
+            && known.born == record.born
+            && known.address == record.address
+    });
+    if drains {
+        record.phase = ServerPhase::Draining;
+    }
+    Some(record)
+}
--- /dev/null
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -0,0 +1,170 @@
+//! The pieces of one request: which stages may start, and which results are still needed.
+
+use crate::serving_set::StageStep;
+
+/// Names a result at the backend server that made it.
+pub type PieceHandle = String;
+
+/// Says what a piece of a stage is made from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StageInput {
+    /// From the request's own key.
+    Key,
+    /// From the results of earlier stages.
+    Results(Vec<PieceHandle>),
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum StageState {
+    Omitted,
+    Pending,
+    Running,
+    Done(Vec<PieceHandle>),
+}
+
+/// Follows the stages of one request.
+#[derive(Clone, Debug)]
+pub struct StageGraph {
+    after: Vec<Vec<usize>>,
+    pieces: Vec<usize>,
+    states: Vec<StageState>,
+    freed: Vec<bool>,
+}
+
+impl StageGraph {
+    /// Creates the graph of a request that has so many pieces of each stage; a stage without
+    /// pieces is left out, and what needs it needs what it needed.
+    pub fn new(steps: &[StageStep], pieces: &[usize]) -> Self {
+        let counts: Vec<usize> = (0..steps.len())
+            .map(|stage| pieces.get(stage).copied().unwrap_or(1))
+            .collect();
+        let mut after: Vec<Vec<usize>> = Vec::with_capacity(steps.len());
+        for step in steps {
+            let mut needed: Vec<usize> = Vec::new();
+            for stage in &step.after {
+                if counts[*stage] == 0 {
+                    needed.extend(after[*stage].iter().copied());
+                } else {
+                    needed.push(*stage);
+                }
+            }
+            needed.sort_unstable();
+            needed.dedup();
+            after.push(needed);
+        }
+        let states = counts.iter().map(|count| match count {
+            0 => StageState::Omitted,
+            _ => StageState::Pending,
+        });
+        Self {
+            after,
+            states: states.collect(),
+            freed: vec![false; counts.len()],
+            pieces: counts,
+        }
+    }
+
+    /// Returns the number of pieces of a stage.
+    pub fn pieces(&self, stage: usize) -> usize {
+        self.pieces[stage]
+    }
+
+    /// Takes the stages that may start now; each is returned once.
+    pub fn start_ready(&mut self) -> Vec<usize> {
+        let ready: Vec<usize> = (0..self.states.len())
+            .filter(|stage| self.states[*stage] == StageState::Pending)
+            .filter(|stage| self.after[*stage].iter().all(|needed| self.is_done(*needed)))
+            .collect();
+        for stage in &ready {
+            self.states[*stage] = StageState::Running;
+        }
+        ready
+    }
+
+    fn is_done(&self, stage: usize) -> bool {
+        matches!(self.states[stage], StageState::Done(_))
+    }
+
+    /// Returns what the pieces of a stage are made from.
+    pub fn input(&self, stage: usize) -> StageInput {
+        if self.after[stage].is_empty() {
+            return StageInput::Key;
+        }
+        let needed = self.after[stage].iter();
+        StageInput::Results(needed.flat_map(|stage| self.handles(*stage)).collect())
+    }
+
+    fn handles(&self, stage: usize) -> Vec<PieceHandle> {
+        match &self.states[stage] {
+            StageState::Done(handles) => handles.clone(),
+            StageState::Omitted | StageState::Pending | StageState::Running => Vec::new(),
+        }
+    }
+
+    /// Notes the results of a stage and returns the results that nothing needs any more.
+    pub fn finish(&mut self, stage: usize, handles: Vec<PieceHandle>) -> Vec<PieceHandle> {
+        self.states[stage] = StageState::Done(handles);
+        let mut unneeded = Vec::new();
+        for earlier in 0..self.states.len() {
+            let users: Vec<usize> = (0..self.states.len())
+                .filter(|user| self.after[*user].contains(&earlier))
+                .collect();
+            let used = !users.is_empty() && users.iter().all(|user| self.is_done(*user));
+            if used && !self.freed[earlier] && self.is_done(earlier) {
+                self.freed[earlier] = true;
+                unneeded.extend(self.handles(earlier));
+            }
+        }
+        unneeded
+    }
+
+    /// Says whether every stage is done.
+    pub fn is_complete(&self) -> bool {
+        let mut states = self.states.iter();
+        states.all(|state| matches!(state, StageState::Done(_) | StageState::Omitted))
+    }
+
+    /// Returns the results that the final call takes: those that no stage uses.
+    pub fn final_handles(&self) -> Vec<PieceHandle> {
+        (0..self.states.len())
+            .filter(|stage| !self.after.iter().any(|needed| needed.contains(stage)))
+            .flat_map(|stage| self.handles(stage))
+            .collect()
+    }
+
+    /// Returns every result that was not freed yet, for a request that ends.
+    pub fn held_handles(&self) -> Vec<PieceHandle> {
+        (0..self.states.len())
+            .filter(|stage| !self.freed[*stage])
+            .flat_map(|stage| self.handles(stage))
+            .collect()
+    }
+
+    /// Forgets every result, so that all stages run again.
+    pub fn restart(&mut self) {
+        for (state, freed) in self.states.iter_mut().zip(&mut self.freed) {
+            if *state != StageState::Omitted {
+                *state = StageState::Pending;
+            }
+            *freed = false;
+        }
+    }
+
+    /// Returns the longest sum of the given stage times from after a stage to the end.
+    pub fn time_after(&self, stage: usize, times: &[std::time::Duration]) -> std::time::Duration {
+        let users = (0..self.after.len()).filter(|user| self.after[*user].contains(&stage));
+        users
+            .map(|user| times[user] + self.time_after(user, times))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns the longest sum of the given stage times over the stages that are not done.
+    pub fn time_left(&self, times: &[std::time::Duration]) -> std::time::Duration {
+        (0..self.after.len())
+            .filter(|stage| matches!(self.states[*stage], StageState::Pending | StageState::Running))
+            .map(|stage| times[stage] + self.time_after(stage, times))
+            .max()
+            .unwrap_or_default()
+    }
+}
--- a/crates/hollywheel-wire/src/lib.rs
+++ b/crates/hollywheel-wire/src/lib.rs
@@ -16,6 +16,14 @@
 pub use error::WireError;
 pub use forward::{ForwardAnswer, ForwardedRequest};
 pub use member::{MAX_MEMBER_BYTES, decode_member, encode_member};
+/// Messages of hosts on the users' platform, as generated.
+pub mod serving {
+    pub use crate::generated::{
+        FollowReply, FollowRequest, FreeResults, HostEntry, PieceAnswer, PieceEnd, PieceOrder,
+        ServerEntry,
+    };
+}
+
 pub use question::{
     HostAnswer, HostQuestion, MAX_FORWARD_BYTES, MAX_QUESTION_BYTES, decode_answer,
     decode_question, encode_answer, encode_question,
--- a/crates/hollywheel-wire/tests/generated.rs
+++ b/crates/hollywheel-wire/tests/generated.rs
@@ -13,6 +13,7 @@
     let out = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let definitions = protox::compile(["wire.proto"], [root.join("proto")]).unwrap();
     prost_build::Config::new()
+        .bytes([".hollywheel.wire.v1.FollowReply.config"])
         .out_dir(out)
         .compile_fds(definitions)
         .unwrap();
