Make pieces near the bytes that they read; divide large pools by failure domain

Change: a group prefers the domain of its bytes while it still meets its objective there; shards by domain, batchers by host size; a server without room is filled only as results are freed; results of a lost batcher are freed at their servers; pieces made from results go first; feeds are polled less often.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -12,7 +12,7 @@
 use hollywheel_adapter::{RUN_PATH, StagePiece};
 use hollywheel_serving::{
     BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
-    PieceHandle, PieceResult, PoolBatcher, ServerRecord, StageInput,
+    PieceHandle, PieceResult, PoolBatcher, PoolShard, ServerRecord, StageInput,
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
@@ -31,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PieceGroup {
     pub(crate) pool: PoolId,
+    pub(crate) shard: PoolShard,
     pub(crate) kind: String,
     pub(crate) attempt: String,
     pub(crate) stage: usize,
@@ -41,6 +42,7 @@
     pub(crate) due: MonoTime,
     pub(crate) expires: MonoTime,
     pub(crate) domain: Option<DomainId>,
+    pub(crate) pull_bytes: u64,
 }
 
 /// Says what became of the pieces of a stage.
@@ -74,10 +76,13 @@
     listed_at: MonoTime,
 }
 
-/// Holds the pools whose pieces this host collects.
+/// Names what one batcher works for.
+type DutyKey = (PoolId, PoolShard);
+
+/// Holds the shards of pools whose pieces this host collects.
 #[derive(Default)]
 pub(crate) struct BatchDuty {
-    pools: RefCell<SortedMap<PoolId, PoolDuty>>,
+    pools: RefCell<SortedMap<DutyKey, PoolDuty>>,
     last_ticket: Cell<u64>,
     work: Notify,
 }
@@ -85,13 +90,13 @@
 /// Withdraws a group whose request ends before it does.
 struct GroupGuard<'a> {
     duty: &'a BatchDuty,
-    pool: PoolId,
+    key: DutyKey,
     ticket: GroupTicket,
 }
 
 impl Drop for GroupGuard<'_> {
     fn drop(&mut self) {
-        if let Some(pool) = self.duty.pools.borrow_mut().get_mut(&self.pool) {
+        if let Some(pool) = self.duty.pools.borrow_mut().get_mut(&self.key) {
             pool.abandon(self.ticket);
         }
     }
@@ -112,7 +117,8 @@
         self.batcher.withdraw(ticket);
         if let Some(work) = self.groups.remove(&ticket) {
             let made: Vec<PieceHandle> = work.handles.into_iter().flatten().collect();
-            self.batcher.release(&made);
+            // All were made by this batcher, which knows them.
+            let _ = self.batcher.release(&made);
         }
     }
 
@@ -139,7 +145,7 @@
         handle: PieceHandle,
     ) -> Option<GroupEnd> {
         let Some(work) = self.groups.get_mut(&ticket) else {
-            self.batcher.release(&[handle]);
+            let _ = self.batcher.release(&[handle]);
             return None;
         };
         work.handles[position] = Some(handle);
@@ -156,7 +162,7 @@
         let complete = matches!(end, GroupEnd::Made(_));
         // The request may have ended in between; its results are not needed then.
         if work.reply.send(end).is_err() || !complete {
-            self.batcher.release(&made);
+            let _ = self.batcher.release(&made);
         }
     }
 }
@@ -164,8 +170,8 @@
 impl BatchDuty {
     /// Makes the pieces of a group. Dropping the future withdraws it.
     pub(crate) async fn make(&self, host: &Host, group: PieceGroup) -> GroupEnd {
-        let pool = group.pool.clone();
-        let Some(policy) = current_policy(host, &pool) else {
+        let key = (group.pool.clone(), group.shard.clone());
+        let Some(policy) = current_policy(host, &group.pool) else {
             return GroupEnd::Failed;
         };
         let ticket = GroupTicket(self.last_ticket.get() + 1);
@@ -174,9 +180,9 @@
         let (reply, end) = oneshot::channel();
         {
             let mut pools = self.pools.borrow_mut();
-            let duty = pools.get_or_insert_with(pool.clone(), || PoolDuty::new(policy));
+            let duty = pools.get_or_insert_with(key.clone(), || PoolDuty::new(policy));
             duty.batcher.set_policy(policy);
-            refresh_servers(host, &pool, duty);
+            refresh_servers(host, &key, duty);
             let request = GroupRequest {
                 ticket,
                 kind: group.kind.clone(),
@@ -184,7 +190,9 @@
                 result_bytes: group.result_bytes,
                 due: group.due,
                 expires: group.expires,
+                chained: group.input != StageInput::Key,
                 domain: group.domain.clone(),
+                pull_bytes: group.pull_bytes,
             };
             if let GroupVerdict::Refused { retry_after } = duty.batcher.offer(now, request) {
                 return GroupEnd::Refused { retry_after };
@@ -198,24 +206,39 @@
         }
         let _guard = GroupGuard {
             duty: self,
-            pool: pool.clone(),
+            key: key.clone(),
             ticket,
         };
-        self.pump(host, &pool);
+        self.pump(host, &key);
         self.work.notify_one();
         end.await.unwrap_or(GroupEnd::Failed)
     }
 
-    /// Returns the wait that a later group of a pool would meet.
-    pub(crate) fn forecast(&self, now: MonoTime, pool: &PoolId) -> Option<Duration> {
+    /// Returns the wait that a later group of a shard would meet.
+    pub(crate) fn forecast(
+        &self,
+        now: MonoTime,
+        pool: &PoolId,
+        shard: &PoolShard,
+    ) -> Option<Duration> {
         let pools = self.pools.borrow();
-        pools.get(pool).map(|duty| duty.batcher.forecast(now))
+        let duty = pools.get(&(pool.clone(), shard.clone()))?;
+        Some(duty.batcher.forecast(now))
     }
 
-    /// Notes that results are not needed any more.
-    pub(crate) fn release(&self, pool: &PoolId, handles: &[PieceHandle]) {
-        if let Some(duty) = self.pools.borrow_mut().get_mut(pool) {
-            duty.batcher.release(handles);
+    /// Notes that results are not needed any more. Those that were made for another batcher are
+    /// freed at their servers.
+    pub(crate) fn release(
+        &self,
+        host: &Host,
+        pool: &PoolId,
+        shard: &PoolShard,
+        handles: &[PieceHandle],
+    ) {
+        let mut pools = self.pools.borrow_mut();
+        match pools.get_mut(&(pool.clone(), shard.clone())) {
+            Some(duty) => free_at_servers(host, &duty.batcher.release(handles)),
+            None => free_at_servers(host, handles),
         }
     }
 
@@ -229,9 +252,9 @@
     }
 
     /// Sends the calls that are due.
-    fn pump(&self, host: &Host, pool: &PoolId) {
+    fn pump(&self, host: &Host, key: &DutyKey) {
         let mut pools = self.pools.borrow_mut();
-        let Some(duty) = pools.get_mut(pool) else {
+        let Some(duty) = pools.get_mut(key) else {
             return;
         };
         let now = host.now();
@@ -239,21 +262,21 @@
         duty.deliver(expired);
         while let Some(plan) = duty.batcher.next_call(now) {
             let pieces = plan_pieces(now, duty, &plan);
-            let name = host.metrics.name(pool.as_str());
+            let name = host.metrics.name(key.0.as_str());
             host.metrics.calls.get_or_create(&name).inc();
             let count = u64::try_from(pieces.len()).unwrap_or(u64::MAX);
             host.metrics.call_pieces.get_or_create(&name).inc_by(count);
-            let call = run_call(host.clone(), pool.clone(), plan, pieces);
+            let call = run_call(host.clone(), key.clone(), plan, pieces);
             tokio::task::spawn_local(call);
         }
     }
 
-    fn finish(&self, host: &Host, pool: &PoolId, call: u64, outcome: CallOutcome) {
-        if let Some(duty) = self.pools.borrow_mut().get_mut(pool) {
+    fn finish(&self, host: &Host, key: &DutyKey, call: u64, outcome: CallOutcome) {
+        if let Some(duty) = self.pools.borrow_mut().get_mut(key) {
             let deliveries = duty.batcher.finish_call(host.now(), call, outcome);
             duty.deliver(deliveries);
         }
-        self.pump(host, pool);
+        self.pump(host, key);
     }
 }
 
@@ -262,7 +285,7 @@
     set.piece_pool(pool).map(|pool| BatchPolicy { pool: *pool })
 }
 
-fn refresh_servers(host: &Host, pool: &PoolId, duty: &mut PoolDuty) {
+fn refresh_servers(host: &Host, key: &DutyKey, duty: &mut PoolDuty) {
     let change = host.registry.borrow().change();
     let now = host.now();
     if duty.listed_change == change && now.since(duty.listed_at) < LIST_TIME {
@@ -270,7 +293,8 @@
     }
     duty.listed_change = change;
     duty.listed_at = now;
-    let servers = host.pool_servers(pool).into_iter();
+    let servers = host.pool_servers(&key.0).into_iter();
+    let servers = servers.filter(|(_, record)| key.1.holds(record));
     duty.batcher
         .set_servers(servers.map(|(server, record)| (server, record.domain, record.born)));
 }
@@ -294,28 +318,28 @@
 /// Looks after groups that wait while no call ends and no group comes.
 pub(crate) async fn tick_batches(host: Host) {
     loop {
-        let waiting: Vec<PoolId> = {
+        let waiting: Vec<DutyKey> = {
             let mut pools = host.batches.pools.borrow_mut();
             pools
                 .iter_mut()
                 .filter(|(_, duty)| duty.batcher.waiting() > 0)
-                .map(|(pool, duty)| {
-                    refresh_servers(&host, pool, duty);
-                    pool.clone()
+                .map(|(key, duty)| {
+                    refresh_servers(&host, key, duty);
+                    key.clone()
                 })
                 .collect()
         };
         if waiting.is_empty() {
             host.batches.work.notified().await;
         }
-        for pool in &waiting {
-            host.batches.pump(&host, pool);
+        for key in &waiting {
+            host.batches.pump(&host, key);
         }
         tokio::time::sleep(TICK).await;
     }
 }
 
-async fn run_call(host: Host, pool: PoolId, plan: CallPlan, pieces: Vec<StagePiece>) {
+async fn run_call(host: Host, key: DutyKey, plan: CallPlan, pieces: Vec<StagePiece>) {
     let started = host.now();
     let record = usable(&host, &plan.server);
     let call = send_call(&host, &plan.server, record, &pieces);
@@ -329,7 +353,7 @@
             host,
             info,
             CallEnded,
-            pool = %pool,
+            pool = %key.0,
             server = %plan.server,
             pieces = pieces.len(),
             outcome = ?summarize(&outcome),
@@ -337,7 +361,7 @@
             timeout_ms = plan.timeout.as_millis()
         );
     }
-    host.batches.finish(&host, &pool, plan.call, outcome);
+    host.batches.finish(&host, &key, plan.call, outcome);
 }
 
 /// Names the outcome of a call by the first piece that was not made.
@@ -416,6 +440,24 @@
     Some(request)
 }
 
+/// Frees results at the servers that hold them, without their batcher.
+pub(crate) fn free_at_servers(host: &Host, handles: &[PieceHandle]) {
+    let mut by_server: SortedMap<ServerId, Vec<PieceHandle>> = SortedMap::new();
+    let registry = host.registry.borrow();
+    for handle in handles {
+        let address = hollywheel_adapter::handle_address(handle);
+        if let Some((server, _)) = address.and_then(|address| registry.find_address(address)) {
+            let held = by_server.get_or_insert_with(server.clone(), Vec::new);
+            held.push(handle.clone());
+        }
+    }
+    drop(registry);
+    for (server, handles) in by_server.iter() {
+        let free = free_results(host.clone(), server.clone(), handles.clone());
+        tokio::task::spawn_local(free);
+    }
+}
+
 async fn free_results(host: Host, server: ServerId, handles: Vec<PieceHandle>) {
     let Some(record) = usable(&host, &server) else {
         return;
--- a/crates/hollywheel-gateway/src/engine_pool.rs
+++ b/crates/hollywheel-gateway/src/engine_pool.rs
@@ -47,7 +47,6 @@
 #[derive(Default)]
 pub(crate) struct EnginePool {
     idle: RefCell<SortedMap<ServerId, Vec<IdleConnection>>>,
-    opened: std::cell::Cell<u64>,
 }
 
 /// Holds a connection while a request is on it. Dropping it closes the connection.
@@ -58,11 +57,6 @@
 }
 
 impl EnginePool {
-    /// Returns the number of connections that were opened.
-    pub(crate) fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Sends a request on a kept connection or a new one and returns the head of the answer.
     pub(crate) async fn send(
         &self,
@@ -96,7 +90,6 @@
         let stream = connect(address, CONNECT_LIMIT)
             .await
             .map_err(|_| SendFailure::NotSent)?;
-        self.opened.set(self.opened.get() + 1);
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -25,7 +25,7 @@
 /// The fewest hosts that read the store: with three, one may be cut off and one restart.
 const MIN_READERS: usize = 3;
 /// One reader serves so many hosts.
-const HOSTS_PER_READER: usize = 16;
+const HOSTS_PER_READER: usize = 24;
 /// A follower is answered after this time if nothing has changed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(500);
 /// An answer that comes later than this after the wait counts as lost.
@@ -66,7 +66,7 @@
 
 fn readers(host: &Host) -> Vec<HostRecord> {
     let hosts = host.hosts.borrow();
-    let mut order = hosts.duty_order(host.now(), READER_DUTY);
+    let mut order = hosts.duty_order(host.now(), READER_DUTY, None);
     let count = hosts.known_count().div_ceil(HOSTS_PER_READER);
     order.truncate(count.max(MIN_READERS));
     order
@@ -112,7 +112,7 @@
     const OTHERS: usize = 3;
     let hosts = host.hosts.borrow();
     let own = hosts.own();
-    let order = hosts.duty_order(host.now(), &format!("follow/{own}"));
+    let order = hosts.duty_order(host.now(), &format!("follow/{own}"), None);
     let is_reader = |record: &HostRecord| readers.iter().any(|reader| reader.name == record.name);
     let (first, others): (Vec<HostRecord>, Vec<HostRecord>) = order
         .into_iter()
@@ -127,6 +127,7 @@
                 address: *address,
                 domain: host.settings().domain.clone(),
                 incarnation: 0,
+                weight: 1,
             })
         }));
         sources.retain(|record| record.address != host.settings().peers);
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
-use hollywheel_adapter::HostSettings;
+use hollywheel_adapter::{HostLimits, HostSettings};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
     HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange, ServerRecord,
-    ServerRegistry, ServingSet, StoreView,
+    ServerRegistry, ServingSet, ShardWaits, StoreView,
 };
 use hollywheel_types::{MonoTime, PoolId, ServerId, SortedMap};
 
@@ -49,7 +49,7 @@
     pub(crate) loads: RefCell<LoadTable>,
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     pub(crate) forecast: RefCell<PathForecast>,
-    pub(crate) pool_waits: RefCell<SortedMap<PoolId, (Duration, MonoTime)>>,
+    pub(crate) pool_waits: RefCell<SortedMap<PoolId, ShardWaits>>,
     pub(crate) engines: EnginePool,
     pub(crate) batches: BatchDuty,
     pub(crate) peers: PeerClient,
@@ -62,6 +62,14 @@
     next_tie: Cell<u64>,
 }
 
+/// Returns the size of a host that duties are given by: what its link and its processor allow,
+/// in units of the smallest host described (10 megabits a second, a twentieth of a core).
+fn host_weight(limits: &HostLimits) -> u32 {
+    let link = limits.link_mbps / 10.0;
+    let processor = limits.cpu_share / 0.05;
+    link.min(processor).clamp(1.0, 1000.0) as u32
+}
+
 /// Names the shared state.
 pub(crate) type Host = Rc<HostState>;
 
@@ -73,6 +81,7 @@
             address: settings.peers,
             domain: settings.domain.clone(),
             incarnation,
+            weight: host_weight(&settings.limits),
         };
         Rc::new(Self {
             log: LogBound::new(clock),
@@ -199,6 +208,18 @@
             .collect()
     }
 
+    /// Returns the record by which the other hosts learn of this one.
+    pub(crate) fn own_record(&self) -> HostRecord {
+        let settings = self.settings();
+        HostRecord {
+            name: settings.host.clone(),
+            address: settings.peers,
+            domain: settings.domain.clone(),
+            incarnation: self.incarnation,
+            weight: host_weight(&settings.limits),
+        }
+    }
+
     /// Counts a request for a pool that is sent for the first time.
     pub(crate) fn count_request(&self, pool: &PoolId) {
         self.with_budget(pool, |budget, now, _| budget.count_request(now));
--- a/crates/hollywheel-gateway/src/host_rows.rs
+++ b/crates/hollywheel-gateway/src/host_rows.rs
@@ -5,7 +5,6 @@
 use prost::Message;
 
 use hollywheel_adapter::StoreCall;
-use hollywheel_serving::HostRecord;
 
 use crate::host::Host;
 use crate::store_client::{StoreConnection, StoreFailure};
@@ -35,12 +34,7 @@
 }
 
 async fn write_row(host: &Host, connection: &mut StoreConnection) {
-    let record = HostRecord {
-        name: host.settings().host.clone(),
-        address: host.settings().peers,
-        domain: host.settings().domain.clone(),
-        incarnation: host.incarnation,
-    };
+    let record = host.own_record();
     let call = StoreCall::SetHost {
         key: record.name.to_string(),
         value: write_host(&record).encode_to_vec(),
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tokio::net::TcpListener;
 
-use hollywheel_serving::StageInput;
+use hollywheel_serving::{PoolShard, StageInput};
 use hollywheel_types::PoolId;
 use hollywheel_wire::serving::{FreeResults, PieceAnswer, PieceEnd, PieceOrder};
 
@@ -79,19 +79,27 @@
 fn free(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
     let message = FreeResults::decode(body.clone()).ok()?;
     let pool: PoolId = message.pool.parse().ok()?;
-    host.batches.release(&pool, &message.handles);
+    let shard = read_shard(&message.shard)?;
+    host.batches.release(host, &pool, &shard, &message.handles);
     Some(Vec::new())
 }
 
 async fn make_pieces(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
     let order = PieceOrder::decode(body.clone()).ok()?;
     let group = read_order(host, order)?;
-    let pool = group.pool.clone();
+    let (pool, shard) = (group.pool.clone(), group.shard.clone());
     let end = host.batches.make(host, group).await;
-    let forecast = host.batches.forecast(host.now(), &pool);
+    let forecast = host.batches.forecast(host.now(), &pool, &shard);
     Some(write_answer(end, forecast.unwrap_or_default()).encode_to_vec())
 }
 
+fn read_shard(domain: &str) -> Option<PoolShard> {
+    match domain {
+        "" => Some(PoolShard::Whole),
+        name => Some(PoolShard::Domain(name.parse().ok()?)),
+    }
+}
+
 fn read_order(host: &Host, order: PieceOrder) -> Option<PieceGroup> {
     let now = host.now();
     let due = Duration::from_micros(order.due_us.unsigned_abs());
@@ -101,6 +109,7 @@
     };
     Some(PieceGroup {
         pool: order.pool.parse().ok()?,
+        shard: read_shard(&order.shard)?,
         kind: order.kind,
         attempt: order.attempt,
         stage: usize::try_from(order.stage).ok()?,
@@ -115,6 +124,7 @@
         due: if order.due_us < 0 { now - due } else { now + due },
         expires: now + Duration::from_micros(order.expires_us),
         domain,
+        pull_bytes: order.pull_bytes,
     })
 }
 
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -5,10 +5,11 @@
 
 use prost::Message as _;
 
-use hollywheel_serving::PieceHandle;
+use hollywheel_serving::{PieceHandle, PoolShard};
 use hollywheel_types::{HostId, PoolId, SortedMap};
 use hollywheel_wire::serving::FreeResults;
 
+use crate::batch_duty::free_at_servers;
 use crate::host::Host;
 use crate::peer_client::FREE_PATH;
 
@@ -18,11 +19,12 @@
 /// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
 const FREE_LIMIT: Duration = Duration::from_secs(1);
 
-/// Names the host that collects the pieces of a pool, which knows the room of its servers.
+/// Names the host that collects the pieces of a shard, which knows the room of its servers.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct ResultOwner {
     pub(crate) host: HostId,
     pub(crate) pool: PoolId,
+    pub(crate) shard: PoolShard,
 }
 
 /// Collects results that nothing needs any more.
@@ -50,11 +52,12 @@
         let unneeded = host.outbox.unneeded.take();
         for (owner, handles) in unneeded.iter() {
             if *host.hosts.borrow().own() == owner.host {
-                host.batches.release(&owner.pool, handles);
+                host.batches.release(&host, &owner.pool, &owner.shard, handles);
             } else {
                 let message = FreeResults {
                     pool: owner.pool.to_string(),
                     handles: handles.clone(),
+                    shard: owner.shard.domain().map(ToString::to_string).unwrap_or_default(),
                 };
                 tokio::task::spawn_local(send_free(host.clone(), owner.host.clone(), message));
             }
@@ -69,12 +72,14 @@
         hosts.records().find(|record| record.name == owner).cloned()
     };
     let Some(record) = record else {
+        free_at_servers(&host, &message.handles);
         return;
     };
     let body = message.encode_to_vec();
     let sent = host.peers.call(&record, FREE_PATH, body, FREE_LIMIT).await;
     if let Err(failure) = sent {
         host.pass_over(&owner, "results", failure.name());
+        free_at_servers(&host, &message.handles);
     }
 }
 
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -7,8 +7,11 @@
 use futures_util::stream::FuturesUnordered;
 use prost::Message;
 
-use hollywheel_serving::{HostRecord, PieceHandle, PipelineRoute, ServingSet, StageGraph, StageInput};
-use hollywheel_types::{DomainId, HostId, MonoTime, PoolId};
+use hollywheel_serving::{
+    HostRecord, PieceHandle, PipelineRoute, PoolShard, ServerRecord, ServingSet,
+    StageGraph, StageInput, choose_shard,
+};
+use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
 
 use crate::batch_duty::{GroupEnd, PieceGroup};
@@ -32,7 +35,9 @@
     pub(crate) piece_key: String,
     pub(crate) objective: MonoTime,
     pub(crate) deadline: MonoTime,
+    /// The domain of the engine that the final call will probably go to.
     pub(crate) domain: Option<DomainId>,
+    pub(crate) tie: u64,
 }
 
 /// Says why the stages of a request have no results.
@@ -64,6 +69,7 @@
 
 struct StageEnd {
     stage: usize,
+    shard: PoolShard,
     started: MonoTime,
     result: Result<(HostId, Vec<PieceHandle>), StageFailure>,
 }
@@ -101,6 +107,7 @@
         let owner = ResultOwner {
             host: maker,
             pool: pool.clone(),
+            shard: end.shard,
         };
         held.hold(owner, handles.clone());
         let unneeded = graph.finish(end.stage, handles);
@@ -119,27 +126,25 @@
         StageFailure::Refused { retry_after } => Some(micros(retry_after) / 1000),
         StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => None,
     };
-    let batcher = first_host(host, pool).map(|record| record.name.to_string());
     log_line!(
         host,
         info,
         StageEnded,
         request = context.attempt,
         pool = %pool,
-        batcher,
         reason = failure.name(),
         took_ms = micros(taken) / 1000,
         retry_after_ms = retry_after
     );
 }
 
-fn first_host(host: &Host, pool: &PoolId) -> Option<HostRecord> {
-    duty_order(host, pool).into_iter().next()
-}
-
-fn duty_order(host: &Host, pool: &PoolId) -> Vec<HostRecord> {
+/// Returns the host that collects the pieces of a shard.
+fn find_batcher(host: &Host, pool: &PoolId, shard: &PoolShard) -> Option<HostRecord> {
     let hosts = host.hosts.borrow();
-    hosts.duty_order(host.now(), &format!("pieces/{pool}"))
+    let domain = shard.domain();
+    let name = domain.map(ToString::to_string).unwrap_or_default();
+    let order = hosts.duty_order(host.now(), &format!("pieces/{pool}/{name}"), domain);
+    order.into_iter().next()
 }
 
 /// Returns the expected time of each stage of a request.
@@ -175,29 +180,99 @@
     let first_answer = host.forecast.borrow().first_answer(&context.pipeline.name);
     let rest = graph.time_after(stage, &times) + first_answer;
     let step = &context.pipeline.stages[stage];
+    let servers = host.pool_servers(&step.pool);
+    let input = graph.input(stage);
+    let place = place_pieces(host, context, graph, stage, &input);
+    let shard = choose_shard(
+        host.now(),
+        &servers,
+        place.domain.as_ref(),
+        host.pool_waits.borrow().get(&step.pool),
+        context.tie,
+    );
     let group = PieceGroup {
         pool: step.pool.clone(),
+        shard: shard.clone(),
         kind: format!("{}/{stage}", context.pipeline.name),
         attempt: context.attempt.clone(),
         stage,
         pieces: graph.pieces(stage),
         key: context.piece_key.clone(),
-        input: graph.input(stage),
+        input,
         result_bytes: step.result_bytes,
         due: context.objective - rest,
         expires: context.deadline - rest,
-        domain: context.domain.clone(),
+        domain: place.domain,
+        pull_bytes: place.pull_bytes,
     };
     let started = host.now();
     async move {
         StageEnd {
             stage,
+            shard,
             started,
             result: order_pieces(host, group).await,
         }
     }
 }
 
+/// Says where the bytes are that a stage moves.
+struct PiecePlace {
+    domain: Option<DomainId>,
+    pull_bytes: u64,
+}
+
+/// Compares what the pieces read, each of them all inputs, with what the engine reads of them.
+fn place_pieces(
+    host: &Host,
+    context: &StageContext,
+    graph: &StageGraph,
+    stage: usize,
+    input: &StageInput,
+) -> PiecePlace {
+    let pieces = u64::try_from(graph.pieces(stage)).unwrap_or(u64::MAX);
+    let written = context.pipeline.stages[stage].result_bytes.saturating_mul(pieces);
+    let is_last = graph.is_final(stage);
+    let (source, read) = match input {
+        StageInput::Key => (None, 0),
+        StageInput::Results(handles) => {
+            let sizes = graph.needed(stage).iter().map(|needed| {
+                let count = u64::try_from(graph.pieces(*needed)).unwrap_or(u64::MAX);
+                context.pipeline.stages[*needed].result_bytes.saturating_mul(count)
+            });
+            let read = sizes.sum::<u64>().saturating_mul(pieces);
+            (main_domain(host, handles), read)
+        }
+    };
+    let written = if is_last { written } else { 0 };
+    if source.is_some() && read >= written {
+        return PiecePlace {
+            domain: source,
+            pull_bytes: read,
+        };
+    }
+    PiecePlace {
+        domain: context.domain.clone(),
+        pull_bytes: written,
+    }
+}
+
+/// Returns the domain of most of the servers that hold results.
+fn main_domain(host: &Host, handles: &[PieceHandle]) -> Option<DomainId> {
+    let registry = host.registry.borrow();
+    let mut counts: SortedMap<DomainId, usize> = SortedMap::new();
+    for handle in handles {
+        let address = hollywheel_adapter::handle_address(handle);
+        let found: Option<(&ServerId, &ServerRecord)> =
+            address.and_then(|address| registry.find_address(address));
+        if let Some((_, record)) = found {
+            *counts.get_or_insert_with(record.domain.clone(), || 0) += 1;
+        }
+    }
+    let most = counts.iter().max_by_key(|(_, count)| **count)?;
+    Some(most.0.clone())
+}
+
 /// Orders pieces from the host that collects those of their pool; if it doesn't answer, from the
 /// next one in the pool's order. A piece may be made twice.
 async fn order_pieces(
@@ -205,7 +280,7 @@
     group: PieceGroup,
 ) -> Result<(HostId, Vec<PieceHandle>), StageFailure> {
     for _ in 0..MAX_HOSTS {
-        let Some(record) = first_host(host, &group.pool) else {
+        let Some(record) = find_batcher(host, &group.pool, &group.shard) else {
             return Err(StageFailure::Failed);
         };
         let own = *host.hosts.borrow().own() == record.name;
@@ -243,7 +318,10 @@
     }?;
     host.hosts.borrow_mut().note_answer(&record.name);
     let wait = (Duration::from_micros(answer.forecast_us), host.now());
-    host.pool_waits.borrow_mut().insert(group.pool.clone(), wait);
+    host.pool_waits
+        .borrow_mut()
+        .get_or_insert_with(group.pool.clone(), SortedMap::new)
+        .insert(group.shard.clone(), wait);
     match answer.end() {
         PieceEnd::Made => Some(GroupEnd::Made(answer.handles)),
         PieceEnd::Refused => Some(GroupEnd::Refused {
@@ -276,5 +354,7 @@
         due_us: due,
         expires_us: micros(group.expires.since(now)),
         domain: group.domain.as_ref().map(ToString::to_string).unwrap_or_default(),
+        pull_bytes: group.pull_bytes,
+        shard: group.shard.domain().map(ToString::to_string).unwrap_or_default(),
     }
 }
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -17,12 +17,15 @@
 /// A feed is answered after this time if nothing has changed. A connection that has gone silent
 /// is noticed this time and the slack later, within the 2 s in which a configuration must be in
 /// force.
-const FEED_WAIT: Duration = Duration::from_millis(800);
+const FEED_WAIT: Duration = Duration::from_millis(1200);
+/// The same for the hosts' own table, whose changes may be late: a host that has gone is found
+/// out by the first call to it.
+const HOSTS_WAIT: Duration = Duration::from_secs(6);
 /// The store's answers take milliseconds; at 50 times that a call still ends within this.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Entries of backend servers change many times a second; they are collected for this time, a
-/// tenth of the time in which a server that leaves must get nothing new.
-const COLLECT_TIME: Duration = Duration::from_millis(200);
+/// fifth of the time in which a server that leaves must get nothing new.
+const COLLECT_TIME: Duration = Duration::from_millis(400);
 /// The pause after a failed call, and the longest one; both well below the 2 s bound.
 const RETRY_TIME: Duration = Duration::from_millis(100);
 const MAX_RETRY_TIME: Duration = Duration::from_millis(500);
@@ -76,13 +79,17 @@
         let Some(after) = self.cursor else {
             return self.list().await;
         };
+        let wait = match self.table {
+            StoreTable::Operator | StoreTable::Servers => FEED_WAIT,
+            StoreTable::Hosts => HOSTS_WAIT,
+        };
         let call = StoreCall::Feed {
             table: self.table,
             after,
-            wait_ms: u64::try_from(FEED_WAIT.as_millis()).unwrap_or(u64::MAX),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let asked = self.host.now();
-        let answer = self.connection.call(&call, FEED_WAIT + ANSWER_SLACK).await?;
+        let answer = self.connection.call(&call, wait + ANSWER_SLACK).await?;
         let changed = !answer.rows.is_empty();
         for row in answer.rows {
             self.apply(row);
@@ -261,6 +268,7 @@
         address: entry.address.parse().ok()?,
         domain: entry.domain.parse().ok()?,
         incarnation: entry.incarnation,
+        weight: entry.weight,
     })
 }
 
@@ -271,5 +279,6 @@
         address: record.address.to_string(),
         domain: record.domain.to_string(),
         incarnation: record.incarnation,
+        weight: record.weight,
     }
 }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -197,6 +197,7 @@
                 objective: self.context.objective,
                 deadline: self.context.deadline,
                 domain,
+                tie: self.context.tie,
             };
             let ran = run_stages(&self.host, &stages, &mut self.graph, &mut self.held).await;
             self.stages_took += self.host.now().since(started);
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -25,8 +25,14 @@
     pub due: MonoTime,
     /// The latest finish with which the request meets its deadline.
     pub expires: MonoTime,
-    /// The failure domain where the results are read next, if it is known.
+    /// Whether the pieces are made from results, which take room at their servers while the
+    /// group waits.
+    pub chained: bool,
+    /// The failure domain where most of the bytes are that the pieces read, or that are read of
+    /// them.
     pub domain: Option<DomainId>,
+    /// The bytes that cross failure domains if the pieces are made in another one.
+    pub pull_bytes: u64,
 }
 
 /// Says whether a group is taken.
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -32,6 +32,11 @@
 const TIMEOUT_SLACK: Duration = Duration::from_millis(350);
 /// A server that takes so many times the expected time gets only what can wait for it.
 const SLOW_RATIO: f64 = 1.6;
+/// A group whose pieces move fewer bytes than this between domains goes to any of them.
+const MIN_PULL_BYTES: u64 = 500_000;
+/// A group waits for a server in its own domain only if it meets its objective there with this
+/// to spare, half of the fixed time of a call.
+const NEAR_MARGIN: Duration = Duration::from_millis(75);
 /// Told to a request when no server of the pool is known; entries are read within this time.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 /// The shortest time that a refused request is told to wait.
@@ -215,25 +220,55 @@
         })
     }
 
-    /// Says whether a server is fast enough for a group: one that is slow gets a group only if
-    /// that meets its objective there, or has lost it anyway and the pool has more work than
-    /// its other servers take next.
+    /// Says whether a server may take a group: one that is slow, or far from the bytes that the
+    /// group reads, does only if the group can't wait for a better one.
     fn may_use(&self, now: MonoTime, server: &PieceServer, group: &QueuedGroup) -> bool {
-        if server.slowness() <= SLOW_RATIO {
+        let is_slow = server.slowness() > SLOW_RATIO;
+        let is_far = group.pull_bytes >= MIN_PULL_BYTES && !group.prefers(&server.domain);
+        if !is_slow && !is_far {
             return true;
         }
         let own = self.times.call([(group.kind.as_str(), group.waiting())]);
         let finish = now + own.mul_f64(server.slowness());
-        if finish <= group.due {
-            return true;
+        if is_slow && finish > group.due && !self.is_better_here(now, group, own, finish) {
+            return false;
         }
+        !is_far || !self.can_wait_near(now, group, own)
+    }
+
+    /// Says whether a group that is late at a slow server is not earlier done at a fast one.
+    fn is_better_here(
+        &self,
+        now: MonoTime,
+        group: &QueuedGroup,
+        own: Duration,
+        finish: MonoTime,
+    ) -> bool {
         let fast = self.servers.values().filter(|other| {
             other.is_present() && other.slowness() <= SLOW_RATIO
         });
         let next = fast.map(|other| other.free_at(now)).min();
         let elsewhere = next.map(|at| at + own);
-        let crowded = self.queue.waiting() > 2 * self.policy.pool.batch;
-        elsewhere.is_none_or(|at| at > finish) || (crowded && group.is_late(now, own))
+        elsewhere.is_none_or(|at| at > finish)
+            || (self.is_crowded() && group.is_late(now, own))
+    }
+
+    /// Says whether a server in the group's own domain will be free in time for its objective.
+    fn can_wait_near(&self, now: MonoTime, group: &QueuedGroup, own: Duration) -> bool {
+        if self.is_crowded() {
+            return false;
+        }
+        let near = self.servers.values().filter(|other| {
+            other.is_present() && other.slowness() <= SLOW_RATIO && group.prefers(&other.domain)
+        });
+        let next = near.map(|other| other.free_at(now)).min();
+        next.is_some_and(|at| at + own + NEAR_MARGIN <= group.due)
+    }
+
+    /// Says whether more waits than the servers take with their next calls.
+    fn is_crowded(&self) -> bool {
+        let present = self.servers.values().filter(|server| server.is_present());
+        2 * self.queue.waiting() > self.policy.pool.batch * present.count()
     }
 
     fn fill_call(
@@ -358,14 +393,13 @@
                         deliveries.push(delivery);
                     }
                 }
-                PieceResult::NoRoom | PieceResult::Failed => {
-                    if result == PieceResult::NoRoom
-                        && let Some(state) = self.servers.get_mut(&running.server)
-                    {
-                        state.note_refused(now);
+                PieceResult::NoRoom => {
+                    if let Some(state) = self.servers.get_mut(&running.server) {
+                        state.note_no_room(now);
                     }
                     deliveries.extend(self.try_again(*piece));
                 }
+                PieceResult::Failed => deliveries.extend(self.try_again(*piece)),
                 PieceResult::Late | PieceResult::InputGone => {
                     if self.queue.finish(*piece) {
                         deliveries.push(PieceDelivery {
@@ -392,7 +426,8 @@
             state.hold(handle.clone(), bytes, until);
         }
         if !self.queue.finish(piece) {
-            self.release(&[handle]);
+            // It was noted as held just before.
+            let _ = self.release(&[handle]);
             return None;
         }
         Some(PieceDelivery {
@@ -423,15 +458,19 @@
             .collect()
     }
 
-    /// Notes that results are not needed any more.
-    pub fn release(&mut self, handles: &[PieceHandle]) {
+    /// Notes that results are not needed any more; returns those that it does not know.
+    pub fn release(&mut self, handles: &[PieceHandle]) -> Vec<PieceHandle> {
+        let mut unknown = Vec::new();
         for handle in handles {
-            if let Some(server) = find_holder(&mut self.servers, handle).cloned() {
-                self.unneeded
+            match find_holder(&mut self.servers, handle).cloned() {
+                Some(server) => self
+                    .unneeded
                     .get_or_insert_with(server, Vec::new)
-                    .push(handle.clone());
+                    .push(handle.clone()),
+                None => unknown.push(handle.clone()),
             }
         }
+        unknown
     }
 
     /// Takes the results that should be freed now, by server.
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -20,7 +20,9 @@
     pub(super) due: MonoTime,
     expires: MonoTime,
     arrived: MonoTime,
-    domain: Option<DomainId>,
+    chained: bool,
+    pub(super) domain: Option<DomainId>,
+    pub(super) pull_bytes: u64,
     waiting: Vec<usize>,
     unfinished: usize,
     tries: Vec<u32>,
@@ -35,7 +37,9 @@
             due: request.due,
             expires: request.expires,
             arrived: now,
+            chained: request.chained,
             domain: request.domain,
+            pull_bytes: request.pull_bytes,
             waiting: (0..request.pieces).collect(),
             unfinished: request.pieces,
             tries: vec![0; request.pieces],
@@ -61,6 +65,14 @@
     }
 }
 
+/// Ranks groups by what is lost while they wait.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum WorkClass {
+    Chained,
+    Timely,
+    Late,
+}
+
 /// Holds a group at its place in the order of work.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OrderedGroup<'a> {
@@ -95,24 +107,36 @@
 
     /// Counts the waiting pieces that go before a group.
     pub(super) fn pieces_ahead(&self, now: MonoTime, request: &GroupRequest, late: bool) -> usize {
-        let groups = self.groups.values();
-        let ahead = groups.filter(|group| late || (group.due <= request.due && group.due > now));
+        let goes_before = |group: &&QueuedGroup| match (group.chained, request.chained) {
+            (true, false) => true,
+            (false, true) => false,
+            (true, true) => group.due <= request.due,
+            (false, false) => late || (group.due <= request.due && group.due > now),
+        };
+        let ahead = self.groups.values().filter(goes_before);
         ahead.map(QueuedGroup::waiting).sum()
     }
 
-    /// Lists the groups that wait in the order in which they should go: those that can meet
-    /// their objective by its point, then the others by their arrival.
+    /// Lists the groups that wait in the order in which they should go.
+    ///
+    /// Groups that are made from results go first, whatever their objective: while they wait,
+    /// their inputs keep the room that other requests need. Then come those that can meet their
+    /// objective, by its point, then the others by their arrival.
     pub(super) fn order(&self, now: MonoTime, times: &CallTimes) -> Vec<OrderedGroup<'_>> {
-        let mut order: Vec<(bool, MonoTime, OrderedGroup<'_>)> = Vec::new();
+        let mut order: Vec<(WorkClass, MonoTime, OrderedGroup<'_>)> = Vec::new();
         let waiting = self.groups.values().filter(|group| group.waiting() > 0);
         for group in waiting {
             let call = times.call([(group.kind.as_str(), group.waiting())]);
             let late = group.is_late(now, call);
             let urgent = !late && group.is_late(now + URGENT_TIME, call);
-            let rank = if late { group.arrived } else { group.due };
-            order.push((late, rank, OrderedGroup { group, urgent }));
+            let (class, rank) = match (group.chained, late) {
+                (true, _) => (WorkClass::Chained, group.due),
+                (false, false) => (WorkClass::Timely, group.due),
+                (false, true) => (WorkClass::Late, group.arrived),
+            };
+            order.push((class, rank, OrderedGroup { group, urgent }));
         }
-        order.sort_by_key(|(late, rank, ordered)| (*late, *rank, ordered.group.ticket));
+        order.sort_by_key(|(class, rank, ordered)| (*class, *rank, ordered.group.ticket));
         order.into_iter().map(|(_, _, ordered)| ordered).collect()
     }
 
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -14,6 +14,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 /// After a failure a server gets no call for this time, doubled with each further failure.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// Results that a batcher does not know of are dropped after the lifetime of results (seconds);
+/// the room is tried again after this part of it.
+const FOREIGN_TIME: Duration = Duration::from_millis(400);
 /// The longest time for which a server gets no call after failures.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
@@ -35,6 +38,9 @@
     paused_until: MonoTime,
     reserved_bytes: u64,
     results: SortedMap<PieceHandle, HeldResult>,
+    /// The room that the server has for this batcher's results, lower than the configured one
+    /// until that point.
+    room_cap: Option<(u64, MonoTime)>,
     present: bool,
 }
 
@@ -49,6 +55,7 @@
             paused_until: MonoTime::default(),
             reserved_bytes: 0,
             results: SortedMap::new(),
+            room_cap: None,
             present: true,
         }
     }
@@ -99,6 +106,8 @@
     pub(super) fn free_bytes(&self, now: MonoTime, room: u64) -> u64 {
         let live = self.results.values().filter(|result| result.until > now);
         let used: u64 = live.map(|result| result.bytes).sum();
+        let cap = self.room_cap.filter(|(_, until)| *until > now);
+        let room = cap.map_or(room, |(cap, _)| room.min(cap));
         room.saturating_sub(used).saturating_sub(self.reserved_bytes)
     }
 
@@ -123,6 +132,13 @@
         self.paused_until = now + REFUSED_PAUSE;
     }
 
+    /// Notes that the server had no room although this batcher's results leave some: there are
+    /// results that it does not know of, as after the batcher before it was lost.
+    pub(super) fn note_no_room(&mut self, now: MonoTime) {
+        let used: u64 = self.results.values().map(|result| result.bytes).sum();
+        self.room_cap = Some((used, now + FOREIGN_TIME));
+    }
+
     pub(super) fn note_failed(&mut self, now: MonoTime) {
         let pause = FAILED_PAUSE * 2u32.pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -23,6 +23,8 @@
     pub domain: DomainId,
     /// The start of its process, which tells two processes of one name apart.
     pub incarnation: u64,
+    /// The size of the host, which duties are given in proportion to.
+    pub weight: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -39,13 +41,20 @@
     hosts: SortedMap<HostId, HostState>,
 }
 
-/// Returns the weight of a host for a duty, the same on every host.
-fn duty_weight(duty: &str, host: &HostId) -> u64 {
+/// A host in the failure domain of a duty counts as so many times its size.
+const DOMAIN_FACTOR: f64 = 8.0;
+
+/// Returns the rank of a host for a duty, the same on every host (weighted rendezvous hashing).
+fn duty_rank(duty: &str, domain: Option<&DomainId>, host: &HostRecord) -> f64 {
     let mut hasher = Xxh3::new();
     hasher.update(duty.as_bytes());
     hasher.update(&[0]);
-    hasher.update(host.as_str().as_bytes());
-    hasher.digest()
+    hasher.update(host.name.as_str().as_bytes());
+    // 53 bits make an even number between zero and one.
+    let even = ((hasher.digest() >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    let near = domain.is_some_and(|domain| *domain == host.domain);
+    let weight = f64::from(host.weight.max(1)) * if near { DOMAIN_FACTOR } else { 1.0 };
+    weight / -even.ln()
 }
 
 impl HostTable {
@@ -123,15 +132,21 @@
         self.hosts.len()
     }
 
-    /// Lists the live hosts for a duty, the one that has it first (rendezvous hashing).
-    pub fn duty_order(&self, now: MonoTime, duty: &str) -> Vec<HostRecord> {
-        let mut order: Vec<(u64, &HostRecord)> = self
+    /// Lists the live hosts for a duty, the one that has it first: each by its size, and those in
+    /// the duty's failure domain before others.
+    pub fn duty_order(
+        &self,
+        now: MonoTime,
+        duty: &str,
+        domain: Option<&DomainId>,
+    ) -> Vec<HostRecord> {
+        let mut order: Vec<(f64, &HostRecord)> = self
             .hosts
             .values()
             .filter(|state| state.is_live(now))
-            .map(|state| (duty_weight(duty, &state.record.name), &state.record))
+            .map(|state| (duty_rank(duty, domain, &state.record), &state.record))
             .collect();
-        order.sort_by(|left, right| right.0.cmp(&left.0));
+        order.sort_by(|left, right| right.0.total_cmp(&left.0));
         order.into_iter().map(|(_, record)| record.clone()).collect()
     }
 
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod place;
 mod registry;
 mod serving_set;
+mod shards;
 mod stage_graph;
 mod store_view;
 
@@ -33,5 +34,6 @@
     CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
     PoolWork, RequestKind, ServingSet, SetFault, StageStep,
 };
+pub use shards::{PoolShard, ShardWaits, choose_shard, divide_pool};
 pub use stage_graph::{PieceHandle, StageGraph, StageInput};
 pub use store_view::{FeedHealth, StoreView};
--- a/crates/hollywheel-serving/src/registry.rs
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -171,6 +171,14 @@
         })
     }
 
+    /// Finds the server that has an address now.
+    pub fn find_address(&self, address: SocketAddr) -> Option<(&ServerId, &ServerRecord)> {
+        self.entries.iter().find_map(|(server, entry)| {
+            let record = entry.record.as_ref()?;
+            (record.address == address).then_some((server, record))
+        })
+    }
+
     /// Returns the number of the last change, which rises with every change.
     pub const fn change(&self) -> u64 {
         self.change
--- a/crates/hollywheel-serving/src/stage_graph.rs
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -85,6 +85,16 @@
         matches!(self.states[stage], StageState::Done(_))
     }
 
+    /// Returns the stages whose results a stage takes.
+    pub fn needed(&self, stage: usize) -> &[usize] {
+        &self.after[stage]
+    }
+
+    /// Says whether the final call takes the results of a stage.
+    pub fn is_final(&self, stage: usize) -> bool {
+        !self.after.iter().any(|needed| needed.contains(&stage))
+    }
+
     /// Returns what the pieces of a stage are made from.
     pub fn input(&self, stage: usize) -> StageInput {
         if self.after[stage].is_empty() {
@@ -127,7 +137,7 @@
     /// Returns the results that the final call takes: those that no stage uses.
     pub fn final_handles(&self) -> Vec<PieceHandle> {
         (0..self.states.len())
-            .filter(|stage| !self.after.iter().any(|needed| needed.contains(stage)))
+            .filter(|stage| self.is_final(*stage))
             .flat_map(|stage| self.handles(stage))
             .collect()
     }
