Put late chained pieces after timely ones

Cause: with chained pieces first in any case, requests that had lost their objective delayed those that could meet theirs. Change: timely groups first, then late chained, then late others.

--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -68,8 +68,8 @@
 /// Ranks groups by what is lost while they wait.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum WorkClass {
-    Chained,
     Timely,
+    LateChained,
     Late,
 }
 
@@ -108,10 +108,9 @@
     /// Counts the waiting pieces that go before a group.
     pub(super) fn pieces_ahead(&self, now: MonoTime, request: &GroupRequest, late: bool) -> usize {
         let goes_before = |group: &&QueuedGroup| match (group.chained, request.chained) {
-            (true, false) => true,
-            (false, true) => false,
-            (true, true) => group.due <= request.due,
-            (false, false) => late || (group.due <= request.due && group.due > now),
+            (true, false) if late => true,
+            (false, true) if late => group.due > now,
+            _ => late || (group.due <= request.due && group.due > now),
         };
         let ahead = self.groups.values().filter(goes_before);
         ahead.map(QueuedGroup::waiting).sum()
@@ -119,9 +118,9 @@
 
     /// Lists the groups that wait in the order in which they should go.
     ///
-    /// Groups that are made from results go first, whatever their objective: while they wait,
-    /// their inputs keep the room that other requests need. Then come those that can meet their
-    /// objective, by its point, then the others by their arrival.
+    /// Those that can meet their objective go first, by its point. Then come groups that are
+    /// made from results, since their inputs keep room while they wait, then the others by their
+    /// arrival.
     pub(super) fn order(&self, now: MonoTime, times: &CallTimes) -> Vec<OrderedGroup<'_>> {
         let mut order: Vec<(WorkClass, MonoTime, OrderedGroup<'_>)> = Vec::new();
         let waiting = self.groups.values().filter(|group| group.waiting() > 0);
@@ -130,8 +129,8 @@
             let late = group.is_late(now, call);
             let urgent = !late && group.is_late(now + URGENT_TIME, call);
             let (class, rank) = match (group.chained, late) {
-                (true, _) => (WorkClass::Chained, group.due),
-                (false, false) => (WorkClass::Timely, group.due),
+                (_, false) => (WorkClass::Timely, group.due),
+                (true, true) => (WorkClass::LateChained, group.due),
                 (false, true) => (WorkClass::Late, group.arrived),
             };
             order.push((class, rank, OrderedGroup { group, urgent }));
