--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -36,7 +36,7 @@
 const MIN_PULL_BYTES: u64 = 500_000;
 /// A group waits for a server in its own domain only if it meets its objective there with this
 /// to spare, half of the fixed time of a call.
-const NEAR_MARGIN: Duration = Duration::from_millis(75);
+const NEAR_MARGIN: Duration = Duration::from_millis(200);
 /// Told to a request when no server of the pool is known; entries are read within this time.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 /// The shortest time that a refused request is told to wait.
