Follow fresh views between hosts, bound late work, keep to callers' patience

Cause: on the grown sites every host read the store (a feed's answer confirmed the view as of its question, so readers looked stale), small hosts became readers, and requests waited past the time at which callers leave. Change: answers confirm the view, duties by size squared, the list of hosts travels as changes, stages end by the caller's patience, late work is bounded and rides along with timely calls.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -13,9 +13,10 @@
 
 use hollywheel_serving::{FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord};
 use hollywheel_types::MonoTime;
-use hollywheel_wire::serving::{FollowReply, FollowRequest, ServerEntry};
+use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
 
 use crate::host::{FRESH_VIEW, Host};
+use crate::log::log_line;
 use crate::peer_client::FOLLOW_PATH;
 use crate::peer_server::micros;
 use crate::store_feed::{read_host, write_host};
@@ -32,6 +33,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// A host that found no fresh view reads the store itself for this time.
 const OWN_READING: Duration = Duration::from_secs(5);
+/// News that come together are collected for this time, a small part of the bounds (seconds).
+const COLLECT_TIME: Duration = Duration::from_millis(40);
 /// The pause after a failed call.
 const RETRY_TIME: Duration = Duration::from_millis(60);
 
@@ -55,12 +58,13 @@
         let _ = self.reads.subscribe().wait_for(|reads| *reads).await;
     }
 
-    fn set(&self, reads: bool) {
+    /// Says whether this host reads the store from now on; returns whether that is new.
+    fn set(&self, reads: bool) -> bool {
         self.reads.send_if_modified(|known| {
             let changed = *known != reads;
             *known = reads;
             changed
-        });
+        })
     }
 }
 
@@ -90,7 +94,8 @@
         let own = host.hosts.borrow().own().clone();
         let now = host.now();
         let is_reader = readers.iter().any(|reader| reader.name == own);
-        host.reading.set(is_reader || now < reads_until);
+        let reason = if is_reader { "reader" } else { "no fresh view" };
+        set_reading(&host, is_reader || now < reads_until, reason);
         let fresh = host.view.borrow().health(now, FRESH_VIEW) == FeedHealth::Following;
         if is_reader && fresh {
             tokio::time::sleep(FOLLOW_WAIT).await;
@@ -99,12 +104,26 @@
         let sources = sources(&host, &readers);
         if !follow_any(&host, &sources, &mut cursor).await {
             reads_until = host.now() + OWN_READING;
-            host.reading.set(true);
+            set_reading(&host, true, "no fresh view");
             tokio::time::sleep(RETRY_TIME).await;
         }
     }
 }
 
+fn set_reading(host: &Host, reads: bool, reason: &str) {
+    if host.reading.set(reads) {
+        let age = host.view.borrow().age(host.now());
+        log_line!(
+            host,
+            info,
+            ReadingChanged,
+            reads,
+            reason = if reads { reason } else { "follows a reader" },
+            age_ms = age.map(|age| age.as_millis())
+        );
+    }
+}
+
 /// Lists the hosts to follow: the readers in an order of this host's own, then some others,
 /// which may see the store when the readers do not, then the addresses of the settings.
 fn sources(host: &Host, readers: &[HostRecord]) -> Vec<HostRecord> {
@@ -192,9 +211,12 @@
             host.apply_server(change, name);
         }
     }
-    let hosts: Vec<HostRecord> = reply.hosts.iter().filter_map(read_host).collect();
-    for record in &hosts {
-        host.upsert_host(record.clone(), name);
+    for entry in &reply.hosts {
+        match read_host(entry) {
+            Some(record) if entry.left => host.remove_host(&record.name, name),
+            Some(record) => host.upsert_host(record, name),
+            None => {}
+        }
     }
     if let Some(age) = reply.age_us {
         let confirmed = asked - Duration::from_micros(age);
@@ -215,6 +237,7 @@
         loop {
             let changed = host.changed.notified();
             if has_news(host, &request) {
+                tokio::time::sleep(COLLECT_TIME).await;
                 return;
             }
             changed.await;
@@ -230,7 +253,7 @@
     request.incarnation != host.incarnation
         || version > request.config_version
         || host.registry.borrow().change() != request.server_change
-        || host.host_change.get() != request.host_change
+        || host.hosts.borrow().change() != request.host_change
 }
 
 fn write_reply(host: &Host, request: &FollowRequest) -> FollowReply {
@@ -239,20 +262,22 @@
     let registry = host.registry.borrow();
     let after = if same { request.server_change } else { 0 };
     let servers = registry.changes_after(after);
-    let tells_hosts = !same || host.host_change.get() != request.host_change;
     let hosts = host.hosts.borrow();
+    let hosts_after = if same { request.host_change } else { 0 };
     let installed = host.installed();
     let newer = installed.filter(|known| known.set.version.0 > request.config_version);
     FollowReply {
         incarnation: host.incarnation,
         server_change: registry.change(),
-        host_change: host.host_change.get(),
+        host_change: hosts.change(),
         servers: servers.iter().map(write_server).collect(),
-        hosts: if tells_hosts {
-            hosts.records().map(write_host).collect()
-        } else {
-            Vec::new()
-        },
+        hosts: hosts
+            .changes_after(hosts_after)
+            .map(|(record, left)| HostEntry {
+                left,
+                ..write_host(record)
+            })
+            .collect(),
         config_version: newer.as_ref().map_or(0, |known| known.set.version.0),
         config: newer.map(|known| known.document).unwrap_or_default(),
         age_us: host.view.borrow().age(now).map(micros),
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -13,7 +13,7 @@
     HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange, ServerRecord,
     ServerRegistry, ServingSet, ShardWaits, StoreView,
 };
-use hollywheel_types::{MonoTime, PoolId, ServerId, SortedMap};
+use hollywheel_types::{HostId, MonoTime, PoolId, ServerId, SortedMap};
 
 use crate::batch_duty::BatchDuty;
 use crate::engine_pool::EnginePool;
@@ -23,9 +23,9 @@
 use crate::peer_client::PeerClient;
 use crate::results::ResultOutbox;
 
-/// A view of the store that is younger than this follows it; the store's answers come every
-/// second or sooner.
-pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1500);
+/// A view of the store that is younger than this follows it; the store answers a feed after a
+/// second at the latest.
+pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1800);
 
 /// Holds a configuration with the document that it was read from, for other hosts.
 #[derive(Clone)]
@@ -44,7 +44,6 @@
     installed: RefCell<Option<InstalledSet>>,
     pub(crate) registry: RefCell<ServerRegistry>,
     pub(crate) hosts: RefCell<HostTable>,
-    pub(crate) host_change: Cell<u64>,
     pub(crate) view: RefCell<StoreView>,
     pub(crate) loads: RefCell<LoadTable>,
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
@@ -63,11 +62,12 @@
 }
 
 /// Returns the size of a host that duties are given by: what its link and its processor allow,
-/// in units of the smallest host described (10 megabits a second, a twentieth of a core).
+/// in units of the smallest host described (10 megabits a second, a twentieth of a core),
+/// squared, so that many small hosts do not take the duties from a few large ones.
 fn host_weight(limits: &HostLimits) -> u32 {
     let link = limits.link_mbps / 10.0;
     let processor = limits.cpu_share / 0.05;
-    link.min(processor).clamp(1.0, 1000.0) as u32
+    link.min(processor).clamp(1.0, 1000.0).powi(2) as u32
 }
 
 /// Names the shared state.
@@ -89,7 +89,6 @@
             installed: RefCell::default(),
             registry: RefCell::default(),
             hosts: RefCell::new(HostTable::new(own)),
-            host_change: Cell::new(1),
             view: RefCell::default(),
             loads: RefCell::default(),
             budgets: RefCell::default(),
@@ -248,36 +247,23 @@
 
     /// Adds a host or replaces what is known of it.
     pub(crate) fn upsert_host(&self, record: HostRecord, source: &str) {
-        let mut hosts = self.hosts.borrow_mut();
-        if record.name == *hosts.own() || hosts.records().any(|known| *known == record) {
-            return;
+        let (name, incarnation) = (record.name.clone(), record.incarnation);
+        if self.hosts.borrow_mut().upsert(record) {
+            log_line!(self, info, HostJoined, host = %name, incarnation, source);
+            self.changed.notify_waiters();
         }
-        log_line!(
-            self,
-            info,
-            HostJoined,
-            host = %record.name,
-            incarnation = record.incarnation,
-            source
-        );
-        hosts.upsert(record);
-        self.host_change.set(self.host_change.get() + 1);
-        self.changed.notify_waiters();
     }
 
     /// Removes a host that has left.
-    pub(crate) fn remove_host(&self, name: &hollywheel_types::HostId, source: &str) {
-        let mut hosts = self.hosts.borrow_mut();
-        if hosts.records().any(|known| known.name == *name) && name != hosts.own() {
+    pub(crate) fn remove_host(&self, name: &HostId, source: &str) {
+        if self.hosts.borrow_mut().remove(name) {
             log_line!(self, info, HostLeft, host = %name, source);
-            hosts.remove(name);
-            self.host_change.set(self.host_change.get() + 1);
             self.changed.notify_waiters();
         }
     }
 
     /// Notes that a host did not answer in a duty.
-    pub(crate) fn pass_over(&self, name: &hollywheel_types::HostId, duty: &str, detail: &str) {
+    pub(crate) fn pass_over(&self, name: &HostId, duty: &str, detail: &str) {
         log_line!(self, warn, HostPassedOver, host = %name, duty, detail);
         let now = self.now();
         self.hosts.borrow_mut().note_unreachable(now, name);
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -41,6 +41,8 @@
     pub(crate) arrived: MonoTime,
     /// The point by which the answer begins if it is to count fully.
     pub(crate) objective: MonoTime,
+    /// The point by which the answer must begin, or the caller leaves.
+    pub(crate) begins_by: MonoTime,
     /// The point by which the answer must be complete.
     pub(crate) deadline: MonoTime,
     pub(crate) tie: u64,
@@ -175,7 +177,9 @@
     let pool = pipeline.pool_for(tie >> 32).ok_or(Rejection::NoRoute)?.clone();
     let wait = head.deadline.unwrap_or(pipeline.timeout);
     let wait = wait.saturating_sub(RETURN_TIME).min(pipeline.timeout);
+    let patience = pipeline.stream_patience().unwrap_or(wait);
     Ok(RequestContext {
+        begins_by: arrived + wait.min(patience.saturating_sub(RETURN_TIME)),
         objective: arrived + pipeline.objective.saturating_sub(RETURN_TIME),
         deadline: arrived + wait,
         set,
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -17,7 +17,7 @@
 /// A feed is answered after this time if nothing has changed. A connection that has gone silent
 /// is noticed this time and the slack later, within the 2 s in which a configuration must be in
 /// force.
-const FEED_WAIT: Duration = Duration::from_millis(1200);
+const FEED_WAIT: Duration = Duration::from_millis(1000);
 /// The same for the hosts' own table, whose changes may be late: a host that has gone is found
 /// out by the first call to it.
 const HOSTS_WAIT: Duration = Duration::from_secs(6);
@@ -88,8 +88,9 @@
             after,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
-        let asked = self.host.now();
         let answer = self.connection.call(&call, wait + ANSWER_SLACK).await?;
+        // The answer tells every change up to when it was given.
+        let told = self.host.now();
         let changed = !answer.rows.is_empty();
         for row in answer.rows {
             self.apply(row);
@@ -97,7 +98,7 @@
         self.cursor = Some(answer.revision.max(after));
         self.newest = self.newest.max(answer.revision);
         if self.table == StoreTable::Servers {
-            self.host.view.borrow_mut().confirm(asked);
+            self.host.view.borrow_mut().confirm(told);
         }
         let collects = changed && self.table == StoreTable::Servers;
         Ok(if collects { COLLECT_TIME } else { Duration::ZERO })
@@ -280,5 +281,6 @@
         domain: record.domain.to_string(),
         incarnation: record.incarnation,
         weight: record.weight,
+        left: false,
     }
 }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -87,7 +87,7 @@
     guard: RequestGuard,
 ) -> Response<AnswerBody> {
     let mut job = StreamJob::new(host, context, guard);
-    let left = job.context.deadline.since(host.now());
+    let left = job.context.begins_by.since(host.now());
     let opened = timeout(left, job.open()).await;
     let opened = opened.unwrap_or_else(|_| {
         job.reason = "the time was over";
@@ -195,7 +195,7 @@
                 attempt: self.context.head.attempt.clone(),
                 piece_key: self.context.head.piece_key.clone(),
                 objective: self.context.objective,
-                deadline: self.context.deadline,
+                deadline: self.context.begins_by,
                 domain,
                 tie: self.context.tie,
             };
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -16,7 +16,7 @@
     CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery, PieceResult,
     WorkPiece,
 };
-use queue::{OrderedGroup, QueuedGroup, WorkQueue};
+use queue::{OrderedGroup, QueuedGroup, WorkClass, WorkQueue};
 use servers::{PieceServer, find_holder};
 
 use crate::call_time::CallTimes;
@@ -32,6 +32,12 @@
 const TIMEOUT_SLACK: Duration = Duration::from_millis(350);
 /// A server that takes so many times the expected time gets only what can wait for it.
 const SLOW_RATIO: f64 = 1.6;
+/// Work that has lost its objective is kept up to this much time of the whole pool: what the pool
+/// can make up for between two bursts, before callers leave (2 s and more).
+const MAX_LATE_BACKLOG: Duration = Duration::from_millis(1000);
+/// Pieces of a call that holds timely ones take at most this part of the fixed time of a call
+/// once late ones are added, so that late work delays timely work by less than a call.
+const LATE_RIDE_PART: f64 = 0.5;
 /// A group whose pieces move fewer bytes than this between domains goes to any of them.
 const MIN_PULL_BYTES: u64 = 500_000;
 /// A group waits for a server in its own domain only if it meets its objective there with this
@@ -39,8 +45,9 @@
 const NEAR_MARGIN: Duration = Duration::from_millis(200);
 /// Told to a request when no server of the pool is known; entries are read within this time.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
-/// The shortest time that a refused request is told to wait.
-const MIN_RETRY: Duration = Duration::from_millis(100);
+/// A refused request is told to wait at least this long: it has lost its objective, and a burst
+/// (seconds) is over sooner for it if it does not return within.
+const MIN_RETRY: Duration = Duration::from_millis(1000);
 
 /// Holds the settings of a batcher that are its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -129,6 +136,14 @@
                 retry_after: excess.max(MIN_RETRY),
             };
         }
+        if !request.chained && now + expected > request.due {
+            let backlog = self.late_backlog(now, &request);
+            if backlog > MAX_LATE_BACKLOG {
+                return GroupVerdict::Refused {
+                    retry_after: backlog - MAX_LATE_BACKLOG + MIN_RETRY,
+                };
+            }
+        }
         self.queue.push(now, request);
         GroupVerdict::Queued { expected }
     }
@@ -158,6 +173,16 @@
         Some(earliest.since(now) + full.mul_f64(calls / speed))
     }
 
+    /// Returns the time that the pool needs for the groups that wait although they have lost
+    /// their objective.
+    fn late_backlog(&self, now: MonoTime, request: &GroupRequest) -> Duration {
+        let late = self.queue.late_pieces(now, &self.times);
+        let idle = self.expected_wait(now, &request.kind, 0);
+        let wait = self.expected_wait(now, &request.kind, late);
+        wait.unwrap_or_default()
+            .saturating_sub(idle.unwrap_or_default())
+    }
+
     /// Returns the expected wait of a group that would be offered now, for the deadline plan of
     /// requests that come to this pool later.
     pub fn forecast(&self, now: MonoTime) -> Duration {
@@ -271,6 +296,8 @@
         2 * self.queue.waiting() > self.policy.pool.batch * present.count()
     }
 
+    /// Fills a call in the order of the groups. Work that has lost its objective rides along
+    /// with work that can meet its own only while that does not lengthen the call much.
     fn fill_call(
         &self,
         now: MonoTime,
@@ -282,12 +309,15 @@
         };
         let mut room = state.free_bytes(now, self.policy.pool.room_bytes);
         let mut pieces = Vec::new();
+        let mut timely = false;
+        let mut added = Duration::ZERO;
+        let ride_time = self.policy.pool.call_time.mul_f64(LATE_RIDE_PART);
         let is_near = |ordered: &&OrderedGroup<'_>| {
             ordered.urgent || ordered.group.prefers(&state.domain)
         };
         let near = order.iter().filter(is_near);
         let far = order.iter().filter(|ordered| !is_near(ordered));
-        for OrderedGroup { group, .. } in near.chain(far) {
+        for OrderedGroup { group, class, .. } in near.chain(far) {
             if !self.may_use(now, state, group) {
                 continue;
             }
@@ -295,6 +325,12 @@
                 if pieces.len() >= self.policy.pool.batch || room < group.result_bytes {
                     break;
                 }
+                let piece_time = self.times.piece(&group.kind);
+                if *class != WorkClass::Timely && timely && added + piece_time > ride_time {
+                    break;
+                }
+                timely |= *class == WorkClass::Timely;
+                added += piece_time;
                 room -= group.result_bytes;
                 pieces.push(WorkPiece {
                     ticket: group.ticket,
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -67,7 +67,7 @@
 
 /// Ranks groups by what is lost while they wait.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum WorkClass {
+pub(super) enum WorkClass {
     Timely,
     LateChained,
     Late,
@@ -77,6 +77,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OrderedGroup<'a> {
     pub(super) group: &'a QueuedGroup,
+    pub(super) class: WorkClass,
     /// Whether it meets its objective only if it goes into the next call.
     pub(super) urgent: bool,
 }
@@ -116,6 +117,15 @@
         ahead.map(QueuedGroup::waiting).sum()
     }
 
+    /// Counts the waiting pieces of groups that have lost their objective.
+    pub(super) fn late_pieces(&self, now: MonoTime, times: &CallTimes) -> usize {
+        let groups = self.groups.values().filter(|group| {
+            let call = times.call([(group.kind.as_str(), group.waiting())]);
+            group.is_late(now, call)
+        });
+        groups.map(QueuedGroup::waiting).sum()
+    }
+
     /// Lists the groups that wait in the order in which they should go.
     ///
     /// Those that can meet their objective go first, by its point. Then come groups that are
@@ -133,7 +143,12 @@
                 (true, true) => (WorkClass::LateChained, group.due),
                 (false, true) => (WorkClass::Late, group.arrived),
             };
-            order.push((class, rank, OrderedGroup { group, urgent }));
+            let ordered = OrderedGroup {
+                group,
+                class,
+                urgent,
+            };
+            order.push((class, rank, ordered));
         }
         order.sort_by_key(|(class, rank, ordered)| (*class, *rank, ordered.group.ticket));
         order.into_iter().map(|(_, _, ordered)| ordered).collect()
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -32,6 +32,10 @@
     record: HostRecord,
     passed_over_until: Option<MonoTime>,
     failures: u32,
+    /// The number of the change that made it what it is.
+    changed_at: u64,
+    /// Whether it has left; what is known of it is kept for those that follow this host.
+    left: bool,
 }
 
 /// Holds the hosts that are known and which of them do not answer.
@@ -39,6 +43,7 @@
 pub struct HostTable {
     own: HostId,
     hosts: SortedMap<HostId, HostState>,
+    change: u64,
 }
 
 /// A host in the failure domain of a duty counts as so many times its size.
@@ -62,41 +67,51 @@
     pub fn new(own: HostRecord) -> Self {
         let name = own.name.clone();
         let mut hosts = SortedMap::new();
-        hosts.insert(
-            name.clone(),
-            HostState {
-                record: own,
-                passed_over_until: None,
-                failures: 0,
-            },
-        );
-        Self { own: name, hosts }
+        hosts.insert(name.clone(), HostState::new(own, 1));
+        Self {
+            own: name,
+            hosts,
+            change: 1,
+        }
     }
 
-    /// Adds a host or replaces what is known of it.
-    pub fn upsert(&mut self, record: HostRecord) {
-        if record.name == self.own {
-            return;
+    /// Adds a host or replaces what is known of it; returns whether that is new.
+    pub fn upsert(&mut self, record: HostRecord) -> bool {
+        let known = self.hosts.get(&record.name);
+        let same = known.is_some_and(|known| known.record == record && !known.left);
+        if same || record.name == self.own {
+            return false;
         }
-        let state = HostState {
-            passed_over_until: None,
-            failures: 0,
-            record,
+        self.change += 1;
+        let state = HostState::new(record, self.change);
+        self.hosts.insert(state.record.name.clone(), state);
+        true
+    }
+
+    /// Removes a host that has left; returns whether it was known.
+    pub fn remove(&mut self, name: &HostId) -> bool {
+        let Some(state) = self.hosts.get_mut(name) else {
+            return false;
         };
-        let same = self
-            .hosts
-            .get(&state.record.name)
-            .is_some_and(|known| known.record == state.record);
-        if !same {
-            self.hosts.insert(state.record.name.clone(), state);
+        if *name == self.own || state.left {
+            return false;
         }
+        self.change += 1;
+        state.left = true;
+        state.changed_at = self.change;
+        true
     }
 
-    /// Removes a host that has left.
-    pub fn remove(&mut self, name: &HostId) {
-        if *name != self.own {
-            self.hosts.remove(name);
-        }
+    /// Returns the number of the last change, which rises with every change.
+    pub const fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Lists the hosts that have changed after a change number, and whether they have left.
+    pub fn changes_after(&self, change: u64) -> impl Iterator<Item = (&HostRecord, bool)> {
+        let states = self.hosts.values();
+        let changed = states.filter(move |state| state.changed_at > change);
+        changed.map(|state| (&state.record, state.left))
     }
 
     /// Notes that a host did not answer.
@@ -127,9 +142,9 @@
         self.hosts.values().filter(|state| state.is_live(now)).count()
     }
 
-    /// Returns the number of hosts known, this one included.
-    pub const fn known_count(&self) -> usize {
-        self.hosts.len()
+    /// Returns the number of hosts known that have not left, this one included.
+    pub fn known_count(&self) -> usize {
+        self.records().count()
     }
 
     /// Lists the live hosts for a duty, the one that has it first: each by its size, and those in
@@ -155,14 +170,25 @@
         &self.own
     }
 
-    /// Lists every host that is known.
+    /// Lists every host that is known and has not left.
     pub fn records(&self) -> impl Iterator<Item = &HostRecord> {
-        self.hosts.values().map(|state| &state.record)
+        let present = self.hosts.values().filter(|state| !state.left);
+        present.map(|state| &state.record)
     }
 }
 
 impl HostState {
+    const fn new(record: HostRecord, changed_at: u64) -> Self {
+        Self {
+            record,
+            passed_over_until: None,
+            failures: 0,
+            changed_at,
+            left: false,
+        }
+    }
+
     fn is_live(&self, now: MonoTime) -> bool {
-        self.passed_over_until.is_none_or(|until| until <= now)
+        !self.left && self.passed_over_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/hollywheel-serving/src/serving_set.rs
+++ b/crates/hollywheel-serving/src/serving_set.rs
@@ -69,7 +69,22 @@
     pub resumable: bool,
 }
 
+/// Callers wait for an event of a stream, also the first, for the longest of this time,
+/// [`PATIENCE_OBJECTIVES`] times the objective and [`PATIENCE_PAUSES`] times the pause objective
+/// (the platform's protocol, on requests).
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 impl PipelineRoute {
+    /// Returns how long callers wait for the first event of a stream and for each next one; none
+    /// for other answers.
+    pub fn stream_patience(&self) -> Option<Duration> {
+        let pause = self.pause_objective.unwrap_or_default() * PATIENCE_PAUSES;
+        let patience = (self.objective * PATIENCE_OBJECTIVES).max(pause);
+        matches!(self.kind, RequestKind::Streaming).then(|| patience.max(MIN_PATIENCE))
+    }
+
     /// Says whether a request that may have run is sent again.
     pub const fn may_repeat(&self) -> bool {
         match self.kind {
