--- a/crates/hollywheel-serving/src/serving_set.rs
+++ b/crates/hollywheel-serving/src/serving_set.rs
@@ -219,11 +219,6 @@
         /// The pipeline.
         pipeline: PipelineId,
     },
-    /// Two workspaces hold the same key; give each its own.
-    SharedKey {
-        /// The second workspace.
-        workspace: WorkspaceId,
-    },
 }
 
 impl fmt::Display for SetFault {
@@ -243,10 +238,6 @@
             Self::NoPool { pipeline } => {
                 write!(f, "pipeline {pipeline}: no pool has a weight above zero")
             }
-            Self::SharedKey { workspace } => write!(
-                f,
-                "workspace {workspace}: one of its keys belongs to another workspace"
-            ),
         }
     }
 }
--- /dev/null
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -0,0 +1,202 @@
+//! Duties over live hosts, shards of pools, and placement.
+
+use std::time::Duration;
+
+use hollywheel_serving::{
+    HostRecord, HostTable, LoadReport, LoadTable, PlaceQuery, PlaceVerdict, PoolShard, PromptPart,
+    ServerPhase, ServerRecord, ShardWaits, choose_engine, choose_least, choose_shard, divide_pool,
+};
+use hollywheel_types::{DomainId, HostId, MonoTime, ServerId};
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn host(name: &str, domain: &str, weight: u32) -> HostRecord {
+    HostRecord {
+        name: name.parse().unwrap(),
+        address: "10.0.0.1:7000".parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        incarnation: 1,
+        weight,
+    }
+}
+
+fn table(own: &str, hosts: &[HostRecord]) -> HostTable {
+    let own = hosts.iter().find(|record| record.name.as_str() == own).unwrap();
+    let mut table = HostTable::new(own.clone());
+    for record in hosts {
+        table.upsert(record.clone());
+    }
+    table
+}
+
+fn names(order: &[HostRecord]) -> Vec<String> {
+    order.iter().map(|record| record.name.to_string()).collect()
+}
+
+#[test]
+fn all_hosts_agree_on_a_duty_and_pass_a_silent_host_over() {
+    let hosts: Vec<HostRecord> = (1..=9).map(|n| host(&format!("h{n}"), "a", 1)).collect();
+    let first = table("h1", &hosts).duty_order(at(0), "pieces/p/", None);
+    let mut other = table("h5", &hosts);
+    assert_eq!(names(&first), names(&other.duty_order(at(0), "pieces/p/", None)));
+    let lost: HostId = first[0].name.clone();
+    if lost.as_str() != "h5" {
+        other.note_unreachable(at(0), &lost);
+        assert_eq!(other.duty_order(at(1), "pieces/p/", None)[0].name, first[1].name);
+        assert_eq!(other.duty_order(at(2000), "pieces/p/", None)[0].name, lost);
+    }
+}
+
+#[test]
+fn large_hosts_and_those_in_the_domain_get_the_duties() {
+    let mut hosts: Vec<HostRecord> = (1..=75).map(|n| host(&format!("s{n}"), "a", 1)).collect();
+    hosts.extend((1..=6).map(|n| host(&format!("l{n}"), "b", 100)));
+    let table = table("s1", &hosts);
+    let duties: Vec<String> = (0..40).map(|n| format!("duty/{n}")).collect();
+    let large = duties
+        .iter()
+        .filter(|duty| table.duty_order(at(0), duty, None)[0].weight == 100)
+        .count();
+    assert!(large >= 30, "{large} of 40 at large hosts");
+}
+
+#[test]
+fn a_host_that_starts_again_is_used_at_once() {
+    let hosts = [host("h1", "a", 1), host("h2", "a", 1)];
+    let mut table = table("h1", &hosts);
+    let other: HostId = "h2".parse().unwrap();
+    table.note_unreachable(at(0), &other);
+    assert_eq!(table.live_count(at(1)), 1);
+    assert!(table.upsert(HostRecord {
+        incarnation: 2,
+        ..host("h2", "a", 1)
+    }));
+    assert_eq!(table.live_count(at(1)), 2);
+    assert!(table.remove(&other));
+    assert_eq!(table.known_count(), 1);
+    let left: Vec<bool> = table.changes_after(1).map(|(_, left)| left).collect();
+    assert_eq!(left, [true]);
+}
+
+fn server(name: &str, domain: &str) -> (ServerId, ServerRecord) {
+    let record = ServerRecord {
+        pool: "p".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        slots: 4,
+        phase: ServerPhase::Ready,
+        born: None,
+    };
+    (name.parse().unwrap(), record)
+}
+
+fn servers(count: usize, domains: &[&str]) -> Vec<(ServerId, ServerRecord)> {
+    (0..count)
+        .map(|n| server(&format!("s{n:02}"), domains[n % domains.len()]))
+        .collect()
+}
+
+#[test]
+fn a_pool_is_divided_by_domain_when_each_has_enough_servers() {
+    assert_eq!(divide_pool(&servers(6, &["a", "b", "c"])), [PoolShard::Whole]);
+    let shards = divide_pool(&servers(15, &["a", "b", "c"]));
+    assert_eq!(shards.len(), 3);
+}
+
+#[test]
+fn pieces_go_to_another_shard_if_they_wait_much_less_there() {
+    let servers = servers(15, &["a", "b", "c"]);
+    let shard = |name: &str| PoolShard::Domain(name.parse().unwrap());
+    let preferred: DomainId = "a".parse().unwrap();
+    let mut waits = ShardWaits::new();
+    let choose = |waits: &ShardWaits, now| {
+        choose_shard(now, &servers, Some(&preferred), Some(waits), 0)
+    };
+    assert_eq!(choose(&waits, at(0)), shard("a"));
+    waits.insert(shard("a"), (Duration::from_millis(700), at(0)));
+    waits.insert(shard("b"), (Duration::from_millis(100), at(0)));
+    waits.insert(shard("c"), (Duration::from_millis(300), at(0)));
+    assert_eq!(choose(&waits, at(10)), shard("b"));
+    assert_eq!(choose(&waits, at(5000)), shard("a"), "old news do not count");
+}
+
+fn parts(shared: u64) -> Vec<PromptPart> {
+    vec![
+        PromptPart {
+            id: shared,
+            tokens: 13_000,
+        },
+        PromptPart {
+            id: 999,
+            tokens: 100,
+        },
+    ]
+}
+
+fn place<'a>(servers: &'a [(ServerId, ServerRecord)], now: MonoTime, tie: u64) -> PlaceQuery<'a> {
+    PlaceQuery {
+        now,
+        servers,
+        exclude: &[],
+        tie,
+        domain: None,
+    }
+}
+
+#[test]
+fn requests_that_share_a_prompt_part_go_to_one_engine_until_it_is_loaded() {
+    let servers = servers(18, &["a", "b", "c"]);
+    let mut loads = LoadTable::new();
+    let first = choose_engine(&place(&servers, at(0), 1), &loads, &parts(7), 2.0);
+    let again = choose_engine(&place(&servers, at(0), 2), &loads, &parts(7), 2.0);
+    assert_eq!(first, again);
+    let PlaceVerdict::Server(home) = first else {
+        panic!("{first:?}");
+    };
+    for _ in 0..8 {
+        loads.note_sent(&home);
+    }
+    let moved = choose_engine(&place(&servers, at(0), 3), &loads, &parts(7), 9.0);
+    assert_ne!(moved, PlaceVerdict::Server(home));
+}
+
+#[test]
+fn hosts_that_know_the_same_do_not_all_choose_the_same_server() {
+    let servers = servers(6, &["a"]);
+    let loads = LoadTable::new();
+    let mut chosen: Vec<String> = (0..40)
+        .map(|tie| format!("{:?}", choose_least(&place(&servers, at(0), tie), &loads, 9.0)))
+        .collect();
+    chosen.sort();
+    chosen.dedup();
+    assert!(chosen.len() >= 5, "{chosen:?}");
+}
+
+#[test]
+fn failing_slow_and_full_servers_are_passed_over() {
+    let servers = servers(3, &["a"]);
+    let names: Vec<ServerId> = servers.iter().map(|(name, _)| name.clone()).collect();
+    let mut loads = LoadTable::new();
+    for _ in 0..3 {
+        loads.note_failure(at(0), &names[0]);
+    }
+    loads.note_success(&names[1], Duration::from_millis(600));
+    loads.note_success(&names[2], Duration::from_millis(60));
+    let least = choose_least(&place(&servers, at(1), 0), &loads, 4.5);
+    assert_eq!(least, PlaceVerdict::Server(names[2].clone()));
+    for name in &names {
+        let report = LoadReport {
+            running: 4,
+            waiting: 24,
+            slots: 4,
+        };
+        loads.note_report(at(2), name, report);
+    }
+    assert_eq!(choose_least(&place(&servers, at(2), 0), &loads, 4.5), PlaceVerdict::Full);
+    assert_eq!(
+        choose_least(&place(&[], at(2), 0), &loads, 4.5),
+        PlaceVerdict::NoServer
+    );
+}
--- /dev/null
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -0,0 +1,114 @@
+//! Backend servers that join, drain, leave, lapse and are born again.
+
+use std::time::Duration;
+
+use hollywheel_serving::{
+    FeedHealth, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreView,
+};
+use hollywheel_types::{MonoTime, PoolId, ServerId};
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn record(phase: ServerPhase, born: u64) -> ServerRecord {
+    ServerRecord {
+        pool: "pool".parse().unwrap(),
+        address: "10.1.0.1:80".parse().unwrap(),
+        domain: "a".parse().unwrap(),
+        slots: 4,
+        phase,
+        born: Some(born),
+    }
+}
+
+fn change(server: &str, revision: u64, record: Option<ServerRecord>) -> RowChange {
+    RowChange {
+        server: server.parse().unwrap(),
+        revision,
+        record,
+    }
+}
+
+fn usable(registry: &ServerRegistry, now: MonoTime) -> Vec<String> {
+    let pool: PoolId = "pool".parse().unwrap();
+    let servers = registry.pool_servers(now, &pool);
+    servers.map(|(server, _)| server.to_string()).collect()
+}
+
+#[test]
+fn a_draining_server_is_not_used_and_stays_so() {
+    let mut registry = ServerRegistry::new();
+    registry.apply(at(0), change("s1", 1, Some(record(ServerPhase::Ready, 7))));
+    assert_eq!(usable(&registry, at(0)), ["s1"]);
+    registry.apply(at(1), change("s1", 2, Some(record(ServerPhase::Draining, 7))));
+    registry.apply(at(2), change("s1", 3, Some(record(ServerPhase::Ready, 7))));
+    assert!(usable(&registry, at(2)).is_empty(), "the same incarnation drains");
+    registry.apply(at(3), change("s1", 4, Some(record(ServerPhase::Ready, 8))));
+    assert_eq!(usable(&registry, at(3)), ["s1"], "another one is ready");
+}
+
+#[test]
+fn older_news_changes_nothing() {
+    let mut registry = ServerRegistry::new();
+    registry.apply(at(0), change("s1", 5, Some(record(ServerPhase::Ready, 7))));
+    registry.apply(at(1), change("s1", 9, None));
+    assert!(!registry.apply(at(2), change("s1", 5, Some(record(ServerPhase::Ready, 7)))));
+    assert!(usable(&registry, at(2)).is_empty());
+}
+
+#[test]
+fn a_stale_listing_does_not_remove_newer_servers() {
+    let mut registry = ServerRegistry::new();
+    registry.apply(at(0), change("s1", 5, Some(record(ServerPhase::Ready, 7))));
+    registry.apply(at(0), change("s2", 9, Some(record(ServerPhase::Ready, 7))));
+    registry.apply_listing(at(1), 7, Vec::new());
+    assert_eq!(usable(&registry, at(1)), ["s2"]);
+}
+
+#[test]
+fn entries_that_lapse_after_an_outage_are_used_until_they_must_be_back() {
+    let mut registry = ServerRegistry::new();
+    for (revision, server) in ["s1", "s2"].iter().enumerate() {
+        let revision = revision as u64 + 1;
+        registry.apply(at(0), change(server, revision, Some(record(ServerPhase::Ready, 7))));
+    }
+    registry.note_store_return(at(10_000));
+    registry.apply(at(10_100), change("s1", 11, None));
+    registry.apply(at(10_100), change("s2", 12, None));
+    assert_eq!(usable(&registry, at(10_200)), ["s1", "s2"]);
+    registry.apply(at(11_000), change("s2", 20, Some(record(ServerPhase::Ready, 7))));
+    assert_eq!(usable(&registry, at(12_200)), ["s2"]);
+}
+
+#[test]
+fn a_removal_outside_an_outage_ends_use_at_once() {
+    let mut registry = ServerRegistry::new();
+    registry.apply(at(0), change("s1", 1, Some(record(ServerPhase::Ready, 7))));
+    registry.apply(at(1), change("s1", 2, None));
+    assert!(usable(&registry, at(1)).is_empty());
+}
+
+#[test]
+fn followers_get_just_what_changed() {
+    let mut registry = ServerRegistry::new();
+    registry.apply(at(0), change("s1", 1, Some(record(ServerPhase::Ready, 7))));
+    let known = registry.change();
+    registry.apply(at(0), change("s2", 2, Some(record(ServerPhase::Ready, 7))));
+    // A heartbeat that changes nothing but its revision is not told.
+    registry.apply(at(1), change("s1", 3, Some(record(ServerPhase::Ready, 7))));
+    let changes = registry.changes_after(known);
+    let servers: Vec<ServerId> = changes.into_iter().map(|change| change.server).collect();
+    assert_eq!(servers, ["s2".parse().unwrap()]);
+}
+
+#[test]
+fn a_view_is_stale_when_nothing_confirms_it() {
+    let mut view = StoreView::default();
+    let bound = Duration::from_millis(1800);
+    assert_eq!(view.health(at(0), bound), FeedHealth::Stale);
+    view.confirm(at(1000));
+    view.confirm(at(500));
+    assert_eq!(view.health(at(2800), bound), FeedHealth::Following);
+    assert_eq!(view.health(at(2801), bound), FeedHealth::Stale);
+}
--- /dev/null
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -0,0 +1,159 @@
+//! Pipelines by host name and path, stage graphs, events of streams, budgets.
+
+use std::time::Duration;
+
+use hollywheel_serving::{
+    EventCutter, PipelineRoute, PoolSettings, PoolWeight, PoolWork, RequestKind, RetryBudget,
+    ServingSet, SetFault, StageGraph, StageInput, StageStep,
+};
+use hollywheel_types::{ConfigVersion, MonoTime, SortedMap};
+
+fn route(name: &str, host: &str, prefix: &str) -> PipelineRoute {
+    PipelineRoute {
+        name: name.parse().unwrap(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Streaming,
+        timeout: Duration::from_secs(8),
+        objective: Duration::from_millis(800),
+        pause_objective: Some(Duration::from_millis(250)),
+        priority: 1,
+        pools: vec![PoolWeight {
+            pool: "engines".parse().unwrap(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        stages: Vec::new(),
+        allow_anonymous: false,
+        prompt_affinity: true,
+        resumable: false,
+    }
+}
+
+fn set(pipelines: Vec<PipelineRoute>) -> ServingSet {
+    let engines = PoolSettings {
+        name: "engines".parse().unwrap(),
+        max_connections: 10,
+        work: PoolWork::Plain,
+    };
+    ServingSet {
+        version: ConfigVersion(3),
+        pipelines,
+        pools: [(engines.name.clone(), engines)].into_iter().collect(),
+        keys: Some(SortedMap::new()),
+        ..ServingSet::default()
+    }
+}
+
+fn step(after: &[usize]) -> StageStep {
+    StageStep {
+        pool: "engines".parse().unwrap(),
+        after: after.to_vec(),
+        result_bytes: 10,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_name_wins() {
+    let routes = vec![
+        route("short", "h", "/a/"),
+        route("long", "h", "/a/b/"),
+        route("other", "i", "/a/b/c/"),
+    ];
+    let set = set(routes).check().unwrap();
+    let find = |host, path| set.find_pipeline(host, path).map(|found| found.name.to_string());
+    assert_eq!(find("h", "/a/b/x").as_deref(), Some("long"));
+    assert_eq!(find("h", "/a/x").as_deref(), Some("short"));
+    assert_eq!(find("i", "/a/x"), None);
+    assert_eq!(find("g", "/a/x"), None);
+}
+
+#[test]
+fn the_whole_set_is_checked() {
+    let mut unknown = route("r", "h", "/");
+    unknown.pools[0].pool = "nowhere".parse().unwrap();
+    let mut order = route("r", "h", "/");
+    order.stages = vec![step(&[1]), step(&[])];
+    let mut plain = route("r", "h", "/");
+    plain.stages = vec![step(&[])];
+    let mut weightless = route("r", "h", "/");
+    weightless.pools[0].weight = 0;
+    let faults: Vec<String> = [unknown, order, plain, weightless]
+        .into_iter()
+        .map(|route| set(vec![route]).check().unwrap_err().to_string())
+        .collect();
+    insta::assert_debug_snapshot!(faults);
+    assert!(matches!(
+        set(vec![route("r", "h", "/")]).check(),
+        Ok::<_, SetFault>(_)
+    ));
+}
+
+#[test]
+fn weights_split_requests() {
+    let mut split = route("r", "h", "/");
+    split.pools.push(PoolWeight {
+        pool: "more".parse().unwrap(),
+        weight: 3,
+    });
+    let pools: Vec<&str> = (0..4).map(|hash| split.pool_for(hash).unwrap().as_str()).collect();
+    assert_eq!(pools, ["engines", "more", "more", "more"]);
+}
+
+#[test]
+fn stages_start_when_what_they_need_is_there() {
+    let steps = [step(&[]), step(&[]), step(&[1]), step(&[2])];
+    let mut graph = StageGraph::new(&steps, &[0, 1, 2, 1]);
+    assert_eq!(graph.start_ready(), [1]);
+    assert!(graph.finish(1, vec!["a".into()]).is_empty());
+    assert_eq!(graph.start_ready(), [2]);
+    assert_eq!(graph.input(2), StageInput::Results(vec!["a".into()]));
+    assert_eq!(graph.finish(2, vec!["b".into(), "c".into()]), ["a"]);
+    assert_eq!(graph.start_ready(), [3]);
+    assert_eq!(graph.finish(3, vec!["d".into()]), ["b", "c"]);
+    assert!(graph.is_complete());
+    assert_eq!(graph.final_handles(), ["d"]);
+    assert_eq!(graph.held_handles(), ["d"]);
+}
+
+#[test]
+fn a_stage_without_pieces_passes_its_needs_on() {
+    let steps = [step(&[]), step(&[0]), step(&[1])];
+    let mut graph = StageGraph::new(&steps, &[1, 0, 1]);
+    assert_eq!(graph.start_ready(), [0]);
+    graph.finish(0, vec!["a".into()]);
+    assert_eq!(graph.start_ready(), [2]);
+    assert_eq!(graph.input(2), StageInput::Results(vec!["a".into()]));
+}
+
+#[test]
+fn events_are_cut_at_blank_lines_wherever_the_bytes_are_split() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+    for split in 0..stream.len() {
+        let mut cutter = EventCutter::new();
+        let mut events = cutter.take(&stream[..split]);
+        events.extend(cutter.take(&stream[split..]));
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2)], "split at {split}");
+        assert_eq!(cutter.rest(), b"id: 3\ndata: c");
+    }
+}
+
+#[test]
+fn repeated_sends_of_all_hosts_stay_within_the_common_bound() {
+    const HOSTS: usize = 9;
+    let window = Duration::from_secs(10);
+    let mut budgets: Vec<RetryBudget> =
+        (0..HOSTS).map(|_| RetryBudget::new(0.2, 58.0, window)).collect();
+    let mut sent = 0;
+    for millis in 0..10_000 {
+        let now = MonoTime::from_millis(millis);
+        let budget = &mut budgets[usize::try_from(millis).unwrap() % HOSTS];
+        if millis % 10 == 0 {
+            budget.count_request(now);
+        }
+        sent += u32::from(budget.take_repeat(now, HOSTS));
+    }
+    assert!(sent <= 200 + 58, "{sent} repeats for 1000 requests");
+    assert!(sent > 200, "{sent} repeats for 1000 requests");
+}
