--- a/crates/hollywheel-daemon/src/admin/state.rs
+++ b/crates/hollywheel-daemon/src/admin/state.rs
@@ -9,7 +9,6 @@
 use tokio::sync::watch;
 
 use crate::backend::ReportIntake;
-use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::front::FrontState;
@@ -17,6 +16,7 @@
 use crate::peers::HostDirectory;
 use crate::settings::OperatorEntry;
 use crate::web::ConnectionLimit;
+use hollywheel_clock::HostClock;
 
 /// Bounds the body of an operator's call, in bytes; a set of 4,800 workspaces fits.
 pub const MAX_BODY: u64 = 16 * 1024 * 1024;
--- a/crates/hollywheel-daemon/src/backend/caller.rs
+++ b/crates/hollywheel-daemon/src/backend/caller.rs
@@ -22,10 +22,10 @@
 use super::send_body::SendBody;
 use super::wire::{CancelBody, LoadBody, RunBody};
 use super::{stream, unary};
-use hollywheel_clock::HostClock;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::traces::TraceRing;
+use hollywheel_clock::HostClock;
 
 /// Holds the settings of the client.
 #[derive(Clone, Debug)]
--- a/crates/hollywheel-daemon/src/backend/load.rs
+++ b/crates/hollywheel-daemon/src/backend/load.rs
@@ -11,10 +11,10 @@
 
 use super::caller::BackendCaller;
 use super::reports::ReportIntake;
-use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
+use hollywheel_clock::HostClock;
 
 /// Bounds the reads in progress.
 const MAX_READS: usize = 32;
--- a/crates/hollywheel-daemon/src/backend/reports.rs
+++ b/crates/hollywheel-daemon/src/backend/reports.rs
@@ -7,9 +7,9 @@
 use hollywheel_policy::ServerReport;
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
-use hollywheel_clock::HostClock;
 use crate::core::CoreHandle;
 use crate::peers::PeerCaller;
+use hollywheel_clock::HostClock;
 
 /// Bounds the backend servers whose last report is remembered.
 const MAX_SERVERS: usize = 4096;
--- a/crates/hollywheel-daemon/src/front/state.rs
+++ b/crates/hollywheel-daemon/src/front/state.rs
@@ -7,12 +7,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use hollywheel_clock::HostClock;
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::metrics::DaemonMetrics;
 use crate::traces::TraceRing;
 use crate::web::ConnectionLimit;
+use hollywheel_clock::HostClock;
 
 /// Holds the settings of the listener for callers.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hollywheel-daemon/src/host/parts.rs
+++ b/crates/hollywheel-daemon/src/host/parts.rs
@@ -18,7 +18,6 @@
 use super::error::HostError;
 use crate::admin::AdminState;
 use crate::backend::{BackendCaller, BackendSettings, ReportIntake};
-use hollywheel_clock::{HostClock, random_seed};
 use crate::config_view::ConfigView;
 use crate::core::{CoreHandle, CoreMessage, core_channel};
 use crate::front::{FrontSettings, FrontState};
@@ -31,6 +30,7 @@
 use crate::supervisor::HostPhase;
 use crate::traces::TraceRing;
 use crate::web::{ConnectionLimit, bind_listener};
+use hollywheel_clock::{HostClock, random_seed};
 
 /// Holds every part of a host. Children of the supervisor are started from it.
 pub struct HostParts {
--- a/crates/hollywheel-daemon/src/install/task.rs
+++ b/crates/hollywheel-daemon/src/install/task.rs
@@ -15,7 +15,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::handle::{InstallHandle, InstallMessage, PublishReplySender};
-use hollywheel_clock::{HostClock, sleep_until};
 use crate::config_view::ConfigView;
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
@@ -23,6 +22,7 @@
 use crate::orders::OrderHandle;
 use crate::peers::PeerCaller;
 use crate::queue::{SharedReceiver, share_receiver};
+use hollywheel_clock::{HostClock, sleep_until};
 
 /// Bounds the messages that wait for the machine.
 const QUEUE: usize = 256;
--- a/crates/hollywheel-daemon/src/orders/task.rs
+++ b/crates/hollywheel-daemon/src/orders/task.rs
@@ -13,9 +13,9 @@
 
 use super::handle::OrderHandle;
 use crate::backend::BackendCaller;
-use hollywheel_clock::{HostClock, sleep_until};
 use crate::metrics::DaemonMetrics;
 use crate::queue::SharedReceiver;
+use hollywheel_clock::{HostClock, sleep_until};
 
 /// Holds the ways out of the task.
 pub struct OrderEffects {
--- a/crates/hollywheel-daemon/src/peers/task.rs
+++ b/crates/hollywheel-daemon/src/peers/task.rs
@@ -13,13 +13,13 @@
 use tokio::sync::watch;
 
 use super::directory::HostDirectory;
-use hollywheel_clock::{HostClock, sleep_until};
 use crate::core::CoreHandle;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::install::InstallHandle;
 use crate::metrics::DaemonMetrics;
 use crate::orders::OrderHandle;
 use crate::queue::SharedReceiver;
+use hollywheel_clock::{HostClock, sleep_until};
 
 /// Gives the time between two attempts to join through the seed hosts.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/hollywheel-daemon/src/retention/task.rs
+++ b/crates/hollywheel-daemon/src/retention/task.rs
@@ -12,11 +12,11 @@
 use hollywheel_types::HostId;
 use tokio::sync::{mpsc, watch};
 
-use hollywheel_clock::{HostClock, sleep_until};
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::metrics::DaemonMetrics;
 use crate::peers::HostDirectory;
 use crate::supervisor::HostPhase;
+use hollywheel_clock::{HostClock, sleep_until};
 
 /// Gives the time between two looks at the hosts taken for alive.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -127,7 +127,9 @@
         for delivery in deliveries {
             let ticket = delivery.piece.ticket;
             let end = match delivery.result {
-                PieceResult::Made(handle) => self.note_made(ticket, delivery.piece.position, handle),
+                PieceResult::Made(handle) => {
+                    self.note_made(ticket, delivery.piece.position, handle)
+                }
                 PieceResult::Late => Some(GroupEnd::Late),
                 PieceResult::InputGone => Some(GroupEnd::InputGone),
                 PieceResult::NoRoom | PieceResult::Failed => Some(GroupEnd::Failed),
@@ -470,7 +472,11 @@
         return;
     };
     let call = async {
-        let (answer, held) = host.engines.send(&server, record.address, request).await.ok()?;
+        let (answer, held) = host
+            .engines
+            .send(&server, record.address, request)
+            .await
+            .ok()?;
         let facts = hollywheel_adapter::read_answer(&answer, "");
         answer.into_body().collect().await.ok()?;
         host.engines.keep(held, facts.idle_time);
--- a/crates/hollywheel-gateway/src/command.rs
+++ b/crates/hollywheel-gateway/src/command.rs
@@ -90,7 +90,9 @@
 }
 
 fn serve(settings: hollywheel_adapter::HostSettings, options: RunOptions) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/hollywheel-gateway/src/engine_pool.rs
+++ b/crates/hollywheel-gateway/src/engine_pool.rs
@@ -105,11 +105,7 @@
         })
     }
 
-    fn take_idle(
-        &self,
-        server: &ServerId,
-        address: SocketAddr,
-    ) -> Option<SendRequest<CallBody>> {
+    fn take_idle(&self, server: &ServerId, address: SocketAddr) -> Option<SendRequest<CallBody>> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
@@ -118,7 +114,9 @@
                 && connection.address == address
                 && !connection.sender.is_closed()
         });
-        let last = connections.iter().rposition(|connection| connection.sender.is_ready())?;
+        let last = connections
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
         Some(connections.remove(last).sender)
     }
 
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -78,7 +78,11 @@
     let mut text = String::from("| event | meaning | fields |\n| --- | --- | --- |\n");
     for entry in CATALOGUE {
         // Writing to a string can't fail.
-        let _ = writeln!(text, "| {} | {} | {} |", entry.code, entry.title, entry.fields);
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} |",
+            entry.code, entry.title, entry.fields
+        );
     }
     text
 }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -131,7 +131,9 @@
     /// Returns the configuration in force.
     pub(crate) fn set(&self) -> Option<Rc<ServingSet>> {
         let installed = self.installed.borrow();
-        installed.as_ref().map(|installed| Rc::clone(&installed.set))
+        installed
+            .as_ref()
+            .map(|installed| Rc::clone(&installed.set))
     }
 
     /// Returns the configuration in force with its document.
@@ -162,7 +164,9 @@
             pipelines = set.pipelines.len(),
             pools = set.pools.len()
         );
-        self.metrics.config_version.set(i64::try_from(set.version.0).unwrap_or(i64::MAX));
+        self.metrics
+            .config_version
+            .set(i64::try_from(set.version.0).unwrap_or(i64::MAX));
         *self.installed.borrow_mut() = Some(InstalledSet {
             set: Rc::new(set),
             document: document.clone(),
@@ -184,7 +188,11 @@
     fn note_server(&self, server: &ServerId, revision: u64, source: &str) {
         let registry = self.registry.borrow();
         let usable = registry.usable(self.now(), server);
-        let state = if usable.is_some() { "usable" } else { "not usable" };
+        let state = if usable.is_some() {
+            "usable"
+        } else {
+            "not usable"
+        };
         let pool = usable.map(|record| record.pool.to_string());
         log_line!(
             self,
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -121,7 +121,11 @@
         },
         key: order.key,
         result_bytes: order.result_bytes,
-        due: if order.due_us < 0 { now - due } else { now + due },
+        due: if order.due_us < 0 {
+            now - due
+        } else {
+            now + due
+        },
         expires: now + Duration::from_micros(order.expires_us),
         domain,
         pull_bytes: order.pull_bytes,
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -159,7 +159,8 @@
 
 fn attempt_limit(host: &Host, context: &RequestContext, state: &CallState) -> Duration {
     let left = context.deadline.since(host.now());
-    let repeats = context.pipeline.may_repeat() && state.arrivals + 1 < context.pipeline.max_attempts;
+    let repeats =
+        context.pipeline.may_repeat() && state.arrivals + 1 < context.pipeline.max_attempts;
     if repeats {
         left.min(context.pipeline.objective.mul_f64(FIRST_TRY_PART))
     } else {
@@ -174,11 +175,14 @@
     record: &ServerRecord,
 ) -> Result<WholeAnswer, AttemptFailure> {
     let mut answer = send_attempt(host, context, server, record, AttemptExtras::default()).await?;
-    let body = (&mut answer.body).collect().await.map_err(|_| AttemptFailure {
-        verdict: ExecutionVerdict::MayHaveRun,
-        arrived: true,
-        reason: "the answer ended early",
-    })?;
+    let body = (&mut answer.body)
+        .collect()
+        .await
+        .map_err(|_| AttemptFailure {
+            verdict: ExecutionVerdict::MayHaveRun,
+            arrived: true,
+            reason: "the answer ended early",
+        })?;
     let whole = WholeAnswer {
         status: answer.status,
         headers: hollywheel_adapter::caller_headers(&answer.headers),
@@ -207,14 +211,15 @@
         end.status = answer.status.as_u16();
         end.first_took = Some(host.now().since(context.arrived));
         guard.end(&end);
-        return build_answer(host, answer.status, answer.headers, AnswerBody::whole(answer.body));
+        return build_answer(
+            host,
+            answer.status,
+            answer.headers,
+            AnswerBody::whole(answer.body),
+        );
     }
     let (outcome, status, retry_after) = match state.verdict {
-        ExecutionVerdict::NotRun => (
-            "refused",
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(FULL_RETRY),
-        ),
+        ExecutionVerdict::NotRun => ("refused", StatusCode::SERVICE_UNAVAILABLE, Some(FULL_RETRY)),
         ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => {
             let timed_out = host.now() >= context.deadline;
             let status = if timed_out {
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -118,14 +118,14 @@
 }
 
 /// Answers a request.
-pub(crate) async fn answer_request(
-    host: Host,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub(crate) async fn answer_request(host: Host, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = host.now();
     let (parts, body) = request.into_parts();
     let head = hollywheel_adapter::read_head(&parts.headers);
-    let attempt = head.as_ref().map_or("", |head| head.attempt.as_str()).to_owned();
+    let attempt = head
+        .as_ref()
+        .map_or("", |head| head.attempt.as_str())
+        .to_owned();
     let guard = RequestGuard::new(&host, &attempt, "", arrived);
     let read = match head {
         Ok(head) => read_request(&host, parts, head, body, arrived).await,
@@ -174,7 +174,10 @@
     let workspace = check_key(&set, &pipeline, &head)?;
     let body = read_body(body, set.limits.body_bytes).await?;
     let tie = host.tie();
-    let pool = pipeline.pool_for(tie >> 32).ok_or(Rejection::NoRoute)?.clone();
+    let pool = pipeline
+        .pool_for(tie >> 32)
+        .ok_or(Rejection::NoRoute)?
+        .clone();
     let wait = head.deadline.unwrap_or(pipeline.timeout);
     let wait = wait.saturating_sub(RETURN_TIME).min(pipeline.timeout);
     let patience = pipeline.stream_patience().unwrap_or(wait);
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -52,12 +52,17 @@
         let unneeded = host.outbox.unneeded.take();
         for (owner, handles) in unneeded.iter() {
             if *host.hosts.borrow().own() == owner.host {
-                host.batches.release(&host, &owner.pool, &owner.shard, handles);
+                host.batches
+                    .release(&host, &owner.pool, &owner.shard, handles);
             } else {
                 let message = FreeResults {
                     pool: owner.pool.to_string(),
                     handles: handles.clone(),
-                    shard: owner.shard.domain().map(ToString::to_string).unwrap_or_default(),
+                    shard: owner
+                        .shard
+                        .domain()
+                        .map(ToString::to_string)
+                        .unwrap_or_default(),
                 };
                 tokio::task::spawn_local(send_free(host.clone(), owner.host.clone(), message));
             }
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -68,9 +68,12 @@
     parts.push(with_listener(&host, "ready", &ready, |host, listener| {
         serve_side(host, listener, SideAnswer::Ready)
     }));
-    parts.push(with_listener(&host, "metrics", &metrics, |host, listener| {
-        serve_side(host, listener, SideAnswer::Metrics)
-    }));
+    parts.push(with_listener(
+        &host,
+        "metrics",
+        &metrics,
+        |host, listener| serve_side(host, listener, SideAnswer::Metrics),
+    ));
     supervise(&host, parts);
     terminate.recv().await;
     stop(&host).await;
@@ -100,7 +103,9 @@
     let reload = {
         let host = host.clone();
         let options = options.clone();
-        part("settings", move || follow_settings(host.clone(), options.clone()))
+        part("settings", move || {
+            follow_settings(host.clone(), options.clone())
+        })
     };
     vec![
         with_host("store-config", |host| {
@@ -141,7 +146,8 @@
         tokio::time::sleep(SWEEP_TIME).await;
         let now = host.now();
         let registry = host.registry.borrow();
-        host.engines.sweep(|server| registry.usable(now, server).is_some());
+        host.engines
+            .sweep(|server| registry.usable(now, server).is_some());
         let mut loads = host.loads.borrow_mut();
         loads.retain(|server| registry.usable(now, server).is_some());
     }
@@ -172,7 +178,13 @@
         match hollywheel_adapter::read_settings(&text) {
             Ok(settings) => {
                 host.replace_settings(settings);
-                log_line!(host, info, SettingsReloaded, outcome = "in force", detail = "");
+                log_line!(
+                    host,
+                    info,
+                    SettingsReloaded,
+                    outcome = "in force",
+                    detail = ""
+                );
             }
             Err(error) => {
                 log_line!(host, error, SettingsReloaded, outcome = "kept", detail = %error);
--- a/crates/hollywheel-gateway/src/send.rs
+++ b/crates/hollywheel-gateway/src/send.rs
@@ -194,7 +194,9 @@
     *request.headers_mut() = hollywheel_adapter::engine_headers(&context.headers, &call);
     if has_body {
         let length = http::HeaderValue::from(context.body.len());
-        request.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+        request
+            .headers_mut()
+            .insert(http::header::CONTENT_LENGTH, length);
     }
     Some(request)
 }
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -8,8 +8,8 @@
 use prost::Message;
 
 use hollywheel_serving::{
-    HostRecord, PieceHandle, PipelineRoute, PoolShard, ServerRecord, ServingSet,
-    StageGraph, StageInput, choose_shard,
+    HostRecord, PieceHandle, PipelineRoute, PoolShard, ServerRecord, ServingSet, StageGraph,
+    StageInput, choose_shard,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
@@ -231,14 +231,18 @@
     input: &StageInput,
 ) -> PiecePlace {
     let pieces = u64::try_from(graph.pieces(stage)).unwrap_or(u64::MAX);
-    let written = context.pipeline.stages[stage].result_bytes.saturating_mul(pieces);
+    let written = context.pipeline.stages[stage]
+        .result_bytes
+        .saturating_mul(pieces);
     let is_last = graph.is_final(stage);
     let (source, read) = match input {
         StageInput::Key => (None, 0),
         StageInput::Results(handles) => {
             let sizes = graph.needed(stage).iter().map(|needed| {
                 let count = u64::try_from(graph.pieces(*needed)).unwrap_or(u64::MAX);
-                context.pipeline.stages[*needed].result_bytes.saturating_mul(count)
+                context.pipeline.stages[*needed]
+                    .result_bytes
+                    .saturating_mul(count)
             });
             let read = sizes.sum::<u64>().saturating_mul(pieces);
             (main_domain(host, handles), read)
@@ -353,8 +357,16 @@
         result_bytes: group.result_bytes,
         due_us: due,
         expires_us: micros(group.expires.since(now)),
-        domain: group.domain.as_ref().map(ToString::to_string).unwrap_or_default(),
+        domain: group
+            .domain
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
         pull_bytes: group.pull_bytes,
-        shard: group.shard.domain().map(ToString::to_string).unwrap_or_default(),
+        shard: group
+            .shard
+            .domain()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
     }
 }
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -123,7 +123,9 @@
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, StoreFailure> {
-        let stream = connect(self.address, CONNECT_LIMIT).await.map_err(refused)?;
+        let stream = connect(self.address, CONNECT_LIMIT)
+            .await
+            .map_err(refused)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(refused)?;
         // Every error of the connection reaches the call that is on it.
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -101,7 +101,11 @@
             self.host.view.borrow_mut().confirm(told);
         }
         let collects = changed && self.table == StoreTable::Servers;
-        Ok(if collects { COLLECT_TIME } else { Duration::ZERO })
+        Ok(if collects {
+            COLLECT_TIME
+        } else {
+            Duration::ZERO
+        })
     }
 
     async fn list(&mut self) -> Result<Duration, StoreFailure> {
@@ -111,9 +115,15 @@
         loop {
             let call = StoreCall::List {
                 table: self.table,
-                from: rows.last().map(|row| next_key(&row.key)).unwrap_or_default(),
+                from: rows
+                    .last()
+                    .map(|row| next_key(&row.key))
+                    .unwrap_or_default(),
             };
-            let page = self.connection.call(&call, FEED_WAIT + ANSWER_SLACK).await?;
+            let page = self
+                .connection
+                .call(&call, FEED_WAIT + ANSWER_SLACK)
+                .await?;
             // Changes after the first page may be missing from it; the feed repeats them.
             revision.get_or_insert(page.revision);
             let ends = !page.has_more || page.rows.is_empty();
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -126,7 +126,10 @@
         Self {
             graph: StageGraph::new(&context.pipeline.stages, &context.head.pieces),
             held: HeldResults::new(host),
-            last_event: context.head.last_event.filter(|_| context.pipeline.resumable),
+            last_event: context
+                .head
+                .last_event
+                .filter(|_| context.pipeline.resumable),
             host: host.clone(),
             context,
             guard,
@@ -172,7 +175,14 @@
                 Ok(open) => return Err(self.read_whole(open.answer).await),
                 Err(failure) => failure,
             };
-            note_failure(&self.host, &self.context, &server, self.tries, &failure, sent_at);
+            note_failure(
+                &self.host,
+                &self.context,
+                &server,
+                self.tries,
+                &failure,
+                sent_at,
+            );
             self.arrivals += u32::from(failure.arrived);
             self.verdict = self.verdict.join(failure.verdict);
             self.reason = failure.reason;
@@ -351,7 +361,8 @@
         self.verdict = ExecutionVerdict::Ran;
         self.reason = "";
         let now = self.host.now();
-        self.first_took.get_or_insert(now.since(self.context.arrived));
+        self.first_took
+            .get_or_insert(now.since(self.context.arrived));
         let name = &self.context.pipeline.name;
         let mut forecast = self.host.forecast.borrow_mut();
         forecast.learn_first_answer(name, now.since(sent_at));
@@ -480,7 +491,14 @@
             };
             let server = broken.answer.server.clone();
             let sent_at = broken.answer.sent_at;
-            note_failure(&job.host, &job.context, &server, job.tries, &failure, sent_at);
+            note_failure(
+                &job.host,
+                &job.context,
+                &server,
+                job.tries,
+                &failure,
+                sent_at,
+            );
             job.excluded.push(server);
         }
         let left = job.context.deadline.since(job.host.now());
--- a/crates/hollywheel-gateway/src/supervisor.rs
+++ b/crates/hollywheel-gateway/src/supervisor.rs
@@ -36,7 +36,9 @@
         tokio::task::spawn_local(async move {
             loop {
                 let ended = tokio::task::spawn_local((entry.start)()).await;
-                let detail = ended.err().map_or_else(|| "ended".to_owned(), |error| error.to_string());
+                let detail = ended
+                    .err()
+                    .map_or_else(|| "ended".to_owned(), |error| error.to_string());
                 log_line!(host, error, PartFailed, part = entry.name, detail);
                 tokio::time::sleep(RESTART_PAUSE).await;
             }
--- /dev/null
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -0,0 +1,191 @@
+//! Stand-ins of the platform on loopback: its store, and backend servers that misbehave.
+
+mod servers;
+mod store;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+pub use servers::ServerLog;
+
+/// Holds a gateway process's thread and its surroundings.
+pub struct Fixture {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub store: Arc<store::StoreStandin>,
+    pub log: Arc<ServerLog>,
+}
+
+/// Holds a complete answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub seal: Option<String>,
+    pub retry_after: Option<f64>,
+    pub body: Result<String, String>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+const CONFIG: &str = r#"{"version":VERSION,"routes":[
+{"name":"pay","host":"h","path-prefix":"/pay/","kind":"non_idempotent","timeout-ms":1500,"latency-target-ms":300,"service":"plain","max-attempts":1},
+{"name":"look","host":"h","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"latency-target-ms":300,"service":"plain","max-attempts":2},
+{"name":"draft","host":"h","path-prefix":"/draft/","kind":"streaming","timeout-ms":4000,"latency-target-ms":800,"gap-target-ms":250,"service":"model","max-attempts":1,"stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":10}],"session-affinity":true},
+{"name":"brief","host":"h","path-prefix":"/brief/","kind":"streaming","timeout-ms":4000,"latency-target-ms":800,"gap-target-ms":250,"service":"model","max-attempts":2,"stages":[{"service":"stage","after":[],"bytes":1000}],"session-affinity":true,"resume-streams":true}],
+"services":[{"name":"plain","max-connections":100},
+{"name":"model","max-connections":100,"engine":{"slots":8,"kv-cache-tokens":100000}},
+{"name":"stage","max-connections":100,"pieces":{"slots":1,"queue":2,"batch":8,"call-ms":20,"item-ms":1,"headroom-mb":1,"handle-s":4}}],
+"tenants":[{"name":"office","api-keys":["KEY"]}]}"#;
+
+/// Returns a configuration of a version in which one key is known.
+pub fn config(version: u64, key: &str) -> String {
+    CONFIG
+        .replace("VERSION", &version.to_string())
+        .replace("KEY", key)
+}
+
+fn settings(fixture: &Fixture, peers: SocketAddr, store: SocketAddr) -> String {
+    format!(
+        r#"node = "front-a-1"
+zone = "a"
+[listen]
+front = "{}"
+ready = "{}"
+control = "{peers}"
+[limits]
+cpu-share = 0.25
+memory-mb = 260
+file-descriptors = 4100
+link-mbps = 1000.0
+[bounds]
+drain-ms = 2000
+grace-s = 8
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 58
+config-apply-ms = 2000
+[platform]
+address = "{store}"
+reads-per-s = 2000
+"#,
+        fixture.callers, fixture.ready
+    )
+}
+
+impl Fixture {
+    /// Starts the stand-ins and a gateway, and waits until it is ready.
+    pub async fn start(name: &str) -> Self {
+        let store = Arc::new(store::StoreStandin::default());
+        let log = Arc::new(ServerLog::default());
+        let fixture = Self {
+            callers: free_address(),
+            ready: free_address(),
+            store: Arc::clone(&store),
+            log: Arc::clone(&log),
+        };
+        let store_address = store::serve(Arc::clone(&store)).await;
+        for (server, pool) in [
+            ("p1", "plain"),
+            ("p2", "plain"),
+            ("m1", "model"),
+            ("m2", "model"),
+            ("s1", "stage"),
+        ] {
+            let address = servers::serve(server, Arc::clone(&log)).await;
+            store.set_server(server, pool, address, "ready");
+        }
+        store.set_config(&config(1, "k1"));
+        let path = std::env::temp_dir().join(format!("hollywheel-{name}-{}", std::process::id()));
+        std::fs::write(&path, settings(&fixture, free_address(), store_address)).unwrap();
+        let settings = path.to_str().unwrap().to_owned();
+        std::thread::spawn(move || {
+            let words = ["gateway", "--settings", &settings, "--metrics-port", "0"];
+            let words = words.into_iter().chain(["--log-level", "error"]);
+            hollywheel_gateway::run_gateway(words.map(Into::into))
+        });
+        fixture.wait_until_ready().await;
+        fixture
+    }
+
+    async fn wait_until_ready(&self) {
+        for _ in 0..200 {
+            if let Ok(answer) = send(self.ready, request("GET", "/ready", "x", "")).await
+                && answer.status == 200
+            {
+                // The entries of the backend servers are read on another connection.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("the gateway is not ready after 5 s");
+    }
+
+    /// Sends a caller's request and reads the whole answer.
+    pub async fn call(&self, method: &str, path: &str, attempt: &str) -> Answer {
+        send(self.callers, request(method, path, attempt, "k1"))
+            .await
+            .unwrap()
+    }
+}
+
+/// Makes a caller's request.
+pub fn request(method: &str, path: &str, attempt: &str, key: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "h")
+        .header("attempt-id", attempt)
+        .header("deadline-ms", "3000")
+        .header("authorization", format!("Bearer {key}"))
+        .header("model", "m")
+        .header("token-counts", "100,10")
+        .header("prompt-prefix", "a:50,b:50")
+        .header("pieces", "2,1")
+        .header("piece-key", "7c1e")
+        .body(Full::new(Bytes::from_static(b"body")))
+        .unwrap()
+}
+
+/// Sends a request on a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, hyper::Error> {
+    let Ok(stream) = TcpStream::connect(address).await else {
+        return Ok(Answer {
+            status: 0,
+            seal: None,
+            retry_after: None,
+            body: Err("no connection".into()),
+        });
+    };
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake?;
+    tokio::spawn(connection);
+    let answer: Response<Incoming> = sender.send_request(request).await?;
+    let text = |name: &str| {
+        let value = answer.headers().get(name);
+        value.map(|value| value.to_str().unwrap().to_owned())
+    };
+    Ok(Answer {
+        status: answer.status().as_u16(),
+        seal: text("response-seal"),
+        retry_after: text("retry-after").map(|seconds| seconds.parse().unwrap()),
+        body: match answer.into_body().collect().await {
+            Ok(body) => Ok(String::from_utf8(body.to_bytes().to_vec()).unwrap()),
+            Err(error) => Err(error.to_string()),
+        },
+    })
+}
--- /dev/null
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -0,0 +1,173 @@
+//! A stand-in of the platform's store: rows with revisions, and a feed.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+struct Row {
+    table: &'static str,
+    key: String,
+    value: Option<String>,
+    revision: u64,
+}
+
+/// Holds the rows, and whether the store answers.
+#[derive(Default)]
+pub struct StoreStandin {
+    rows: Mutex<Vec<Row>>,
+    changed: Notify,
+    down: Mutex<bool>,
+}
+
+fn base64(text: &str) -> String {
+    const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut encoded = String::new();
+    for chunk in text.as_bytes().chunks(3) {
+        let bytes = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
+        let bits = u32::from_be_bytes([0, bytes[0], bytes[1], bytes[2]]);
+        for digit in 0..4 {
+            let index = (bits >> (18 - 6 * digit)) & 63;
+            let used = digit <= chunk.len();
+            encoded.push(if used {
+                char::from(DIGITS[index as usize])
+            } else {
+                '='
+            });
+        }
+    }
+    encoded
+}
+
+impl StoreStandin {
+    fn set(&self, table: &'static str, key: &str, value: Option<String>) {
+        let mut rows = self.rows.lock().unwrap();
+        let revision = rows.iter().map(|row| row.revision).max().unwrap_or(0) + 1;
+        rows.retain(|row| (row.table, row.key.as_str()) != (table, key));
+        rows.push(Row {
+            table,
+            key: key.to_owned(),
+            value,
+            revision,
+        });
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    /// Publishes a configuration.
+    pub fn set_config(&self, text: &str) {
+        self.set("op", "config", Some(base64(text)));
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn set_server(&self, server: &str, pool: &str, address: SocketAddr, state: &str) {
+        let entry = format!(
+            r#"{{"service":"{pool}","address":"{address}","zone":"a","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":1}}"#
+        );
+        self.set("servers", server, Some(base64(&entry)));
+    }
+
+    /// Removes the entry of a backend server.
+    pub fn remove_server(&self, server: &str) {
+        self.set("servers", server, None);
+    }
+
+    /// Takes the store away or brings it back.
+    pub fn set_down(&self, down: bool) {
+        *self.down.lock().unwrap() = down;
+        self.changed.notify_waiters();
+    }
+
+    fn list(&self, table: &str, after: Option<u64>) -> (Vec<String>, u64) {
+        let rows = self.rows.lock().unwrap();
+        let newest = rows.iter().map(|row| row.revision).max().unwrap_or(0);
+        let found = rows
+            .iter()
+            .filter(|row| row.table == table && after.is_none_or(|after| row.revision > after));
+        let found = found.filter(|row| after.is_some() || row.value.is_some());
+        let texts = found.map(|row| {
+            let value = match &row.value {
+                Some(value) => format!(r#""value":"{value}""#),
+                None => r#""removed":true"#.to_owned(),
+            };
+            format!(
+                r#"{{"table":"{table}","part":"","key":"{}","row-version":{},{value}}}"#,
+                row.key, row.revision
+            )
+        });
+        (texts.collect(), newest)
+    }
+}
+
+fn argument(query: &str, name: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned())
+}
+
+async fn answer(store: Arc<StoreStandin>, request: Request<Incoming>) -> (u16, String) {
+    if *store.down.lock().unwrap() {
+        return (503, "{}".into());
+    }
+    let query = request.uri().query().unwrap_or("");
+    let table = argument(query, "table").unwrap_or_default();
+    let (rows, newest) = match request.uri().path() {
+        "/rows-get" => store.list(&table, None),
+        "/rows-feed" => {
+            let after: u64 = argument(query, "after").unwrap().parse().unwrap();
+            let wait: u64 = argument(query, "wait-ms").unwrap().parse().unwrap();
+            let changed = store.changed.notified();
+            let (rows, newest) = store.list(&table, Some(after));
+            if rows.is_empty() {
+                let _ = tokio::time::timeout(Duration::from_millis(wait), changed).await;
+                store.list(&table, Some(after))
+            } else {
+                (rows, newest)
+            }
+        }
+        _ => (Vec::new(), store.list(&table, None).1),
+    };
+    let rows = rows.join(",");
+    (
+        200,
+        format!(r#"{{"rows":[{rows}],"has-more":false,"row-version":{newest},"now-ms":1}}"#),
+    )
+}
+
+/// Serves the store on an address that the system gives.
+pub async fn serve(store: Arc<StoreStandin>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let store = Arc::clone(&store);
+            let service = service_fn(move |request| {
+                let answered = answer(Arc::clone(&store), request);
+                async move {
+                    let (status, body) = answered.await;
+                    let mut response = Response::new(Full::new(Bytes::from(body)));
+                    *response.status_mut() = status.try_into().unwrap();
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -269,13 +269,13 @@
         own: Duration,
         finish: MonoTime,
     ) -> bool {
-        let fast = self.servers.values().filter(|other| {
-            other.is_present() && other.slowness() <= SLOW_RATIO
-        });
+        let fast = self
+            .servers
+            .values()
+            .filter(|other| other.is_present() && other.slowness() <= SLOW_RATIO);
         let next = fast.map(|other| other.free_at(now)).min();
         let elsewhere = next.map(|at| at + own);
-        elsewhere.is_none_or(|at| at > finish)
-            || (self.is_crowded() && group.is_late(now, own))
+        elsewhere.is_none_or(|at| at > finish) || (self.is_crowded() && group.is_late(now, own))
     }
 
     /// Says whether a server in the group's own domain will be free in time for its objective.
@@ -312,9 +312,8 @@
         let mut timely = false;
         let mut added = Duration::ZERO;
         let ride_time = self.policy.pool.call_time.mul_f64(LATE_RIDE_PART);
-        let is_near = |ordered: &&OrderedGroup<'_>| {
-            ordered.urgent || ordered.group.prefers(&state.domain)
-        };
+        let is_near =
+            |ordered: &&OrderedGroup<'_>| ordered.urgent || ordered.group.prefers(&state.domain);
         let near = order.iter().filter(is_near);
         let far = order.iter().filter(|ordered| !is_near(ordered));
         for OrderedGroup { group, class, .. } in near.chain(far) {
@@ -421,7 +420,9 @@
         results: Vec<PieceResult>,
     ) -> Vec<PieceDelivery> {
         let mut deliveries = Vec::new();
-        let all = results.into_iter().chain(std::iter::repeat(PieceResult::Failed));
+        let all = results
+            .into_iter()
+            .chain(std::iter::repeat(PieceResult::Failed));
         for ((piece, bytes), result) in running.pieces.iter().zip(&running.bytes).zip(all) {
             match result {
                 PieceResult::Made(handle) => {
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -108,7 +108,8 @@
         let used: u64 = live.map(|result| result.bytes).sum();
         let cap = self.room_cap.filter(|(_, until)| *until > now);
         let room = cap.map_or(room, |(cap, _)| room.min(cap));
-        room.saturating_sub(used).saturating_sub(self.reserved_bytes)
+        room.saturating_sub(used)
+            .saturating_sub(self.reserved_bytes)
     }
 
     pub(super) const fn begin_call(&mut self, until: MonoTime, reserve: u64) {
@@ -165,6 +166,5 @@
     handle: &PieceHandle,
 ) -> Option<&'a ServerId> {
     let mut entries = servers.iter_mut();
-    entries
-        .find_map(|(server, state)| state.drop_result(handle).then_some(server))
+    entries.find_map(|(server, state)| state.drop_result(handle).then_some(server))
 }
--- a/crates/hollywheel-serving/src/call_time.rs
+++ b/crates/hollywheel-serving/src/call_time.rs
@@ -48,11 +48,17 @@
     pub fn learn(&mut self, pieces: &[(String, usize)], taken: Duration) {
         let expected = self.call(pieces.iter().map(|(kind, count)| (kind.as_str(), *count)));
         let error = taken.as_secs_f64() - expected.as_secs_f64();
-        let norm: f64 = pieces.iter().map(|(_, count)| (*count as f64).powi(2)).sum();
+        let norm: f64 = pieces
+            .iter()
+            .map(|(_, count)| (*count as f64).powi(2))
+            .sum();
         if norm == 0.0 {
             return;
         }
-        let bounds = (self.piece_time * PIECE_BOUNDS.0, self.piece_time * PIECE_BOUNDS.1);
+        let bounds = (
+            self.piece_time * PIECE_BOUNDS.0,
+            self.piece_time * PIECE_BOUNDS.1,
+        );
         for (kind, count) in pieces {
             let step = LEARNING_RATE * error * *count as f64 / norm;
             let initial = self.piece_time;
--- a/crates/hollywheel-serving/src/events.rs
+++ b/crates/hollywheel-serving/src/events.rs
@@ -68,6 +68,8 @@
 
 fn find_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let id = lines
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .next_back()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -139,7 +139,10 @@
 
     /// Returns the number of hosts that count as alive, this one included.
     pub fn live_count(&self, now: MonoTime) -> usize {
-        self.hosts.values().filter(|state| state.is_live(now)).count()
+        self.hosts
+            .values()
+            .filter(|state| state.is_live(now))
+            .count()
     }
 
     /// Returns the number of hosts known that have not left, this one included.
@@ -162,7 +165,10 @@
             .map(|state| (duty_rank(duty, domain, &state.record), &state.record))
             .collect();
         order.sort_by(|left, right| right.0.total_cmp(&left.0));
-        order.into_iter().map(|(_, record)| record.clone()).collect()
+        order
+            .into_iter()
+            .map(|(_, record)| record.clone())
+            .collect()
     }
 
     /// Returns the name of this host.
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -18,9 +18,9 @@
 mod stage_graph;
 mod store_view;
 
-pub use batch::{PieceDelivery, 
-    BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceResult,
-    PoolBatcher, WorkPiece,
+pub use batch::{
+    BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
+    PieceResult, PoolBatcher, WorkPiece,
 };
 pub use budget::RetryBudget;
 pub use call_time::CallTimes;
--- a/crates/hollywheel-serving/src/place.rs
+++ b/crates/hollywheel-serving/src/place.rs
@@ -113,7 +113,9 @@
     let least = candidates.iter().min_by(|left, right| {
         let rank = |candidate: &Candidate<'_>| pair_weight(query.tie, candidate.server.as_str());
         let foreign = |candidate: &Candidate<'_>| {
-            query.domain.is_some_and(|domain| candidate.record.domain != *domain)
+            query
+                .domain
+                .is_some_and(|domain| candidate.record.domain != *domain)
         };
         left.load
             .total_cmp(&right.load)
--- a/crates/hollywheel-serving/src/serving_set.rs
+++ b/crates/hollywheel-serving/src/serving_set.rs
@@ -283,7 +283,10 @@
         }
         let finals = pipeline.pools.iter().map(|entry| &entry.pool);
         let stages = pipeline.stages.iter().map(|stage| &stage.pool);
-        if let Some(pool) = finals.chain(stages).find(|pool| !self.pools.contains_key(*pool)) {
+        if let Some(pool) = finals
+            .chain(stages)
+            .find(|pool| !self.pools.contains_key(*pool))
+        {
             return Err(SetFault::UnknownPool {
                 pipeline: name(),
                 pool: pool.clone(),
--- a/crates/hollywheel-serving/src/shards.rs
+++ b/crates/hollywheel-serving/src/shards.rs
@@ -53,7 +53,11 @@
     if domains.len() < 2 || servers.len() as f64 / (domains.len() as f64) < MIN_SHARD_SERVERS {
         return vec![PoolShard::Whole];
     }
-    domains.into_iter().cloned().map(PoolShard::Domain).collect()
+    domains
+        .into_iter()
+        .cloned()
+        .map(PoolShard::Domain)
+        .collect()
 }
 
 /// Chooses the shard for the pieces of a request: that of the preferred domain, else one by the
--- a/crates/hollywheel-serving/src/stage_graph.rs
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -73,7 +73,11 @@
     pub fn start_ready(&mut self) -> Vec<usize> {
         let ready: Vec<usize> = (0..self.states.len())
             .filter(|stage| self.states[*stage] == StageState::Pending)
-            .filter(|stage| self.after[*stage].iter().all(|needed| self.is_done(*needed)))
+            .filter(|stage| {
+                self.after[*stage]
+                    .iter()
+                    .all(|needed| self.is_done(*needed))
+            })
             .collect();
         for stage in &ready {
             self.states[*stage] = StageState::Running;
@@ -172,7 +176,12 @@
     /// Returns the longest sum of the given stage times over the stages that are not done.
     pub fn time_left(&self, times: &[std::time::Duration]) -> std::time::Duration {
         (0..self.after.len())
-            .filter(|stage| matches!(self.states[*stage], StageState::Pending | StageState::Running))
+            .filter(|stage| {
+                matches!(
+                    self.states[*stage],
+                    StageState::Pending | StageState::Running
+                )
+            })
             .map(|stage| times[stage] + self.time_after(stage, times))
             .max()
             .unwrap_or_default()
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -23,9 +23,11 @@
 
 fn batcher(servers: &[(&str, &str)]) -> PoolBatcher {
     let mut batcher = PoolBatcher::new(BatchPolicy { pool: pool() });
-    batcher.set_servers(servers.iter().map(|(server, domain)| {
-        (server.parse().unwrap(), domain.parse().unwrap(), Some(1))
-    }));
+    batcher.set_servers(
+        servers
+            .iter()
+            .map(|(server, domain)| (server.parse().unwrap(), domain.parse().unwrap(), Some(1))),
+    );
     batcher
 }
 
@@ -60,7 +62,10 @@
 fn made(plan: &CallPlan) -> CallOutcome {
     let pieces = plan.pieces.iter();
     let results = pieces.map(|piece| {
-        PieceResult::Made(format!("{}/{}-{}", plan.server, piece.ticket.0, piece.position))
+        PieceResult::Made(format!(
+            "{}/{}-{}",
+            plan.server, piece.ticket.0, piece.position
+        ))
     });
     CallOutcome::Answered(results.collect())
 }
@@ -74,7 +79,11 @@
     for ticket in 2..=6 {
         batcher.offer(at(10), group(ticket, 2, 5000 + ticket, 8000));
     }
-    assert_eq!(batcher.next_call(at(10)), None, "one call at a time for a server");
+    assert_eq!(
+        batcher.next_call(at(10)),
+        None,
+        "one call at a time for a server"
+    );
     batcher.finish_call(at(170), first.call, made(&first));
     let second = batcher.next_call(at(170)).unwrap();
     assert_eq!(tickets(&second), [2, 3, 4, 5, 6]);
@@ -92,7 +101,8 @@
         if tick % 20 == 0 {
             batcher.offer(now, group(tick + 1, 1, tick + 800, tick + 8000));
         }
-        let ended: Vec<(MonoTime, CallPlan)> = running.extract_if(.., |(end, _)| *end <= now).collect();
+        let ended: Vec<(MonoTime, CallPlan)> =
+            running.extract_if(.., |(end, _)| *end <= now).collect();
         for (_, plan) in ended {
             for delivery in batcher.finish_call(now, plan.call, made(&plan)) {
                 delivered += 1;
@@ -109,7 +119,10 @@
         }
     }
     assert!(delivered > 180, "{delivered} of 200 were delivered");
-    assert!(latest < Duration::from_millis(600), "the latest took {latest:?}");
+    assert!(
+        latest < Duration::from_millis(600),
+        "the latest took {latest:?}"
+    );
 }
 
 #[test]
@@ -168,7 +181,10 @@
         let verdict = batcher.offer(at(1000), group(ticket, 14, 900, 60_000));
         refused += usize::from(matches!(verdict, GroupVerdict::Refused { .. }));
     }
-    assert_eq!(refused, 16, "the fifth finds four full calls of 276 ms, more than a second");
+    assert_eq!(
+        refused, 16,
+        "the fifth finds four full calls of 276 ms, more than a second"
+    );
 }
 
 #[test]
@@ -226,7 +242,11 @@
     let mut batcher = batcher(&[("s1", "a"), ("s2", "a")]);
     batcher.offer(at(0), group(1, 2, 5000, 8000));
     let first = batcher.next_call(at(0)).unwrap();
-    assert!(batcher.finish_call(at(400), first.call, CallOutcome::Failed).is_empty());
+    assert!(
+        batcher
+            .finish_call(at(400), first.call, CallOutcome::Failed)
+            .is_empty()
+    );
     let second = batcher.next_call(at(400)).unwrap();
     assert_ne!(first.server, second.server);
     assert_eq!(second.pieces.len(), 2);
@@ -253,15 +273,26 @@
 fn a_slow_server_gets_only_what_can_wait_for_it() {
     let mut batcher = batcher(&[("s1", "a"), ("s2", "a")]);
     for round in 0..4 {
-        batcher.offer(at(round * 2000), group(round + 1, 1, round * 2000 + 1900, 90_000));
+        batcher.offer(
+            at(round * 2000),
+            group(round + 1, 1, round * 2000 + 1900, 90_000),
+        );
         let plan = batcher.next_call(at(round * 2000)).unwrap();
-        let took = if plan.server.as_str() == "s1" { 900 } else { 160 };
+        let took = if plan.server.as_str() == "s1" {
+            900
+        } else {
+            160
+        };
         batcher.finish_call(at(round * 2000 + took), plan.call, made(&plan));
     }
     batcher.offer(at(20_000), group(50, 1, 20_400, 30_000));
     assert_eq!(batcher.next_call(at(20_000)).unwrap().server.as_str(), "s2");
     batcher.offer(at(20_001), group(51, 1, 20_400, 30_000));
-    assert_eq!(batcher.next_call(at(20_001)), None, "s2 ends earlier than s1 would");
+    assert_eq!(
+        batcher.next_call(at(20_001)),
+        None,
+        "s2 ends earlier than s1 would"
+    );
     batcher.offer(at(20_002), group(52, 1, 25_000, 30_000));
     assert_eq!(batcher.next_call(at(20_002)).unwrap().server.as_str(), "s1");
 }
@@ -291,7 +322,11 @@
     batcher.offer(at(0), group(1, 2, 5000, 8000));
     let plan = batcher.next_call(at(0)).unwrap();
     batcher.withdraw(GroupTicket(1));
-    assert!(batcher.finish_call(at(170), plan.call, made(&plan)).is_empty());
+    assert!(
+        batcher
+            .finish_call(at(170), plan.call, made(&plan))
+            .is_empty()
+    );
     let unneeded = batcher.take_unneeded();
     assert_eq!(unneeded[0].1.len(), 2);
 }
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -23,7 +23,10 @@
 }
 
 fn table(own: &str, hosts: &[HostRecord]) -> HostTable {
-    let own = hosts.iter().find(|record| record.name.as_str() == own).unwrap();
+    let own = hosts
+        .iter()
+        .find(|record| record.name.as_str() == own)
+        .unwrap();
     let mut table = HostTable::new(own.clone());
     for record in hosts {
         table.upsert(record.clone());
@@ -40,11 +43,17 @@
     let hosts: Vec<HostRecord> = (1..=9).map(|n| host(&format!("h{n}"), "a", 1)).collect();
     let first = table("h1", &hosts).duty_order(at(0), "pieces/p/", None);
     let mut other = table("h5", &hosts);
-    assert_eq!(names(&first), names(&other.duty_order(at(0), "pieces/p/", None)));
+    assert_eq!(
+        names(&first),
+        names(&other.duty_order(at(0), "pieces/p/", None))
+    );
     let lost: HostId = first[0].name.clone();
     if lost.as_str() != "h5" {
         other.note_unreachable(at(0), &lost);
-        assert_eq!(other.duty_order(at(1), "pieces/p/", None)[0].name, first[1].name);
+        assert_eq!(
+            other.duty_order(at(1), "pieces/p/", None)[0].name,
+            first[1].name
+        );
         assert_eq!(other.duty_order(at(2000), "pieces/p/", None)[0].name, lost);
     }
 }
@@ -100,7 +109,10 @@
 
 #[test]
 fn a_pool_is_divided_by_domain_when_each_has_enough_servers() {
-    assert_eq!(divide_pool(&servers(6, &["a", "b", "c"])), [PoolShard::Whole]);
+    assert_eq!(
+        divide_pool(&servers(6, &["a", "b", "c"])),
+        [PoolShard::Whole]
+    );
     let shards = divide_pool(&servers(15, &["a", "b", "c"]));
     assert_eq!(shards.len(), 3);
 }
@@ -111,15 +123,18 @@
     let shard = |name: &str| PoolShard::Domain(name.parse().unwrap());
     let preferred: DomainId = "a".parse().unwrap();
     let mut waits = ShardWaits::new();
-    let choose = |waits: &ShardWaits, now| {
-        choose_shard(now, &servers, Some(&preferred), Some(waits), 0)
-    };
+    let choose =
+        |waits: &ShardWaits, now| choose_shard(now, &servers, Some(&preferred), Some(waits), 0);
     assert_eq!(choose(&waits, at(0)), shard("a"));
     waits.insert(shard("a"), (Duration::from_millis(700), at(0)));
     waits.insert(shard("b"), (Duration::from_millis(100), at(0)));
     waits.insert(shard("c"), (Duration::from_millis(300), at(0)));
     assert_eq!(choose(&waits, at(10)), shard("b"));
-    assert_eq!(choose(&waits, at(5000)), shard("a"), "old news do not count");
+    assert_eq!(
+        choose(&waits, at(5000)),
+        shard("a"),
+        "old news do not count"
+    );
 }
 
 fn parts(shared: u64) -> Vec<PromptPart> {
@@ -167,7 +182,12 @@
     let servers = servers(6, &["a"]);
     let loads = LoadTable::new();
     let mut chosen: Vec<String> = (0..40)
-        .map(|tie| format!("{:?}", choose_least(&place(&servers, at(0), tie), &loads, 9.0)))
+        .map(|tie| {
+            format!(
+                "{:?}",
+                choose_least(&place(&servers, at(0), tie), &loads, 9.0)
+            )
+        })
         .collect();
     chosen.sort();
     chosen.dedup();
@@ -194,7 +214,10 @@
         };
         loads.note_report(at(2), name, report);
     }
-    assert_eq!(choose_least(&place(&servers, at(2), 0), &loads, 4.5), PlaceVerdict::Full);
+    assert_eq!(
+        choose_least(&place(&servers, at(2), 0), &loads, 4.5),
+        PlaceVerdict::Full
+    );
     assert_eq!(
         choose_least(&place(&[], at(2), 0), &loads, 4.5),
         PlaceVerdict::NoServer
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -41,9 +41,15 @@
     let mut registry = ServerRegistry::new();
     registry.apply(at(0), change("s1", 1, Some(record(ServerPhase::Ready, 7))));
     assert_eq!(usable(&registry, at(0)), ["s1"]);
-    registry.apply(at(1), change("s1", 2, Some(record(ServerPhase::Draining, 7))));
+    registry.apply(
+        at(1),
+        change("s1", 2, Some(record(ServerPhase::Draining, 7))),
+    );
     registry.apply(at(2), change("s1", 3, Some(record(ServerPhase::Ready, 7))));
-    assert!(usable(&registry, at(2)).is_empty(), "the same incarnation drains");
+    assert!(
+        usable(&registry, at(2)).is_empty(),
+        "the same incarnation drains"
+    );
     registry.apply(at(3), change("s1", 4, Some(record(ServerPhase::Ready, 8))));
     assert_eq!(usable(&registry, at(3)), ["s1"], "another one is ready");
 }
@@ -71,13 +77,19 @@
     let mut registry = ServerRegistry::new();
     for (revision, server) in ["s1", "s2"].iter().enumerate() {
         let revision = revision as u64 + 1;
-        registry.apply(at(0), change(server, revision, Some(record(ServerPhase::Ready, 7))));
+        registry.apply(
+            at(0),
+            change(server, revision, Some(record(ServerPhase::Ready, 7))),
+        );
     }
     registry.note_store_return(at(10_000));
     registry.apply(at(10_100), change("s1", 11, None));
     registry.apply(at(10_100), change("s2", 12, None));
     assert_eq!(usable(&registry, at(10_200)), ["s1", "s2"]);
-    registry.apply(at(11_000), change("s2", 20, Some(record(ServerPhase::Ready, 7))));
+    registry.apply(
+        at(11_000),
+        change("s2", 20, Some(record(ServerPhase::Ready, 7))),
+    );
     assert_eq!(usable(&registry, at(12_200)), ["s2"]);
 }
 
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -61,7 +61,10 @@
         route("other", "i", "/a/b/c/"),
     ];
     let set = set(routes).check().unwrap();
-    let find = |host, path| set.find_pipeline(host, path).map(|found| found.name.to_string());
+    let find = |host, path| {
+        set.find_pipeline(host, path)
+            .map(|found| found.name.to_string())
+    };
     assert_eq!(find("h", "/a/b/x").as_deref(), Some("long"));
     assert_eq!(find("h", "/a/x").as_deref(), Some("short"));
     assert_eq!(find("i", "/a/x"), None);
@@ -96,7 +99,9 @@
         pool: "more".parse().unwrap(),
         weight: 3,
     });
-    let pools: Vec<&str> = (0..4).map(|hash| split.pool_for(hash).unwrap().as_str()).collect();
+    let pools: Vec<&str> = (0..4)
+        .map(|hash| split.pool_for(hash).unwrap().as_str())
+        .collect();
     assert_eq!(pools, ["engines", "more", "more", "more"]);
 }
 
@@ -143,8 +148,9 @@
 fn repeated_sends_of_all_hosts_stay_within_the_common_bound() {
     const HOSTS: usize = 9;
     let window = Duration::from_secs(10);
-    let mut budgets: Vec<RetryBudget> =
-        (0..HOSTS).map(|_| RetryBudget::new(0.2, 58.0, window)).collect();
+    let mut budgets: Vec<RetryBudget> = (0..HOSTS)
+        .map(|_| RetryBudget::new(0.2, 58.0, window))
+        .collect();
     let mut sent = 0;
     for millis in 0..10_000 {
         let now = MonoTime::from_millis(millis);
