Don't call a request refused that a server still works on; take nothing late in a stop

Change: an attempt in progress counts as may-have-run; a stop has phases, and from the closing one on nothing is taken. Both have tests; the first failed before with 503.

--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -10,12 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::connect::accept;
-use crate::host::Host;
+use crate::host::{Host, StopPhase};
 use crate::request::answer_request;
 
-/// The platform gives a host that is not ready no new connections after two questions, one a
-/// second; connections that are idle after this time are closed while the host stops.
-const SETTLE_TIME: Duration = Duration::from_millis(2500);
 /// A connection is kept for this time beyond the time for which callers use an idle one.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
@@ -23,6 +20,10 @@
 pub(crate) async fn serve_callers(host: Host, listener: Rc<TcpListener>) {
     loop {
         let stream = accept(&listener).await;
+        if *host.stopping.borrow() >= StopPhase::Closing {
+            // A request that is not read here is sent again by its caller.
+            continue;
+        }
         tokio::task::spawn_local(serve_connection(host.clone(), stream));
     }
 }
@@ -42,16 +43,10 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut stopping = host.stopping.subscribe();
-    let settled = async {
-        // The sender lives as long as the host.
-        let _ = stopping.wait_for(|stops| *stops).await;
-        tokio::time::sleep(SETTLE_TIME).await;
-    };
     // An error ends the connection; what it means for a request is logged with the request.
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = settled => {
+        () = host.wait_for_stop(StopPhase::Closing) => {
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
         }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -56,7 +56,7 @@
     pub(crate) reading: ReadingDuty,
     /// Wakes those that wait for a change of the view.
     pub(crate) changed: Notify,
-    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) stopping: watch::Sender<StopPhase>,
     pub(crate) requests: Cell<u64>,
     next_tie: Cell<u64>,
 }
@@ -70,6 +70,17 @@
     link.min(processor).clamp(1.0, 1000.0).powi(2) as u32
 }
 
+/// Says how far the graceful stop has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum StopPhase {
+    /// The host serves.
+    Serving,
+    /// The host is not ready, and answers tell callers to connect elsewhere.
+    Leaving,
+    /// Connections without a request are closed, and new ones are not taken.
+    Closing,
+}
+
 /// Names the shared state.
 pub(crate) type Host = Rc<HostState>;
 
@@ -100,7 +111,7 @@
             outbox: ResultOutbox::default(),
             reading: ReadingDuty::default(),
             changed: Notify::new(),
-            stopping: watch::Sender::new(false),
+            stopping: watch::Sender::new(StopPhase::Serving),
             requests: Cell::new(0),
             next_tie: Cell::new(incarnation),
             settings: RefCell::new(Rc::new(settings)),
@@ -125,7 +136,17 @@
 
     /// Says whether the graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.stopping.borrow() >= StopPhase::Leaving
+    }
+
+    /// Waits until the graceful stop has come to a phase.
+    pub(crate) async fn wait_for_stop(&self, wanted: StopPhase) {
+        // The sender lives as long as the host.
+        let _ = self
+            .stopping
+            .subscribe()
+            .wait_for(|phase| *phase >= wanted)
+            .await;
     }
 
     /// Returns the configuration in force.
--- a/crates/hollywheel-gateway/src/host_rows.rs
+++ b/crates/hollywheel-gateway/src/host_rows.rs
@@ -6,7 +6,7 @@
 
 use hollywheel_adapter::StoreCall;
 
-use crate::host::Host;
+use crate::host::{Host, StopPhase};
 use crate::store_client::{StoreConnection, StoreFailure};
 use crate::store_feed::write_host;
 
@@ -22,13 +22,11 @@
 /// to this host any more.
 pub(crate) async fn keep_row(host: Host) {
     let mut connection = StoreConnection::new(&host);
-    let mut stopping = host.stopping.subscribe();
     tokio::select! {
         () = write_row(&host, &mut connection) => {}
-        _ = stopping.wait_for(|stops| *stops) => {}
+        () = host.wait_for_stop(StopPhase::Leaving) => {}
     }
-    // The sender lives as long as the host.
-    let _ = stopping.wait_for(|stops| *stops).await;
+    host.wait_for_stop(StopPhase::Leaving).await;
     remove_row(&host, &mut connection).await;
     std::future::pending::<()>().await;
 }
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -38,6 +38,8 @@
     tries: u32,
     arrivals: u32,
     verdict: ExecutionVerdict,
+    /// Whether an attempt is in progress, whose fate is not known.
+    sending: bool,
     reason: &'static str,
     kept: Option<WholeAnswer>,
 }
@@ -53,12 +55,16 @@
         tries: 0,
         arrivals: 0,
         verdict: ExecutionVerdict::NotRun,
+        sending: false,
         reason: "",
         kept: None,
     };
     let left = context.deadline.since(host.now());
     let answered = timeout(left, try_servers(host, context, &mut state)).await;
     if answered.is_err() {
+        if state.sending {
+            state.verdict = state.verdict.join(ExecutionVerdict::MayHaveRun);
+        }
         state.reason = "the time was over";
     }
     finish(host, context, guard, state)
@@ -74,11 +80,13 @@
         let sent_at = host.now();
         let attempt = attempt_whole(host, context, &server, &record);
         let limit = attempt_limit(host, context, state);
+        state.sending = true;
         let ended = timeout(limit, attempt).await.unwrap_or(Err(AttemptFailure {
             verdict: ExecutionVerdict::MayHaveRun,
             arrived: true,
             reason: "no answer in time",
         }));
+        state.sending = false;
         match ended {
             Ok(answer) => {
                 state.arrivals += 1;
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::caller_server::serve_callers;
 use crate::connect::listen;
 use crate::follow::follow_hosts;
-use crate::host::{Host, HostState};
+use crate::host::{Host, HostState, StopPhase};
 use crate::host_rows::keep_row;
 use crate::log::log_line;
 use crate::peer_server::serve_peers;
@@ -30,9 +30,9 @@
 const SETTINGS_TIME: Duration = Duration::from_secs(5);
 /// Idle connections to servers are looked through this often.
 const SWEEP_TIME: Duration = Duration::from_secs(1);
-/// The process keeps accepting callers for this time after the stop has begun: until the
-/// platform has asked twice whether the host is ready, and connections have settled.
-const ACCEPT_TIME: Duration = Duration::from_millis(3200);
+/// The process keeps accepting callers for this time after the stop has begun: the platform
+/// asks once a second whether the host is ready, and needs two answers.
+const ACCEPT_TIME: Duration = Duration::from_millis(2600);
 /// The process ends this long before it would be killed.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// The end of the last request is looked for this often.
@@ -203,7 +203,7 @@
 async fn stop(host: &Host) {
     let started = Instant::now();
     let grace = host.settings().bounds.grace;
-    host.stopping.send_replace(true);
+    host.stopping.send_replace(StopPhase::Leaving);
     log_line!(
         host,
         info,
@@ -212,6 +212,9 @@
         requests = host.requests.get()
     );
     tokio::time::sleep(ACCEPT_TIME.min(grace)).await;
+    host.stopping.send_replace(StopPhase::Closing);
+    // A request that was read just before has begun by now.
+    tokio::time::sleep(END_TICK).await;
     while host.requests.get() > 0 && started.elapsed() + END_MARGIN < grace {
         tokio::time::sleep(END_TICK).await;
     }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -51,7 +51,13 @@
     /// The request may have run.
     Failed,
     /// A server's answer that is not a stream.
-    Whole(StatusCode, HeaderMap, Bytes),
+    Whole(Box<WholeAnswer>),
+}
+
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
 }
 
 /// Holds a stream whose first event has arrived.
@@ -74,6 +80,8 @@
     tries: u32,
     arrivals: u32,
     verdict: ExecutionVerdict,
+    /// Whether an attempt is in progress, whose fate is not known.
+    sending: bool,
     reason: &'static str,
     stages_took: Duration,
     first_took: Option<Duration>,
@@ -91,6 +99,9 @@
     let opened = timeout(left, job.open()).await;
     let opened = opened.unwrap_or_else(|_| {
         job.reason = "the time was over";
+        if job.sending {
+            job.verdict = job.verdict.join(ExecutionVerdict::MayHaveRun);
+        }
         Err(match job.verdict {
             ExecutionVerdict::NotRun => OpenEnd::Refused {
                 retry_after: STAGE_RETRY,
@@ -100,9 +111,14 @@
     });
     match opened {
         Ok(open) => job.pass_on(open),
-        Err(OpenEnd::Whole(status, headers, body)) => {
-            job.end("answered", status);
-            build_answer(host, status, headers, AnswerBody::whole(body))
+        Err(OpenEnd::Whole(answer)) => {
+            job.end("answered", answer.status);
+            build_answer(
+                host,
+                answer.status,
+                answer.headers,
+                AnswerBody::whole(answer.body),
+            )
         }
         Err(OpenEnd::Refused { retry_after }) => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -110,7 +126,7 @@
             answer_own(host, &job.context.head.attempt, status, Some(retry_after))
         }
         Err(OpenEnd::Failed) => {
-            let status = if host.now() >= job.context.deadline {
+            let status = if host.now() >= job.context.begins_by {
                 StatusCode::GATEWAY_TIMEOUT
             } else {
                 StatusCode::BAD_GATEWAY
@@ -138,6 +154,7 @@
             tries: 0,
             arrivals: 0,
             verdict: ExecutionVerdict::NotRun,
+            sending: false,
             reason: "",
             stages_took: Duration::ZERO,
             first_took: None,
@@ -167,7 +184,10 @@
             let (server, record) = self.choose()?;
             self.tries += 1;
             let sent_at = self.host.now();
-            let failure = match self.attempt(&server, &record).await {
+            self.sending = true;
+            let attempted = self.attempt(&server, &record).await;
+            self.sending = false;
+            let failure = match attempted {
                 Ok(open) if open.answer.status.is_success() => {
                     self.note_first(sent_at);
                     return Ok(open);
@@ -383,7 +403,11 @@
         match body.collect().await {
             Ok(body) => {
                 let headers = hollywheel_adapter::caller_headers(&headers);
-                OpenEnd::Whole(status, headers, body.to_bytes())
+                OpenEnd::Whole(Box::new(WholeAnswer {
+                    status,
+                    headers,
+                    body: body.to_bytes(),
+                }))
             }
             Err(_) => OpenEnd::Failed,
         }
--- a/crates/hollywheel-gateway/tests/path.rs
+++ b/crates/hollywheel-gateway/tests/path.rs
@@ -62,6 +62,21 @@
     );
 }
 
+/// A request that a server still works on when its time is over may run to its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_runs_at_its_timeout_is_not_called_refused() {
+    let fixture = Fixture::start("timeout").await;
+    for (attempt, path) in [
+        ("j1", "/pay/slow"),
+        ("j2", "/draft/slow"),
+        ("j3", "/brief/slow"),
+    ] {
+        let answer = fixture.call("POST", path, attempt).await;
+        assert_eq!(answer.status, 504, "{path}: {answer:?}");
+        assert_eq!(answer.retry_after, None, "{path}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lookup_that_failed_is_tried_at_another_server() {
     let fixture = Fixture::start("lookup").await;
--- /dev/null
+++ b/crates/hollywheel-gateway/tests/stop.rs
@@ -0,0 +1,38 @@
+//! The graceful stop, in a test process of its own, since it is asked for by a signal.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, raise};
+use support::{Fixture, request, send};
+use tokio::time::sleep;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_stops_serves_what_it_has_and_then_takes_nothing() {
+    let fixture = Fixture::start("stop").await;
+    raise(Signal::SIGTERM).unwrap();
+    let stopped = Instant::now();
+    sleep(Duration::from_millis(200)).await;
+    let ready = send(fixture.ready, request("GET", "/ready", "x", "k1"))
+        .await
+        .unwrap();
+    assert_eq!(ready.status, 503);
+    let mut served = 0;
+    while stopped.elapsed() < Duration::from_millis(2300) {
+        let answer = fixture.call("POST", "/pay/ok", "k1").await;
+        assert_eq!(answer.status, 200, "the platform still sends callers");
+        served += 1;
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(served > 10);
+    sleep(Duration::from_millis(500)).await;
+    let before = fixture.log.with("ran ").len();
+    let late = send(fixture.callers, request("POST", "/pay/ok", "k2", "k1")).await;
+    assert!(late.is_err() || late.is_ok_and(|answer| answer.status == 0));
+    assert_eq!(
+        fixture.log.with("ran ").len(),
+        before,
+        "nothing is passed on any more"
+    );
+}
