--- a/crates/hollywheel-gateway/src/send.rs
+++ b/crates/hollywheel-gateway/src/send.rs
@@ -226,6 +226,9 @@
     );
     // A full server says so while it is sound.
     if !failure.arrived || failure.verdict != ExecutionVerdict::NotRun {
-        host.loads.borrow_mut().note_failure(now, server);
+        let passed_over = host.loads.borrow_mut().note_failure(now, server);
+        if let Some(failures) = passed_over {
+            log_line!(host, warn, ServerPassedOver, server = %server, failures);
+        }
     }
 }
--- a/crates/hollywheel-gateway/tests/stop.rs
+++ b/crates/hollywheel-gateway/tests/stop.rs
@@ -1,5 +1,6 @@
 //! The graceful stop, in a test process of its own, since it is asked for by a signal.
 
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
 use std::time::{Duration, Instant};
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -38,6 +38,9 @@
 /// Pieces of a call that holds timely ones take at most this part of the fixed time of a call
 /// once late ones are added, so that late work delays timely work by less than a call.
 const LATE_RIDE_PART: f64 = 0.5;
+/// Late work ahead of other late work counts so many times: it is done in half of a call at most
+/// while there is timely work.
+const LATE_WEIGHT: usize = 2;
 /// A group whose pieces move fewer bytes than this between domains goes to any of them.
 const MIN_PULL_BYTES: u64 = 500_000;
 /// A group waits for a server in its own domain only if it meets its objective there with this
@@ -483,11 +486,15 @@
         })
     }
 
-    /// Removes the waiting pieces that can't be made before their group expires.
+    /// Removes the waiting pieces that can't be made before their group expires, as soon as that
+    /// is known: late groups also when the work ahead of them outlasts their time.
     pub fn drop_expired(&mut self, now: MonoTime) -> Vec<PieceDelivery> {
-        let expired = self.queue.take_expired(now, &self.times);
-        expired
+        let mut expired = self.queue.expired(now, &self.times);
+        expired.extend(self.hopeless(now));
+        let pieces = expired
             .into_iter()
+            .flat_map(|ticket| self.queue.take_all(ticket));
+        pieces
             .map(|piece| PieceDelivery {
                 piece,
                 result: PieceResult::Late,
@@ -495,6 +502,29 @@
             .collect()
     }
 
+    /// Lists the late groups for which too much work is ahead.
+    fn hopeless(&self, now: MonoTime) -> Vec<GroupTicket> {
+        let mut ahead = 0;
+        let mut hopeless = Vec::new();
+        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times) {
+            if class == WorkClass::Late {
+                let own = self.times.call([(group.kind.as_str(), group.waiting())]);
+                let wait = self.expected_wait(now, &group.kind, ahead);
+                if wait.is_some_and(|wait| now + wait + own > group.expires) {
+                    hopeless.push(group.ticket);
+                    continue;
+                }
+            }
+            let weight = if class == WorkClass::Late {
+                LATE_WEIGHT
+            } else {
+                1
+            };
+            ahead += weight * group.waiting();
+        }
+        hopeless
+    }
+
     /// Notes that results are not needed any more; returns those that it does not know.
     pub fn release(&mut self, handles: &[PieceHandle]) -> Vec<PieceHandle> {
         let mut unknown = Vec::new();
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -18,7 +18,7 @@
     pub(super) kind: String,
     pub(super) result_bytes: u64,
     pub(super) due: MonoTime,
-    expires: MonoTime,
+    pub(super) expires: MonoTime,
     arrived: MonoTime,
     chained: bool,
     pub(super) domain: Option<DomainId>,
@@ -190,26 +190,22 @@
         true
     }
 
-    /// Removes the groups that can't be done any more; returns their waiting pieces.
-    pub(super) fn take_expired(&mut self, now: MonoTime, times: &CallTimes) -> Vec<WorkPiece> {
-        let expired: Vec<GroupTicket> = self
-            .groups
-            .values()
-            .filter(|group| !group.waiting.is_empty())
+    /// Lists the groups with waiting pieces that can't be done any more.
+    pub(super) fn expired(&self, now: MonoTime, times: &CallTimes) -> Vec<GroupTicket> {
+        let waiting = self.groups.values().filter(|group| group.waiting() > 0);
+        waiting
             .filter(|group| now + times.call([(group.kind.as_str(), 1)]) > group.expires)
             .map(|group| group.ticket)
-            .collect();
-        let mut pieces = Vec::new();
-        for ticket in expired {
-            if let Some(group) = self.groups.get(&ticket) {
-                let positions = group.waiting.iter();
-                pieces.extend(positions.map(|position| WorkPiece {
-                    ticket,
-                    position: *position,
-                }));
-            }
-            self.remove(ticket);
-        }
-        pieces
+            .collect()
+    }
+
+    /// Removes a group; returns its waiting pieces.
+    pub(super) fn take_all(&mut self, ticket: GroupTicket) -> Vec<WorkPiece> {
+        let positions = self.groups.get(&ticket).map(|group| group.waiting.clone());
+        self.remove(ticket);
+        let positions = positions.unwrap_or_default().into_iter();
+        positions
+            .map(|position| WorkPiece { ticket, position })
+            .collect()
     }
 }
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -83,14 +83,15 @@
         load.latency = Some(mean + LATENCY_PART * (taken - mean));
     }
 
-    /// Notes a failure that speaks against the server.
-    pub fn note_failure(&mut self, now: MonoTime, server: &ServerId) {
+    /// Notes a failure that speaks against the server; returns the failures in a row if it is
+    /// passed over for them.
+    pub fn note_failure(&mut self, now: MonoTime, server: &ServerId) -> Option<u32> {
         let load = self.load(server);
         load.failures = load.failures.saturating_add(1);
-        if let Some(further) = load.failures.checked_sub(FAILURES_TO_EJECT) {
-            let time = EJECT_TIME * 2u32.pow(further.min(8));
-            load.ejected_until = Some(now + time.min(MAX_EJECT_TIME));
-        }
+        let further = load.failures.checked_sub(FAILURES_TO_EJECT)?;
+        let time = EJECT_TIME * 2u32.pow(further.min(8));
+        load.ejected_until = Some(now + time.min(MAX_EJECT_TIME));
+        Some(load.failures)
     }
 
     /// Returns the requests that are estimated to be at a server.
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -355,3 +355,20 @@
     assert_eq!(expired[0].result, PieceResult::Late);
     assert_eq!(batcher.waiting(), 0);
 }
+
+/// After a burst more late work waits than its callers wait for.
+#[test]
+fn late_work_without_hope_is_told_before_its_time_is_over() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    for ticket in 1..=5 {
+        batcher.offer(at(0), group(ticket, 14, 400 + ticket, 3000));
+    }
+    let _running = batcher.next_call(at(0)).unwrap();
+    assert!(batcher.drop_expired(at(100)).is_empty());
+    let dropped = batcher.drop_expired(at(1500));
+    assert!(
+        !dropped.is_empty(),
+        "the last of four full calls ends after 3 s"
+    );
+    assert!(batcher.waiting() > 0, "the first ones are kept");
+}
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -4,7 +4,7 @@
 
 use hollywheel_serving::{
     EventCutter, PipelineRoute, PoolSettings, PoolWeight, PoolWork, RequestKind, RetryBudget,
-    ServingSet, SetFault, StageGraph, StageInput, StageStep,
+    ServingSet, StageGraph, StageInput, StageStep,
 };
 use hollywheel_types::{ConfigVersion, MonoTime, SortedMap};
 
@@ -86,10 +86,7 @@
         .map(|route| set(vec![route]).check().unwrap_err().to_string())
         .collect();
     insta::assert_debug_snapshot!(faults);
-    assert!(matches!(
-        set(vec![route("r", "h", "/")]).check(),
-        Ok::<_, SetFault>(_)
-    ));
+    assert!(set(vec![route("r", "h", "/")]).check().is_ok());
 }
 
 #[test]
