--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -244,11 +244,13 @@
         }
     }
 
-    /// Frees results that are not needed any more at their servers.
+    /// Frees results that are not needed any more at servers that have little room left.
     pub(crate) fn free_unneeded(&self, host: &Host) {
-        for duty in self.pools.borrow_mut().values_mut() {
-            for (server, handles) in duty.batcher.take_unneeded() {
-                tokio::task::spawn_local(free_results(host.clone(), server, handles));
+        let now = host.now();
+        for (key, duty) in self.pools.borrow_mut().iter_mut() {
+            for (server, handles) in duty.batcher.take_unneeded(now) {
+                let free = free_and_confirm(host.clone(), key.clone(), server, handles);
+                tokio::task::spawn_local(free);
             }
         }
     }
@@ -455,26 +457,41 @@
     }
     drop(registry);
     for (server, handles) in by_server.iter() {
-        let free = free_results(host.clone(), server.clone(), handles.clone());
-        tokio::task::spawn_local(free);
+        let (host, server, handles) = (host.clone(), server.clone(), handles.clone());
+        tokio::task::spawn_local(async move {
+            free_results(&host, &server, &handles).await;
+        });
     }
 }
 
-async fn free_results(host: Host, server: ServerId, handles: Vec<PieceHandle>) {
-    let Some(record) = usable(&host, &server) else {
+/// Frees results; their room counts as free once the server has answered.
+async fn free_and_confirm(host: Host, key: DutyKey, server: ServerId, handles: Vec<PieceHandle>) {
+    if !free_results(&host, &server, &handles).await {
         return;
+    }
+    if let Some(duty) = host.batches.pools.borrow_mut().get_mut(&key) {
+        duty.batcher.confirm_freed(&server, &handles);
+    }
+    host.batches.pump(&host, &key);
+}
+
+/// Frees results at a server; returns whether it answered. A result that could not be freed is
+/// dropped by its server after its lifetime.
+async fn free_results(host: &Host, server: &ServerId, handles: &[PieceHandle]) -> bool {
+    let Some(record) = usable(host, server) else {
+        return false;
     };
-    let Ok(body) = hollywheel_adapter::write_free(&handles) else {
-        return;
+    let Ok(body) = hollywheel_adapter::write_free(handles) else {
+        return false;
     };
     let path = hollywheel_adapter::FREE_PATH;
-    let Some(request) = stage_request(&server, &record, path, body) else {
-        return;
+    let Some(request) = stage_request(server, &record, path, body) else {
+        return false;
     };
     let call = async {
         let (answer, held) = host
             .engines
-            .send(&server, record.address, request)
+            .send(server, record.address, request)
             .await
             .ok()?;
         let facts = hollywheel_adapter::read_answer(&answer, "");
@@ -482,6 +499,5 @@
         host.engines.keep(held, facts.idle_time);
         Some(())
     };
-    // A result that could not be freed is dropped by its server after its lifetime.
-    let _ = timeout(FREE_LIMIT, call).await;
+    matches!(timeout(FREE_LIMIT, call).await, Ok(Some(())))
 }
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -14,8 +14,8 @@
 use crate::peer_client::FREE_PATH;
 
 /// Results that are not needed any more are collected for this time, so that one call frees
-/// many; at full load a server's room lasts for about ten times as long.
-const FLUSH_TIME: Duration = Duration::from_millis(40);
+/// many; at full load a server's room lasts for about twenty times as long.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
 const FREE_LIMIT: Duration = Duration::from_secs(1);
 
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -41,6 +41,12 @@
 /// Late work ahead of other late work counts so many times: it is done in half of a call at most
 /// while there is timely work.
 const LATE_WEIGHT: usize = 2;
+/// Results that nothing needs are freed when less than this part of a server's room is left:
+/// half, so that the room of a full call is free again before it is needed.
+const TIGHT_DIVISOR: u64 = 2;
+/// Results are freed after this time where there is room, a small part of their lifetime
+/// (seconds).
+const FREE_DELAY: Duration = Duration::from_millis(200);
 /// A group whose pieces move fewer bytes than this between domains goes to any of them.
 const MIN_PULL_BYTES: u64 = 500_000;
 /// A group waits for a server in its own domain only if it meets its objective there with this
@@ -69,6 +75,13 @@
     expected: Duration,
 }
 
+/// Holds results of one server that wait to be freed.
+#[derive(Clone, Debug, Default)]
+struct UnneededResults {
+    handles: Vec<PieceHandle>,
+    seen_at: Option<MonoTime>,
+}
+
 /// Decides which pieces go into which call of one pool.
 #[derive(Clone, Debug)]
 pub struct PoolBatcher {
@@ -78,7 +91,7 @@
     servers: SortedMap<ServerId, PieceServer>,
     calls: SortedMap<u64, RunningCall>,
     last_call: u64,
-    unneeded: SortedMap<ServerId, Vec<PieceHandle>>,
+    unneeded: SortedMap<ServerId, UnneededResults>,
 }
 
 impl PoolBatcher {
@@ -529,10 +542,11 @@
     pub fn release(&mut self, handles: &[PieceHandle]) -> Vec<PieceHandle> {
         let mut unknown = Vec::new();
         for handle in handles {
-            match find_holder(&mut self.servers, handle).cloned() {
+            match find_holder(&self.servers, handle).cloned() {
                 Some(server) => self
                     .unneeded
-                    .get_or_insert_with(server, Vec::new)
+                    .get_or_insert_with(server, UnneededResults::default)
+                    .handles
                     .push(handle.clone()),
                 None => unknown.push(handle.clone()),
             }
@@ -540,13 +554,36 @@
         unknown
     }
 
-    /// Takes the results that should be freed now, by server.
-    pub fn take_unneeded(&mut self) -> Vec<(ServerId, Vec<PieceHandle>)> {
-        let taken = std::mem::take(&mut self.unneeded);
+    /// Takes the results that should be freed now, by server: at once where little room is left,
+    /// otherwise after a while, so that one call frees many.
+    pub fn take_unneeded(&mut self, now: MonoTime) -> Vec<(ServerId, Vec<PieceHandle>)> {
+        let room = self.policy.pool.room_bytes;
+        let mut taken = Vec::new();
+        for (server, results) in self.unneeded.iter_mut() {
+            let Some(state) = self.servers.get(server) else {
+                results.handles.clear();
+                continue;
+            };
+            results.handles.retain(|handle| state.holds(handle));
+            let seen_at = *results.seen_at.get_or_insert(now);
+            let is_due = state.free_bytes(now, room) < room / TIGHT_DIVISOR
+                || now.since(seen_at) >= FREE_DELAY;
+            if is_due && !results.handles.is_empty() {
+                taken.push((server.clone(), std::mem::take(&mut results.handles)));
+            }
+        }
+        self.unneeded
+            .retain(|_, results| !results.handles.is_empty());
         taken
-            .iter()
-            .map(|(server, handles)| (server.clone(), handles.clone()))
-            .collect()
+    }
+
+    /// Notes that a server has freed results, whose room can be used from now on.
+    pub fn confirm_freed(&mut self, server: &ServerId, handles: &[PieceHandle]) {
+        if let Some(state) = self.servers.get_mut(server) {
+            for handle in handles {
+                state.drop_result(handle);
+            }
+        }
     }
 
     /// Returns the next point at which [`PoolBatcher::next_call`] may have a call although no
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -150,9 +150,14 @@
         self.results.insert(handle, HeldResult { bytes, until });
     }
 
-    /// Forgets a result that is freed; returns whether it was held here.
-    pub(super) fn drop_result(&mut self, handle: &PieceHandle) -> bool {
-        self.results.remove(handle).is_some()
+    /// Says whether a result lies here.
+    pub(super) fn holds(&self, handle: &PieceHandle) -> bool {
+        self.results.contains_key(handle)
+    }
+
+    /// Forgets a result that was freed.
+    pub(super) fn drop_result(&mut self, handle: &PieceHandle) {
+        self.results.remove(handle);
     }
 
     pub(super) fn drop_expired(&mut self, now: MonoTime) {
@@ -162,9 +167,9 @@
 
 /// Finds the server that holds a result.
 pub(super) fn find_holder<'a>(
-    servers: &'a mut SortedMap<ServerId, PieceServer>,
+    servers: &'a SortedMap<ServerId, PieceServer>,
     handle: &PieceHandle,
 ) -> Option<&'a ServerId> {
-    let mut entries = servers.iter_mut();
-    entries.find_map(|(server, state)| state.drop_result(handle).then_some(server))
+    let mut entries = servers.iter();
+    entries.find_map(|(server, state)| state.holds(handle).then_some(server))
 }
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -112,6 +112,9 @@
                     assert!(batcher.release(&[handle]).is_empty());
                 }
             }
+            for (server, handles) in batcher.take_unneeded(now) {
+                batcher.confirm_freed(&server, &handles);
+            }
         }
         while let Some(plan) = batcher.next_call(now) {
             let pieces = u64::try_from(plan.pieces.len()).unwrap();
@@ -212,9 +215,15 @@
         panic!("{deliveries:?}");
     };
     assert!(batcher.release(std::slice::from_ref(handle)).is_empty());
-    let next = batcher.next_call(at(201)).unwrap();
+    let unneeded = batcher.take_unneeded(at(200));
+    assert_eq!(
+        batcher.next_call(at(201)),
+        None,
+        "the server has not freed it yet"
+    );
+    batcher.confirm_freed(&unneeded[0].0, &unneeded[0].1);
+    let next = batcher.next_call(at(202)).unwrap();
     assert_eq!(next.pieces.len(), 1);
-    assert_eq!(batcher.take_unneeded().len(), 1);
 }
 
 /// After a batcher was lost the next one does not know what its servers hold.
@@ -234,6 +243,9 @@
     assert_eq!(deliveries.len(), 1);
     assert_eq!(batcher.next_call(at(180)), None);
     let _ = batcher.release(&["s1/1".to_owned()]);
+    for (server, handles) in batcher.take_unneeded(at(181)) {
+        batcher.confirm_freed(&server, &handles);
+    }
     assert_eq!(batcher.next_call(at(181)).unwrap().pieces.len(), 1);
 }
 
@@ -327,7 +339,19 @@
             .finish_call(at(170), plan.call, made(&plan))
             .is_empty()
     );
-    let unneeded = batcher.take_unneeded();
+    assert!(
+        batcher.take_unneeded(at(171)).is_empty(),
+        "there is room for others"
+    );
+    for ticket in 2..=4 {
+        let large = GroupRequest {
+            result_bytes: 40_000_000,
+            ..group(ticket, 1, 5000, 8000)
+        };
+        batcher.offer(at(172), large);
+    }
+    let _full = batcher.next_call(at(172)).unwrap();
+    let unneeded = batcher.take_unneeded(at(173));
     assert_eq!(unneeded[0].1.len(), 2);
 }
 
