--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -3,29 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
-use hollywheel_adapter::{RUN_PATH, StagePiece};
+use hollywheel_adapter::StagePiece;
 use hollywheel_serving::{
     BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
-    PieceHandle, PieceResult, PoolBatcher, PoolShard, ServerRecord, StageInput,
+    PieceHandle, PieceResult, PoolBatcher, PoolShard, StageInput,
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
 use crate::host::Host;
 use crate::log::log_line;
+use crate::stage_client::{free_at_servers, free_results, send_call, usable};
 
 /// Groups that wait are looked at this often for those that have expired and for servers whose
 /// pause has ended.
 const TICK: Duration = Duration::from_millis(20);
 /// Servers whose entries may have lapsed are listed anew this often.
 const LIST_TIME: Duration = Duration::from_millis(200);
-/// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
-const FREE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Holds the order of one stage's pieces.
 #[derive(Clone, Debug)]
@@ -386,84 +382,6 @@
     }
 }
 
-fn usable(host: &Host, server: &ServerId) -> Option<ServerRecord> {
-    let registry = host.registry.borrow();
-    registry.usable(host.now(), server).cloned()
-}
-
-async fn send_call(
-    host: &Host,
-    server: &ServerId,
-    record: Option<ServerRecord>,
-    pieces: &[StagePiece],
-) -> CallOutcome {
-    let Some(record) = record else {
-        return CallOutcome::Refused;
-    };
-    let Ok(body) = hollywheel_adapter::write_run(pieces) else {
-        return CallOutcome::Failed;
-    };
-    let Some(request) = stage_request(server, &record, RUN_PATH, body) else {
-        return CallOutcome::Failed;
-    };
-    let Ok((answer, held)) = host.engines.send(server, record.address, request).await else {
-        return CallOutcome::Failed;
-    };
-    let facts = hollywheel_adapter::read_answer(&answer, "");
-    let status = answer.status();
-    let Ok(body) = answer.into_body().collect().await else {
-        return CallOutcome::Failed;
-    };
-    host.engines.keep(held, facts.idle_time);
-    if facts.not_run {
-        return CallOutcome::Refused;
-    }
-    if status != StatusCode::OK {
-        return CallOutcome::Failed;
-    }
-    match hollywheel_adapter::read_run(&body.to_bytes()) {
-        Ok(results) if results.len() == pieces.len() => CallOutcome::Answered(results),
-        Ok(_) | Err(_) => CallOutcome::Failed,
-    }
-}
-
-fn stage_request(
-    server: &ServerId,
-    record: &ServerRecord,
-    path: &str,
-    body: Vec<u8>,
-) -> Option<Request<Full<Bytes>>> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header(header::HOST, record.address.to_string())
-        .body(Full::new(Bytes::from(body)));
-    let mut request = request.ok()?;
-    let headers = hollywheel_adapter::stage_headers(server);
-    request.headers_mut().extend(headers);
-    Some(request)
-}
-
-/// Frees results at the servers that hold them, without their batcher.
-pub(crate) fn free_at_servers(host: &Host, handles: &[PieceHandle]) {
-    let mut by_server: SortedMap<ServerId, Vec<PieceHandle>> = SortedMap::new();
-    let registry = host.registry.borrow();
-    for handle in handles {
-        let address = hollywheel_adapter::handle_address(handle);
-        if let Some((server, _)) = address.and_then(|address| registry.find_address(address)) {
-            let held = by_server.get_or_insert_with(server.clone(), Vec::new);
-            held.push(handle.clone());
-        }
-    }
-    drop(registry);
-    for (server, handles) in by_server.iter() {
-        let (host, server, handles) = (host.clone(), server.clone(), handles.clone());
-        tokio::task::spawn_local(async move {
-            free_results(&host, &server, &handles).await;
-        });
-    }
-}
-
 /// Frees results; their room counts as free once the server has answered.
 async fn free_and_confirm(host: Host, key: DutyKey, server: ServerId, handles: Vec<PieceHandle>) {
     if !free_results(&host, &server, &handles).await {
@@ -474,30 +392,3 @@
     }
     host.batches.pump(&host, &key);
 }
-
-/// Frees results at a server; returns whether it answered. A result that could not be freed is
-/// dropped by its server after its lifetime.
-async fn free_results(host: &Host, server: &ServerId, handles: &[PieceHandle]) -> bool {
-    let Some(record) = usable(host, server) else {
-        return false;
-    };
-    let Ok(body) = hollywheel_adapter::write_free(handles) else {
-        return false;
-    };
-    let path = hollywheel_adapter::FREE_PATH;
-    let Some(request) = stage_request(server, &record, path, body) else {
-        return false;
-    };
-    let call = async {
-        let (answer, held) = host
-            .engines
-            .send(server, record.address, request)
-            .await
-            .ok()?;
-        let facts = hollywheel_adapter::read_answer(&answer, "");
-        answer.into_body().collect().await.ok()?;
-        host.engines.keep(held, facts.idle_time);
-        Some(())
-    };
-    matches!(timeout(FREE_LIMIT, call).await, Ok(Some(())))
-}
--- a/crates/hollywheel-gateway/src/engine_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -45,7 +45,7 @@
 
 /// Keeps idle connections by server.
 #[derive(Default)]
-pub(crate) struct EnginePool {
+pub(crate) struct ConnectionPool {
     idle: RefCell<SortedMap<ServerId, Vec<IdleConnection>>>,
 }
 
@@ -56,7 +56,7 @@
     address: SocketAddr,
 }
 
-impl EnginePool {
+impl ConnectionPool {
     /// Sends a request on a kept connection or a new one and returns the head of the answer.
     pub(crate) async fn send(
         &self,
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -16,7 +16,7 @@
 use hollywheel_types::{HostId, MonoTime, PoolId, ServerId, SortedMap};
 
 use crate::batch_duty::BatchDuty;
-use crate::engine_pool::EnginePool;
+use crate::connection_pool::ConnectionPool;
 use crate::follow::ReadingDuty;
 use crate::log::{LogBound, log_line};
 use crate::metrics::HostMetrics;
@@ -49,7 +49,7 @@
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     pub(crate) forecast: RefCell<PathForecast>,
     pub(crate) pool_waits: RefCell<SortedMap<PoolId, ShardWaits>>,
-    pub(crate) engines: EnginePool,
+    pub(crate) connections: ConnectionPool,
     pub(crate) batches: BatchDuty,
     pub(crate) peers: PeerClient,
     pub(crate) outbox: ResultOutbox,
@@ -105,7 +105,7 @@
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             pool_waits: RefCell::default(),
-            engines: EnginePool::default(),
+            connections: ConnectionPool::default(),
             batches: BatchDuty::default(),
             peers: PeerClient::default(),
             outbox: ResultOutbox::default(),
@@ -255,7 +255,12 @@
 
     /// Takes one repeated send from the budget of a pool.
     pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
-        self.with_budget(pool, RetryBudget::take_repeat)
+        let taken = self.with_budget(pool, RetryBudget::take_repeat);
+        if taken {
+            let name = self.metrics.name(pool.as_str());
+            self.metrics.repeats.get_or_create(&name).inc();
+        }
+        taken
     }
 
     fn with_budget<T>(
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -1,14 +1,14 @@
 //! The process between callers and the backend servers of the users' platform: sockets, clocks
 //! and tasks around the decisions of `hollywheel-serving`.
 //!
-//! The process has one thread; its parts share one [`host::HostState`].
+//! The process has one thread; its parts share one state.
 
 mod batch_duty;
 mod body;
 mod caller_server;
 mod command;
 mod connect;
-mod engine_pool;
+mod connection_pool;
 mod events;
 mod follow;
 mod host;
@@ -24,10 +24,12 @@
 mod run;
 mod send;
 mod side_server;
+mod stage_client;
 mod stage_run;
 mod store_client;
 mod store_feed;
 mod stream_call;
+mod stream_pass;
 mod supervisor;
 
 pub use command::run_gateway;
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -128,12 +128,7 @@
     if state.arrivals == 0 {
         return true;
     }
-    let taken = host.take_repeat(&context.pool);
-    if taken {
-        let name = host.metrics.name(context.pool.as_str());
-        host.metrics.repeats.get_or_create(&name).inc();
-    }
-    taken
+    host.take_repeat(&context.pool)
 }
 
 fn choose(
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -9,9 +9,9 @@
 use hollywheel_types::{HostId, PoolId, SortedMap};
 use hollywheel_wire::serving::FreeResults;
 
-use crate::batch_duty::free_at_servers;
 use crate::host::Host;
 use crate::peer_client::FREE_PATH;
+use crate::stage_client::free_at_servers;
 
 /// Results that are not needed any more are collected for this time, so that one call frees
 /// many; at full load a server's room lasts for about twenty times as long.
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -146,7 +146,7 @@
         tokio::time::sleep(SWEEP_TIME).await;
         let now = host.now();
         let registry = host.registry.borrow();
-        host.engines
+        host.connections
             .sweep(|server| registry.usable(now, server).is_some());
         let mut loads = host.loads.borrow_mut();
         loads.retain(|server| registry.usable(now, server).is_some());
--- a/crates/hollywheel-gateway/src/send.rs
+++ b/crates/hollywheel-gateway/src/send.rs
@@ -7,11 +7,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use hollywheel_adapter::{AnswerFacts, EngineCall};
+use hollywheel_adapter::{AnswerFacts, ServerCall};
 use hollywheel_serving::ServerRecord;
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
-use crate::engine_pool::{HeldConnection, SendFailure};
+use crate::connection_pool::{HeldConnection, SendFailure};
 use crate::host::{Host, HostState};
 use crate::log::log_line;
 use crate::request::RequestContext;
@@ -68,7 +68,7 @@
 impl OpenAnswer {
     /// Notes that the answer was read completely, and keeps its connection.
     pub(crate) fn complete(self, host: &HostState) {
-        host.engines.keep(self.connection, self.facts.idle_time);
+        host.connections.keep(self.connection, self.facts.idle_time);
     }
 }
 
@@ -94,7 +94,7 @@
         arrived: false,
         reason: "the request can't be written",
     })?;
-    let sent = host.engines.send(server, record.address, request).await;
+    let sent = host.connections.send(server, record.address, request).await;
     let (answer, connection) = sent.map_err(|failure| match failure {
         SendFailure::NotSent => AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
@@ -156,7 +156,7 @@
 ) {
     let read = tokio::time::timeout(REFUSAL_BODY_LIMIT, answer.into_body().collect()).await;
     if matches!(read, Ok(Ok(_))) {
-        host.engines.keep(connection, facts.idle_time);
+        host.connections.keep(connection, facts.idle_time);
     }
 }
 
@@ -176,7 +176,7 @@
     now: MonoTime,
     extras: AttemptExtras<'_>,
 ) -> Option<Request<Full<Bytes>>> {
-    let call = EngineCall {
+    let call = ServerCall {
         server,
         remaining: context.deadline.since(now),
         workspace: context.workspace.as_ref(),
@@ -191,7 +191,7 @@
         .uri(context.target.clone())
         .body(Full::new(body));
     let mut request = request.ok()?;
-    *request.headers_mut() = hollywheel_adapter::engine_headers(&context.headers, &call);
+    *request.headers_mut() = hollywheel_adapter::server_headers(&context.headers, &call);
     if has_body {
         let length = http::HeaderValue::from(context.body.len());
         request
--- /dev/null
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -0,0 +1,124 @@
+//! Calls of the backend servers that produce pieces.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use tokio::time::timeout;
+
+use hollywheel_adapter::{RUN_PATH, StagePiece};
+use hollywheel_serving::{CallOutcome, PieceHandle, ServerRecord};
+use hollywheel_types::{ServerId, SortedMap};
+
+use crate::host::Host;
+
+/// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
+const FREE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Returns the record of a server that may be used now.
+pub(crate) fn usable(host: &Host, server: &ServerId) -> Option<ServerRecord> {
+    let registry = host.registry.borrow();
+    registry.usable(host.now(), server).cloned()
+}
+
+/// Sends a call for pieces and reads what became of them.
+pub(crate) async fn send_call(
+    host: &Host,
+    server: &ServerId,
+    record: Option<ServerRecord>,
+    pieces: &[StagePiece],
+) -> CallOutcome {
+    let Some(record) = record else {
+        return CallOutcome::Refused;
+    };
+    let Ok(body) = hollywheel_adapter::write_run(pieces) else {
+        return CallOutcome::Failed;
+    };
+    let Some(request) = stage_request(server, &record, RUN_PATH, body) else {
+        return CallOutcome::Failed;
+    };
+    let Ok((answer, held)) = host.connections.send(server, record.address, request).await else {
+        return CallOutcome::Failed;
+    };
+    let facts = hollywheel_adapter::read_answer(&answer, "");
+    let status = answer.status();
+    let Ok(body) = answer.into_body().collect().await else {
+        return CallOutcome::Failed;
+    };
+    host.connections.keep(held, facts.idle_time);
+    if facts.not_run {
+        return CallOutcome::Refused;
+    }
+    if status != StatusCode::OK {
+        return CallOutcome::Failed;
+    }
+    match hollywheel_adapter::read_run(&body.to_bytes()) {
+        Ok(results) if results.len() == pieces.len() => CallOutcome::Answered(results),
+        Ok(_) | Err(_) => CallOutcome::Failed,
+    }
+}
+
+fn stage_request(
+    server: &ServerId,
+    record: &ServerRecord,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<Request<Full<Bytes>>> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, record.address.to_string())
+        .body(Full::new(Bytes::from(body)));
+    let mut request = request.ok()?;
+    let headers = hollywheel_adapter::stage_headers(server);
+    request.headers_mut().extend(headers);
+    Some(request)
+}
+
+/// Frees results at the servers that hold them, without their batcher.
+pub(crate) fn free_at_servers(host: &Host, handles: &[PieceHandle]) {
+    let mut by_server: SortedMap<ServerId, Vec<PieceHandle>> = SortedMap::new();
+    let registry = host.registry.borrow();
+    for handle in handles {
+        let address = hollywheel_adapter::handle_address(handle);
+        if let Some((server, _)) = address.and_then(|address| registry.find_address(address)) {
+            let held = by_server.get_or_insert_with(server.clone(), Vec::new);
+            held.push(handle.clone());
+        }
+    }
+    drop(registry);
+    for (server, handles) in by_server.iter() {
+        let (host, server, handles) = (host.clone(), server.clone(), handles.clone());
+        tokio::task::spawn_local(async move {
+            free_results(&host, &server, &handles).await;
+        });
+    }
+}
+
+/// Frees results at a server; returns whether it answered. A result that could not be freed is
+/// dropped by its server after its lifetime.
+pub(crate) async fn free_results(host: &Host, server: &ServerId, handles: &[PieceHandle]) -> bool {
+    let Some(record) = usable(host, server) else {
+        return false;
+    };
+    let Ok(body) = hollywheel_adapter::write_free(handles) else {
+        return false;
+    };
+    let path = hollywheel_adapter::FREE_PATH;
+    let Some(request) = stage_request(server, &record, path, body) else {
+        return false;
+    };
+    let call = async {
+        let (answer, held) = host
+            .connections
+            .send(server, record.address, request)
+            .await
+            .ok()?;
+        let facts = hollywheel_adapter::read_answer(&answer, "");
+        answer.into_body().collect().await.ok()?;
+        host.connections.keep(held, facts.idle_time);
+        Some(())
+    };
+    matches!(timeout(FREE_LIMIT, call).await, Ok(Some(())))
+}
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -1,7 +1,5 @@
-//! Requests that are answered by a stream of events: their stages, their final call, and the
-//! passing on of whole events.
+//! Requests that are answered by a stream of events: their stages and their final call.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +10,7 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{
-    EventCutter, PieceHandle, PlaceQuery, PlaceVerdict, ServerRecord, StageGraph, choose_engine,
-    choose_least,
+    PieceHandle, PlaceQuery, PlaceVerdict, ServerRecord, StageGraph, choose_engine, choose_least,
 };
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
@@ -24,6 +21,7 @@
 use crate::results::HeldResults;
 use crate::send::{AttemptExtras, AttemptFailure, OpenAnswer, note_failure, send_attempt};
 use crate::stage_run::{StageContext, StageFailure, run_stages};
+use crate::stream_pass::{OpenStream, PassState};
 
 /// A model engine runs its slots at once and queues about as many; a request that waits behind
 /// those has lost its objective.
@@ -38,14 +36,9 @@
 const MAX_TRIES: u32 = 5;
 /// The stages of a request are run so many times at most.
 const MAX_STAGE_RUNS: u32 = 3;
-/// A stream that may continue elsewhere and is silent for so many times its pause objective is
-/// taken from its engine; callers leave after eight times.
-const SILENCE_FACTOR: u32 = 5;
-/// The shortest such silence.
-const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
 /// Says how the opening of a stream ended without one.
-enum OpenEnd {
+pub(crate) enum OpenEnd {
     /// The request has not run; the caller may come back.
     Refused { retry_after: Duration },
     /// The request may have run.
@@ -54,38 +47,30 @@
     Whole(Box<WholeAnswer>),
 }
 
-struct WholeAnswer {
+pub(crate) struct WholeAnswer {
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
 }
 
-/// Holds a stream whose first event has arrived.
-struct OpenStream {
-    answer: OpenAnswer,
-    cutter: EventCutter,
-    chunk: Option<Bytes>,
-    ended: bool,
-}
-
 /// Follows one request from its stages to the end of its stream.
-struct StreamJob {
-    host: Host,
-    context: Rc<RequestContext>,
+pub(crate) struct StreamJob {
+    pub(crate) host: Host,
+    pub(crate) context: Rc<RequestContext>,
     guard: RequestGuard,
     graph: StageGraph,
     held: HeldResults,
     stage_runs: u32,
-    excluded: Vec<ServerId>,
-    tries: u32,
+    pub(crate) excluded: Vec<ServerId>,
+    pub(crate) tries: u32,
     arrivals: u32,
-    verdict: ExecutionVerdict,
+    pub(crate) verdict: ExecutionVerdict,
     /// Whether an attempt is in progress, whose fate is not known.
     sending: bool,
-    reason: &'static str,
+    pub(crate) reason: &'static str,
     stages_took: Duration,
     first_took: Option<Duration>,
-    last_event: Option<u64>,
+    pub(crate) last_event: Option<u64>,
 }
 
 /// Serves a request that is answered by a stream.
@@ -161,7 +146,7 @@
         }
     }
 
-    fn end(&self, outcome: &'static str, status: StatusCode) {
+    pub(crate) fn end(&self, outcome: &'static str, status: StatusCode) {
         let context = &self.context;
         self.guard.end(&RequestEnd {
             outcome,
@@ -178,7 +163,7 @@
     }
 
     /// Runs the stages and sends the final call until a stream has begun.
-    async fn open(&mut self) -> Result<OpenStream, OpenEnd> {
+    pub(crate) async fn open(&mut self) -> Result<OpenStream, OpenEnd> {
         loop {
             self.make_inputs().await?;
             let (server, record) = self.choose()?;
@@ -271,7 +256,7 @@
 
     /// Says whether the final call is sent once more: the request has not run or may continue,
     /// has tries left, and the budget that all hosts share holds another send.
-    fn may_try_again(&mut self) -> bool {
+    pub(crate) fn may_try_again(&mut self) -> bool {
         if self.tries >= MAX_TRIES {
             return false;
         }
@@ -291,12 +276,7 @@
         if self.arrivals == 0 {
             return true;
         }
-        let taken = self.host.take_repeat(&self.context.pool);
-        if taken {
-            let name = self.host.metrics.name(self.context.pool.as_str());
-            self.host.metrics.repeats.get_or_create(&name).inc();
-        }
-        taken
+        self.host.take_repeat(&self.context.pool)
     }
 
     fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlaceVerdict {
@@ -360,12 +340,7 @@
             last_event: self.last_event,
         };
         let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
-        let mut open = OpenStream {
-            answer,
-            cutter: EventCutter::new(),
-            chunk: None,
-            ended: false,
-        };
+        let mut open = OpenStream::new(answer);
         if open.answer.status.is_success() {
             open.chunk = open.read_events().await.map_err(|_| AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
@@ -429,121 +404,3 @@
         build_answer(&host, status, headers, AnswerBody::Stream(Box::pin(chunks)))
     }
 }
-
-impl OpenStream {
-    /// Reads until at least one event is complete; none if the stream has ended. What follows
-    /// the last event of a stream that ended is part of it.
-    async fn read_events(&mut self) -> Result<Option<Bytes>, hyper::Error> {
-        loop {
-            let Some(frame) = self.answer.body.frame().await else {
-                self.ended = true;
-                let rest = Bytes::copy_from_slice(self.cutter.rest());
-                return Ok((!rest.is_empty()).then_some(rest));
-            };
-            let Ok(data) = frame?.into_data() else {
-                continue;
-            };
-            let events = self.cutter.take(&data);
-            if !events.is_empty() {
-                let bytes = events.into_iter().flat_map(|event| event.bytes);
-                return Ok(Some(bytes.collect()));
-            }
-        }
-    }
-}
-
-/// Passes a stream on, and continues it at another engine where that is allowed.
-struct PassState {
-    job: StreamJob,
-    open: Option<OpenStream>,
-}
-
-impl PassState {
-    /// Returns the next bytes for the caller; an error ends the connection, so that the answer
-    /// does not look complete.
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        loop {
-            let open = self.open.as_mut()?;
-            if let Some(chunk) = open.chunk.take() {
-                self.note_events(&chunk);
-                return Some(Ok(chunk));
-            }
-            if open.ended {
-                self.finish();
-                return None;
-            }
-            let limit = self.read_limit();
-            let read = timeout(limit, self.open.as_mut()?.read_events()).await;
-            self.job.reason = match read {
-                Ok(Ok(chunk)) => {
-                    self.open.as_mut()?.chunk = chunk;
-                    continue;
-                }
-                Ok(Err(_)) => "the stream broke",
-                Err(_) => "the stream was silent or the time was over",
-            };
-            if let Err(error) = self.go_on().await {
-                return Some(Err(error));
-            }
-        }
-    }
-
-    fn note_events(&mut self, chunk: &[u8]) {
-        let last = EventCutter::new().take(chunk).into_iter().rev();
-        let id = last.filter_map(|event| event.id).next();
-        self.job.last_event = id.or(self.job.last_event);
-    }
-
-    fn read_limit(&self) -> Duration {
-        let context = &self.job.context;
-        let left = context.deadline.since(self.job.host.now());
-        if !context.pipeline.resumable {
-            return left;
-        }
-        let pause = context.pipeline.pause_objective.unwrap_or_default();
-        left.min((pause * SILENCE_FACTOR).max(MIN_SILENCE))
-    }
-
-    /// Continues a broken stream after its last event, or ends the answer.
-    async fn go_on(&mut self) -> io::Result<()> {
-        let job = &mut self.job;
-        if let Some(broken) = self.open.take() {
-            let failure = AttemptFailure {
-                verdict: ExecutionVerdict::MayHaveRun,
-                arrived: true,
-                reason: job.reason,
-            };
-            let server = broken.answer.server.clone();
-            let sent_at = broken.answer.sent_at;
-            note_failure(
-                &job.host,
-                &job.context,
-                &server,
-                job.tries,
-                &failure,
-                sent_at,
-            );
-            job.excluded.push(server);
-        }
-        let left = job.context.deadline.since(job.host.now());
-        let resumes = job.last_event.is_some() && !left.is_zero() && job.may_try_again();
-        if resumes && let Ok(Ok(open)) = timeout(left, job.open()).await {
-            self.open = Some(open);
-            return Ok(());
-        }
-        job.verdict = ExecutionVerdict::MayHaveRun;
-        job.end("broken", StatusCode::OK);
-        Err(io::Error::other(job.reason))
-    }
-
-    fn finish(&mut self) {
-        if let Some(open) = self.open.take() {
-            let host = &self.job.host;
-            let taken = host.now().since(open.answer.sent_at);
-            let server = open.answer.server.clone();
-            host.loads.borrow_mut().note_success(&server, taken);
-            open.answer.complete(host);
-        }
-        self.job.end("answered", StatusCode::OK);
-    }
-}
--- /dev/null
+++ b/crates/hollywheel-gateway/src/stream_pass.rs
@@ -0,0 +1,156 @@
+//! The passing on of a stream's whole events, and its continuation at another engine.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use hollywheel_serving::EventCutter;
+use hollywheel_types::ExecutionVerdict;
+
+use crate::send::{AttemptFailure, OpenAnswer, note_failure};
+use crate::stream_call::StreamJob;
+
+/// A stream that may continue elsewhere and is silent for so many times its pause objective is
+/// taken from its engine; callers leave after eight times.
+const SILENCE_FACTOR: u32 = 5;
+/// The shortest such silence.
+const MIN_SILENCE: Duration = Duration::from_millis(1000);
+
+/// Holds a stream whose first event has arrived.
+pub(crate) struct OpenStream {
+    pub(crate) answer: OpenAnswer,
+    cutter: EventCutter,
+    pub(crate) chunk: Option<Bytes>,
+    ended: bool,
+}
+
+impl OpenStream {
+    pub(crate) fn new(answer: OpenAnswer) -> Self {
+        Self {
+            answer,
+            cutter: EventCutter::new(),
+            chunk: None,
+            ended: false,
+        }
+    }
+
+    /// Reads until at least one event is complete; none if the stream has ended. What follows
+    /// the last event of a stream that ended is part of it.
+    pub(crate) async fn read_events(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        loop {
+            let Some(frame) = self.answer.body.frame().await else {
+                self.ended = true;
+                let rest = Bytes::copy_from_slice(self.cutter.rest());
+                return Ok((!rest.is_empty()).then_some(rest));
+            };
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            let events = self.cutter.take(&data);
+            if !events.is_empty() {
+                let bytes = events.into_iter().flat_map(|event| event.bytes);
+                return Ok(Some(bytes.collect()));
+            }
+        }
+    }
+}
+
+/// Passes a stream on, and continues it at another engine where that is allowed.
+pub(crate) struct PassState {
+    pub(crate) job: StreamJob,
+    pub(crate) open: Option<OpenStream>,
+}
+
+impl PassState {
+    /// Returns the next bytes for the caller; an error ends the connection, so that the answer
+    /// does not look complete.
+    pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let open = self.open.as_mut()?;
+            if let Some(chunk) = open.chunk.take() {
+                self.note_events(&chunk);
+                return Some(Ok(chunk));
+            }
+            if open.ended {
+                self.finish();
+                return None;
+            }
+            let limit = self.read_limit();
+            let read = timeout(limit, self.open.as_mut()?.read_events()).await;
+            self.job.reason = match read {
+                Ok(Ok(chunk)) => {
+                    self.open.as_mut()?.chunk = chunk;
+                    continue;
+                }
+                Ok(Err(_)) => "the stream broke",
+                Err(_) => "the stream was silent or the time was over",
+            };
+            if let Err(error) = self.go_on().await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    fn note_events(&mut self, chunk: &[u8]) {
+        let last = EventCutter::new().take(chunk).into_iter().rev();
+        let id = last.filter_map(|event| event.id).next();
+        self.job.last_event = id.or(self.job.last_event);
+    }
+
+    fn read_limit(&self) -> Duration {
+        let context = &self.job.context;
+        let left = context.deadline.since(self.job.host.now());
+        if !context.pipeline.resumable {
+            return left;
+        }
+        let pause = context.pipeline.pause_objective.unwrap_or_default();
+        left.min((pause * SILENCE_FACTOR).max(MIN_SILENCE))
+    }
+
+    /// Continues a broken stream after its last event, or ends the answer.
+    async fn go_on(&mut self) -> io::Result<()> {
+        let job = &mut self.job;
+        if let Some(broken) = self.open.take() {
+            let failure = AttemptFailure {
+                verdict: ExecutionVerdict::MayHaveRun,
+                arrived: true,
+                reason: job.reason,
+            };
+            let server = broken.answer.server.clone();
+            let sent_at = broken.answer.sent_at;
+            note_failure(
+                &job.host,
+                &job.context,
+                &server,
+                job.tries,
+                &failure,
+                sent_at,
+            );
+            job.excluded.push(server);
+        }
+        let left = job.context.deadline.since(job.host.now());
+        let resumes = job.last_event.is_some() && !left.is_zero() && job.may_try_again();
+        if resumes && let Ok(Ok(open)) = timeout(left, job.open()).await {
+            self.open = Some(open);
+            return Ok(());
+        }
+        job.verdict = ExecutionVerdict::MayHaveRun;
+        job.end("broken", StatusCode::OK);
+        Err(io::Error::other(job.reason))
+    }
+
+    fn finish(&mut self) {
+        if let Some(open) = self.open.take() {
+            let host = &self.job.host;
+            let taken = host.now().since(open.answer.sent_at);
+            let server = open.answer.server.clone();
+            host.loads.borrow_mut().note_success(&server, taken);
+            open.answer.complete(host);
+        }
+        self.job.end("answered", StatusCode::OK);
+    }
+}
