Tell followers at once that a reader has lost the store

Change: a reader that has lost the store says so at once and answers waiting followers; a silent store is noticed after 1.1 s, a view counts as fresh for 1.2 s. Test: a_view_whose_store_is_lost_is_stale_at_once.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -251,6 +251,7 @@
 fn has_news(host: &Host, request: &FollowRequest) -> bool {
     let version = host.set().map_or(0, |set| set.version.0);
     request.incarnation != host.incarnation
+        || host.view.borrow().age(host.now()).is_none()
         || version > request.config_version
         || host.registry.borrow().change() != request.server_change
         || host.hosts.borrow().change() != request.host_change
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -23,9 +23,9 @@
 use crate::peer_client::PeerClient;
 use crate::results::ResultOutbox;
 
-/// A view of the store that is younger than this follows it; the store answers a feed after a
-/// second at the latest.
-pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1800);
+/// A view of the store that is younger than this follows it: the store answers a feed after 0.7 s
+/// at the latest, and with the time of a long poll a silent store is noticed within 2 s.
+pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1200);
 
 /// Holds a configuration with the document that it was read from, for other hosts.
 #[derive(Clone)]
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -17,15 +17,15 @@
 /// A feed is answered after this time if nothing has changed. A connection that has gone silent
 /// is noticed this time and the slack later, within the 2 s in which a configuration must be in
 /// force.
-const FEED_WAIT: Duration = Duration::from_millis(1000);
+const FEED_WAIT: Duration = Duration::from_millis(700);
 /// The same for the hosts' own table, whose changes may be late: a host that has gone is found
 /// out by the first call to it.
 const HOSTS_WAIT: Duration = Duration::from_secs(6);
 /// The store's answers take milliseconds; at 50 times that a call still ends within this.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
+const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// Entries of backend servers change many times a second; they are collected for this time, a
-/// fifth of the time in which a server that leaves must get nothing new.
-const COLLECT_TIME: Duration = Duration::from_millis(400);
+/// seventh of the time in which a server that leaves must get nothing new.
+const COLLECT_TIME: Duration = Duration::from_millis(300);
 /// The pause after a failed call, and the longest one; both well below the 2 s bound.
 const RETRY_TIME: Duration = Duration::from_millis(100);
 const MAX_RETRY_TIME: Duration = Duration::from_millis(500);
@@ -233,6 +233,10 @@
     }
 
     fn note_failure(&mut self, failure: &StoreFailure) {
+        if self.table != StoreTable::Hosts {
+            self.host.view.borrow_mut().set_lost(true);
+            self.host.changed.notify_waiters();
+        }
         if self.lost_at.is_some() {
             return;
         }
--- a/crates/hollywheel-serving/src/store_view.rs
+++ b/crates/hollywheel-serving/src/store_view.rs
@@ -17,17 +17,26 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreView {
     confirmed_at: Option<MonoTime>,
+    is_lost: bool,
 }
 
 impl StoreView {
     /// Notes that the view was complete at a point in time; an earlier point changes nothing.
     pub fn confirm(&mut self, at: MonoTime) {
+        self.is_lost = false;
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |known| known.max(at)));
     }
 
-    /// Returns how old the view is; none if there is none yet.
+    /// Notes whether this host itself has lost the store. Hosts that follow it are told at once
+    /// and need not wait until the view is old.
+    pub const fn set_lost(&mut self, is_lost: bool) {
+        self.is_lost = is_lost;
+    }
+
+    /// Returns how old the view is; none if there is none yet, or if the store is lost.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.since(at))
+        let confirmed_at = self.confirmed_at.filter(|_| !self.is_lost)?;
+        Some(now.since(confirmed_at))
     }
 
     /// Says whether the view is younger than a bound.
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -124,3 +124,16 @@
     assert_eq!(view.health(at(2800), bound), FeedHealth::Following);
     assert_eq!(view.health(at(2801), bound), FeedHealth::Stale);
 }
+
+/// A reader that the store turns away knows it long before its view is old.
+#[test]
+fn a_view_whose_store_is_lost_is_stale_at_once() {
+    let mut view = StoreView::default();
+    let bound = Duration::from_millis(1200);
+    view.confirm(at(1000));
+    view.set_lost(true);
+    assert_eq!(view.health(at(1001), bound), FeedHealth::Stale);
+    assert_eq!(view.age(at(1001)), None);
+    view.confirm(at(1500));
+    assert_eq!(view.health(at(1501), bound), FeedHealth::Following);
+}
