Tell the machine of every caller that leaves; take signals before addresses are bound

Cause: xitca-http runs a handler to its end and tells it of neither a reset stream nor a closed connection, so requests without a stream kept their engine and their place until their deadline. Both known red tests show it: one waits for the cancelled attempt, in the other a host held batch requests of callers that had left and did not end in time.

Change: callers are served by hyper (HTTP/1.1 and HTTP/2 on one listener as before), which drops a call's future when its caller has left. Operators stay on xitca-web; reading of bodies and replies are shared.

Found on the way: signal handlers were installed after the addresses were bound, so a SIGTERM right after the start killed the process (a_running_process_has_no_io_uring_and_ends_on_sigterm failed once beside load with status -1). They are installed first now, in the gateway too, and a failure to install them is an error instead of being swallowed.

--- a/crates/hollywheel-daemon/src/admin/route.rs
+++ b/crates/hollywheel-daemon/src/admin/route.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use xitca_web::WebContext;
 use xitca_web::body::ResponseBody;
+use xitca_web::bytes::Bytes;
 use xitca_web::error::Error;
 use xitca_web::http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
 use xitca_web::http::{Method, Response, StatusCode, WebResponse};
@@ -16,10 +17,10 @@
 use super::query::{number_value, text_value};
 use super::state::AdminState;
 use crate::events::{EventContext, LogEvent, log_event};
-use crate::web::{discard_body, json_reply, problem_reply, read_body};
+use crate::web::{WholeReply, discard_body, json_reply, operator_parts, problem_reply, read_body};
 
 type Context<'a> = WebContext<'a, Arc<AdminState>>;
-type Reply = Result<WebResponse, AdminFault>;
+type Reply = Result<WholeReply, AdminFault>;
 
 const TRACE: &str = "/admin/trace/";
 
@@ -140,8 +141,8 @@
 /// Answers a call.
 pub(super) async fn handle_call(mut context: Context<'_>) -> Result<WebResponse, Error> {
     let reply = answer_call(&mut context).await;
-    discard_body(context.body_get_mut()).await;
-    Ok(reply.unwrap_or_else(|fault| {
+    discard_body(&mut operator_parts(context.body_get_mut())).await;
+    let reply = reply.unwrap_or_else(|fault| {
         if matches!(fault, AdminFault::NoToken | AdminFault::RoleTooLow) {
             let detail = fault.to_string();
             log_event(
@@ -151,7 +152,8 @@
             );
         }
         problem_reply(&fault.problem())
-    }))
+    });
+    Ok(reply.map(ResponseBody::bytes))
 }
 
 async fn answer_call(context: &mut Context<'_>) -> Reply {
@@ -237,7 +239,8 @@
     state: &AdminState,
     context: &mut Context<'_>,
 ) -> Result<T, AdminFault> {
-    let body = read_body(context.body_get_mut(), state.max_body)
+    let mut parts = operator_parts(context.body_get_mut());
+    let body = read_body(&mut parts, state.max_body)
         .await
         .map_err(AdminFault::Body)?;
     serde_json::from_slice(&body).map_err(|error| AdminFault::BadBody {
@@ -245,8 +248,8 @@
     })
 }
 
-fn metrics_reply(state: &AdminState) -> WebResponse {
-    let mut reply = Response::new(ResponseBody::bytes(state.front.metrics.text()));
+fn metrics_reply(state: &AdminState) -> WholeReply {
+    let mut reply = Response::new(Bytes::from(state.front.metrics.text()));
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     reply
         .headers_mut()
--- a/crates/hollywheel-daemon/src/command.rs
+++ b/crates/hollywheel-daemon/src/command.rs
@@ -87,17 +87,17 @@
 }
 
 async fn serve_host(settings: DaemonSettings) -> Result<bool, HostError> {
+    // Before the addresses are bound, so that no signal ends a host that takes callers.
+    let signals = StopSignals::listen().map_err(HostError::Signals)?;
     let host = RunningHost::start(settings)?;
     if let (Ok(callers), Ok(operators)) = (host.caller_address(), host.operator_address()) {
         println!("listening {callers} operators {operators}");
     }
     let stop = host.stop_switch();
-    if let Ok(signals) = StopSignals::listen() {
-        tokio::spawn(async move {
-            signals.wait().await;
-            stop.send_replace(true);
-        });
-    }
+    tokio::spawn(async move {
+        signals.wait().await;
+        stop.send_replace(true);
+    });
     Ok(host.run().await)
 }
 
--- a/crates/hollywheel-daemon/src/front/answer.rs
+++ b/crates/hollywheel-daemon/src/front/answer.rs
@@ -2,10 +2,11 @@
 
 use hollywheel_node::ReplyPart;
 use hollywheel_types::{RequestId, TokenCount};
+use http::{Response, StatusCode};
 use serde::Serialize;
 use tokio::sync::mpsc;
-use xitca_web::http::{StatusCode, WebResponse};
 
+use super::body::FrontBody;
 use super::event_stream::stream_reply;
 use super::guard::CallerGuard;
 use super::problem::{CallFault, fault_problem, refusal_problem};
@@ -42,7 +43,7 @@
     stream: bool,
     mut parts: mpsc::Receiver<ReplyPart>,
     mut guard: CallerGuard,
-) -> WebResponse {
+) -> Response<FrontBody> {
     while let Some(part) = parts.recv().await {
         match part {
             // A stream begins with its first part, so that a refusal before it has a status.
@@ -58,13 +59,13 @@
             } => {
                 guard.finish();
                 let answer = CompleteAnswer::new(request, output, tokens, replayed);
-                return json_reply(StatusCode::OK, &answer);
+                return json_reply(StatusCode::OK, &answer).map(FrontBody::whole);
             }
             ReplyPart::Refused(refusal) => {
                 guard.finish();
-                return problem_reply(&refusal_problem(request, &refusal));
+                return problem_reply(&refusal_problem(request, &refusal)).map(FrontBody::whole);
             }
         }
     }
-    problem_reply(&fault_problem(&CallFault::ReplyLost))
+    problem_reply(&fault_problem(&CallFault::ReplyLost)).map(FrontBody::whole)
 }
--- a/crates/hollywheel-daemon/src/front/event_stream.rs
+++ b/crates/hollywheel-daemon/src/front/event_stream.rs
@@ -3,17 +3,17 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::stream;
 use hollywheel_node::ReplyPart;
 use hollywheel_types::{RequestId, TokenIndex};
+use http::Response;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use serde::Serialize;
 use tokio::sync::mpsc;
-use xitca_web::body::{ResponseBody, StreamDataBody};
-use xitca_web::bytes::Bytes;
-use xitca_web::http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use xitca_web::http::{Response, WebResponse};
 
 use super::answer::CompleteAnswer;
+use super::body::FrontBody;
 use super::guard::CallerGuard;
 use super::problem::{CallFault, fault_problem, refusal_problem};
 
@@ -99,7 +99,7 @@
     first: ReplyPart,
     parts: mpsc::Receiver<ReplyPart>,
     guard: CallerGuard,
-) -> WebResponse {
+) -> Response<FrontBody> {
     let source = EventSource {
         request,
         first: Some(first),
@@ -107,8 +107,8 @@
         guard,
         ended: false,
     };
-    let events = Box::pin(stream::unfold(source, EventSource::next_event));
-    let mut reply = Response::new(ResponseBody::boxed(StreamDataBody::new(events)));
+    let events = stream::unfold(source, EventSource::next_event);
+    let mut reply = Response::new(FrontBody::stream(events));
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
--- a/crates/hollywheel-daemon/src/front/keys.rs
+++ b/crates/hollywheel-daemon/src/front/keys.rs
@@ -2,14 +2,13 @@
 
 use hollywheel_node::GrantedKey;
 use hollywheel_types::IdempotencyKey;
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use serde::Serialize;
-use xitca_web::http::{StatusCode, WebResponse};
 
 use super::problem::{CallFault, key_problem};
 use super::request::parse_key;
 use super::state::FrontState;
-use crate::web::{json_reply, problem_reply};
+use crate::web::{WholeReply, json_reply, problem_reply};
 
 /// Holds the answer to `POST /v1/keys`.
 #[derive(Debug, Serialize)]
@@ -32,7 +31,7 @@
 pub(super) async fn issue_key(
     state: &FrontState,
     headers: &HeaderMap,
-) -> Result<WebResponse, CallFault> {
+) -> Result<WholeReply, CallFault> {
     let key = parse_key(headers)?;
     let current = state.config.in_force().ok_or(CallFault::NotReady)?;
     let workspace = current.keys.find(&key).ok_or(CallFault::NoKey)?.clone();
--- a/crates/hollywheel-daemon/src/front/mod.rs
+++ b/crates/hollywheel-daemon/src/front/mod.rs
@@ -1,7 +1,9 @@
 //! The listener for callers.
 
+mod activity;
 mod answer;
 mod auth;
+mod body;
 mod event_stream;
 mod guard;
 mod keys;
--- a/crates/hollywheel-daemon/src/front/route.rs
+++ b/crates/hollywheel-daemon/src/front/route.rs
@@ -1,13 +1,17 @@
 //! What is done at each path.
 
+use std::sync::Arc;
+
 use hollywheel_node::CallerRequest;
+use http::header::{CONNECTION, HeaderValue};
+use http::request::Parts;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyDataStream, BodyExt};
+use hyper::body::Incoming;
 use tokio::sync::mpsc;
-use xitca_web::WebContext;
-use xitca_web::error::Error;
-use xitca_web::http::header::{CONNECTION, HeaderValue};
-use xitca_web::http::{Method, StatusCode, WebResponse};
 
 use super::answer::write_reply;
+use super::body::FrontBody;
 use super::guard::CallerGuard;
 use super::keys::issue_key;
 use super::problem::{CallFault, fault_problem};
@@ -16,51 +20,51 @@
 use super::trace_parent::TraceParent;
 use crate::events::{EventContext, LogEvent, log_event};
 use crate::traces::TraceId;
-use crate::web::{discard_body, json_reply, problem_reply, read_body};
+use crate::web::{WholeReply, discard_body, json_reply, problem_reply, read_body};
 
 /// Bounds the parts of one reply that wait for their caller.
 const REPLY_QUEUE: usize = 256;
 
 const PIPELINES: &str = "/v1/pipelines/";
 
-type Context<'a> = WebContext<'a, std::sync::Arc<FrontState>>;
+type CallBody = BodyDataStream<Incoming>;
 
 /// Answers a call.
-pub(super) async fn handle_call(mut context: Context<'_>) -> Result<WebResponse, Error> {
-    let path = context.req().uri().path().to_owned();
-    let method = context.req().method().clone();
-    let result = match (method, path.as_str()) {
-        (Method::GET, "/healthz") => Ok(json_reply(StatusCode::OK, &"alive")),
-        (Method::GET, "/readyz") => readiness(context.state()),
+pub(super) async fn handle_call(
+    state: &Arc<FrontState>,
+    request: Request<Incoming>,
+) -> Response<FrontBody> {
+    let (head, body) = request.into_parts();
+    let mut body = body.into_data_stream();
+    let whole = |reply: WholeReply| reply.map(FrontBody::whole);
+    let result = match (head.method.clone(), head.uri.path()) {
+        (Method::GET, "/healthz") => Ok(whole(json_reply(StatusCode::OK, &"alive"))),
+        (Method::GET, "/readyz") => readiness(state).map(whole),
         (Method::POST, path) if path.starts_with(PIPELINES) => {
-            run_pipeline(&mut context, &path[PIPELINES.len()..]).await
-        }
-        (Method::POST, "/v1/keys") => {
-            let headers = context.req().headers().clone();
-            issue_key(context.state(), &headers).await
+            run_pipeline(state, &head, &mut body, &path[PIPELINES.len()..]).await
         }
+        (Method::POST, "/v1/keys") => issue_key(state, &head.headers).await.map(whole),
         (_, path) if path.starts_with(PIPELINES) => Err(CallFault::WrongMethod),
         (_, "/healthz" | "/readyz" | "/v1/keys") => Err(CallFault::WrongMethod),
         _ => Err(CallFault::NoPath),
     };
-    discard_body(context.body_get_mut()).await;
-    let state = context.state();
-    let mut reply = result.unwrap_or_else(|fault| reject(state, &fault));
+    discard_body(&mut body).await;
+    let mut reply = result.unwrap_or_else(|fault| whole(reject(state, &fault)));
     if state.is_draining() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
-    Ok(reply)
+    reply
 }
 
-fn readiness(state: &FrontState) -> Result<WebResponse, CallFault> {
+fn readiness(state: &FrontState) -> Result<WholeReply, CallFault> {
     if state.is_ready() {
         return Ok(json_reply(StatusCode::OK, &"ready"));
     }
     Err(CallFault::NotReady)
 }
 
-fn reject(state: &FrontState, fault: &CallFault) -> WebResponse {
+fn reject(state: &FrontState, fault: &CallFault) -> WholeReply {
     let problem = fault_problem(fault);
     state.metrics.call_rejected(problem.kind);
     if !matches!(fault, CallFault::NotReady) {
@@ -73,17 +77,21 @@
     problem_reply(&problem)
 }
 
-async fn run_pipeline(context: &mut Context<'_>, name: &str) -> Result<WebResponse, CallFault> {
-    let head = parse_head(name, context.req().headers())?;
-    let state = std::sync::Arc::clone(context.state());
-    let workspace = authorise(&state, &head)?;
-    let body = read_body(context.body_get_mut(), state.settings.max_body)
+async fn run_pipeline(
+    state: &FrontState,
+    parts: &Parts,
+    body: &mut CallBody,
+    name: &str,
+) -> Result<Response<FrontBody>, CallFault> {
+    let head = parse_head(name, &parts.headers)?;
+    let workspace = authorise(state, &head)?;
+    let body = read_body(body, state.settings.max_body)
         .await
         .map_err(CallFault::Body)?;
     let body = parse_body(&body)?;
     let stream = body.stream;
-    let parent = trace_of(&state, &head);
-    let request = build_request(&state, head, body, workspace);
+    let parent = trace_of(state, &head);
+    let request = build_request(state, head, body, workspace);
     let id = request.request;
     state.traces.open(state.clock.now(), id, parent.trace);
     let (sender, parts) = mpsc::channel(REPLY_QUEUE);
--- a/crates/hollywheel-daemon/src/host/error.rs
+++ b/crates/hollywheel-daemon/src/host/error.rs
@@ -19,6 +19,8 @@
     Transport(TransportError),
     /// The system gives no randomness.
     Random(io::Error),
+    /// The system takes no handler of a signal.
+    Signals(io::Error),
     /// The token for the platform cannot be sent in a header.
     PlatformToken,
 }
@@ -29,6 +31,7 @@
             Self::Listen { flag, source } => write!(f, "--{flag}: {source}"),
             Self::Transport(error) => write!(f, "transport between hosts: {error}"),
             Self::Random(error) => write!(f, "the source of randomness cannot be read: {error}"),
+            Self::Signals(error) => write!(f, "the signals that stop the host: {error}"),
             Self::PlatformToken => {
                 f.write_str("HOLLYWHEEL_PLATFORM_TOKEN: expected printable ASCII without spaces")
             }
@@ -39,7 +42,9 @@
 impl std::error::Error for HostError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
-            Self::Listen { source, .. } | Self::Random(source) => Some(source),
+            Self::Listen { source, .. } | Self::Random(source) | Self::Signals(source) => {
+                Some(source)
+            }
             Self::Transport(error) => Some(error),
             Self::PlatformToken => None,
         }
--- a/crates/hollywheel-daemon/src/web/body.rs
+++ b/crates/hollywheel-daemon/src/web/body.rs
@@ -3,8 +3,10 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, TryStream, TryStreamExt, stream};
 use xitca_web::body::{BodyExt, RequestBody};
-use xitca_web::bytes::{Bytes, BytesMut};
+use xitca_web::error::BodyError;
 
 /// Bounds the time in which a caller must send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -46,21 +48,36 @@
 
 impl std::error::Error for BodyFault {}
 
+/// Returns the parts of a body that an operator sends.
+pub fn operator_parts(
+    body: &mut RequestBody,
+) -> impl Stream<Item = Result<Bytes, BodyError>> + Unpin + '_ {
+    Box::pin(stream::unfold(body, |body| async {
+        let part = body.data().await?;
+        Some((part, body))
+    }))
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
 ///
 /// Returns [`BodyFault`] if the body is too large, breaks off or is slow.
-pub async fn read_body(body: &mut RequestBody, limit: u64) -> Result<Bytes, BodyFault> {
+pub async fn read_body(
+    body: &mut (impl TryStream<Ok = Bytes> + Unpin),
+    limit: u64,
+) -> Result<Bytes, BodyFault> {
     tokio::time::timeout(BODY_TIMEOUT, read_parts(body, limit))
         .await
         .unwrap_or(Err(BodyFault::TooSlow))
 }
 
-async fn read_parts(body: &mut RequestBody, limit: u64) -> Result<Bytes, BodyFault> {
+async fn read_parts(
+    body: &mut (impl TryStream<Ok = Bytes> + Unpin),
+    limit: u64,
+) -> Result<Bytes, BodyFault> {
     let mut content = BytesMut::new();
-    while let Some(part) = body.data().await {
-        let part = part.map_err(|_| BodyFault::Broken)?;
+    while let Some(part) = body.try_next().await.map_err(|_| BodyFault::Broken)? {
         if (content.len() + part.len()) as u64 > limit {
             return Err(BodyFault::TooLarge { limit });
         }
@@ -71,10 +88,10 @@
 
 /// Reads and drops the rest of a body, within bounds. Closing a connection with bytes unread
 /// resets it, and the caller would lose the answer that says why.
-pub async fn discard_body(body: &mut RequestBody) {
+pub async fn discard_body(body: &mut (impl TryStream<Ok = Bytes> + Unpin)) {
     let discard = async {
         let mut dropped = 0;
-        while let Some(Ok(part)) = body.data().await {
+        while let Ok(Some(part)) = body.try_next().await {
             dropped += part.len();
             if dropped > DISCARD_LIMIT {
                 return;
--- a/crates/hollywheel-daemon/src/web/problem.rs
+++ b/crates/hollywheel-daemon/src/web/problem.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hollywheel_admin::ProblemDetails;
 use hollywheel_config::CheckFault;
 use hollywheel_types::{ExecutionVerdict, RequestId};
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
 use serde::Serialize;
-use xitca_web::body::ResponseBody;
-use xitca_web::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use xitca_web::http::{Response, StatusCode, WebResponse};
+
+/// Holds an answer whose body is complete.
+pub type WholeReply = Response<Bytes>;
 
 /// Describes a problem before it is written.
 #[derive(Clone, Debug, Default)]
@@ -57,12 +60,12 @@
 }
 
 /// Builds an answer with a JSON body.
-pub fn json_reply(status: StatusCode, body: &impl Serialize) -> WebResponse {
+pub fn json_reply(status: StatusCode, body: &impl Serialize) -> WholeReply {
     build_reply(status, "application/json", body)
 }
 
 /// Builds the answer for a problem.
-pub fn problem_reply(problem: &ProblemReply) -> WebResponse {
+pub fn problem_reply(problem: &ProblemReply) -> WholeReply {
     let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut reply = build_reply(status, "application/problem+json", &problem.details());
     if let Some(span) = problem.retry_after {
@@ -72,9 +75,9 @@
     reply
 }
 
-fn build_reply(status: StatusCode, kind: &'static str, body: &impl Serialize) -> WebResponse {
+fn build_reply(status: StatusCode, kind: &'static str, body: &impl Serialize) -> WholeReply {
     let body = serde_json::to_vec(body).unwrap_or_default();
-    let mut reply = Response::new(ResponseBody::bytes(body));
+    let mut reply = Response::new(Bytes::from(body));
     *reply.status_mut() = status;
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
--- a/crates/hollywheel-daemon/src/web/server.rs
+++ b/crates/hollywheel-daemon/src/web/server.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::sync::oneshot;
+use tokio::runtime;
+use tokio::sync::{oneshot, watch};
 use xitca_server::Builder;
 
 /// Closes connections whose peer takes no bytes of an answer.
@@ -35,12 +36,22 @@
     let _ = socket.shutdown(Shutdown::Both);
 }
 
-/// Orders a server to stop; the flag lets open connections finish.
-type StopOrder = Box<dyn Fn(bool) + Send + Sync>;
+/// Says whether a server goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopOrder {
+    /// It goes on.
+    None,
+    /// It accepts no more and lets open connections finish.
+    Finish,
+    /// It ends at once.
+    Abort,
+}
+
+type StopSwitch = Box<dyn Fn(StopOrder) + Send + Sync>;
 
 /// Owns a running server. Dropping it stops the server without waiting.
 pub struct WebServer {
-    stop: StopOrder,
+    stop: StopSwitch,
     ended: oneshot::Receiver<()>,
 }
 
@@ -67,7 +78,48 @@
                 let _ = sender.send(());
             })?;
         Ok(Self {
-            stop: Box::new(move |graceful| handle.stop(graceful)),
+            stop: Box::new(move |order| handle.stop(order == StopOrder::Finish)),
+            ended,
+        })
+    }
+
+    /// Starts a server that is a future, on worker threads of its own. It is told to finish;
+    /// an abort drops it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the threads cannot start.
+    pub fn start_task<F>(
+        workers: usize,
+        serve: impl FnOnce(watch::Receiver<StopOrder>) -> F + Send + 'static,
+    ) -> io::Result<Self>
+    where
+        F: Future<Output = io::Result<()>>,
+    {
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(workers)
+            .enable_all()
+            .build()?;
+        let switch = watch::Sender::new(StopOrder::None);
+        let mut orders = switch.subscribe();
+        let (sender, ended) = oneshot::channel();
+        std::thread::Builder::new()
+            .name("web-server".to_owned())
+            .spawn(move || {
+                let server = serve(orders.clone());
+                runtime.block_on(async {
+                    tokio::select! {
+                        _ = server => {}
+                        _ = orders.wait_for(|order| *order == StopOrder::Abort) => {}
+                    }
+                });
+                runtime.shutdown_background();
+                let _ = sender.send(());
+            })?;
+        Ok(Self {
+            stop: Box::new(move |order| {
+                switch.send_replace(order);
+            }),
             ended,
         })
     }
@@ -79,13 +131,13 @@
 
     /// Stops accepting, lets open connections finish within the bound and says whether they did.
     pub async fn stop(mut self, bound: Duration) -> bool {
-        (self.stop)(true);
+        (self.stop)(StopOrder::Finish);
         tokio::time::timeout(bound, &mut self.ended).await.is_ok()
     }
 }
 
 impl Drop for WebServer {
     fn drop(&mut self) {
-        (self.stop)(false);
+        (self.stop)(StopOrder::Abort);
     }
 }
--- a/crates/hollywheel-daemon/tests/callers.rs
+++ b/crates/hollywheel-daemon/tests/callers.rs
@@ -75,6 +75,22 @@
     assert!(host.stop().await);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_closes_its_connection_frees_the_engine() {
+    let host = TestHost::start().await;
+    slow_engine(&host);
+    let client = support::http_client();
+    let request = request_of(&host, r#"{"input":"x"}"#);
+    let call = tokio::spawn(async move { client.request(request).await });
+    wait_for("work at the engine", async || {
+        !host.engine.ledger().is_empty()
+    })
+    .await;
+    call.abort();
+    wait_cancelled(&host.engine).await;
+    assert!(host.stop().await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_that_leaves_its_stream_frees_the_engine() {
     let host = TestHost::start().await;
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -54,12 +54,14 @@
 /// Returns the error of an address that can't be listened on.
 pub(crate) async fn run_host(settings: HostSettings, options: RunOptions) -> io::Result<()> {
     let clock = HostClock::start();
+    // Before the addresses are bound, so that no signal ends a host that takes callers.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let _hangup = signal(SignalKind::hangup())?;
     let callers = Rc::new(listen(settings.callers)?);
     let ready = Rc::new(listen(settings.ready)?);
     let peers = Rc::new(listen(settings.peers)?);
     let metrics = SocketAddr::new(settings.callers.ip(), options.metrics_port);
     let metrics = Rc::new(listen(metrics)?);
-    let mut terminate = signal(SignalKind::terminate())?;
     let host = HostState::new(settings, clock);
     log_start(&host);
     let mut parts = list_parts(&host, &options);
