Add a fault soak of the gateway with real processes

Change: crates/hollywheel-daemon/tests/soak.rs plays three hollywheeld processes from a seed, with a loopback proxy in front of the store and every backend server, and checks the promises from what callers and servers saw. The gateway's stand-ins learn transactions, incarnations and the address by which callers know a server. The error of an address that can't be listened on names it.

Before that two faults of the soak itself: ports that another process took before a host listened on them (each process has a loopback address of its own now), and servers that came back ready in the same incarnation, which the registry rightly keeps draining (they are reborn now). Deliberate breaks of the promises were not tried.

--- /dev/null
+++ b/crates/hollywheel-daemon/tests/soak/faults.rs
@@ -0,0 +1,127 @@
+//! Faults drawn from a seed, in series and overlapping.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::process::ProcessEnd;
+use super::proxy::LinkMode;
+use super::system::SoakSystem;
+
+/// The time for which faults come.
+const FAULT_TIME: Duration = Duration::from_secs(7);
+
+/// Names a fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SoakFault {
+    PauseHost(usize),
+    KillHost(usize),
+    StopHost(usize),
+    ReloadHost(usize),
+    StoreLink(usize, LinkMode),
+    StoreDown,
+    ServerLink(usize, LinkMode),
+    ServerLeaves(usize),
+    NewVersion,
+}
+
+fn draw_mode(random: &mut StdRng) -> LinkMode {
+    match random.random_range(0..4) {
+        0 => LinkMode::Delay,
+        1 => LinkMode::OneWay,
+        2 => LinkMode::Silent,
+        _ => LinkMode::Reset,
+    }
+}
+
+fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize) -> SoakFault {
+    let host = random.random_range(0..hosts);
+    let server = random.random_range(0..servers);
+    match random.random_range(0..12) {
+        0 | 1 => SoakFault::PauseHost(host),
+        2 => SoakFault::KillHost(host),
+        3 | 4 => SoakFault::StopHost(host),
+        5 => SoakFault::ReloadHost(host),
+        6 => SoakFault::StoreLink(host, draw_mode(random)),
+        7 => SoakFault::StoreDown,
+        8 | 9 => SoakFault::ServerLink(server, draw_mode(random)),
+        10 => SoakFault::ServerLeaves(server),
+        _ => SoakFault::NewVersion,
+    }
+}
+
+fn begin(system: &mut SoakSystem, fault: SoakFault) {
+    match fault {
+        SoakFault::PauseHost(host) => system.hosts[host].signal(Signal::SIGSTOP),
+        SoakFault::KillHost(host) => system.hosts[host].signal(Signal::SIGKILL),
+        SoakFault::StopHost(host) => system.hosts[host].signal(Signal::SIGTERM),
+        SoakFault::ReloadHost(host) => {
+            system.hosts[host].write_settings("changed");
+            system.hosts[host].signal(Signal::SIGHUP);
+        }
+        SoakFault::StoreLink(host, mode) => system.hosts[host].store.set_mode(mode),
+        SoakFault::StoreDown => system.store.set_down(true),
+        SoakFault::ServerLink(server, mode) => system.servers[server].link.set_mode(mode),
+        SoakFault::ServerLeaves(server) => system.announce(server, "draining"),
+        SoakFault::NewVersion => system.publish("k1"),
+    }
+}
+
+fn end(system: &mut SoakSystem, fault: SoakFault) {
+    match fault {
+        SoakFault::PauseHost(host) => system.hosts[host].signal(Signal::SIGCONT),
+        SoakFault::StoreLink(host, _) => system.hosts[host].store.set_mode(LinkMode::Pass),
+        SoakFault::StoreDown => system.store.set_down(false),
+        SoakFault::ServerLink(server, _) => system.servers[server].link.set_mode(LinkMode::Pass),
+        SoakFault::ServerLeaves(server) => system.announce(server, "ready"),
+        SoakFault::KillHost(_)
+        | SoakFault::StopHost(_)
+        | SoakFault::ReloadHost(_)
+        | SoakFault::NewVersion => {}
+    }
+}
+
+/// Starts hosts that have ended again; lists those that ended by themselves.
+fn restart_ended(system: &mut SoakSystem, ordered: &[SoakFault]) -> Vec<String> {
+    let mut found = Vec::new();
+    for (index, host) in system.hosts.iter_mut().enumerate() {
+        let end = host.end();
+        let was_ordered = ordered.iter().any(|fault| {
+            matches!(fault, SoakFault::KillHost(host) | SoakFault::StopHost(host) if *host == index)
+        });
+        match end {
+            ProcessEnd::Running => continue,
+            ProcessEnd::Exit(0) | ProcessEnd::Killed if was_ordered => {}
+            _ => found.push(format!("{} ended by itself: {end:?}", host.name)),
+        }
+        host.run();
+    }
+    found
+}
+
+/// Brings faults over the system for a time and ends them all.
+pub async fn bring_faults(system: &mut SoakSystem, random: &mut StdRng) -> Vec<String> {
+    let until = Instant::now() + FAULT_TIME;
+    let mut running: Vec<(Instant, SoakFault)> = Vec::new();
+    let mut begun = Vec::new();
+    let mut found = Vec::new();
+    while Instant::now() < until {
+        let fault = draw_fault(random, system.hosts.len(), system.servers.len());
+        println!("  {fault:?}");
+        begin(system, fault);
+        let length = Duration::from_millis(random.random_range(200..2500));
+        running.push((Instant::now() + length, fault));
+        begun.push(fault);
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..600))).await;
+        for (_, fault) in running.extract_if(.., |(at, _)| *at <= Instant::now()) {
+            end(system, fault);
+        }
+        found.extend(restart_ended(system, &begun));
+    }
+    for (_, fault) in running {
+        end(system, fault);
+    }
+    found
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/tests/soak/load.rs
@@ -0,0 +1,158 @@
+//! Callers, and what they were told.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+
+use super::support::{CallerBody, request};
+
+/// A caller waits this long for an answer; requests say 3 s.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// A caller that leaves does so after this time.
+const LEAVE: Duration = Duration::from_millis(60);
+/// Callers pause between requests.
+const PAUSE: Duration = Duration::from_millis(15);
+/// Paths of requests; the last word says how the backend server behaves.
+const PATHS: [&str; 14] = [
+    "/pay/ok",
+    "/pay/ok",
+    "/pay/cut",
+    "/pay/first-full",
+    "/pay/full",
+    "/pay/foreign",
+    "/pay/torn",
+    "/look/ok",
+    "/look/flaky",
+    "/draft/ok",
+    "/draft/ok",
+    "/draft/broken",
+    "/brief/ok",
+    "/brief/broken",
+];
+
+/// Says what a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallerEnd {
+    /// A whole answer, with its status, its body and whether it has the server's proof.
+    Whole(u16, String, bool),
+    /// An answer that broke off.
+    Broken,
+    /// The connection ended without an answer.
+    Closed,
+    /// Nothing came in time, or the caller left.
+    Left,
+    /// No connection.
+    Unreached,
+}
+
+/// Holds one request and its end.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    pub attempt: String,
+    pub path: &'static str,
+    pub host: usize,
+    pub end: CallerEnd,
+}
+
+impl fmt::Display for CallRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            attempt,
+            path,
+            host,
+            end,
+        } = self;
+        write!(f, "{attempt} {path} at host {host}: {end:?}")
+    }
+}
+
+/// Collects the ends of all requests.
+pub type CallBook = Arc<Mutex<Vec<CallRecord>>>;
+
+type Sender = SendRequest<CallerBody>;
+
+async fn connect(address: SocketAddr) -> Option<Sender> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+/// Sends a request and reads its answer.
+pub async fn call(sender: &mut Sender, path: &str, attempt: &str, key: &str) -> CallerEnd {
+    let Ok(answer) = sender
+        .send_request(request("POST", path, attempt, key))
+        .await
+    else {
+        return CallerEnd::Closed;
+    };
+    let status = answer.status().as_u16();
+    let proven = answer.headers().contains_key("response-seal");
+    match answer.into_body().collect().await {
+        Ok(body) => {
+            let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+            CallerEnd::Whole(status, body, proven)
+        }
+        Err(_) => CallerEnd::Broken,
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call_once(address: SocketAddr, path: &str, attempt: &str, key: &str) -> CallerEnd {
+    match connect(address).await {
+        Some(mut sender) => {
+            let called = call(&mut sender, path, attempt, key);
+            let ended = tokio::time::timeout(PATIENCE, called).await;
+            ended.unwrap_or(CallerEnd::Left)
+        }
+        None => CallerEnd::Unreached,
+    }
+}
+
+/// Sends requests until a point, on kept connections as long as they last.
+pub async fn run_caller(
+    name: String,
+    seed: u64,
+    hosts: Vec<SocketAddr>,
+    until: Instant,
+    book: CallBook,
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut number = 0;
+    while Instant::now() < until {
+        let host = random.random_range(0..hosts.len());
+        let Some(mut sender) = connect(hosts[host]).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        while Instant::now() < until && sender.ready().await.is_ok() {
+            number += 1;
+            let attempt = format!("{name}n{number}");
+            let path = PATHS[random.random_range(0..PATHS.len())];
+            let leaves = random.random_bool(0.05);
+            let limit = if leaves { LEAVE } else { PATIENCE };
+            let called = call(&mut sender, path, &attempt, "k1");
+            let end = tokio::time::timeout(limit, called).await;
+            let end = end.unwrap_or(CallerEnd::Left);
+            let is_over = !matches!(end, CallerEnd::Whole(..));
+            book.lock().unwrap().push(CallRecord {
+                attempt,
+                path,
+                host,
+                end,
+            });
+            tokio::time::sleep(PAUSE).await;
+            if is_over || random.random_bool(0.1) {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/tests/soak/process.rs
@@ -0,0 +1,157 @@
+//! Hosts as separate processes.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::proxy::LinkProxy;
+use super::support::free_address;
+
+/// A host ends this long after a SIGTERM: the grace of its settings.
+pub const GRACE: Duration = Duration::from_secs(8);
+const TICK: Duration = Duration::from_millis(20);
+
+/// Describes how a process ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProcessEnd {
+    /// It still runs.
+    Running,
+    /// It ended by itself or after a SIGTERM, with this status.
+    Exit(i32),
+    /// A signal ended it.
+    Killed,
+}
+
+/// Holds one host and where it is reached.
+pub struct HostProcess {
+    /// The name.
+    pub name: String,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address that says whether it is ready.
+    pub ready: SocketAddr,
+    peers: SocketAddr,
+    /// Its way to the store.
+    pub store: LinkProxy,
+    directory: PathBuf,
+    starts: u32,
+    child: Option<Child>,
+}
+
+impl HostProcess {
+    /// Starts a host whose files lie in a directory.
+    pub fn start(name: &str, store: SocketAddr, directory: &Path) -> Self {
+        let mut host = Self {
+            name: name.to_owned(),
+            callers: free_address(),
+            ready: free_address(),
+            peers: free_address(),
+            store: LinkProxy::start(store),
+            directory: directory.to_owned(),
+            starts: 0,
+            child: None,
+        };
+        host.write_settings("");
+        host.run();
+        host
+    }
+
+    /// Writes the settings file with a comment, so that it changes.
+    pub fn write_settings(&self, comment: &str) {
+        let text = format!(
+            r#"# {comment}
+node = "{}"
+zone = "a"
+[listen]
+front = "{}"
+ready = "{}"
+control = "{}"
+[limits]
+cpu-share = 0.25
+memory-mb = 260
+file-descriptors = 4100
+link-mbps = 1000.0
+[bounds]
+drain-ms = 2000
+grace-s = {}
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 58
+config-apply-ms = 2000
+[platform]
+address = "{}"
+reads-per-s = 2000
+"#,
+            self.name,
+            self.callers,
+            self.ready,
+            self.peers,
+            GRACE.as_secs(),
+            self.store.address,
+        );
+        std::fs::write(self.file("toml"), text).unwrap();
+    }
+
+    fn file(&self, ending: &str) -> PathBuf {
+        self.directory.join(format!("{}.{ending}", self.name))
+    }
+
+    /// Starts the process.
+    pub fn run(&mut self) {
+        self.starts += 1;
+        let log = File::create(self.file(&format!("{}.log", self.starts))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_hollywheeld"))
+            .args(["gateway", "--metrics-port", "0", "--settings"])
+            .arg(self.file("toml"))
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().unwrap())
+            .stdout(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let id = Pid::from_raw(i32::try_from(child.id()).unwrap());
+            // It may have ended in between.
+            let _ = kill(id, signal);
+        }
+    }
+
+    /// Looks how the process is.
+    pub fn end(&mut self) -> ProcessEnd {
+        let Some(child) = &mut self.child else {
+            return ProcessEnd::Killed;
+        };
+        match child.try_wait().unwrap() {
+            None => ProcessEnd::Running,
+            Some(status) => status.code().map_or(ProcessEnd::Killed, ProcessEnd::Exit),
+        }
+    }
+
+    /// Waits for the end of the process for a time.
+    pub async fn wait_end(&mut self, limit: Duration) -> ProcessEnd {
+        let until = Instant::now() + limit;
+        while self.end() == ProcessEnd::Running && Instant::now() < until {
+            tokio::time::sleep(TICK).await;
+        }
+        self.end()
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A process that has ended already is only waited for.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -0,0 +1,301 @@
+//! The system under the soak, from its start to its graceful end.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::check::violations;
+use super::faults::bring_faults;
+use super::load::{CallBook, CallRecord, CallerEnd, call_once, run_caller};
+use super::process::{GRACE, HostProcess, ProcessEnd};
+use super::proxy::LinkProxy;
+use super::support::store::{StoreStandin, serve};
+use super::support::{ServerLog, config, servers};
+
+const HOSTS: usize = 3;
+const CALLERS: usize = 12;
+const SERVERS: [(&str, &str); 7] = [
+    ("p1", "plain"),
+    ("p2", "plain"),
+    ("p3", "plain"),
+    ("m1", "model"),
+    ("m2", "model"),
+    ("s1", "stage"),
+    ("s2", "stage"),
+];
+/// A configuration, or a server that leaves, is in force after this time (settings of the hosts).
+const IN_FORCE: Duration = Duration::from_millis(2000);
+/// Allows for the machine's own delays.
+const SLACK: Duration = Duration::from_millis(500);
+/// Hosts serve again this long after all faults have ended.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// A server stops its work this long after its caller has left.
+const GONE_TIME: Duration = Duration::from_millis(1000);
+
+/// Holds one backend server's stand-in behind a proxy.
+pub struct SoakServer {
+    name: &'static str,
+    pool: &'static str,
+    born: u64,
+    /// The way to it.
+    pub link: LinkProxy,
+}
+
+/// Holds everything that a seed is played with.
+pub struct SoakSystem {
+    /// The hosts.
+    pub hosts: Vec<HostProcess>,
+    /// The backend servers.
+    pub servers: Vec<SoakServer>,
+    /// The platform's store.
+    pub store: Arc<StoreStandin>,
+    log: Arc<ServerLog>,
+    version: u64,
+    directory: PathBuf,
+}
+
+impl SoakSystem {
+    async fn start(seed: u64) -> Self {
+        let directory = format!("hollywheel-soak-{}-{seed}", std::process::id());
+        let directory = std::env::temp_dir().join(directory);
+        std::fs::create_dir_all(&directory).unwrap();
+        let store = Arc::new(StoreStandin::default());
+        let log = Arc::new(ServerLog::default());
+        let address = serve(Arc::clone(&store)).await;
+        let mut system = Self {
+            hosts: Vec::new(),
+            servers: Vec::new(),
+            store,
+            log: Arc::clone(&log),
+            version: 0,
+            directory,
+        };
+        for (index, (name, pool)) in SERVERS.into_iter().enumerate() {
+            let link = LinkProxy::start(servers::serve(name, Arc::clone(&log)).await);
+            system.servers.push(SoakServer {
+                name,
+                pool,
+                born: 0,
+                link,
+            });
+            system.announce(index, "ready");
+        }
+        system.publish("k1");
+        for number in 0..HOSTS {
+            let name = format!("front-a-{number}");
+            let host = HostProcess::start(&name, address, &system.directory);
+            system.hosts.push(host);
+        }
+        system
+    }
+
+    /// Writes the entry of a server, of a new incarnation if it is ready.
+    pub fn announce(&mut self, server: usize, state: &str) {
+        let server = &mut self.servers[server];
+        if state == "ready" {
+            server.born += 1;
+        }
+        let (address, born) = (server.link.address, server.born);
+        self.store
+            .set_server(server.name, server.pool, address, state, born);
+    }
+
+    /// Publishes the next version, in which one key is known.
+    pub fn publish(&mut self, key: &str) {
+        self.version += 1;
+        self.store.set_config(&config(self.version, key));
+    }
+
+    /// Waits until every host answers a request of each kind.
+    async fn wait_serving(&self, book: &CallBook, round: &str) -> Result<(), String> {
+        let until = Instant::now() + RECOVERY;
+        for (index, host) in self.hosts.iter().enumerate() {
+            for path in ["/pay/ok", "/look/ok", "/draft/ok", "/brief/ok"] {
+                let mut number = 0;
+                loop {
+                    number += 1;
+                    let attempt = format!("{round}h{index}{}n{number}", path.replace('/', ""));
+                    let end = self.call(book, index, path, &attempt, "k1").await;
+                    if matches!(end, CallerEnd::Whole(200, ..)) {
+                        break;
+                    }
+                    if Instant::now() > until {
+                        return Err(format!("{} does not serve {path}: {end:?}", host.name));
+                    }
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        book: &CallBook,
+        host: usize,
+        path: &'static str,
+        attempt: &str,
+        key: &str,
+    ) -> CallerEnd {
+        let end = call_once(self.hosts[host].callers, path, attempt, key).await;
+        book.lock().unwrap().push(CallRecord {
+            attempt: attempt.to_owned(),
+            path,
+            host,
+            end: end.clone(),
+        });
+        end
+    }
+
+    fn start_callers(&self, name: &str, seed: u64, time: Duration, book: &CallBook) -> JoinSet<()> {
+        let addresses: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
+        let mut callers = JoinSet::new();
+        for number in 0..CALLERS {
+            callers.spawn(run_caller(
+                format!("{name}c{number}"),
+                seed.wrapping_mul(1000) + number as u64,
+                addresses.clone(),
+                Instant::now() + time,
+                Arc::clone(book),
+            ));
+        }
+        callers
+    }
+
+    /// Checks that a new version is in force everywhere in time and does not revert.
+    async fn check_config(&mut self, book: &CallBook) -> Vec<String> {
+        self.publish("k2");
+        sleep(IN_FORCE + SLACK).await;
+        let mut found = Vec::new();
+        for round in 0..3 {
+            for index in 0..self.hosts.len() {
+                let attempt = format!("config{round}h{index}");
+                let end = self.call(book, index, "/look/ok", &attempt, "k2").await;
+                if !matches!(end, CallerEnd::Whole(200, ..)) {
+                    found.push(format!("a new key is not in force: {attempt} {end:?}"));
+                }
+                // This call is not in the book, so it counts as one that nobody sent if it runs.
+                let host = self.hosts[index].callers;
+                let end = call_once(host, "/look/ok", "withdrawn", "k1").await;
+                if !matches!(end, CallerEnd::Whole(401, ..)) {
+                    found.push(format!("an old key is in force: {attempt} {end:?}"));
+                }
+            }
+        }
+        self.publish("k1");
+        sleep(IN_FORCE + SLACK).await;
+        found
+    }
+
+    /// Checks that a server that leaves gets nothing new.
+    async fn check_leaving(&mut self, book: &CallBook) -> Vec<String> {
+        self.announce(0, "draining");
+        sleep(IN_FORCE + SLACK).await;
+        let mut found = Vec::new();
+        for number in 0..30 {
+            let attempt = format!("leaving{number}");
+            let host = number % self.hosts.len();
+            let end = self.call(book, host, "/pay/ok", &attempt, "k1").await;
+            if !matches!(end, CallerEnd::Whole(200, ..)) {
+                found.push(format!("not served beside a leaving server: {end:?}"));
+            }
+        }
+        let ran = self.log.with("ran leaving").concat();
+        if ran.contains("at=p1") {
+            found.push("a leaving server got new work".to_owned());
+        }
+        found
+    }
+
+    /// Checks that servers stop work for callers that have left.
+    async fn check_gone(&self, book: &CallBook) -> Vec<String> {
+        let mut found = Vec::new();
+        for (index, path) in ["/pay/slow", "/draft/slow"].into_iter().enumerate() {
+            let attempt = format!("gone{index}");
+            let call = self.call(book, index, path, &attempt, "k1");
+            let left = tokio::time::timeout(Duration::from_millis(700), call).await;
+            book.lock().unwrap().push(CallRecord {
+                attempt: attempt.clone(),
+                path,
+                host: index,
+                end: CallerEnd::Left,
+            });
+            sleep(GONE_TIME).await;
+            if left.is_err() && self.log.with(&format!("cancelled {attempt}")).is_empty() {
+                found.push(format!("work goes on for a caller that left: {path}"));
+            }
+        }
+        found
+    }
+
+    /// Stops every host while callers keep using their connections.
+    async fn check_stop(&mut self, seed: u64, book: &CallBook) -> Vec<String> {
+        let stop_book = CallBook::default();
+        let mut callers = self.start_callers("stop", seed, GRACE, &stop_book);
+        sleep(Duration::from_millis(500)).await;
+        for host in &self.hosts {
+            host.signal(Signal::SIGTERM);
+        }
+        let mut found = Vec::new();
+        for host in &mut self.hosts {
+            let end = host.wait_end(GRACE).await;
+            if end != ProcessEnd::Exit(0) {
+                found.push(format!("{} did not stop cleanly: {end:?}", host.name));
+            }
+        }
+        while callers.join_next().await.is_some() {}
+        let calls = std::mem::take(&mut *stop_book.lock().unwrap());
+        for call in &calls {
+            let ran = self.log.with(&format!("ran {} ", call.attempt));
+            let cut = matches!(call.end, CallerEnd::Closed | CallerEnd::Broken);
+            if cut && call.path.ends_with("/ok") && !ran.is_empty() {
+                found.push(format!("cut in a planned stop: {call}"));
+            }
+        }
+        book.lock().unwrap().extend(calls);
+        found
+    }
+}
+
+/// Plays one seed; returns the promises that were broken.
+pub async fn play_seed(seed: u64) -> Vec<String> {
+    println!("seed {seed}");
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut system = SoakSystem::start(seed).await;
+    let book = CallBook::default();
+    let mut found = Vec::new();
+    found.extend(system.wait_serving(&book, "start").await.err());
+    let mut callers = system.start_callers("load", seed, Duration::from_secs(7), &book);
+    found.extend(bring_faults(&mut system, &mut random).await);
+    while callers.join_next().await.is_some() {}
+    // Hosts that were told to stop may still be about it.
+    sleep(GRACE / 2).await;
+    for host in &mut system.hosts {
+        if host.end() != ProcessEnd::Running {
+            host.run();
+        }
+    }
+    found.extend(system.wait_serving(&book, "after").await.err());
+    found.extend(system.check_config(&book).await);
+    found.extend(system.check_leaving(&book).await);
+    found.extend(system.check_gone(&book).await);
+    found.extend(system.check_stop(seed, &book).await);
+    let calls = std::mem::take(&mut *book.lock().unwrap());
+    let served = calls
+        .iter()
+        .filter(|call| matches!(call.end, CallerEnd::Whole(200, ..)));
+    println!("  {} of {} calls served", served.count(), calls.len());
+    found.extend(violations(&calls, &system.log));
+    if found.is_empty() {
+        let _ = std::fs::remove_dir_all(&system.directory);
+    } else {
+        println!("  logs: {}", system.directory.display());
+    }
+    found
+}
--- a/crates/hollywheel-gateway/src/connect.rs
+++ b/crates/hollywheel-gateway/src/connect.rs
@@ -30,8 +30,13 @@
     Ok(stream)
 }
 
-/// Opens a listener.
+/// Opens a listener; its error names the address.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    open_listener(address)
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+}
+
+fn open_listener(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -1,9 +1,9 @@
 //! Stand-ins of the platform on loopback: its store, and backend servers that misbehave.
 
-mod servers;
-mod store;
+pub mod servers;
+pub mod store;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,8 +33,14 @@
     pub body: Result<String, String>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+/// Holds the body of a caller's request.
+pub type CallerBody = Full<Bytes>;
+
+/// Returns an address that nothing listens on. Each process has a loopback address of its own,
+/// so that a port is not taken by another one, or by an outgoing connection, before it is used.
+pub fn free_address() -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 1 + high % 250, low, 1), 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -103,7 +109,7 @@
             ("s1", "stage"),
         ] {
             let address = servers::serve(server, Arc::clone(&log)).await;
-            store.set_server(server, pool, address, "ready");
+            store.set_server(server, pool, address, "ready", 1);
         }
         store.set_config(&config(1, "k1"));
         let path = std::env::temp_dir().join(format!("hollywheel-{name}-{}", std::process::id()));
@@ -141,7 +147,7 @@
 }
 
 /// Makes a caller's request.
-pub fn request(method: &str, path: &str, attempt: &str, key: &str) -> Request<Full<Bytes>> {
+pub fn request(method: &str, path: &str, attempt: &str, key: &str) -> Request<CallerBody> {
     Request::builder()
         .method(method)
         .uri(path)
--- a/crates/hollywheel-gateway/tests/support/servers.rs
+++ b/crates/hollywheel-gateway/tests/support/servers.rs
@@ -111,6 +111,8 @@
     let (attempt, tenant, inputs) = (header("attempt-id"), header("tenant"), header("inputs"));
     let (key, last) = (header("authorization"), header("last-event-id"));
     let path = request.uri().path().to_owned();
+    // The address by which callers know this server, which may be a proxy's.
+    let address = header("host").parse().unwrap_or(address);
     if header("expect-instance") != server {
         return Ok(Response::builder()
             .status(421)
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -73,10 +73,17 @@
         self.set("op", "config", Some(base64(text)));
     }
 
-    /// Writes the entry of a backend server.
-    pub fn set_server(&self, server: &str, pool: &str, address: SocketAddr, state: &str) {
+    /// Writes the entry of one incarnation of a backend server.
+    pub fn set_server(
+        &self,
+        server: &str,
+        pool: &str,
+        address: SocketAddr,
+        state: &str,
+        born: u64,
+    ) {
         let entry = format!(
-            r#"{{"service":"{pool}","address":"{address}","zone":"a","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":1}}"#
+            r#"{{"service":"{pool}","address":"{address}","zone":"a","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":{born}}}"#
         );
         self.set("servers", server, Some(base64(&entry)));
     }
@@ -113,6 +120,27 @@
     }
 }
 
+/// Returns the text of a field that comes after a point of a JSON document.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let start = text.find(&format!("\"{name}\":\""))? + name.len() + 4;
+    text[start..].split('"').next()
+}
+
+impl StoreStandin {
+    /// Applies a transaction that sets or removes one row of the hosts' own table.
+    fn apply(&self, body: &str) {
+        let Some((before, removed)) = body.split_once("\"remove\":") else {
+            return;
+        };
+        if let (Some(key), Some(value)) = (field(before, "key"), field(before, "value")) {
+            self.set("hosts", key, Some(value.to_owned()));
+        }
+        if let Some(key) = field(removed, "key") {
+            self.set("hosts", key, None);
+        }
+    }
+}
+
 fn argument(query: &str, name: &str) -> Option<String> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs
@@ -124,9 +152,15 @@
     if *store.down.lock().unwrap() {
         return (503, "{}".into());
     }
-    let query = request.uri().query().unwrap_or("");
+    let (head, body) = request.into_parts();
+    let query = head.uri.query().unwrap_or("");
     let table = argument(query, "table").unwrap_or_default();
-    let (rows, newest) = match request.uri().path() {
+    let (rows, newest) = match head.uri.path() {
+        "/rows-tx" => {
+            let body = body.collect().await.map(|body| body.to_bytes());
+            store.apply(&String::from_utf8_lossy(&body.unwrap_or_default()));
+            (Vec::new(), store.list(&table, None).1)
+        }
         "/rows-get" => store.list(&table, None),
         "/rows-feed" => {
             let after: u64 = argument(query, "after").unwrap().parse().unwrap();
