Explain failed requests from the hosts' log files

Cause: on-call engineers have only logs; the way from a request's id to its cause was a search by hand over the files of all hosts.

Change: hollywheelctl logs request ID FILES prints, in the order of time, every line of a request over all hosts and what was logged meanwhile about the servers and pools that it met; logs failures FILES counts requests that were not answered by pipeline, outcome and reason, with an example of each. Files may be those of collectors that put the host before each line.

--- a/crates/hollywheel-cli/src/commands/mod.rs
+++ b/crates/hollywheel-cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod hash_key;
 mod history;
 mod hosts;
+mod logs;
 mod make_ca;
 mod make_host_key;
 mod pools;
--- a/crates/hollywheel-cli/src/commands/registry.rs
+++ b/crates/hollywheel-cli/src/commands/registry.rs
@@ -3,7 +3,7 @@
 use clap::{ArgMatches, Command};
 
 use super::{
-    check, claims, completion, diff, drain, hash_key, history, hosts, make_ca, make_host_key,
+    check, claims, completion, diff, drain, hash_key, history, hosts, logs, make_ca, make_host_key,
     pools, publish, rollback, schema, show, status, trace,
 };
 use crate::context::CommandContext;
@@ -28,6 +28,8 @@
     History,
     /// Lists hosts.
     Hosts,
+    /// Explains failed requests from log files.
+    Logs,
     /// Makes the authority of hosts.
     MakeCa,
     /// Makes the key of a host.
@@ -50,7 +52,7 @@
 
 impl CommandName {
     /// Lists every command in the order of the help.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Status,
         Self::Check,
         Self::Diff,
@@ -62,6 +64,7 @@
         Self::Pools,
         Self::Claims,
         Self::Trace,
+        Self::Logs,
         Self::Drain,
         Self::HashKey,
         Self::MakeCa,
@@ -81,6 +84,7 @@
             Self::HashKey => hash_key::NAME,
             Self::History => history::NAME,
             Self::Hosts => hosts::NAME,
+            Self::Logs => logs::NAME,
             Self::MakeCa => make_ca::NAME,
             Self::MakeHostKey => make_host_key::NAME,
             Self::Pools => pools::NAME,
@@ -104,6 +108,7 @@
             Self::HashKey => hash_key::command(),
             Self::History => history::command(),
             Self::Hosts => hosts::command(),
+            Self::Logs => logs::command(),
             Self::MakeCa => make_ca::command(),
             Self::MakeHostKey => make_host_key::command(),
             Self::Pools => pools::command(),
@@ -135,6 +140,7 @@
             Self::HashKey => hash_key::run(context, args),
             Self::History => history::run(context, args).await,
             Self::Hosts => hosts::run(context).await,
+            Self::Logs => logs::run(context, args),
             Self::MakeCa => make_ca::run(context, args),
             Self::MakeHostKey => make_host_key::run(context, args),
             Self::Pools => pools::run(context, args).await,
--- a/crates/hollywheel-cli/src/lib.rs
+++ b/crates/hollywheel-cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod context;
 mod error;
+mod log_lines;
 mod object_files;
 mod output;
 
--- /dev/null
+++ b/crates/hollywheel-cli/tests/logs.rs
@@ -0,0 +1,63 @@
+//! `hollywheelctl logs` against lines of two hosts.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+const FIRST: &str = r#"{"timestamp":"2026-12-04T03:00:00.100Z","level":"INFO","message":"A stage has ended without its results.","code":"HW7203","request":"a1","pool":"encode","stage":0,"reason":"pool can't make it in time","took_ms":3}
+not a line of the log
+{"timestamp":"2026-12-04T03:00:00.101Z","level":"INFO","message":"A request has ended.","code":"HW7201","request":"a1","pipeline":"draft","outcome":"refused","verdict":"not-run","status":503,"reason":"pool can't make it in time","workspace":null}
+{"timestamp":"2026-12-04T03:00:00.300Z","level":"INFO","message":"A request has ended.","code":"HW7201","request":"a2","pipeline":"draft","outcome":"answered","verdict":"ran","status":200,"reason":""}
+{"timestamp":"2026-12-04T03:00:00.400Z","level":"INFO","message":"A request has ended.","code":"HW7201","request":"a3","pipeline":"draft","outcome":"refused","verdict":"not-run","status":503,"reason":"pool can't make it in time"}
+"#;
+const SECOND: &str = r#"03:00:00 front-b {"timestamp":"2026-12-04T03:00:00.099Z","level":"INFO","message":"A pool has refused the pieces of a stage.","code":"HW7205","request":"a1","pool":"encode","waiting":90}
+03:00:00 front-b {"timestamp":"2026-12-04T03:00:00.100Z","level":"INFO","message":"A call for pieces has ended without results for all of them.","code":"HW7204","pool":"encode","server":"e1","outcome":"no room"}
+03:00:00 front-b {"timestamp":"2026-12-04T03:00:00.100Z","level":"INFO","message":"A call for pieces has ended without results for all of them.","code":"HW7204","pool":"rank","server":"r1","outcome":"no room"}
+"#;
+
+fn write_logs(name: &str) -> [PathBuf; 2] {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&directory).unwrap();
+    [("front-a.log", FIRST), ("collected.txt", SECOND)].map(|(file, text)| {
+        let path = directory.join(file);
+        std::fs::write(&path, text).unwrap();
+        path
+    })
+}
+
+fn run(arguments: &[&str], files: &[PathBuf]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_hollywheelctl"))
+        .env_clear()
+        .arg("logs")
+        .args(arguments)
+        .args(files)
+        .output()
+        .unwrap();
+    format!(
+        "exit {}\n{}{}",
+        output.status.code().unwrap(),
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+#[test]
+fn a_request_is_told_over_all_hosts_with_what_it_met() {
+    insta::assert_snapshot!(run(&["request", "a1"], &write_logs("story")));
+}
+
+#[test]
+fn failures_are_counted_by_cause() {
+    insta::assert_snapshot!(run(&["failures"], &write_logs("failures")));
+}
+
+#[test]
+fn what_is_not_there_is_named() {
+    let files = write_logs("missing");
+    let told = run(&["request", "zz"], &files);
+    assert!(told.contains("no file has a line of request zz"), "{told}");
+    let empty = files[0].with_file_name("empty.log");
+    std::fs::write(&empty, "nothing\n").unwrap();
+    let told = run(&["failures"], std::slice::from_ref(&empty));
+    assert!(told.starts_with("exit 2"), "{told}");
+    assert!(told.contains("holds no line of a host's log"), "{told}");
+}
