Let the least urgent give way when a pool can't carry a burst

Cause: groups went by their latest finish alone. The ranks of pipelines and workspaces were read and not used.

Ruled out: engines (0.1 s to a first event outside bursts) and hosts' processor time (0.002 of a core).

Change: Moore and Hodgson's rule by rank. Groups stand in the order of their points; whenever one would be late, the least urgent before it gives way, the largest first among equals. Work counts by calls and by room (servers of 68 MB stood idle beside 100 waiting pieces for want of it), whichever lasts longer. The workspace's rank goes before the pipeline's.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -9,7 +9,7 @@
 use hollywheel_adapter::StagePiece;
 use hollywheel_serving::{
     BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
-    PieceHandle, PieceResult, PoolBatcher, PoolShard, StageInput,
+    PieceHandle, PieceResult, PoolBatcher, PoolShard, RequestRank, StageInput,
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
@@ -37,6 +37,7 @@
     pub(crate) result_bytes: u64,
     pub(crate) due: MonoTime,
     pub(crate) expires: MonoTime,
+    pub(crate) rank: RequestRank,
     pub(crate) domain: Option<DomainId>,
     pub(crate) pull_bytes: u64,
 }
@@ -85,6 +86,7 @@
 
 /// Withdraws a group whose request ends before it does.
 struct GroupGuard<'a> {
+    host: &'a Host,
     duty: &'a BatchDuty,
     key: DutyKey,
     ticket: GroupTicket,
@@ -93,7 +95,7 @@
 impl Drop for GroupGuard<'_> {
     fn drop(&mut self) {
         if let Some(pool) = self.duty.pools.borrow_mut().get_mut(&self.key) {
-            pool.abandon(self.ticket);
+            pool.abandon(self.host.now(), self.ticket);
         }
     }
 }
@@ -109,41 +111,42 @@
     }
 
     /// Forgets a group and frees what was made for it.
-    fn abandon(&mut self, ticket: GroupTicket) {
+    fn abandon(&mut self, now: MonoTime, ticket: GroupTicket) {
         self.batcher.withdraw(ticket);
         if let Some(work) = self.groups.remove(&ticket) {
             let made: Vec<PieceHandle> = work.handles.into_iter().flatten().collect();
             // All were made by this batcher, which knows them.
-            let _ = self.batcher.release(&made);
+            let _ = self.batcher.release(now, &made);
         }
     }
 
     /// Passes what became of pieces on to their groups.
-    fn deliver(&mut self, deliveries: Vec<PieceDelivery>) {
+    fn deliver(&mut self, now: MonoTime, deliveries: Vec<PieceDelivery>) {
         for delivery in deliveries {
             let ticket = delivery.piece.ticket;
             let end = match delivery.result {
                 PieceResult::Made(handle) => {
-                    self.note_made(ticket, delivery.piece.position, handle)
+                    self.note_made(now, ticket, delivery.piece.position, handle)
                 }
                 PieceResult::Late => Some(GroupEnd::Late),
                 PieceResult::InputGone => Some(GroupEnd::InputGone),
                 PieceResult::NoRoom | PieceResult::Failed => Some(GroupEnd::Failed),
             };
             if let Some(end) = end {
-                self.end_group(ticket, end);
+                self.end_group(now, ticket, end);
             }
         }
     }
 
     fn note_made(
         &mut self,
+        now: MonoTime,
         ticket: GroupTicket,
         position: usize,
         handle: PieceHandle,
     ) -> Option<GroupEnd> {
         let Some(work) = self.groups.get_mut(&ticket) else {
-            let _ = self.batcher.release(&[handle]);
+            let _ = self.batcher.release(now, &[handle]);
             return None;
         };
         work.handles[position] = Some(handle);
@@ -151,7 +154,7 @@
         made.map(GroupEnd::Made)
     }
 
-    fn end_group(&mut self, ticket: GroupTicket, end: GroupEnd) {
+    fn end_group(&mut self, now: MonoTime, ticket: GroupTicket, end: GroupEnd) {
         let Some(work) = self.groups.remove(&ticket) else {
             return;
         };
@@ -160,7 +163,7 @@
         let complete = matches!(end, GroupEnd::Made(_));
         // The request may have ended in between; its results are not needed then.
         if work.reply.send(end).is_err() || !complete {
-            let _ = self.batcher.release(&made);
+            let _ = self.batcher.release(now, &made);
         }
     }
 }
@@ -188,6 +191,7 @@
                 result_bytes: group.result_bytes,
                 due: group.due,
                 expires: group.expires,
+                rank: group.rank,
                 chained: group.input != StageInput::Key,
                 domain: group.domain.clone(),
                 pull_bytes: group.pull_bytes,
@@ -203,6 +207,7 @@
             duty.groups.insert(ticket, work);
         }
         let _guard = GroupGuard {
+            host,
             duty: self,
             key: key.clone(),
             ticket,
@@ -235,7 +240,7 @@
     ) {
         let mut pools = self.pools.borrow_mut();
         match pools.get_mut(&(pool.clone(), shard.clone())) {
-            Some(duty) => free_at_servers(host, &duty.batcher.release(handles)),
+            Some(duty) => free_at_servers(host, &duty.batcher.release(host.now(), handles)),
             None => free_at_servers(host, handles),
         }
     }
@@ -259,7 +264,7 @@
         };
         let now = host.now();
         let expired = duty.batcher.drop_expired(now);
-        duty.deliver(expired);
+        duty.deliver(now, expired);
         while let Some(plan) = duty.batcher.next_call(now) {
             let pieces = plan_pieces(now, duty, &plan);
             let name = host.metrics.name(key.0.as_str());
@@ -273,8 +278,9 @@
 
     fn finish(&self, host: &Host, key: &DutyKey, call: u64, outcome: CallOutcome) {
         if let Some(duty) = self.pools.borrow_mut().get_mut(key) {
-            let deliveries = duty.batcher.finish_call(host.now(), call, outcome);
-            duty.deliver(deliveries);
+            let now = host.now();
+            let deliveries = duty.batcher.finish_call(now, call, outcome);
+            duty.deliver(now, deliveries);
         }
         self.pump(host, key);
     }
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tokio::net::TcpListener;
 
-use hollywheel_serving::{PoolShard, StageInput};
+use hollywheel_serving::{PoolShard, RequestRank, StageInput};
 use hollywheel_types::PoolId;
 use hollywheel_wire::serving::{FreeResults, PieceAnswer, PieceEnd, PieceOrder};
 
@@ -81,6 +81,7 @@
     let pool: PoolId = message.pool.parse().ok()?;
     let shard = read_shard(&message.shard)?;
     host.batches.release(host, &pool, &shard, &message.handles);
+    host.batches.free_unneeded(host);
     Some(Vec::new())
 }
 
@@ -127,6 +128,10 @@
             now + due
         },
         expires: now + Duration::from_micros(order.expires_us),
+        rank: RequestRank {
+            workspace: u8::try_from(order.workspace_rank).unwrap_or(u8::MAX),
+            pipeline: u8::try_from(order.pipeline_rank).unwrap_or(u8::MAX),
+        },
         domain,
         pull_bytes: order.pull_bytes,
     })
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use hollywheel_adapter::CallerHead;
-use hollywheel_serving::{PipelineRoute, RequestKind, ServingSet};
+use hollywheel_serving::{KeyHolder, PipelineRoute, RequestKind, RequestRank, ServingSet};
 use hollywheel_types::{MonoTime, PoolId, WorkspaceId};
 
 use crate::body::AnswerBody;
@@ -38,6 +38,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) workspace: Option<WorkspaceId>,
+    pub(crate) rank: RequestRank,
     pub(crate) arrived: MonoTime,
     /// The point by which the answer begins if it is to count fully.
     pub(crate) objective: MonoTime,
@@ -171,7 +172,10 @@
     let name = host_name(&parts).ok_or(Rejection::BadHead)?;
     let pipeline = set.find_pipeline(&name, parts.uri.path());
     let pipeline = Rc::new(pipeline.ok_or(Rejection::NoRoute)?.clone());
-    let workspace = check_key(&set, &pipeline, &head)?;
+    let holder = check_key(&set, &pipeline, &head)?;
+    let workspace = holder.map(|holder| holder.workspace.clone());
+    let priority = holder.and_then(|holder| holder.priority);
+    let rank = RequestRank::new(priority, pipeline.priority);
     let body = read_body(body, set.limits.body_bytes).await?;
     let tie = host.tie();
     let pool = pipeline
@@ -194,6 +198,7 @@
         headers: parts.headers,
         body,
         workspace,
+        rank,
         arrived,
         tie,
     })
@@ -206,17 +211,17 @@
     Some(name.to_ascii_lowercase())
 }
 
-fn check_key(
-    set: &ServingSet,
+fn check_key<'a>(
+    set: &'a ServingSet,
     pipeline: &PipelineRoute,
     head: &CallerHead,
-) -> Result<Option<WorkspaceId>, Rejection> {
+) -> Result<Option<&'a KeyHolder>, Rejection> {
     let Some(keys) = &set.keys else {
         return Ok(None);
     };
     let holder = head.key.as_deref().and_then(|key| keys.get(key));
     match holder {
-        Some(holder) => Ok(Some(holder.workspace.clone())),
+        Some(holder) => Ok(Some(holder)),
         None if pipeline.allow_anonymous => Ok(None),
         None => Err(Rejection::BadKey),
     }
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 
 use hollywheel_serving::{
-    HostRecord, PieceHandle, PipelineRoute, PoolShard, ServerRecord, ServingSet, StageGraph,
+    HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord, ServingSet, StageGraph,
     StageInput, choose_shard,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
@@ -35,6 +35,7 @@
     pub(crate) piece_key: String,
     pub(crate) objective: MonoTime,
     pub(crate) deadline: MonoTime,
+    pub(crate) rank: RequestRank,
     /// The domain of the engine that the final call will probably go to.
     pub(crate) domain: Option<DomainId>,
     pub(crate) tie: u64,
@@ -202,6 +203,7 @@
         result_bytes: step.result_bytes,
         due: context.objective - rest,
         expires: context.deadline - rest,
+        rank: context.rank,
         domain: place.domain,
         pull_bytes: place.pull_bytes,
     };
@@ -357,6 +359,8 @@
         result_bytes: group.result_bytes,
         due_us: due,
         expires_us: micros(group.expires.since(now)),
+        workspace_rank: u32::from(group.rank.workspace),
+        pipeline_rank: u32::from(group.rank.pipeline),
         domain: group
             .domain
             .as_ref()
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -211,6 +211,7 @@
                 piece_key: self.context.head.piece_key.clone(),
                 objective: self.context.objective,
                 deadline: self.context.begins_by,
+                rank: self.context.rank,
                 domain,
                 tie: self.context.tie,
             };
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -4,6 +4,7 @@
 
 use hollywheel_types::{DomainId, MonoTime, ServerId};
 
+use crate::rank::RequestRank;
 use crate::stage_graph::PieceHandle;
 
 /// Names a group of pieces at a batcher.
@@ -25,6 +26,8 @@
     pub due: MonoTime,
     /// The latest finish with which the request meets its deadline.
     pub expires: MonoTime,
+    /// The rank of the request.
+    pub rank: RequestRank,
     /// Whether the pieces are made from results, which take room at their servers while the
     /// group waits.
     pub chained: bool,
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -18,7 +18,7 @@
     CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery, PieceResult,
     WorkPiece,
 };
-use queue::{OrderedGroup, WorkClass, WorkQueue};
+use queue::{OrderedGroup, PoolRate, WorkClass, WorkQueue};
 use servers::{PieceServer, find_holder};
 
 use crate::call_time::CallTimes;
@@ -51,6 +51,12 @@
 /// (seconds).
 const FREE_DELAY: Duration = Duration::from_millis(200);
 
+/// Results are taken to be needed for so many fixed times of a call until the first are freed:
+/// their own call and the next step.
+const FIRST_HOLD_CALLS: u32 = 3;
+/// The part that a new time has in the mean time for which results are needed.
+const NEW_HOLD_PART: f64 = 0.05;
+
 /// Holds the settings of a batcher that are its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BatchPolicy {
@@ -85,6 +91,8 @@
     calls: SortedMap<u64, RunningCall>,
     last_call: u64,
     unneeded: SortedMap<ServerId, UnneededResults>,
+    /// The mean time from the start of a call until its results are not needed any more.
+    hold_time: Duration,
 }
 
 impl PoolBatcher {
@@ -98,6 +106,7 @@
             calls: SortedMap::new(),
             last_call: 0,
             unneeded: SortedMap::new(),
+            hold_time: policy.pool.call_time * FIRST_HOLD_CALLS,
         }
     }
 
@@ -182,6 +191,20 @@
         Some(earliest.since(now) + full.mul_f64(calls / speed))
     }
 
+    /// Returns how fast the servers that are present make pieces.
+    fn rate(&self, now: MonoTime) -> PoolRate {
+        let servers = || self.servers.values().filter(|server| server.is_present());
+        let free_at = servers().map(|server| server.free_at(now)).min();
+        let batch = u32::try_from(self.policy.pool.batch.max(1)).unwrap_or(u32::MAX);
+        PoolRate {
+            wait: free_at.map_or(Duration::ZERO, |at| at.since(now)),
+            servers: servers().map(|server| 1.0 / server.slowness()).sum(),
+            fixed_time: self.policy.pool.call_time / batch,
+            hold_time: self.hold_time,
+            room_bytes: self.policy.pool.room_bytes.max(1),
+        }
+    }
+
     /// Returns the time that the pool needs for the groups that wait although they have lost
     /// their objective.
     fn late_backlog(&self, now: MonoTime, request: &GroupRequest) -> Duration {
@@ -218,7 +241,7 @@
         if idle.is_empty() || self.queue.waiting() == 0 {
             return None;
         }
-        let order = self.queue.order(now, &self.times);
+        let order = self.queue.order(now, &self.times, &self.rate(now));
         let server = self.choose_server(now, &idle, &order)?;
         let pieces = self.fill_call(now, &server, &order);
         if pieces.is_empty() {
@@ -347,11 +370,11 @@
     ) -> Option<PieceDelivery> {
         if let Some(state) = self.servers.get_mut(&running.server) {
             let until = now + self.policy.pool.result_lifetime;
-            state.hold(handle.clone(), bytes, until);
+            state.hold(handle.clone(), bytes, running.started, until);
         }
         if !self.queue.finish(piece) {
             // It was noted as held just before.
-            let _ = self.release(&[handle]);
+            let _ = self.release(now, &[handle]);
             return None;
         }
         Some(PieceDelivery {
@@ -390,7 +413,7 @@
     fn hopeless(&self, now: MonoTime) -> Vec<GroupTicket> {
         let mut ahead = 0;
         let mut hopeless = Vec::new();
-        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times) {
+        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &self.rate(now)) {
             if class == WorkClass::Late {
                 let own = self.times.call([(group.kind.as_str(), group.waiting())]);
                 let wait = self.expected_wait(now, &group.kind, ahead);
@@ -410,21 +433,29 @@
     }
 
     /// Notes that results are not needed any more; returns those that it does not know.
-    pub fn release(&mut self, handles: &[PieceHandle]) -> Vec<PieceHandle> {
+    pub fn release(&mut self, now: MonoTime, handles: &[PieceHandle]) -> Vec<PieceHandle> {
         let mut unknown = Vec::new();
         for handle in handles {
-            match find_holder(&self.servers, handle).cloned() {
-                Some(server) => self
-                    .unneeded
-                    .get_or_insert_with(server, UnneededResults::default)
-                    .handles
-                    .push(handle.clone()),
+            match find_holder(&self.servers, handle) {
+                Some((server, started)) => {
+                    let server = server.clone();
+                    self.learn_hold(now.since(started));
+                    self.unneeded
+                        .get_or_insert_with(server, UnneededResults::default)
+                        .handles
+                        .push(handle.clone());
+                }
                 None => unknown.push(handle.clone()),
             }
         }
         unknown
     }
 
+    fn learn_hold(&mut self, held: Duration) {
+        let rest = self.hold_time.mul_f64(1.0 - NEW_HOLD_PART);
+        self.hold_time = rest + held.mul_f64(NEW_HOLD_PART);
+    }
+
     /// Takes the results that should be freed now, by server: at once where little room is left,
     /// otherwise after a while, so that one call frees many.
     pub fn take_unneeded(&mut self, now: MonoTime) -> Vec<(ServerId, Vec<PieceHandle>)> {
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -1,11 +1,13 @@
 //! The groups of pieces that wait for a call.
 
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use hollywheel_types::{DomainId, MonoTime, SortedMap};
 
 use super::message::{GroupRequest, GroupTicket, WorkPiece};
 use crate::call_time::CallTimes;
+use crate::rank::RequestRank;
 
 /// A group that must start within this time to meet its objective goes into the next call
 /// whatever the domain of its server; two calls of a pool begin about this far apart.
@@ -20,6 +22,7 @@
     pub(super) due: MonoTime,
     pub(super) expires: MonoTime,
     arrived: MonoTime,
+    rank: RequestRank,
     chained: bool,
     pub(super) domain: Option<DomainId>,
     pub(super) pull_bytes: u64,
@@ -37,6 +40,7 @@
             due: request.due,
             expires: request.expires,
             arrived: now,
+            rank: request.rank,
             chained: request.chained,
             domain: request.domain,
             pull_bytes: request.pull_bytes,
@@ -68,8 +72,13 @@
 /// Ranks groups by what is lost while they wait.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum WorkClass {
+    /// It meets its objective if it goes in its turn.
     Timely,
+    /// It could meet its objective, but more urgent work would lose its own then.
+    Yielding,
+    /// It has lost its objective, and its inputs keep room while it waits.
     LateChained,
+    /// It has lost its objective.
     Late,
 }
 
@@ -82,6 +91,97 @@
     pub(super) urgent: bool,
 }
 
+/// Says how fast a pool makes pieces when its calls are full.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PoolRate {
+    /// The time until a server is free.
+    pub(super) wait: Duration,
+    /// The number of servers of ordinary speed that do as much as those present.
+    pub(super) servers: f64,
+    /// The part of the fixed time of a call that one piece of a full call bears.
+    pub(super) fixed_time: Duration,
+    /// The time for which a result occupies the room of its server.
+    pub(super) hold_time: Duration,
+    /// The room of a server.
+    pub(super) room_bytes: u64,
+}
+
+/// Holds the time for which work occupies the servers of a whole pool, and their room.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+struct PoolWork {
+    calls: Duration,
+    room: Duration,
+}
+
+impl PoolWork {
+    fn add(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.room += other.room;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.room = self.room.saturating_sub(other.room);
+    }
+
+    /// Returns the time after which the work is done.
+    fn span(&self) -> Duration {
+        self.calls.max(self.room)
+    }
+}
+
+impl PoolRate {
+    fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolWork {
+        let pieces = group.waiting() as f64 / self.servers.max(f64::MIN_POSITIVE);
+        let call = self.fixed_time + times.piece(&group.kind);
+        let part = group.result_bytes as f64 / self.room_bytes as f64;
+        PoolWork {
+            calls: call.mul_f64(pieces),
+            room: self.hold_time.mul_f64(pieces * part),
+        }
+    }
+}
+
+/// Splits groups into those that meet their objectives if they go by their points, which are
+/// returned in that order, and those that give way.
+///
+/// Answers a burst beyond what the pool carries: by their points alone all groups would be a
+/// little late. Whenever one is, the least urgent of those before it gives way, the largest first
+/// among equals (the rule of Moore and Hodgson, by rank).
+fn split_yielding<'a>(
+    now: MonoTime,
+    mut groups: Vec<&'a QueuedGroup>,
+    times: &CallTimes,
+    rate: &PoolRate,
+) -> (Vec<&'a QueuedGroup>, Vec<&'a QueuedGroup>) {
+    groups.sort_by_key(|group| (group.due, group.ticket));
+    let mut kept = BinaryHeap::new();
+    let mut yielding: Vec<GroupTicket> = Vec::new();
+    let mut ahead = PoolWork::default();
+    for group in &groups {
+        let work = rate.work(group, times);
+        let own = times.call([(group.kind.as_str(), group.waiting())]);
+        kept.push((group.rank, work.span(), work, group.ticket));
+        let mut before = ahead;
+        ahead.add(work);
+        while now + rate.wait + before.span() + own > group.due {
+            let Some((_, _, work, ticket)) = kept.pop() else {
+                break;
+            };
+            ahead.subtract(work);
+            before.subtract(work);
+            yielding.push(ticket);
+            if ticket == group.ticket {
+                break;
+            }
+        }
+    }
+    yielding.sort_unstable();
+    let gives_way = |group: &&QueuedGroup| yielding.binary_search(&group.ticket).is_ok();
+    let (yielding, timely) = groups.into_iter().partition(gives_way);
+    (timely, yielding)
+}
+
 /// Holds the groups of a pool that have pieces to be made.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkQueue {
@@ -108,10 +208,21 @@
 
     /// Counts the waiting pieces that go before a group.
     pub(super) fn pieces_ahead(&self, now: MonoTime, request: &GroupRequest, late: bool) -> usize {
-        let goes_before = |group: &&QueuedGroup| match (group.chained, request.chained) {
-            (true, false) if late => true,
-            (false, true) if late => group.due > now,
-            _ => late || (group.due <= request.due && group.due > now),
+        let goes_before = |group: &&QueuedGroup| {
+            let timely = group.due > now;
+            match (timely, late) {
+                (true, true) => true,
+                (true, false) => {
+                    group.rank < request.rank
+                        || (group.rank == request.rank && group.due <= request.due)
+                }
+                (false, true) => match (group.chained, request.chained) {
+                    (true, false) => true,
+                    (false, true) => false,
+                    _ => group.rank <= request.rank,
+                },
+                (false, false) => false,
+            }
         };
         let ahead = self.groups.values().filter(goes_before);
         ahead.map(QueuedGroup::waiting).sum()
@@ -128,30 +239,44 @@
 
     /// Lists the groups that wait in the order in which they should go.
     ///
-    /// Those that can meet their objective go first, by its point. Then come groups that are
-    /// made from results, since their inputs keep room while they wait, then the others by their
-    /// arrival.
-    pub(super) fn order(&self, now: MonoTime, times: &CallTimes) -> Vec<OrderedGroup<'_>> {
-        let mut order: Vec<(WorkClass, MonoTime, OrderedGroup<'_>)> = Vec::new();
+    /// Those that can meet their objective go first, by its point, without those that give way.
+    /// Then come groups that are made from results, since their inputs keep room while they wait,
+    /// then the others; both by their rank.
+    pub(super) fn order(
+        &self,
+        now: MonoTime,
+        times: &CallTimes,
+        rate: &PoolRate,
+    ) -> Vec<OrderedGroup<'_>> {
         let waiting = self.groups.values().filter(|group| group.waiting() > 0);
-        for group in waiting {
+        let (late, timely): (Vec<&QueuedGroup>, Vec<&QueuedGroup>) = waiting.partition(|group| {
             let call = times.call([(group.kind.as_str(), group.waiting())]);
-            let late = group.is_late(now, call);
-            let urgent = !late && group.is_late(now + URGENT_TIME, call);
-            let (class, rank) = match (group.chained, late) {
-                (_, false) => (WorkClass::Timely, group.due),
-                (true, true) => (WorkClass::LateChained, group.due),
-                (false, true) => (WorkClass::Late, group.arrived),
-            };
-            let ordered = OrderedGroup {
+            group.is_late(now, call)
+        });
+        let (timely, yielding) = split_yielding(now, timely, times, rate);
+        let timely = timely.into_iter().map(|group| {
+            let call = times.call([(group.kind.as_str(), group.waiting())]);
+            OrderedGroup {
                 group,
-                class,
-                urgent,
-            };
-            order.push((class, rank, ordered));
-        }
-        order.sort_by_key(|(class, rank, ordered)| (*class, *rank, ordered.group.ticket));
-        order.into_iter().map(|(_, _, ordered)| ordered).collect()
+                class: WorkClass::Timely,
+                urgent: group.is_late(now + URGENT_TIME, call),
+            }
+        });
+        let rest = yielding
+            .into_iter()
+            .map(|group| (WorkClass::Yielding, group.due, group));
+        let late = late.into_iter().map(|group| match group.chained {
+            true => (WorkClass::LateChained, group.due, group),
+            false => (WorkClass::Late, group.arrived, group),
+        });
+        let mut rest: Vec<(WorkClass, MonoTime, &QueuedGroup)> = rest.chain(late).collect();
+        rest.sort_by_key(|(class, point, group)| (*class, group.rank, *point, group.ticket));
+        let rest = rest.into_iter().map(|(class, _, group)| OrderedGroup {
+            group,
+            class,
+            urgent: false,
+        });
+        timely.chain(rest).collect()
     }
 
     /// Takes a piece into a call; returns its kind of work and the size of its result.
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug)]
 struct HeldResult {
     bytes: u64,
+    started: MonoTime,
     until: MonoTime,
 }
 
@@ -146,8 +147,20 @@
         self.paused_until = now + pause.min(MAX_PAUSE);
     }
 
-    pub(super) fn hold(&mut self, handle: PieceHandle, bytes: u64, until: MonoTime) {
-        self.results.insert(handle, HeldResult { bytes, until });
+    /// Notes a result of a call that was started at a point and is kept until another one.
+    pub(super) fn hold(
+        &mut self,
+        handle: PieceHandle,
+        bytes: u64,
+        started: MonoTime,
+        until: MonoTime,
+    ) {
+        let result = HeldResult {
+            bytes,
+            started,
+            until,
+        };
+        self.results.insert(handle, result);
     }
 
     /// Says whether a result lies here.
@@ -165,11 +178,11 @@
     }
 }
 
-/// Finds the server that holds a result.
+/// Finds the server that holds a result, and the start of the call that made it.
 pub(super) fn find_holder<'a>(
     servers: &'a SortedMap<ServerId, PieceServer>,
     handle: &PieceHandle,
-) -> Option<&'a ServerId> {
+) -> Option<(&'a ServerId, MonoTime)> {
     let mut entries = servers.iter();
-    entries.find_map(|(server, state)| state.holds(handle).then_some(server))
+    entries.find_map(|(server, state)| Some((server, state.results.get(handle)?.started)))
 }
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod load;
 mod place;
+mod rank;
 mod registry;
 mod serving_set;
 mod shards;
@@ -29,6 +30,7 @@
 pub use hosts::{HostRecord, HostTable};
 pub use load::{LoadReport, LoadTable};
 pub use place::{PlaceQuery, PlaceVerdict, PromptPart, choose_engine, choose_least};
+pub use rank::RequestRank;
 pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
 pub use serving_set::{
     CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -43,6 +43,7 @@
         result_bytes: 1_000_000,
         due: at(due),
         expires: at(expires),
+        priority: 0,
         chained: false,
         domain: None,
         pull_bytes: 0,
