Space the calls of a busy pool evenly and keep groups whole

Cause: the stage before delivers its results in clumps of about 100 pieces. Every idle server then began a small call at once (calls of 2 to 15 pieces between full ones), all were busy for whole calls, and the rest of a group that had been split waited for the next one: at a calm load a stage took 408 ms where its call takes 180.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -19,7 +19,7 @@
 
 /// Groups that wait are looked at this often for those that have expired and for servers whose
 /// pause has ended.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(5);
 /// Servers whose entries may have lapsed are listed anew this often.
 const LIST_TIME: Duration = Duration::from_millis(200);
 
--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -48,6 +48,31 @@
         })
     }
 
+    /// Says whether a call with so many pieces still holds all of a group. A request waits for the
+    /// last of its pieces, so a part of a group gains nothing by an earlier call.
+    fn holds_whole(&self, group: &QueuedGroup, pieces: usize, room: u64) -> bool {
+        let count = group.waiting();
+        let bytes = group.result_bytes.saturating_mul(count as u64);
+        pieces + count <= self.policy.pool.batch && bytes <= room
+    }
+
+    /// Returns the point from which an idle server may take a call that is less than half full:
+    /// calls of a pool begin evenly spaced when most servers are busy.
+    ///
+    /// Answers clumps of pieces, as a call of the stage before delivers them: without a pause all
+    /// servers begin small calls together, and what comes next waits for a whole call.
+    pub(super) fn spaced_start(&self, now: MonoTime, idle: usize) -> MonoTime {
+        let waiting = self.queue.waiting();
+        if 2 * waiting >= self.policy.pool.batch {
+            return now;
+        }
+        let present = self.servers.values().filter(|server| server.is_present());
+        let servers = present.count().max(1) as f64;
+        let busy = (servers - idle as f64).max(0.0);
+        let call = self.times.call([("", waiting)]);
+        self.last_start + call.mul_f64(busy / (servers * servers))
+    }
+
     /// Says whether a server may take a group: one that is slow, or far from the bytes that the
     /// group reads, does only if the group can't wait for a better one.
     fn may_use(&self, now: MonoTime, server: &PieceServer, group: &QueuedGroup) -> bool {
@@ -111,6 +136,7 @@
             return Vec::new();
         };
         let mut room = state.free_bytes(now, self.policy.pool.room_bytes);
+        let limit = self.policy.pool.batch;
         let mut pieces = Vec::new();
         let mut timely = false;
         let mut added = Duration::ZERO;
@@ -123,8 +149,11 @@
             if !self.may_use(now, state, group) {
                 continue;
             }
+            if !pieces.is_empty() && !self.holds_whole(group, pieces.len(), room) {
+                continue;
+            }
             for position in group.waiting_positions() {
-                if pieces.len() >= self.policy.pool.batch || room < group.result_bytes {
+                if pieces.len() >= limit || room < group.result_bytes {
                     break;
                 }
                 let piece_time = self.times.piece(&group.kind);
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -90,6 +90,7 @@
     servers: SortedMap<ServerId, PieceServer>,
     calls: SortedMap<u64, RunningCall>,
     last_call: u64,
+    last_start: MonoTime,
     unneeded: SortedMap<ServerId, UnneededResults>,
     /// The mean time from the start of a call until its results are not needed any more.
     hold_time: Duration,
@@ -105,6 +106,7 @@
             servers: SortedMap::new(),
             calls: SortedMap::new(),
             last_call: 0,
+            last_start: MonoTime::default(),
             unneeded: SortedMap::new(),
             hold_time: policy.pool.call_time * FIRST_HOLD_CALLS,
         }
@@ -238,7 +240,8 @@
             .filter(|(_, state)| state.is_idle(now))
             .map(|(server, _)| server.clone())
             .collect();
-        if idle.is_empty() || self.queue.waiting() == 0 {
+        if idle.is_empty() || self.queue.waiting() == 0 || self.spaced_start(now, idle.len()) > now
+        {
             return None;
         }
         let order = self.queue.order(now, &self.times, &self.rate(now));
@@ -269,6 +272,7 @@
             state.begin_call(now + expected.mul_f64(slowness), bytes.iter().sum());
         }
         self.last_call += 1;
+        self.last_start = now;
         let scaled = expected.mul_f64(slowness);
         let plan = CallPlan {
             call: self.last_call,
