Give duties by the cube of a host's size

Cause: a pool's batcher sends up to 7 Mbit/s on the grown deployments (worked out: 3,300 pieces a second that each name 8 inputs); a small host has a link of 10.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -63,11 +63,11 @@
 
 /// Returns the size of a host that duties are given by: what its link and its processor allow,
 /// in units of the smallest host described (10 megabits a second, a twentieth of a core),
-/// squared, so that many small hosts do not take the duties from a few large ones.
+/// cubed, so that many small hosts do not take the duties from a few large ones.
 fn host_weight(limits: &HostLimits) -> u32 {
     let link = limits.link_mbps / 10.0;
     let processor = limits.cpu_share / 0.05;
-    link.min(processor).clamp(1.0, 1000.0).powi(2) as u32
+    link.min(processor).clamp(1.0, 1000.0).powi(3) as u32
 }
 
 /// Says how far the graceful stop has come.
