--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -56,16 +56,31 @@
         pieces + count <= self.policy.pool.batch && bytes <= room
     }
 
-    /// Returns the point from which an idle server may take a call that is less than half full:
+    /// Says whether a call that is less than half full should wait for more pieces, so that the
     /// calls of a pool begin evenly spaced when most servers are busy.
     ///
     /// Answers clumps of pieces, as a call of the stage before delivers them: without a pause all
     /// servers begin small calls together, and what comes next waits for a whole call.
-    pub(super) fn spaced_start(&self, now: MonoTime, idle: usize) -> MonoTime {
-        let waiting = self.queue.waiting();
-        if 2 * waiting >= self.policy.pool.batch {
-            return now;
+    pub(super) fn can_wait(
+        &self,
+        now: MonoTime,
+        idle: usize,
+        order: &[OrderedGroup<'_>],
+    ) -> bool {
+        if 2 * self.queue.waiting() >= self.policy.pool.batch {
+            return false;
         }
+        let start = self.spaced_start(idle);
+        let would_be_late = order.first().is_some_and(|OrderedGroup { group, class, .. }| {
+            let own = self.times.call([(group.kind.as_str(), group.waiting())]);
+            *class == WorkClass::Timely && group.is_late(start, own)
+        });
+        now < start && !would_be_late
+    }
+
+    /// Returns the point that is an even share of a call after the last start.
+    fn spaced_start(&self, idle: usize) -> MonoTime {
+        let waiting = self.queue.waiting();
         let present = self.servers.values().filter(|server| server.is_present());
         let servers = present.count().max(1) as f64;
         let busy = (servers - idle as f64).max(0.0);
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -240,11 +240,13 @@
             .filter(|(_, state)| state.is_idle(now))
             .map(|(server, _)| server.clone())
             .collect();
-        if idle.is_empty() || self.queue.waiting() == 0 || self.spaced_start(now, idle.len()) > now
-        {
+        if idle.is_empty() || self.queue.waiting() == 0 {
             return None;
         }
         let order = self.queue.order(now, &self.times, &self.rate(now));
+        if self.can_wait(now, idle.len(), &order) {
+            return None;
+        }
         let server = self.choose_server(now, &idle, &order)?;
         let pieces = self.fill_call(now, &server, &order);
         if pieces.is_empty() {
