Plan with the waits that shards tell; log why a pool refuses pieces

Cause: a host's own times are seconds old on a large fleet, and what a shard told of its wait (with each answer) was used for the choice of a shard only. It counted late work too, which new requests do not wait for.

Change: the plan takes a stage's learned time, or its call and the told wait if that is more; a shard tells the wait of timely work. HW7205 says on the batcher's host with which queue, rank and time left pieces were refused; HW7203 names the stage as its catalogue said.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -197,6 +197,7 @@
                 pull_bytes: group.pull_bytes,
             };
             if let GroupVerdict::Refused { retry_after } = duty.batcher.offer(now, request) {
+                log_refusal(host, &duty.batcher, &group, retry_after);
                 return GroupEnd::Refused { retry_after };
             }
             let work = GroupWork {
@@ -286,6 +287,26 @@
     }
 }
 
+fn log_refusal(host: &Host, batcher: &PoolBatcher, group: &PieceGroup, retry_after: Duration) {
+    let now = host.now();
+    log_line!(
+        host,
+        info,
+        PiecesRefused,
+        request = group.attempt,
+        pool = %group.pool,
+        stage = group.stage,
+        pieces = group.pieces,
+        workspace_rank = group.rank.workspace,
+        pipeline_rank = group.rank.pipeline,
+        waiting = batcher.waiting(),
+        running = batcher.running(),
+        late_ms = now.since(group.due).as_millis(),
+        remaining_ms = group.expires.since(now).as_millis(),
+        retry_after_ms = retry_after.as_millis()
+    );
+}
+
 fn current_policy(host: &Host, pool: &PoolId) -> Option<BatchPolicy> {
     let set = host.set()?;
     set.piece_pool(pool).map(|pool| BatchPolicy { pool: *pool })
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -49,8 +49,9 @@
     ReadingChanged, "HW7111", "The host begins or ends to read the store itself.", "reads, reason, age_ms";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
-    StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, batcher, reason, took_ms, retry_after_ms";
+    StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A call for pieces has ended without results for all of them.", "pool, server, pieces, outcome, took_ms, timeout_ms";
+    PiecesRefused, "HW7205", "The host that collects a pool's pieces has refused those of a stage.", "request, pool, stage, pieces, workspace_rank, pipeline_rank, waiting, running, late_ms, remaining_ms, retry_after_ms";
     LinesSuppressed, "HW7901", "Log lines were left out to bound their number.", "count, event";
 }
 
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -8,8 +8,8 @@
 use prost::Message;
 
 use hollywheel_serving::{
-    HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord, ServingSet, StageGraph,
-    StageInput, choose_shard,
+    HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord, ServingSet,
+    StageGraph, StageInput, choose_shard, least_wait,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
@@ -95,7 +95,7 @@
         let (maker, handles) = match end.result {
             Ok(made) => made,
             Err(failure) => {
-                log_failure(host, context, pool, failure, taken);
+                log_failure(host, context, end.stage, failure, taken);
                 return Err(failure);
             }
         };
@@ -119,7 +119,7 @@
 fn log_failure(
     host: &Host,
     context: &StageContext,
-    pool: &PoolId,
+    stage: usize,
     failure: StageFailure,
     taken: Duration,
 ) {
@@ -132,7 +132,8 @@
         info,
         StageEnded,
         request = context.attempt,
-        pool = %pool,
+        pool = %context.pipeline.stages[stage].pool,
+        stage,
         reason = failure.name(),
         took_ms = micros(taken) / 1000,
         retry_after_ms = retry_after
@@ -156,6 +157,7 @@
     graph: &StageGraph,
 ) -> Vec<Duration> {
     let forecast = host.forecast.borrow();
+    let waits = host.pool_waits.borrow();
     let stages = pipeline.stages.iter().enumerate();
     stages
         .map(|(stage, step)| {
@@ -166,7 +168,10 @@
                 let pieces = u32::try_from(graph.pieces(stage)).unwrap_or(u32::MAX);
                 pool.call_time + pool.piece_time * pieces
             });
-            forecast.stage(&pipeline.name, stage, guess)
+            let told = least_wait(host.now(), waits.get(&step.pool));
+            forecast
+                .stage(&pipeline.name, stage, guess)
+                .max(guess + told)
         })
         .collect()
 }
--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -61,20 +61,17 @@
     ///
     /// Answers clumps of pieces, as a call of the stage before delivers them: without a pause all
     /// servers begin small calls together, and what comes next waits for a whole call.
-    pub(super) fn can_wait(
-        &self,
-        now: MonoTime,
-        idle: usize,
-        order: &[OrderedGroup<'_>],
-    ) -> bool {
+    pub(super) fn can_wait(&self, now: MonoTime, idle: usize, order: &[OrderedGroup<'_>]) -> bool {
         if 2 * self.queue.waiting() >= self.policy.pool.batch {
             return false;
         }
         let start = self.spaced_start(idle);
-        let would_be_late = order.first().is_some_and(|OrderedGroup { group, class, .. }| {
-            let own = self.times.call([(group.kind.as_str(), group.waiting())]);
-            *class == WorkClass::Timely && group.is_late(start, own)
-        });
+        let would_be_late = order
+            .first()
+            .is_some_and(|OrderedGroup { group, class, .. }| {
+                let own = self.times.call([(group.kind.as_str(), group.waiting())]);
+                *class == WorkClass::Timely && group.is_late(start, own)
+            });
         now < start && !would_be_late
     }
 
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -217,10 +217,11 @@
             .saturating_sub(idle.unwrap_or_default())
     }
 
-    /// Returns the expected wait of a group that would be offered now, for the deadline plan of
-    /// requests that come to this pool later.
+    /// Returns the expected wait of a timely group that would be offered now, for the deadline
+    /// plan of requests that come to this pool later.
     pub fn forecast(&self, now: MonoTime) -> Duration {
-        let wait = self.expected_wait(now, "", self.queue.waiting());
+        let timely = self.queue.waiting() - self.queue.late_pieces(now, &self.times);
+        let wait = self.expected_wait(now, "", timely);
         wait.unwrap_or(NO_SERVER_RETRY)
     }
 
@@ -419,7 +420,8 @@
     fn hopeless(&self, now: MonoTime) -> Vec<GroupTicket> {
         let mut ahead = 0;
         let mut hopeless = Vec::new();
-        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &self.rate(now)) {
+        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &self.rate(now))
+        {
             if class == WorkClass::Late {
                 let own = self.times.call([(group.kind.as_str(), group.waiting())]);
                 let wait = self.expected_wait(now, &group.kind, ahead);
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -36,6 +36,6 @@
     CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
     PoolWork, RequestKind, ServingSet, SetFault, StageStep,
 };
-pub use shards::{PoolShard, ShardWaits, choose_shard, divide_pool};
+pub use shards::{PoolShard, ShardWaits, choose_shard, divide_pool, least_wait};
 pub use stage_graph::{PieceHandle, StageGraph, StageInput};
 pub use store_view::{FeedHealth, StoreView};
--- a/crates/hollywheel-serving/src/shards.rs
+++ b/crates/hollywheel-serving/src/shards.rs
@@ -45,6 +45,13 @@
 /// Holds what the shards of a pool told of their waits.
 pub type ShardWaits = SortedMap<PoolShard, (Duration, MonoTime)>;
 
+/// Returns the least wait that the shards of a pool told lately; none told is none known.
+pub fn least_wait(now: MonoTime, waits: Option<&ShardWaits>) -> Duration {
+    let told = waits.into_iter().flat_map(|waits| waits.values());
+    let fresh = told.filter(|(_, at)| now.since(*at) <= WAIT_AGE);
+    fresh.map(|(wait, _)| *wait).min().unwrap_or_default()
+}
+
 /// Divides the servers of a pool into shards; all hosts that know the same servers get the same.
 pub fn divide_pool(servers: &[(ServerId, ServerRecord)]) -> Vec<PoolShard> {
     let mut domains: Vec<&DomainId> = servers.iter().map(|(_, record)| &record.domain).collect();
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -215,7 +215,11 @@
     let PieceResult::Made(handle) = &deliveries[0].result else {
         panic!("{deliveries:?}");
     };
-    assert!(batcher.release(at(200), std::slice::from_ref(handle)).is_empty());
+    assert!(
+        batcher
+            .release(at(200), std::slice::from_ref(handle))
+            .is_empty()
+    );
     let unneeded = batcher.take_unneeded(at(200));
     assert_eq!(
         batcher.next_call(at(201)),
