--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -31,7 +31,7 @@
 const FULL_RETRY: Duration = Duration::from_millis(300);
 /// A request whose stages failed is told to come back after this time: it has lost its
 /// objective, and the burst or loss that delayed it lasts for seconds.
-const STAGE_RETRY: Duration = Duration::from_millis(1000);
+const STAGE_RETRY: Duration = Duration::from_millis(2500);
 /// Servers that are tried while none of them has received the request.
 const MAX_TRIES: u32 = 5;
 /// The stages of a request are run so many times at most.
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -29,7 +29,7 @@
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 /// A refused request is told to wait at least this long: it has lost its objective, and a burst
 /// (seconds) is over sooner for it if it does not return within.
-const MIN_RETRY: Duration = Duration::from_millis(1000);
+const MIN_RETRY: Duration = Duration::from_millis(2500);
 
 /// A piece is tried at so many servers before its request is told that it failed.
 const MAX_TRIES: u32 = 4;
