--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -32,7 +32,7 @@
 /// An answer that comes later than this after the wait counts as lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// A host that found no fresh view reads the store itself for this time.
-const OWN_READING: Duration = Duration::from_secs(5);
+const OWN_READING: Duration = Duration::from_millis(1200);
 /// News that come together are collected for this time, a small part of the bounds (seconds).
 const COLLECT_TIME: Duration = Duration::from_millis(40);
 /// The pause after a failed call.
