Keep work waiting when a pool has lost all its servers

Cause: found by reading the diff: the work of a group was divided by the number of servers present, without a floor above the smallest float; with none present the time overflowed and the process panicked. The new test failed with "cannot convert float seconds to Duration" and passes now.

Change: a pool counts as at least the slowest server that is taken into account.

--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -91,6 +91,10 @@
     pub(super) urgent: bool,
 }
 
+/// A pool counts as at least this part of a server, that of the slowest one: work that waits for a
+/// pool without servers is late, not endless.
+const MIN_SERVERS: f64 = 0.05;
+
 /// Says how fast a pool makes pieces when its calls are full.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PoolRate {
@@ -132,9 +136,9 @@
 
 impl PoolRate {
     fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolWork {
-        let pieces = group.waiting() as f64 / self.servers.max(f64::MIN_POSITIVE);
+        let pieces = group.waiting() as f64 / self.servers.max(MIN_SERVERS);
         let call = self.fixed_time + times.piece(&group.kind);
-        let part = group.result_bytes as f64 / self.room_bytes as f64;
+        let part = (group.result_bytes as f64 / self.room_bytes as f64).min(1.0);
         PoolWork {
             calls: call.mul_f64(pieces),
             room: self.hold_time.mul_f64(pieces * part),
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -548,3 +548,17 @@
         "three full calls: {loaded:?}"
     );
 }
+
+/// The last server of a pool is lost while work waits for it.
+#[test]
+fn work_waits_for_a_pool_that_has_lost_its_servers() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    for ticket in 1..=3 {
+        batcher.offer(at(0), group(ticket, 14, 2000, 4000));
+    }
+    batcher.set_servers([]);
+    assert!(batcher.drop_expired(at(100)).is_empty());
+    assert_eq!(batcher.next_call(at(100)), None);
+    let expired = batcher.drop_expired(at(4000));
+    assert_eq!(expired.len(), 42, "each piece is told that it is late");
+}
