--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -48,12 +48,15 @@
         })
     }
 
-    /// Says whether a call with so many pieces still holds all of a group. A request waits for the
-    /// last of its pieces, so a part of a group gains nothing by an earlier call.
+    /// Says whether a call with so many pieces still holds all of a group, or no call could. A
+    /// request waits for the last of its pieces, so a part of a group gains nothing by an earlier
+    /// call.
     fn holds_whole(&self, group: &QueuedGroup, pieces: usize, room: u64) -> bool {
+        let pool = &self.policy.pool;
         let count = group.waiting();
         let bytes = group.result_bytes.saturating_mul(count as u64);
-        pieces + count <= self.policy.pool.batch && bytes <= room
+        let never = count > pool.batch || bytes > pool.room_bytes;
+        never || (pieces + count <= pool.batch && bytes <= room)
     }
 
     /// Says whether a call that is less than half full should wait for more pieces, so that the
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -502,6 +502,16 @@
     assert_eq!((tickets(&second), second.pieces.len()), (vec![2], 8));
 }
 
+/// More pieces than any call holds, as a bound of 14 and a request of 20 have it.
+#[test]
+fn a_group_that_no_call_holds_is_made_in_parts() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    batcher.offer(at(0), group(1, 9, 5000, 8000));
+    batcher.offer(at(0), group(2, 20, 5001, 8000));
+    let first = batcher.next_call(at(0)).unwrap();
+    assert_eq!((tickets(&first), first.pieces.len()), (vec![1, 2], 14));
+}
+
 /// The call of the stage before delivers a clump of pieces; single calls at once would occupy
 /// every server for what comes next.
 #[test]
