--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod message;
 mod queue;
+mod results;
 mod servers;
 
 use std::time::Duration;
@@ -19,7 +20,8 @@
     WorkPiece,
 };
 use queue::{OrderedGroup, PoolRate, WorkClass, WorkQueue};
-use servers::{PieceServer, find_holder};
+use results::UnneededResults;
+use servers::PieceServer;
 
 use crate::call_time::CallTimes;
 use crate::serving_set::PiecePool;
@@ -27,8 +29,8 @@
 
 /// Told to a request when no server of the pool is known; entries are read within this time.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
-/// A refused request is told to wait at least this long: it has lost its objective, and a burst
-/// (seconds) is over sooner for it if it does not return within.
+/// A refused request is told to wait at least this long: it has lost its objective, and most of a
+/// burst of some seconds is over when it returns.
 const MIN_RETRY: Duration = Duration::from_millis(2500);
 
 /// A piece is tried at so many servers before its request is told that it failed.
@@ -44,19 +46,9 @@
 /// Late work ahead of other late work counts so many times: it is done in half of a call at most
 /// while there is timely work.
 const LATE_WEIGHT: usize = 2;
-/// Results that nothing needs are freed when less than this part of a server's room is left:
-/// half, so that the room of a full call is free again before it is needed.
-const TIGHT_DIVISOR: u64 = 2;
-/// Results are freed after this time where there is room, a small part of their lifetime
-/// (seconds).
-const FREE_DELAY: Duration = Duration::from_millis(200);
-
 /// Results are taken to be needed for so many fixed times of a call until the first are freed:
 /// their own call and the next step.
 const FIRST_HOLD_CALLS: u32 = 3;
-/// The part that a new time has in the mean time for which results are needed.
-const NEW_HOLD_PART: f64 = 0.05;
-
 /// Holds the settings of a batcher that are its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BatchPolicy {
@@ -74,13 +66,6 @@
     expected: Duration,
 }
 
-/// Holds results of one server that wait to be freed.
-#[derive(Clone, Debug, Default)]
-struct UnneededResults {
-    handles: Vec<PieceHandle>,
-    seen_at: Option<MonoTime>,
-}
-
 /// Decides which pieces go into which call of one pool.
 #[derive(Clone, Debug)]
 pub struct PoolBatcher {
@@ -440,62 +425,6 @@
         hopeless
     }
 
-    /// Notes that results are not needed any more; returns those that it does not know.
-    pub fn release(&mut self, now: MonoTime, handles: &[PieceHandle]) -> Vec<PieceHandle> {
-        let mut unknown = Vec::new();
-        for handle in handles {
-            match find_holder(&self.servers, handle) {
-                Some((server, started)) => {
-                    let server = server.clone();
-                    self.learn_hold(now.since(started));
-                    self.unneeded
-                        .get_or_insert_with(server, UnneededResults::default)
-                        .handles
-                        .push(handle.clone());
-                }
-                None => unknown.push(handle.clone()),
-            }
-        }
-        unknown
-    }
-
-    fn learn_hold(&mut self, held: Duration) {
-        let rest = self.hold_time.mul_f64(1.0 - NEW_HOLD_PART);
-        self.hold_time = rest + held.mul_f64(NEW_HOLD_PART);
-    }
-
-    /// Takes the results that should be freed now, by server: at once where little room is left,
-    /// otherwise after a while, so that one call frees many.
-    pub fn take_unneeded(&mut self, now: MonoTime) -> Vec<(ServerId, Vec<PieceHandle>)> {
-        let room = self.policy.pool.room_bytes;
-        let mut taken = Vec::new();
-        for (server, results) in self.unneeded.iter_mut() {
-            let Some(state) = self.servers.get(server) else {
-                results.handles.clear();
-                continue;
-            };
-            results.handles.retain(|handle| state.holds(handle));
-            let seen_at = *results.seen_at.get_or_insert(now);
-            let is_due = state.free_bytes(now, room) < room / TIGHT_DIVISOR
-                || now.since(seen_at) >= FREE_DELAY;
-            if is_due && !results.handles.is_empty() {
-                taken.push((server.clone(), std::mem::take(&mut results.handles)));
-            }
-        }
-        self.unneeded
-            .retain(|_, results| !results.handles.is_empty());
-        taken
-    }
-
-    /// Notes that a server has freed results, whose room can be used from now on.
-    pub fn confirm_freed(&mut self, server: &ServerId, handles: &[PieceHandle]) {
-        if let Some(state) = self.servers.get_mut(server) {
-            for handle in handles {
-                state.drop_result(handle);
-            }
-        }
-    }
-
     /// Returns the next point at which [`PoolBatcher::next_call`] may have a call although no
     /// call has ended and no group has come.
     pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
--- a/crates/hollywheel-serving/src/forecast.rs
+++ b/crates/hollywheel-serving/src/forecast.rs
@@ -4,7 +4,8 @@
 
 use hollywheel_types::{PipelineId, SortedMap};
 
-/// The part that a new time has in the mean; it follows a burst within about four requests, which a host of a large fleet sees in a second.
+/// The part that a new time has in the mean; it follows a burst within about four requests, which
+/// a host of a large fleet sees in two seconds.
 const NEW_PART: f64 = 0.25;
 /// Holds a first guess for the time from the final call to the first event of an answer.
 const FIRST_ANSWER: Duration = Duration::from_millis(100);
