--- a/crates/hollywheel-daemon/src/front/server.rs
+++ b/crates/hollywheel-daemon/src/front/server.rs
@@ -45,6 +45,7 @@
     WebServer::start_task(workers, |stop| accept_callers(state, listener, stop))
 }
 
+/// Accepts connections until the server is told to finish, and then lets those that are open end.
 async fn accept_callers(
     state: Arc<FrontState>,
     listener: std::net::TcpListener,
@@ -52,10 +53,10 @@
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     let mut connections = JoinSet::new();
-    let mut stopping = stop.clone();
+    let served = stop.clone();
     loop {
         let accepted = tokio::select! {
-            _ = stopping.wait_for(|order| *order != StopOrder::None) => break,
+            _ = stop.wait_for(|order| *order != StopOrder::None) => break,
             accepted = listener.accept() => accepted,
             Some(_) = connections.join_next() => continue,
         };
@@ -64,18 +65,14 @@
             Ok((stream, _)) => {
                 if let Some(guard) = state.connections.enter() {
                     let state = Arc::clone(&state);
-                    connections.spawn(serve_connection(state, stream, stop.clone(), guard));
+                    connections.spawn(serve_connection(state, stream, served.clone(), guard));
                 }
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
     drop(listener);
-    let finished = async { while connections.join_next().await.is_some() {} };
-    tokio::select! {
-        () = finished => {}
-        _ = stop.wait_for(|order| *order == StopOrder::Abort) => {}
-    }
+    while connections.join_next().await.is_some() {}
     Ok(())
 }
 
--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -383,7 +383,7 @@
             pool = %key.0,
             server = %plan.server,
             pieces = pieces.len(),
-            outcome = ?summarize(&outcome),
+            outcome = summarize(&outcome),
             took_ms = host.now().since(started).as_millis(),
             timeout_ms = plan.timeout.as_millis()
         );
