Name the server of a request and its load in the line of its end; log times as numbers

Cause: HW7201 did not say which backend server had a request, so its last step could not be set beside those of other requests on the same server; times were written as text.

Change: fields server and server_load (as known at the choice); milliseconds are numbers.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -14,7 +14,7 @@
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
 use crate::host::Host;
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::stage_client::{free_at_servers, free_results, send_call, usable};
 
 /// Groups that wait are looked at this often for those that have expired and for servers whose
@@ -301,9 +301,9 @@
         pipeline_rank = group.rank.pipeline,
         waiting = batcher.waiting(),
         running = batcher.running(),
-        late_ms = now.since(group.due).as_millis(),
-        remaining_ms = group.expires.since(now).as_millis(),
-        retry_after_ms = retry_after.as_millis()
+        late_ms = millis(now.since(group.due)),
+        remaining_ms = millis(group.expires.since(now)),
+        retry_after_ms = millis(retry_after)
     );
 }
 
@@ -384,8 +384,8 @@
             server = %plan.server,
             pieces = pieces.len(),
             outcome = summarize(&outcome),
-            took_ms = host.now().since(started).as_millis(),
-            timeout_ms = plan.timeout.as_millis()
+            took_ms = millis(host.now().since(started)),
+            timeout_ms = millis(plan.timeout)
         );
     }
     host.batches.finish(&host, &key, plan.call, outcome);
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -47,7 +47,7 @@
     HostPassedOver, "HW7109", "Another host did not answer and is passed over for a while.", "host, duty, detail";
     ServerPassedOver, "HW7110", "A backend server failed too often and is passed over for a while.", "server, failures";
     ReadingChanged, "HW7111", "The host begins or ends to read the store itself.", "reads, reason, age_ms";
-    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, took_ms, stages_ms, first_ms, remaining_ms";
+    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A call for pieces has ended without results for all of them.", "pool, server, pieces, outcome, took_ms, timeout_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
 
 use crate::host::{FRESH_VIEW, Host};
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::peer_client::FOLLOW_PATH;
 use crate::peer_server::micros;
 use crate::store_feed::{read_host, write_host};
@@ -119,7 +119,7 @@
             ReadingChanged,
             reads,
             reason = if reads { reason } else { "follows a reader" },
-            age_ms = age.map(|age| age.as_millis())
+            age_ms = age.map(millis)
         );
     }
 }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -236,6 +236,12 @@
             .collect()
     }
 
+    /// Returns the load of a server as far as it is known, in parts of its slots.
+    pub(crate) fn server_load(&self, server: &ServerId, record: &ServerRecord) -> f64 {
+        let requests = self.loads.borrow().estimate(self.now(), server);
+        requests / f64::from(record.slots.max(1))
+    }
+
     /// Returns the record by which the other hosts learn of this one.
     pub(crate) fn own_record(&self) -> HostRecord {
         let settings = self.settings();
--- a/crates/hollywheel-gateway/src/log.rs
+++ b/crates/hollywheel-gateway/src/log.rs
@@ -2,6 +2,7 @@
 //! reader.
 
 use std::cell::RefCell;
+use std::time::Duration;
 
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -98,6 +99,11 @@
     time.0 / 1_000_000
 }
 
+/// Returns the milliseconds of a span, as a number that log lines hold.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Writes a line of the catalogue if the bound allows it.
 macro_rules! log_line {
     ($host:expr, $level:ident, $event:ident, $($fields:tt)*) => {
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -36,6 +36,8 @@
 struct CallState {
     excluded: Vec<ServerId>,
     tries: u32,
+    /// The server of the last try and its load as it was known then.
+    chosen: Option<(ServerId, f64)>,
     arrivals: u32,
     verdict: ExecutionVerdict,
     /// Whether an attempt is in progress, whose fate is not known.
@@ -53,6 +55,7 @@
     let mut state = CallState {
         excluded: Vec::new(),
         tries: 0,
+        chosen: None,
         arrivals: 0,
         verdict: ExecutionVerdict::NotRun,
         sending: false,
@@ -77,6 +80,7 @@
             return;
         };
         state.tries += 1;
+        state.chosen = Some((server.clone(), host.server_load(&server, &record)));
         let sent_at = host.now();
         let attempt = attempt_whole(host, context, &server, &record);
         let limit = attempt_limit(host, context, state);
@@ -205,6 +209,8 @@
         verdict: state.verdict,
         reason: state.reason,
         attempts: state.tries,
+        server: state.chosen.as_ref().map(|(server, _)| server),
+        server_load: state.chosen.as_ref().map(|(_, load)| *load),
         workspace: context.workspace.as_ref().map(|name| name.as_str()),
         config: context.set.version.0,
         remaining: context.deadline.since(host.now()),
--- a/crates/hollywheel-gateway/src/respond.rs
+++ b/crates/hollywheel-gateway/src/respond.rs
@@ -5,11 +5,11 @@
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Response, StatusCode};
 
-use hollywheel_types::{ExecutionVerdict, MonoTime};
+use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
 use crate::host::HostState;
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::metrics::RequestLabels;
 
 /// Describes how a request ended.
@@ -20,6 +20,10 @@
     pub(crate) status: u16,
     pub(crate) reason: &'a str,
     pub(crate) attempts: u32,
+    /// The server of the last attempt.
+    pub(crate) server: Option<&'a ServerId>,
+    /// The load of that server, in parts of its slots, as it was known at the choice.
+    pub(crate) server_load: Option<f64>,
     pub(crate) stages_took: Duration,
     pub(crate) first_took: Option<Duration>,
     pub(crate) workspace: Option<&'a str>,
@@ -35,6 +39,8 @@
             status: 0,
             reason: "",
             attempts: 0,
+            server: None,
+            server_load: None,
             stages_took: Duration::ZERO,
             first_took: None,
             workspace: None,
@@ -100,10 +106,12 @@
         status = end.status,
         reason = end.reason,
         attempts = end.attempts,
-        took_ms = took.as_millis(),
-        stages_ms = end.stages_took.as_millis(),
-        first_ms = end.first_took.map(|first| first.as_millis()),
-        remaining_ms = end.remaining.as_millis()
+        server = end.server.map(tracing::field::display),
+        server_load = end.server_load,
+        took_ms = millis(took),
+        stages_ms = millis(end.stages_took),
+        first_ms = end.first_took.map(millis),
+        remaining_ms = millis(end.remaining)
     );
 }
 
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -18,7 +18,7 @@
 use crate::follow::follow_hosts;
 use crate::host::{Host, HostState, StopPhase};
 use crate::host_rows::keep_row;
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::peer_server::serve_peers;
 use crate::results::flush_results;
 use crate::side_server::{SideAnswer, serve_side};
@@ -210,7 +210,7 @@
         host,
         info,
         StopBegan,
-        grace_ms = grace.as_millis(),
+        grace_ms = millis(grace),
         requests = host.requests.get()
     );
     tokio::time::sleep(ACCEPT_TIME.min(grace)).await;
@@ -225,6 +225,6 @@
         info,
         StopEnded,
         requests = host.requests.get(),
-        took_ms = started.elapsed().as_millis()
+        took_ms = millis(started.elapsed())
     );
 }
--- a/crates/hollywheel-gateway/src/send.rs
+++ b/crates/hollywheel-gateway/src/send.rs
@@ -13,7 +13,7 @@
 
 use crate::connection_pool::{HeldConnection, SendFailure};
 use crate::host::{Host, HostState};
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::request::RequestContext;
 
 /// The answer that refuses an attempt has no body worth waiting for.
@@ -221,7 +221,7 @@
         attempt = number,
         verdict = failure.verdict.name(),
         reason = failure.reason,
-        took_ms = now.since(sent_at).as_millis(),
+        took_ms = millis(now.since(sent_at)),
         in_flight
     );
     // A full server says so while it is sound.
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -16,7 +16,7 @@
 
 use crate::batch_duty::{GroupEnd, PieceGroup};
 use crate::host::Host;
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::peer_client::PIECES_PATH;
 use crate::peer_server::micros;
 use crate::results::{HeldResults, ResultOwner};
@@ -129,7 +129,7 @@
     taken: Duration,
 ) {
     let retry_after = match failure {
-        StageFailure::Refused { retry_after } => Some(micros(retry_after) / 1000),
+        StageFailure::Refused { retry_after } => Some(millis(retry_after)),
         StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => None,
     };
     log_line!(
@@ -140,7 +140,7 @@
         pool = %context.pipeline.stages[stage].pool,
         stage,
         reason = failure.name(),
-        took_ms = micros(taken) / 1000,
+        took_ms = millis(taken),
         retry_after_ms = retry_after
     );
 }
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -11,7 +11,7 @@
 use hollywheel_wire::serving::HostEntry;
 
 use crate::host::Host;
-use crate::log::log_line;
+use crate::log::{log_line, millis};
 use crate::store_client::{StoreConnection, StoreFailure};
 
 /// A feed is answered after this time if nothing has changed. A connection that has gone silent
@@ -249,7 +249,7 @@
             DependencyLost,
             dependency = self.table.name(),
             detail = failure.detail(),
-            age_ms = age.map(|age| age.as_millis())
+            age_ms = age.map(millis)
         );
     }
 
@@ -266,7 +266,7 @@
             info,
             DependencyRegained,
             dependency = self.table.name(),
-            away_ms = now.since(lost_at).as_millis()
+            away_ms = millis(now.since(lost_at))
         );
     }
 }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -64,6 +64,8 @@
     stage_runs: u32,
     pub(crate) excluded: Vec<ServerId>,
     pub(crate) tries: u32,
+    /// The server of the last try and its load as it was known then.
+    chosen: Option<(ServerId, f64)>,
     arrivals: u32,
     pub(crate) verdict: ExecutionVerdict,
     /// Whether an attempt is in progress, whose fate is not known.
@@ -138,6 +140,7 @@
             stage_runs: 0,
             excluded: Vec::new(),
             tries: 0,
+            chosen: None,
             arrivals: 0,
             verdict: ExecutionVerdict::NotRun,
             sending: false,
@@ -155,6 +158,8 @@
             status: status.as_u16(),
             reason: self.reason,
             attempts: self.tries,
+            server: self.chosen.as_ref().map(|(server, _)| server),
+            server_load: self.chosen.as_ref().map(|(_, load)| *load),
             stages_took: self.stages_took,
             first_took: self.first_took,
             workspace: context.workspace.as_ref().map(|name| name.as_str()),
@@ -169,6 +174,8 @@
             self.make_inputs().await?;
             let (server, record) = self.choose()?;
             self.tries += 1;
+            let load = self.host.server_load(&server, &record);
+            self.chosen = Some((server.clone(), load));
             let sent_at = self.host.now();
             self.sending = true;
             let attempted = self.attempt(&server, &record).await;
