Start a stage beside a longer chain as late as the chain allows

Cause: on grown bursts a tenth of the 3 MB results of the first pool were held for more than 5 s (trace: release 0.5 s after they were made at the median, 5.1 s at the 90th of 100). They belong to requests whose other chain of stages waits in its queues; the room they take halves what the pool makes (seven pieces a call of fourteen at the worst).

Change: StageGraph::start_ready takes the expected times; a stage waits while one that runs has more work after it than the stage's own path. An order says whether the request holds results (it was told from the inputs before), for the order of late work.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -38,6 +38,8 @@
     pub(crate) due: MonoTime,
     pub(crate) expires: MonoTime,
     pub(crate) rank: RequestRank,
+    /// Whether the request holds results of other stages, which keep room while it waits.
+    pub(crate) holding: bool,
     pub(crate) domain: Option<DomainId>,
     pub(crate) pull_bytes: u64,
 }
@@ -192,7 +194,7 @@
                 due: group.due,
                 expires: group.expires,
                 rank: group.rank,
-                chained: group.input != StageInput::Key,
+                holding: group.holding,
                 domain: group.domain.clone(),
                 pull_bytes: group.pull_bytes,
             };
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -132,6 +132,7 @@
             workspace: u8::try_from(order.workspace_rank).unwrap_or(u8::MAX),
             pipeline: u8::try_from(order.pipeline_rank).unwrap_or(u8::MAX),
         },
+        holding: order.holding,
         domain,
         pull_bytes: order.pull_bytes,
     })
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -111,6 +111,11 @@
         self.stages.push(HeldStage { owner, handles });
     }
 
+    /// Says whether the request holds no results.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.stages.is_empty()
+    }
+
     /// Frees some of the results.
     pub(crate) fn release(&mut self, unneeded: &[PieceHandle]) {
         for stage in &mut self.stages {
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -89,8 +89,10 @@
 ) -> Result<Vec<PieceHandle>, StageFailure> {
     let mut running = FuturesUnordered::new();
     loop {
-        for stage in graph.start_ready() {
-            running.push(run_stage(host, context, graph, stage));
+        let times = stage_times(host, &context.set, &context.pipeline, graph);
+        for stage in graph.start_ready(&times) {
+            let holding = !held.is_empty();
+            running.push(run_stage(host, context, graph, stage, &times, holding));
         }
         let Some(end) = running.next().await else {
             return Ok(graph.final_handles());
@@ -186,10 +188,11 @@
     context: &'a StageContext,
     graph: &StageGraph,
     stage: usize,
+    times: &[Duration],
+    holding: bool,
 ) -> impl Future<Output = StageEnd> + 'a {
-    let times = stage_times(host, &context.set, &context.pipeline, graph);
     let first_answer = host.forecast.borrow().first_answer(&context.pipeline.name);
-    let later = graph.time_after(stage, &times);
+    let later = graph.time_after(stage, times);
     let rest = later.mul_f64(LATER_MARGIN) + first_answer;
     let step = &context.pipeline.stages[stage];
     let servers = host.pool_servers(&step.pool);
@@ -215,6 +218,7 @@
         due: context.objective - rest,
         expires: context.deadline - rest,
         rank: context.rank,
+        holding,
         domain: place.domain,
         pull_bytes: place.pull_bytes,
     };
@@ -378,6 +382,7 @@
             .map(ToString::to_string)
             .unwrap_or_default(),
         pull_bytes: group.pull_bytes,
+        holding: group.holding,
         shard: group
             .shard
             .domain()
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -30,7 +30,7 @@
     pub rank: RequestRank,
     /// Whether the pieces are made from results, which take room at their servers while the
     /// group waits.
-    pub chained: bool,
+    pub holding: bool,
     /// The failure domain where most of the bytes are that the pieces read, or that are read of
     /// them.
     pub domain: Option<DomainId>,
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -141,7 +141,7 @@
                 retry_after: excess.max(MIN_RETRY),
             };
         }
-        if !request.chained && now + expected > request.due {
+        if !request.holding && now + expected > request.due {
             let backlog = self.late_backlog(now, &request);
             if backlog > MAX_LATE_BACKLOG {
                 return GroupVerdict::Refused {
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -23,7 +23,7 @@
     pub(super) expires: MonoTime,
     arrived: MonoTime,
     rank: RequestRank,
-    chained: bool,
+    holding: bool,
     pub(super) domain: Option<DomainId>,
     pub(super) pull_bytes: u64,
     waiting: Vec<usize>,
@@ -41,7 +41,7 @@
             expires: request.expires,
             arrived: now,
             rank: request.rank,
-            chained: request.chained,
+            holding: request.holding,
             domain: request.domain,
             pull_bytes: request.pull_bytes,
             waiting: (0..request.pieces).collect(),
@@ -77,7 +77,7 @@
     /// It could meet its objective, but more urgent work would lose its own then.
     Yielding,
     /// It has lost its objective, and its inputs keep room while it waits.
-    LateChained,
+    LateHolding,
     /// It has lost its objective.
     Late,
 }
@@ -220,7 +220,7 @@
                     group.rank < request.rank
                         || (group.rank == request.rank && group.due <= request.due)
                 }
-                (false, true) => match (group.chained, request.chained) {
+                (false, true) => match (group.holding, request.holding) {
                     (true, false) => true,
                     (false, true) => false,
                     _ => group.rank <= request.rank,
@@ -269,8 +269,8 @@
         let rest = yielding
             .into_iter()
             .map(|group| (WorkClass::Yielding, group.due, group));
-        let late = late.into_iter().map(|group| match group.chained {
-            true => (WorkClass::LateChained, group.due, group),
+        let late = late.into_iter().map(|group| match group.holding {
+            true => (WorkClass::LateHolding, group.due, group),
             false => (WorkClass::Late, group.arrived, group),
         });
         let mut rest: Vec<(WorkClass, MonoTime, &QueuedGroup)> = rest.chain(late).collect();
--- a/crates/hollywheel-serving/src/stage_graph.rs
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -1,5 +1,7 @@
 //! The pieces of one request: which stages may start, and which results are still needed.
 
+use std::time::Duration;
+
 use crate::serving_set::StageStep;
 
 /// Names a result at the backend server that made it.
@@ -69,8 +71,13 @@
         self.pieces[stage]
     }
 
-    /// Takes the stages that may start now; each is returned once.
-    pub fn start_ready(&mut self) -> Vec<usize> {
+    /// Takes the stages that should start now, by the expected time of each; each is returned
+    /// once.
+    ///
+    /// Answers a burst in which one chain of stages waits in its queues: the results of a stage
+    /// beside that chain would keep room at their server all the while. Such a stage starts with
+    /// the last stage of the chain that still leaves it enough time.
+    pub fn start_ready(&mut self, times: &[Duration]) -> Vec<usize> {
         let ready: Vec<usize> = (0..self.states.len())
             .filter(|stage| self.states[*stage] == StageState::Pending)
             .filter(|stage| {
@@ -79,10 +86,24 @@
                     .all(|needed| self.is_done(*needed))
             })
             .collect();
-        for stage in &ready {
+        let started: Vec<usize> = ready
+            .iter()
+            .copied()
+            .filter(|stage| !self.can_wait(*stage, &ready, times))
+            .collect();
+        for stage in &started {
             self.states[*stage] = StageState::Running;
         }
-        ready
+        started
+    }
+
+    /// Says whether a stage may start later and still end first: one that runs, or may, has more
+    /// work after it than this stage has with its own.
+    fn can_wait(&self, stage: usize, ready: &[usize], times: &[Duration]) -> bool {
+        let path = times[stage] + self.time_after(stage, times);
+        (0..self.states.len())
+            .filter(|other| self.states[*other] == StageState::Running || ready.contains(other))
+            .any(|other| other != stage && self.time_after(other, times) > path)
     }
 
     fn is_done(&self, stage: usize) -> bool {
@@ -165,7 +186,7 @@
     }
 
     /// Returns the longest sum of the given stage times from after a stage to the end.
-    pub fn time_after(&self, stage: usize, times: &[std::time::Duration]) -> std::time::Duration {
+    pub fn time_after(&self, stage: usize, times: &[Duration]) -> Duration {
         let users = (0..self.after.len()).filter(|user| self.after[*user].contains(&stage));
         users
             .map(|user| times[user] + self.time_after(user, times))
@@ -174,7 +195,7 @@
     }
 
     /// Returns the longest sum of the given stage times over the stages that are not done.
-    pub fn time_left(&self, times: &[std::time::Duration]) -> std::time::Duration {
+    pub fn time_left(&self, times: &[Duration]) -> Duration {
         (0..self.after.len())
             .filter(|stage| {
                 matches!(
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -94,14 +94,14 @@
 }
 
 #[test]
-fn chained_work_that_is_late_goes_before_other_late_work() {
+fn late_work_that_holds_results_goes_before_other_late_work() {
     let mut batcher = batcher(&[("s1", "a")]);
     batcher.offer(at(1000), group(1, 1, 900, 9000));
-    let chained = GroupRequest {
-        chained: true,
+    let holding = GroupRequest {
+        holding: true,
         ..group(2, 1, 950, 9000)
     };
-    batcher.offer(at(1001), chained);
+    batcher.offer(at(1001), holding);
     let plan = batcher.next_call(at(1001)).unwrap();
     assert_eq!(tickets(&plan), [2, 1]);
 }
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -8,6 +8,8 @@
 };
 use hollywheel_types::{ConfigVersion, MonoTime, SortedMap};
 
+const NO_TIMES: [Duration; 4] = [Duration::ZERO; 4];
+
 fn route(name: &str, host: &str, prefix: &str) -> PipelineRoute {
     PipelineRoute {
         name: name.parse().unwrap(),
@@ -106,25 +108,46 @@
 fn stages_start_when_what_they_need_is_there() {
     let steps = [step(&[]), step(&[]), step(&[1]), step(&[2])];
     let mut graph = StageGraph::new(&steps, &[0, 1, 2, 1]);
-    assert_eq!(graph.start_ready(), [1]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [1]);
     assert!(graph.finish(1, vec!["a".into()]).is_empty());
-    assert_eq!(graph.start_ready(), [2]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [2]);
     assert_eq!(graph.input(2), StageInput::Results(vec!["a".into()]));
     assert_eq!(graph.finish(2, vec!["b".into(), "c".into()]), ["a"]);
-    assert_eq!(graph.start_ready(), [3]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [3]);
     assert_eq!(graph.finish(3, vec!["d".into()]), ["b", "c"]);
     assert!(graph.is_complete());
     assert_eq!(graph.final_handles(), ["d"]);
     assert_eq!(graph.held_handles(), ["d"]);
 }
 
+/// A burst makes a chain of stages wait in its queues, while the large results of a stage beside
+/// it would keep room.
+#[test]
+fn a_stage_beside_a_chain_starts_as_late_as_it_can() {
+    let steps = [step(&[]), step(&[]), step(&[1]), step(&[2])];
+    let starts = |own: u64| {
+        let times = [own, 250, 300, 320].map(Duration::from_millis);
+        let mut graph = StageGraph::new(&steps, &[1, 1, 1, 1]);
+        let first = graph.start_ready(&times);
+        graph.finish(1, vec!["a".into()]);
+        let second = graph.start_ready(&times);
+        graph.finish(2, vec!["b".into()]);
+        [first, second, graph.start_ready(&times)]
+    };
+    assert_eq!(starts(200), [vec![1], vec![2], vec![0, 3]]);
+    assert_eq!(starts(400), [vec![1], vec![0, 2], vec![3]]);
+    assert_eq!(starts(700), [vec![0, 1], vec![2], vec![3]]);
+    let mut graph = StageGraph::new(&steps, &[1, 1, 1, 1]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [0, 1], "no time is known");
+}
+
 #[test]
 fn a_stage_without_pieces_passes_its_needs_on() {
     let steps = [step(&[]), step(&[0]), step(&[1])];
     let mut graph = StageGraph::new(&steps, &[1, 0, 1]);
-    assert_eq!(graph.start_ready(), [0]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [0]);
     graph.finish(0, vec!["a".into()]);
-    assert_eq!(graph.start_ready(), [2]);
+    assert_eq!(graph.start_ready(&NO_TIMES), [2]);
     assert_eq!(graph.input(2), StageInput::Results(vec!["a".into()]));
 }
 
--- a/crates/hollywheel-serving/tests/support/mod.rs
+++ b/crates/hollywheel-serving/tests/support/mod.rs
@@ -44,7 +44,7 @@
         due: at(due),
         expires: at(expires),
         rank: RequestRank::default(),
-        chained: false,
+        holding: false,
         domain: None,
         pull_bytes: 0,
     }
