Tell callers that come back from those that ask for the first time

Ruled out: a note to the caller that it brings back (callers send nothing of the kind).

Change: CallerPatience learns the longest wait of each pipeline's callers. Its rank says that it has returned: late work, before that of others, refused only where hopeless.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -10,8 +10,8 @@
 use hollywheel_adapter::{HostLimits, HostSettings};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange, ServerRecord,
-    ServerRegistry, ServingSet, ShardWaits, StoreView,
+    CallerPatience, HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange,
+    ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreView,
 };
 use hollywheel_types::{HostId, MonoTime, PoolId, ServerId, SortedMap};
 
@@ -48,6 +48,7 @@
     pub(crate) loads: RefCell<LoadTable>,
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     pub(crate) forecast: RefCell<PathForecast>,
+    pub(crate) patience: RefCell<CallerPatience>,
     pub(crate) pool_waits: RefCell<SortedMap<PoolId, ShardWaits>>,
     pub(crate) connections: ConnectionPool,
     pub(crate) batches: BatchDuty,
@@ -104,6 +105,7 @@
             loads: RefCell::default(),
             budgets: RefCell::default(),
             forecast: RefCell::default(),
+            patience: RefCell::default(),
             pool_waits: RefCell::default(),
             connections: ConnectionPool::default(),
             batches: BatchDuty::default(),
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tokio::net::TcpListener;
 
-use hollywheel_serving::{PoolShard, RequestRank, StageInput};
+use hollywheel_serving::{CallerAttempt, PoolShard, RequestRank, StageInput};
 use hollywheel_types::PoolId;
 use hollywheel_wire::serving::{FreeResults, PieceAnswer, PieceEnd, PieceOrder};
 
@@ -129,6 +129,11 @@
         },
         expires: now + Duration::from_micros(order.expires_us),
         rank: RequestRank {
+            attempt: if order.returned {
+                CallerAttempt::Returned
+            } else {
+                CallerAttempt::First
+            },
             workspace: u8::try_from(order.workspace_rank).unwrap_or(u8::MAX),
             pipeline: u8::try_from(order.pipeline_rank).unwrap_or(u8::MAX),
         },
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -11,7 +11,9 @@
 use hyper::body::Incoming;
 
 use hollywheel_adapter::CallerHead;
-use hollywheel_serving::{KeyHolder, PipelineRoute, RequestKind, RequestRank, ServingSet};
+use hollywheel_serving::{
+    CallerAttempt, KeyHolder, PipelineRoute, RequestKind, RequestRank, ServingSet,
+};
 use hollywheel_types::{MonoTime, PoolId, WorkspaceId};
 
 use crate::body::AnswerBody;
@@ -175,7 +177,7 @@
     let holder = check_key(&set, &pipeline, &head)?;
     let workspace = holder.map(|holder| holder.workspace.clone());
     let priority = holder.and_then(|holder| holder.priority);
-    let rank = RequestRank::new(priority, pipeline.priority);
+    let mut rank = RequestRank::new(priority, pipeline.priority);
     let body = read_body(body, set.limits.body_bytes).await?;
     let tie = host.tie();
     let pool = pipeline
@@ -185,9 +187,19 @@
     let wait = head.deadline.unwrap_or(pipeline.timeout);
     let wait = wait.saturating_sub(RETURN_TIME).min(pipeline.timeout);
     let patience = pipeline.stream_patience().unwrap_or(wait);
+    let mut objective = arrived + pipeline.objective.saturating_sub(RETURN_TIME);
+    if let Some(wait) = head.deadline
+        && pipeline.kind == RequestKind::Streaming
+    {
+        let mut patience = host.patience.borrow_mut();
+        rank.attempt = patience.note_wait(arrived, &pipeline.name, wait);
+        if rank.attempt == CallerAttempt::Returned {
+            objective = arrived;
+        }
+    }
     Ok(RequestContext {
         begins_by: arrived + wait.min(patience.saturating_sub(RETURN_TIME)),
-        objective: arrived + pipeline.objective.saturating_sub(RETURN_TIME),
+        objective,
         deadline: arrived + wait,
         set,
         pipeline,
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -8,8 +8,8 @@
 use prost::Message;
 
 use hollywheel_serving::{
-    HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord, ServingSet,
-    StageGraph, StageInput, choose_shard, least_wait,
+    CallerAttempt, HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord,
+    ServingSet, StageGraph, StageInput, choose_shard, least_wait,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
@@ -383,6 +383,7 @@
             .unwrap_or_default(),
         pull_bytes: group.pull_bytes,
         holding: group.holding,
+        returned: group.rank.attempt == CallerAttempt::Returned,
         shard: group
             .shard
             .domain()
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -152,6 +152,10 @@
 
     pub(crate) fn end(&self, outcome: &'static str, status: StatusCode) {
         let context = &self.context;
+        if outcome != "answered" {
+            let mut patience = self.host.patience.borrow_mut();
+            patience.note_refused(self.host.now(), &context.pipeline.name);
+        }
         self.guard.end(&RequestEnd {
             outcome,
             verdict: self.verdict,
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -24,6 +24,7 @@
 use servers::PieceServer;
 
 use crate::call_time::CallTimes;
+use crate::patience::CallerAttempt;
 use crate::serving_set::PiecePool;
 use crate::stage_graph::PieceHandle;
 
@@ -141,7 +142,8 @@
                 retry_after: excess.max(MIN_RETRY),
             };
         }
-        if !request.holding && now + expected > request.due {
+        let returned = request.rank.attempt == CallerAttempt::Returned;
+        if !request.holding && !returned && now + expected > request.due {
             let backlog = self.late_backlog(now, &request);
             if backlog > MAX_LATE_BACKLOG {
                 return GroupVerdict::Refused {
--- a/crates/hollywheel-serving/tests/burst.rs
+++ b/crates/hollywheel-serving/tests/burst.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use hollywheel_serving::{GroupRequest, PieceResult, PoolBatcher, RequestRank};
+use hollywheel_serving::{
+    CallerAttempt, GroupRequest, GroupVerdict, PieceResult, PoolBatcher, RequestRank,
+};
 use support::{at, batcher, group, made, tickets};
 
 fn ranked(ticket: u64, pieces: usize, due: u64, pipeline: u8) -> GroupRequest {
@@ -57,6 +59,50 @@
     assert_eq!(ends.len(), 12 * 7, "what gave way is made later");
 }
 
+/// Refused callers come back into the burst, with new ones and with requests that were late at
+/// their first attempt.
+#[test]
+fn returned_callers_go_after_those_in_time_and_before_other_late_work() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    let returned = GroupRequest {
+        rank: RequestRank {
+            attempt: CallerAttempt::Returned,
+            ..RequestRank::new(None, 2)
+        },
+        ..group(1, 14, 1000, 9000)
+    };
+    batcher.offer(at(1001), group(2, 14, 900, 9000));
+    batcher.offer(at(1001), returned);
+    batcher.offer(at(1001), group(3, 14, 5000, 9000));
+    let mut order: Vec<u64> = run_server(&mut batcher, 1001)
+        .iter()
+        .map(|(ticket, _)| *ticket)
+        .collect();
+    order.dedup();
+    assert_eq!(order, [3, 1, 2]);
+}
+
+/// A caller that has come back does not ask a third time.
+#[test]
+fn a_returned_caller_is_refused_only_where_it_is_hopeless() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    for ticket in 0..6 {
+        batcher.offer(at(1001), group(ticket, 14, 900, 60_000));
+    }
+    let first = group(10, 14, 900, 60_000);
+    let returned = |expires| GroupRequest {
+        rank: RequestRank {
+            attempt: CallerAttempt::Returned,
+            ..RequestRank::default()
+        },
+        ..group(11, 14, 900, expires)
+    };
+    let refused = |verdict| matches!(verdict, GroupVerdict::Refused { .. });
+    assert!(refused(batcher.offer(at(1001), first)));
+    assert!(!refused(batcher.offer(at(1001), returned(60_000))));
+    assert!(refused(batcher.offer(at(1001), returned(1250))));
+}
+
 /// The rank of the workspace goes before that of the pipeline.
 #[test]
 fn a_workspace_that_ranks_first_goes_first() {
