Count room in every estimate of a pool's waits

What a batcher expected of its queue knew calls only; a room-bound pool looked faster than it was.

Change: one sum of work, by calls and by room, serves the order, the expected time of a group, the late backlog, what is told to other hosts and what is dropped as hopeless. A result's holding time is learned by a hundredth of each release (a request releases up to forty at once).

--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -19,7 +19,7 @@
     CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery, PieceResult,
     WorkPiece,
 };
-use queue::{OrderedGroup, PoolRate, WorkClass, WorkQueue};
+use queue::{OrderedGroup, PoolRate, PoolWork, WorkClass, WorkQueue};
 use results::UnneededResults;
 use servers::PieceServer;
 
@@ -144,7 +144,7 @@
         }
         let returned = request.rank.attempt == CallerAttempt::Returned;
         if !request.holding && !returned && now + expected > request.due {
-            let backlog = self.late_backlog(now, &request);
+            let backlog = self.late_backlog(now);
             if backlog > MAX_LATE_BACKLOG {
                 return GroupVerdict::Refused {
                     retry_after: backlog - MAX_LATE_BACKLOG + MIN_RETRY,
@@ -155,29 +155,16 @@
         GroupVerdict::Queued { expected }
     }
 
-    /// Estimates the time until a group would be done: the work ahead of it at the rate of
-    /// full calls, and its own call.
+    /// Estimates the time until a group would be done: the work ahead of it at the pace of the
+    /// pool, and its own call; none if the pool has no server.
     fn expected_time(&self, now: MonoTime, request: &GroupRequest) -> Option<Duration> {
         let own = self.times.call([(request.kind.as_str(), request.pieces)]);
         let late = now + own > request.due;
-        let ahead = self.queue.pieces_ahead(now, request, late);
-        Some(self.expected_wait(now, &request.kind, ahead)? + own)
-    }
-
-    /// Estimates the time until a call can hold a piece that has so many pieces before it;
-    /// none if the pool has no server.
-    fn expected_wait(&self, now: MonoTime, kind: &str, ahead: usize) -> Option<Duration> {
-        let servers: Vec<&PieceServer> = self
-            .servers
-            .values()
-            .filter(|server| server.is_present())
-            .collect();
-        let earliest = servers.iter().map(|server| server.free_at(now)).min()?;
-        let speed: f64 = servers.iter().map(|server| 1.0 / server.slowness()).sum();
-        let batch = self.policy.pool.batch.max(1);
-        let calls = ahead as f64 / batch as f64;
-        let full = self.times.call([(kind, batch)]);
-        Some(earliest.since(now) + full.mul_f64(calls / speed))
+        let rate = self.rate(now);
+        let ahead = self
+            .queue
+            .work_ahead(now, request, late, &self.times, &rate);
+        rate.has_servers().then_some(rate.wait + ahead.span() + own)
     }
 
     /// Returns how fast the servers that are present make pieces.
@@ -196,20 +183,19 @@
 
     /// Returns the time that the pool needs for the groups that wait although they have lost
     /// their objective.
-    fn late_backlog(&self, now: MonoTime, request: &GroupRequest) -> Duration {
-        let late = self.queue.late_pieces(now, &self.times);
-        let idle = self.expected_wait(now, &request.kind, 0);
-        let wait = self.expected_wait(now, &request.kind, late);
-        wait.unwrap_or_default()
-            .saturating_sub(idle.unwrap_or_default())
+    fn late_backlog(&self, now: MonoTime) -> Duration {
+        let rate = self.rate(now);
+        self.queue.work(now, &self.times, &rate, true).span()
     }
 
     /// Returns the expected wait of a timely group that would be offered now, for the deadline
     /// plan of requests that come to this pool later.
     pub fn forecast(&self, now: MonoTime) -> Duration {
-        let timely = self.queue.waiting() - self.queue.late_pieces(now, &self.times);
-        let wait = self.expected_wait(now, "", timely);
-        wait.unwrap_or(NO_SERVER_RETRY)
+        let rate = self.rate(now);
+        if !rate.has_servers() {
+            return NO_SERVER_RETRY;
+        }
+        rate.wait + self.queue.work(now, &self.times, &rate, false).span()
     }
 
     /// Forgets a group whose request has ended. Results that are made for it later are freed.
@@ -405,24 +391,23 @@
 
     /// Lists the late groups for which too much work is ahead.
     fn hopeless(&self, now: MonoTime) -> Vec<GroupTicket> {
-        let mut ahead = 0;
+        let rate = self.rate(now);
+        let mut ahead = PoolWork::default();
         let mut hopeless = Vec::new();
-        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &self.rate(now))
-        {
-            if class == WorkClass::Late {
-                let own = self.times.call([(group.kind.as_str(), group.waiting())]);
-                let wait = self.expected_wait(now, &group.kind, ahead);
-                if wait.is_some_and(|wait| now + wait + own > group.expires) {
-                    hopeless.push(group.ticket);
-                    continue;
-                }
+        for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &rate) {
+            let work = rate.work(group, &self.times);
+            if class != WorkClass::Late {
+                ahead.add(work);
+                continue;
+            }
+            let own = self.times.call([(group.kind.as_str(), group.waiting())]);
+            if rate.has_servers() && now + rate.wait + ahead.span() + own > group.expires {
+                hopeless.push(group.ticket);
+                continue;
+            }
+            for _ in 0..LATE_WEIGHT {
+                ahead.add(work);
             }
-            let weight = if class == WorkClass::Late {
-                LATE_WEIGHT
-            } else {
-                1
-            };
-            ahead += weight * group.waiting();
         }
         hopeless
     }
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -112,13 +112,13 @@
 
 /// Holds the time for which work occupies the servers of a whole pool, and their room.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-struct PoolWork {
+pub(super) struct PoolWork {
     calls: Duration,
     room: Duration,
 }
 
 impl PoolWork {
-    fn add(&mut self, other: Self) {
+    pub(super) fn add(&mut self, other: Self) {
         self.calls += other.calls;
         self.room += other.room;
     }
@@ -129,13 +129,18 @@
     }
 
     /// Returns the time after which the work is done.
-    fn span(&self) -> Duration {
+    pub(super) fn span(&self) -> Duration {
         self.calls.max(self.room)
     }
 }
 
 impl PoolRate {
-    fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolWork {
+    /// Says whether the pool has servers.
+    pub(super) fn has_servers(&self) -> bool {
+        self.servers > 0.0
+    }
+
+    pub(super) fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolWork {
         let pieces = group.waiting() as f64 / self.servers.max(MIN_SERVERS);
         let call = self.fixed_time + times.piece(&group.kind);
         let part = (group.result_bytes as f64 / self.room_bytes as f64).min(1.0);
@@ -146,6 +151,18 @@
     }
 }
 
+fn sum_work<'a>(
+    groups: impl Iterator<Item = &'a QueuedGroup>,
+    times: &CallTimes,
+    rate: &PoolRate,
+) -> PoolWork {
+    let mut sum = PoolWork::default();
+    for group in groups {
+        sum.add(rate.work(group, times));
+    }
+    sum
+}
+
 /// Splits groups into those that meet their objectives if they go by their points, which are
 /// returned in that order, and those that give way.
 ///
@@ -210,8 +227,15 @@
         self.waiting
     }
 
-    /// Counts the waiting pieces that go before a group.
-    pub(super) fn pieces_ahead(&self, now: MonoTime, request: &GroupRequest, late: bool) -> usize {
+    /// Sums up the work that goes before a group.
+    pub(super) fn work_ahead(
+        &self,
+        now: MonoTime,
+        request: &GroupRequest,
+        late: bool,
+        times: &CallTimes,
+        rate: &PoolRate,
+    ) -> PoolWork {
         let goes_before = |group: &&QueuedGroup| {
             let timely = group.due > now;
             match (timely, late) {
@@ -229,16 +253,22 @@
             }
         };
         let ahead = self.groups.values().filter(goes_before);
-        ahead.map(QueuedGroup::waiting).sum()
+        sum_work(ahead, times, rate)
     }
 
-    /// Counts the waiting pieces of groups that have lost their objective.
-    pub(super) fn late_pieces(&self, now: MonoTime, times: &CallTimes) -> usize {
+    /// Sums up the work of the groups that have lost their objective, or of the others.
+    pub(super) fn work(
+        &self,
+        now: MonoTime,
+        times: &CallTimes,
+        rate: &PoolRate,
+        late: bool,
+    ) -> PoolWork {
         let groups = self.groups.values().filter(|group| {
             let call = times.call([(group.kind.as_str(), group.waiting())]);
-            group.is_late(now, call)
+            group.is_late(now, call) == late
         });
-        groups.map(QueuedGroup::waiting).sum()
+        sum_work(groups, times, rate)
     }
 
     /// Lists the groups that wait in the order in which they should go.
--- a/crates/hollywheel-serving/src/batch/results.rs
+++ b/crates/hollywheel-serving/src/batch/results.rs
@@ -16,7 +16,7 @@
 const FREE_DELAY: Duration = Duration::from_millis(200);
 
 /// The part that a new time has in the mean time for which results are needed.
-const NEW_HOLD_PART: f64 = 0.05;
+const NEW_HOLD_PART: f64 = 0.01;
 
 /// Holds results of one server that wait to be freed.
 #[derive(Clone, Debug, Default)]
--- a/crates/hollywheel-serving/tests/burst.rs
+++ b/crates/hollywheel-serving/tests/burst.rs
@@ -136,6 +136,29 @@
     assert_eq!(yielded(9_000_000), [0], "nine results fill the room");
 }
 
+/// Results that are held for half a second let a server make less than its calls could.
+#[test]
+fn what_is_told_of_a_wait_counts_the_room() {
+    let wait = |result_bytes| {
+        let mut batcher = batcher(&[("s1", "a")]);
+        for ticket in 0..4 {
+            let group = GroupRequest {
+                result_bytes,
+                ..group(ticket, 14, 20_000, 30_000)
+            };
+            batcher.offer(at(0), group);
+        }
+        batcher.forecast(at(0))
+    };
+    let is_near = |wait: Duration, millis| {
+        wait.abs_diff(Duration::from_millis(millis)) < Duration::from_millis(1)
+    };
+    assert!(is_near(wait(1000), 4 * (150 + 14 * 9)), "{:?}", wait(1000));
+    // Nine results fit, and each is held for 450 ms until more is known.
+    let wait = wait(9_000_000);
+    assert!(is_near(wait, 56 * 450 / 9), "{wait:?}");
+}
+
 /// A request waits for the last of its pieces.
 #[test]
 fn a_group_that_does_not_fit_waits_for_a_call_that_holds_it() {
