Learn the pace of late work, and give up what it can't reach in time

In a burst late work gets a small part of the calls; the batcher took half for granted, and did not look at requests that hold results at all.

Change: the part that late work has of the calls started while some waits, by an eighth of each new call, a tenth of the pool at least, since bursts end. It counts for what is refused at its offer and for what is dropped while it waits, with results or without.

--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -44,9 +44,11 @@
 /// Work that has lost its objective is kept up to this much time of the whole pool: what the pool
 /// can make up for between two bursts, before callers leave (2 s and more).
 const MAX_LATE_BACKLOG: Duration = Duration::from_millis(1000);
-/// Late work ahead of other late work counts so many times: it is done in half of a call at most
-/// while there is timely work.
-const LATE_WEIGHT: usize = 2;
+/// The part that a new call has in the mean pace of late work; it follows a burst within about
+/// eight calls, which a pool of some servers starts in half a second.
+const NEW_PACE_PART: f64 = 0.12;
+/// Late work is taken to have at least this part of the pool, since bursts end.
+const MIN_LATE_PACE: f64 = 0.1;
 /// Results are taken to be needed for so many fixed times of a call until the first are freed:
 /// their own call and the next step.
 const FIRST_HOLD_CALLS: u32 = 3;
@@ -80,6 +82,8 @@
     unneeded: SortedMap<ServerId, UnneededResults>,
     /// The mean time from the start of a call until its results are not needed any more.
     hold_time: Duration,
+    /// The mean part of a call that late work has while some waits.
+    late_pace: f64,
 }
 
 impl PoolBatcher {
@@ -95,6 +99,7 @@
             last_start: MonoTime::default(),
             unneeded: SortedMap::new(),
             hold_time: policy.pool.call_time * FIRST_HOLD_CALLS,
+            late_pace: 1.0,
         }
     }
 
@@ -161,10 +166,12 @@
         let own = self.times.call([(request.kind.as_str(), request.pieces)]);
         let late = now + own > request.due;
         let rate = self.rate(now);
-        let ahead = self
+        let (timely, ahead) = self
             .queue
             .work_ahead(now, request, late, &self.times, &rate);
-        rate.has_servers().then_some(rate.wait + ahead.span() + own)
+        let ahead = ahead.span().div_f64(self.late_pace);
+        rate.has_servers()
+            .then_some(rate.wait + timely.span() + ahead + own)
     }
 
     /// Returns how fast the servers that are present make pieces.
@@ -226,6 +233,10 @@
         if pieces.is_empty() {
             return None;
         }
+        if let Some(part) = late_part(&order, &pieces) {
+            let pace = self.late_pace + NEW_PACE_PART * (part - self.late_pace);
+            self.late_pace = pace.max(MIN_LATE_PACE);
+        }
         Some(self.start_call(now, server, pieces))
     }
 
@@ -392,21 +403,20 @@
     /// Lists the late groups for which too much work is ahead.
     fn hopeless(&self, now: MonoTime) -> Vec<GroupTicket> {
         let rate = self.rate(now);
-        let mut ahead = PoolWork::default();
+        let (mut timely, mut late) = (PoolWork::default(), PoolWork::default());
         let mut hopeless = Vec::new();
         for OrderedGroup { group, class, .. } in self.queue.order(now, &self.times, &rate) {
             let work = rate.work(group, &self.times);
-            if class != WorkClass::Late {
-                ahead.add(work);
+            if class <= WorkClass::Yielding {
+                timely.add(work);
                 continue;
             }
             let own = self.times.call([(group.kind.as_str(), group.waiting())]);
-            if rate.has_servers() && now + rate.wait + ahead.span() + own > group.expires {
+            let ahead = timely.span() + late.span().div_f64(self.late_pace);
+            if rate.has_servers() && now + rate.wait + ahead + own > group.expires {
                 hopeless.push(group.ticket);
-                continue;
-            }
-            for _ in 0..LATE_WEIGHT {
-                ahead.add(work);
+            } else {
+                late.add(work);
             }
         }
         hopeless
@@ -435,3 +445,16 @@
         self.calls.len()
     }
 }
+
+/// Returns the part of a call that late work has; none if no late work waits.
+fn late_part(order: &[OrderedGroup<'_>], pieces: &[WorkPiece]) -> Option<f64> {
+    let mut late: Vec<GroupTicket> = order
+        .iter()
+        .filter(|ordered| ordered.class > WorkClass::Yielding)
+        .map(|ordered| ordered.group.ticket)
+        .collect();
+    late.sort_unstable();
+    let is_late = |piece: &&WorkPiece| late.binary_search(&piece.ticket).is_ok();
+    let count = pieces.iter().filter(is_late).count();
+    (!late.is_empty()).then(|| count as f64 / pieces.len().max(1) as f64)
+}
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -229,7 +229,7 @@
         self.waiting
     }
 
-    /// Sums up the work that goes before a group.
+    /// Sums up the timely and the late work that goes before a group.
     pub(super) fn work_ahead(
         &self,
         now: MonoTime,
@@ -237,25 +237,18 @@
         late: bool,
         times: &CallTimes,
         rate: &PoolRate,
-    ) -> PoolWork {
-        let goes_before = |group: &&QueuedGroup| {
-            let timely = group.due > now;
-            match (timely, late) {
-                (true, true) => true,
-                (true, false) => {
-                    group.rank < request.rank
-                        || (group.rank == request.rank && group.due <= request.due)
-                }
-                (false, true) => match (group.holding, request.holding) {
-                    (true, false) => true,
-                    (false, true) => false,
-                    _ => group.rank <= request.rank,
-                },
-                (false, false) => false,
-            }
-        };
-        let ahead = self.groups.values().filter(goes_before);
-        sum_work(ahead, times, rate)
+    ) -> (PoolWork, PoolWork) {
+        let timely = self.groups.values().filter(|group| {
+            group.due > now
+                && (late
+                    || group.rank < request.rank
+                    || (group.rank == request.rank && group.due <= request.due))
+        });
+        let before = self.groups.values().filter(|group| {
+            let holding = request.holding.cmp(&group.holding);
+            late && group.due <= now && holding.then(group.rank.cmp(&request.rank)).is_le()
+        });
+        (sum_work(timely, times, rate), sum_work(before, times, rate))
     }
 
     /// Sums up the work of the groups that have lost their objective, or of the others.
--- a/crates/hollywheel-serving/tests/burst.rs
+++ b/crates/hollywheel-serving/tests/burst.rs
@@ -123,6 +123,40 @@
     assert_eq!(in_time.count(), 5, "the others are not given up: {ends:?}");
 }
 
+/// A burst of some seconds fills every call with timely work; late work that would wait for it
+/// until its caller leaves is refused at once.
+#[test]
+fn late_work_is_refused_while_timely_work_fills_the_calls() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    let late = |ticket, expires| GroupRequest {
+        holding: true,
+        ..group(ticket, 14, 900, expires)
+    };
+    let refused = |verdict| matches!(verdict, GroupVerdict::Refused { .. });
+    for ticket in 0..3 {
+        assert!(!refused(batcher.offer(at(1000), late(ticket, 6000))));
+    }
+    let mut dropped = 0;
+    let mut now = 1000;
+    for ticket in 10..21 {
+        batcher.offer(at(now), group(ticket, 14, now + 400, now + 6000));
+        let plan = batcher.next_call(at(now)).unwrap();
+        assert_eq!(tickets(&plan), [ticket], "timely work goes first");
+        now += 276;
+        for delivery in batcher.finish_call(at(now), plan.call, made(&plan)) {
+            if let PieceResult::Made(handle) = delivery.result {
+                let _ = batcher.release(at(now), &[handle]);
+            }
+        }
+        for (server, handles) in batcher.take_unneeded(at(now + 200)) {
+            batcher.confirm_freed(&server, &handles);
+        }
+        dropped += batcher.drop_expired(at(now)).len();
+    }
+    assert_eq!(dropped, 14, "the last of three is hopeless");
+    assert!(refused(batcher.offer(at(now), late(30, now + 1500))));
+}
+
 /// The rank of the workspace goes before that of the pipeline.
 #[test]
 fn a_workspace_that_ranks_first_goes_first() {
