Send calls for pieces and their freeing again where a kept connection was dropped

Cause: servers drop idle connections without notice; the next request is reset.

Ruled out: requests that are only slow (the resets came after 0, 3 and 6 ms).

Change: these two requests, which may run twice, go out again on a new connection if a kept one breaks within 20 ms. Later breaks are the server's loss and stay failures: with a repeat there too, crashed servers cost a connect time-out more.

HW7205 says whether the caller has returned.

--- a/crates/hollywheel-gateway/src/batch_duty.rs
+++ b/crates/hollywheel-gateway/src/batch_duty.rs
@@ -8,8 +8,8 @@
 
 use hollywheel_adapter::StagePiece;
 use hollywheel_serving::{
-    BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
-    PieceHandle, PieceResult, PoolBatcher, PoolShard, RequestRank, StageInput,
+    BatchPolicy, CallOutcome, CallPlan, CallerAttempt, GroupRequest, GroupTicket, GroupVerdict,
+    PieceDelivery, PieceHandle, PieceResult, PoolBatcher, PoolShard, RequestRank, StageInput,
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
@@ -303,6 +303,7 @@
         pieces = group.pieces,
         workspace_rank = group.rank.workspace,
         pipeline_rank = group.rank.pipeline,
+        returned = group.rank.attempt == CallerAttempt::Returned,
         waiting = batcher.waiting(),
         running = batcher.running(),
         late_ms = millis(now.since(group.due)),
--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -25,6 +25,10 @@
 /// not cross the server's close.
 const IDLE_PART: f64 = 0.6;
 
+/// A connection that the server dropped is reset by the first packet, within a few round trips
+/// of a region; one that breaks later was lost with its server.
+const STALE_LIMIT: Duration = Duration::from_millis(20);
+
 /// Sends the body of a request, which is always complete before it is sent.
 pub(crate) type CallBody = Full<Bytes>;
 
@@ -56,6 +60,22 @@
     address: SocketAddr,
 }
 
+impl HeldConnection {
+    async fn send(
+        mut self,
+        request: Request<CallBody>,
+    ) -> Result<(Response<Incoming>, Self), SendFailure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self)),
+            // The request comes back only if the connection did not take it.
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(SendFailure::NotSent),
+                None => Err(SendFailure::Broken),
+            },
+        }
+    }
+}
+
 impl ConnectionPool {
     /// Sends a request on a kept connection or a new one and returns the head of the answer.
     pub(crate) async fn send(
@@ -64,21 +84,30 @@
         address: SocketAddr,
         request: Request<CallBody>,
     ) -> Result<(Response<Incoming>, HeldConnection), SendFailure> {
-        let mut held = match self.take_idle(server, address) {
-            Some(sender) => HeldConnection {
-                sender,
-                server: server.clone(),
-                address,
-            },
+        let held = match self.take_idle(server, address) {
+            Some(held) => held,
             None => self.open(server, address).await?,
         };
-        match held.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, held)),
-            // The request comes back only if the connection did not take it.
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendFailure::NotSent),
-                None => Err(SendFailure::Broken),
-            },
+        held.send(request).await
+    }
+
+    /// Sends a request that may run twice. If a kept connection breaks before its answer, as one
+    /// that the server dropped silently does, the request goes out again on a new one.
+    pub(crate) async fn send_repeatable(
+        &self,
+        server: &ServerId,
+        address: SocketAddr,
+        request: Request<CallBody>,
+    ) -> Result<(Response<Incoming>, HeldConnection), SendFailure> {
+        let Some(held) = self.take_idle(server, address) else {
+            return self.open(server, address).await?.send(request).await;
+        };
+        let sent_at = Instant::now();
+        match held.send(request.clone()).await {
+            Err(_) if sent_at.elapsed() < STALE_LIMIT => {
+                self.open(server, address).await?.send(request).await
+            }
+            ended => ended,
         }
     }
 
@@ -105,7 +134,7 @@
         })
     }
 
-    fn take_idle(&self, server: &ServerId, address: SocketAddr) -> Option<SendRequest<CallBody>> {
+    fn take_idle(&self, server: &ServerId, address: SocketAddr) -> Option<HeldConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
@@ -117,7 +146,11 @@
         let last = connections
             .iter()
             .rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.remove(last).sender)
+        Some(HeldConnection {
+            sender: connections.remove(last).sender,
+            server: server.clone(),
+            address,
+        })
     }
 
     /// Keeps a connection whose answer was read completely.
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -51,7 +51,7 @@
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A call for pieces has ended without results for all of them.", "pool, server, pieces, outcome, took_ms, timeout_ms";
-    PiecesRefused, "HW7205", "The host that collects a pool's pieces has refused those of a stage.", "request, pool, stage, pieces, workspace_rank, pipeline_rank, waiting, running, late_ms, remaining_ms, retry_after_ms";
+    PiecesRefused, "HW7205", "The host that collects a pool's pieces has refused those of a stage.", "request, pool, stage, pieces, workspace_rank, pipeline_rank, returned, waiting, running, late_ms, remaining_ms, retry_after_ms";
     EventsRepeated, "HW7206", "A backend server that continues a stream has sent events again that the caller has; they were left out.", "request, server, events, after";
     LinesSuppressed, "HW7901", "Log lines were left out to bound their number.", "count, event";
 }
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -38,7 +38,10 @@
     let Some(request) = stage_request(server, &record, RUN_PATH, body) else {
         return CallOutcome::Failed;
     };
-    let Ok((answer, held)) = host.connections.send(server, record.address, request).await else {
+    let sent = host
+        .connections
+        .send_repeatable(server, record.address, request);
+    let Ok((answer, held)) = sent.await else {
         return CallOutcome::Failed;
     };
     let facts = hollywheel_adapter::read_answer(&answer, "");
@@ -112,7 +115,7 @@
     let call = async {
         let (answer, held) = host
             .connections
-            .send(server, record.address, request)
+            .send_repeatable(server, record.address, request)
             .await
             .ok()?;
         let facts = hollywheel_adapter::read_answer(&answer, "");
--- a/crates/hollywheel-gateway/tests/path.rs
+++ b/crates/hollywheel-gateway/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::{Fixture, config, request, send};
 use tokio::time::{sleep, timeout};
@@ -127,6 +127,21 @@
     assert_eq!(fixture.log.with("ran f2").len(), 1);
 }
 
+/// A server drops idle connections without notice; a call for pieces that meets one goes out
+/// again at once, and the server is not passed over (for 250 ms) as one that fails.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_for_pieces_on_a_dead_connection_goes_out_again() {
+    let fixture = Fixture::start("stale").await;
+    let _first = fixture.call("POST", "/draft/ok", "w1").await;
+    let started = Instant::now();
+    for attempt in ["stale1", "stale2", "stale3", "stale4", "stale5"] {
+        let answer = fixture.call("POST", "/draft/ok", attempt).await;
+        assert_eq!(answer.status, 200);
+    }
+    let taken = started.elapsed();
+    assert!(taken < Duration::from_millis(5 * 250), "{taken:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn events_that_the_caller_has_are_not_passed_on_again() {
     let fixture = Fixture::start("restarted").await;
--- a/crates/hollywheel-gateway/tests/support/servers.rs
+++ b/crates/hollywheel-gateway/tests/support/servers.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -117,6 +118,7 @@
     server: String,
     address: SocketAddr,
     log: Arc<ServerLog>,
+    used: bool,
     request: Request<Incoming>,
 ) -> Result<Response<ServerBody>, std::io::Error> {
     let header = |name: &str| {
@@ -136,6 +138,11 @@
     }
     let sent = request.into_body().collect().await.unwrap().to_bytes();
     let sent = String::from_utf8(sent.to_vec()).unwrap();
+    if used && path == "/stage-run" && sent.contains("\"stale") {
+        return Err(std::io::Error::other(
+            "the connection was dropped while idle",
+        ));
+    }
     if path.starts_with("/stage-") {
         log.note(format!("{path} {sent}"));
         let body = stage(server, address, path, sent).await;
@@ -209,8 +216,10 @@
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             let (server, log) = (server.clone(), Arc::clone(&log));
+            let used = AtomicBool::new(false);
             let service = service_fn(move |request| {
-                answer(server.clone(), address, Arc::clone(&log), request)
+                let used = used.swap(true, Ordering::Relaxed);
+                answer(server.clone(), address, Arc::clone(&log), used, request)
             });
             tokio::spawn(async move {
                 // A handler's error resets the connection, as a crash would.
