Tell a caller's attempt in a function of its own; the soak's leaving callers reach a server

The check now sends up to five callers until one's request has reached a server, and fails if none does.

--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -38,6 +38,9 @@
 /// A server stops its work this long after its caller has left.
 const GONE_TIME: Duration = Duration::from_millis(1000);
 
+/// Callers that leave, one after the other, until the request of one has reached a server.
+const GONE_CALLERS: usize = 5;
+
 /// Holds one backend server's stand-in behind a proxy.
 pub struct SoakServer {
     name: &'static str,
@@ -213,22 +216,34 @@
         found
     }
 
-    /// Checks that servers stop work for callers that have left.
+    /// Checks that servers stop work for callers that have left. A caller that leaves before its
+    /// request has reached a server proves nothing, so that another one follows it.
     async fn check_gone(&self, book: &CallBook) -> Vec<String> {
         let mut found = Vec::new();
         for (index, path) in ["/pay/slow", "/draft/slow"].into_iter().enumerate() {
-            let attempt = format!("gone{index}");
-            let call = self.call(book, index, path, &attempt, "k1");
-            let left = tokio::time::timeout(Duration::from_millis(700), call).await;
-            book.lock().unwrap().push(CallRecord {
-                attempt: attempt.clone(),
-                path,
-                host: index,
-                end: CallerEnd::Left,
-            });
-            sleep(GONE_TIME).await;
-            if left.is_err() && self.log.with(&format!("cancelled {attempt}")).is_empty() {
-                found.push(format!("work goes on for a caller that left: {path}"));
+            let mut reached = false;
+            for number in 0..GONE_CALLERS {
+                let attempt = format!("gone{index}n{number}");
+                let call = self.call(book, index, path, &attempt, "k1");
+                let left = tokio::time::timeout(Duration::from_millis(700), call).await;
+                book.lock().unwrap().push(CallRecord {
+                    attempt: attempt.clone(),
+                    path,
+                    host: index,
+                    end: CallerEnd::Left,
+                });
+                sleep(GONE_TIME).await;
+                reached = !self.log.with(&format!("ran {attempt} ")).is_empty();
+                let cancelled = !self.log.with(&format!("cancelled {attempt}")).is_empty();
+                if left.is_err() && reached && !cancelled {
+                    found.push(format!("work goes on for a caller that left: {path}"));
+                }
+                if reached {
+                    break;
+                }
+            }
+            if !reached {
+                found.push(format!("no server was reached: {path}"));
             }
         }
         found
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -177,7 +177,11 @@
     let holder = check_key(&set, &pipeline, &head)?;
     let workspace = holder.map(|holder| holder.workspace.clone());
     let priority = holder.and_then(|holder| holder.priority);
-    let mut rank = RequestRank::new(priority, pipeline.priority);
+    let attempt = tell_attempt(host, &pipeline, &head, arrived);
+    let rank = RequestRank {
+        attempt,
+        ..RequestRank::new(priority, pipeline.priority)
+    };
     let body = read_body(body, set.limits.body_bytes).await?;
     let tie = host.tie();
     let pool = pipeline
@@ -187,16 +191,10 @@
     let wait = head.deadline.unwrap_or(pipeline.timeout);
     let wait = wait.saturating_sub(RETURN_TIME).min(pipeline.timeout);
     let patience = pipeline.stream_patience().unwrap_or(wait);
-    let mut objective = arrived + pipeline.objective.saturating_sub(RETURN_TIME);
-    if let Some(wait) = head.deadline
-        && pipeline.kind == RequestKind::Streaming
-    {
-        let mut patience = host.patience.borrow_mut();
-        rank.attempt = patience.note_wait(arrived, &pipeline.name, wait);
-        if rank.attempt == CallerAttempt::Returned {
-            objective = arrived;
-        }
-    }
+    let objective = match attempt {
+        CallerAttempt::Returned => arrived,
+        CallerAttempt::First => arrived + pipeline.objective.saturating_sub(RETURN_TIME),
+    };
     Ok(RequestContext {
         begins_by: arrived + wait.min(patience.saturating_sub(RETURN_TIME)),
         objective,
@@ -216,6 +214,23 @@
     })
 }
 
+/// Says whether the caller of a request was refused before. Requests of plain services end too
+/// soon for that to matter.
+fn tell_attempt(
+    host: &HostState,
+    pipeline: &PipelineRoute,
+    head: &CallerHead,
+    arrived: MonoTime,
+) -> CallerAttempt {
+    match head.deadline {
+        Some(wait) if pipeline.kind == RequestKind::Streaming => {
+            let mut patience = host.patience.borrow_mut();
+            patience.note_wait(arrived, &pipeline.name, wait)
+        }
+        Some(_) | None => CallerAttempt::First,
+    }
+}
+
 /// Returns the host name that a request is for, in lower case and without a port.
 fn host_name(parts: &Parts) -> Option<String> {
     let named = parts.headers.get(header::HOST)?.to_str().ok()?;
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -192,7 +192,8 @@
     /// their objective.
     fn late_backlog(&self, now: MonoTime) -> Duration {
         let rate = self.rate(now);
-        self.queue.work(now, &self.times, &rate, true).span()
+        let (_, late) = self.queue.work(now, &self.times, &rate);
+        late.span()
     }
 
     /// Returns the expected wait of a timely group that would be offered now, for the deadline
@@ -202,7 +203,8 @@
         if !rate.has_servers() {
             return NO_SERVER_RETRY;
         }
-        rate.wait + self.queue.work(now, &self.times, &rate, false).span()
+        let (timely, _) = self.queue.work(now, &self.times, &rate);
+        rate.wait + timely.span()
     }
 
     /// Forgets a group whose request has ended. Results that are made for it later are freed.
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -251,26 +251,29 @@
         (sum_work(timely, times, rate), sum_work(before, times, rate))
     }
 
-    /// Sums up the work of the groups that have lost their objective, or of the others.
+    /// Sums up the work of the groups that can meet their objective, and of the others.
     pub(super) fn work(
         &self,
         now: MonoTime,
         times: &CallTimes,
         rate: &PoolRate,
-        late: bool,
-    ) -> PoolWork {
-        let groups = self.groups.values().filter(|group| {
-            let call = times.call([(group.kind.as_str(), group.waiting())]);
-            group.is_late(now, call) == late
-        });
-        sum_work(groups, times, rate)
+    ) -> (PoolWork, PoolWork) {
+        let (late, timely): (Vec<&QueuedGroup>, Vec<&QueuedGroup>) =
+            self.groups.values().partition(|group| {
+                let call = times.call([(group.kind.as_str(), group.waiting())]);
+                group.is_late(now, call)
+            });
+        (
+            sum_work(timely.into_iter(), times, rate),
+            sum_work(late.into_iter(), times, rate),
+        )
     }
 
     /// Lists the groups that wait in the order in which they should go.
     ///
-    /// Those that can meet their objective go first, by its point, without those that give way.
-    /// Then come groups that are made from results, since their inputs keep room while they wait,
-    /// then the others; both by their rank.
+    /// Those that can keep their goals go first, by these, then those that gave way to them. Then
+    /// come late groups of requests that hold results, which keep room while they wait, then the
+    /// others; all of these by their rank.
     pub(super) fn order(
         &self,
         now: MonoTime,
