--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -31,8 +31,8 @@
     pub expires: MonoTime,
     /// The rank of the request.
     pub rank: RequestRank,
-    /// Whether the pieces are made from results, which take room at their servers while the
-    /// group waits.
+    /// Whether the request holds results of other stages, which take room at their servers while
+    /// the group waits.
     pub holding: bool,
     /// The failure domain where most of the bytes are that the pieces read, or that are read of
     /// them.
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -52,6 +52,7 @@
 /// Results are taken to be needed for so many fixed times of a call until the first are freed:
 /// their own call and the next step.
 const FIRST_HOLD_CALLS: u32 = 3;
+
 /// Holds the settings of a batcher that are its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BatchPolicy {
