--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -13,7 +13,7 @@
 use crate::body::AnswerBody;
 use crate::host::Host;
 use crate::request::{RequestContext, RequestGuard};
-use crate::respond::{RequestEnd, answer_own, build_answer};
+use crate::respond::{RequestEnd, RequestOutcome, answer_own, build_answer};
 use crate::send::{AttemptExtras, AttemptFailure, note_failure, send_attempt};
 
 /// A server queues about so many times its slots; above that it refuses.
@@ -228,7 +228,11 @@
         );
     }
     let (outcome, status, retry_after) = match state.verdict {
-        ExecutionVerdict::NotRun => ("refused", StatusCode::SERVICE_UNAVAILABLE, Some(FULL_RETRY)),
+        ExecutionVerdict::NotRun => (
+            RequestOutcome::Refused,
+            StatusCode::SERVICE_UNAVAILABLE,
+            Some(FULL_RETRY),
+        ),
         ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => {
             let timed_out = host.now() >= context.deadline;
             let status = if timed_out {
@@ -236,7 +240,7 @@
             } else {
                 StatusCode::BAD_GATEWAY
             };
-            ("failed", status, None)
+            (RequestOutcome::Failed, status, None)
         }
     };
     end.outcome = outcome;
--- a/crates/hollywheel-gateway/src/respond.rs
+++ b/crates/hollywheel-gateway/src/respond.rs
@@ -12,10 +12,40 @@
 use crate::log::{log_line, millis};
 use crate::metrics::RequestLabels;
 
+/// Says how a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RequestOutcome {
+    /// With a backend server's whole answer.
+    Answered,
+    /// It was turned away, and has not run.
+    Refused,
+    /// It may have run, and has no answer.
+    Failed,
+    /// Its stream ended before its last event.
+    Broken,
+    /// The caller left before.
+    Cancelled,
+    /// It was turned away for what it asks.
+    Rejected,
+}
+
+impl RequestOutcome {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Cancelled => "cancelled",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
 /// Describes how a request ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestEnd<'a> {
-    pub(crate) outcome: &'static str,
+    pub(crate) outcome: RequestOutcome,
     pub(crate) verdict: ExecutionVerdict,
     pub(crate) status: u16,
     pub(crate) reason: &'a str,
@@ -34,7 +64,7 @@
 impl Default for RequestEnd<'_> {
     fn default() -> Self {
         Self {
-            outcome: "answered",
+            outcome: RequestOutcome::Answered,
             verdict: ExecutionVerdict::NotRun,
             status: 0,
             reason: "",
@@ -54,7 +84,7 @@
     /// Describes a request whose caller left.
     pub(crate) fn cancelled() -> Self {
         Self {
-            outcome: "cancelled",
+            outcome: RequestOutcome::Cancelled,
             verdict: ExecutionVerdict::MayHaveRun,
             reason: "the caller left",
             ..Self::default()
@@ -64,7 +94,7 @@
     /// Describes a request that was turned away before anything was done for it.
     pub(crate) fn rejected(status: StatusCode, reason: &'static str) -> Self {
         Self {
-            outcome: "rejected",
+            outcome: RequestOutcome::Rejected,
             status: status.as_u16(),
             reason,
             ..Self::default()
@@ -84,7 +114,7 @@
     let name = host.metrics.name(pipeline);
     let labels = RequestLabels {
         pipeline: name.name.clone(),
-        outcome: end.outcome,
+        outcome: end.outcome.name(),
     };
     host.metrics.requests.get_or_create(&labels).inc();
     let seconds = host.metrics.request_seconds.get_or_create(&name);
@@ -101,7 +131,7 @@
         pipeline,
         workspace = end.workspace,
         config = end.config,
-        outcome = end.outcome,
+        outcome = end.outcome.name(),
         verdict = end.verdict.name(),
         status = end.status,
         reason = end.reason,
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -11,13 +11,11 @@
 
 use crate::host::Host;
 use crate::peer_client::FREE_PATH;
-use crate::stage_client::free_at_servers;
+use crate::stage_client::{FREE_LIMIT, free_at_servers};
 
 /// Results that are not needed any more are collected for this time, so that one call frees
 /// many; at full load a server's room lasts for about twenty times as long.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
-/// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
-const FREE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Names the host that collects the pieces of a shard, which knows the room of its servers.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -14,7 +14,7 @@
 use crate::host::Host;
 
 /// Freeing is not repeated; results that stay are dropped by their server after their lifetime.
-const FREE_LIMIT: Duration = Duration::from_secs(1);
+pub(crate) const FREE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Returns the record of a server that may be used now.
 pub(crate) fn usable(host: &Host, server: &ServerId) -> Option<ServerRecord> {
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -18,7 +18,7 @@
 use crate::host::Host;
 use crate::log::log_line;
 use crate::request::{RequestContext, RequestGuard};
-use crate::respond::{RequestEnd, answer_own, build_answer};
+use crate::respond::{RequestEnd, RequestOutcome, answer_own, build_answer};
 use crate::results::HeldResults;
 use crate::send::{AttemptExtras, AttemptFailure, OpenAnswer, note_failure, send_attempt};
 use crate::stage_run::{StageContext, StageFailure, run_stages};
@@ -100,7 +100,7 @@
     match opened {
         Ok(open) => job.pass_on(open),
         Err(OpenEnd::Whole(answer)) => {
-            job.end("answered", answer.status);
+            job.end(RequestOutcome::Answered, answer.status);
             build_answer(
                 host,
                 answer.status,
@@ -110,7 +110,7 @@
         }
         Err(OpenEnd::Refused { retry_after }) => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            job.end("refused", status);
+            job.end(RequestOutcome::Refused, status);
             answer_own(host, &job.context.head.attempt, status, Some(retry_after))
         }
         Err(OpenEnd::Failed) => {
@@ -119,7 +119,7 @@
             } else {
                 StatusCode::BAD_GATEWAY
             };
-            job.end("failed", status);
+            job.end(RequestOutcome::Failed, status);
             answer_own(host, &job.context.head.attempt, status, None)
         }
     }
@@ -150,9 +150,9 @@
         }
     }
 
-    pub(crate) fn end(&self, outcome: &'static str, status: StatusCode) {
+    pub(crate) fn end(&self, outcome: RequestOutcome, status: StatusCode) {
         let context = &self.context;
-        if outcome != "answered" {
+        if outcome != RequestOutcome::Answered {
             let mut patience = self.host.patience.borrow_mut();
             patience.note_refused(self.host.now(), &context.pipeline.name);
         }
--- a/crates/hollywheel-gateway/src/stream_pass.rs
+++ b/crates/hollywheel-gateway/src/stream_pass.rs
@@ -11,6 +11,7 @@
 use hollywheel_serving::EventCutter;
 use hollywheel_types::ExecutionVerdict;
 
+use crate::respond::RequestOutcome;
 use crate::send::{AttemptFailure, OpenAnswer, note_failure};
 use crate::stream_call::StreamJob;
 
@@ -148,7 +149,7 @@
             return Ok(());
         }
         job.verdict = ExecutionVerdict::MayHaveRun;
-        job.end("broken", StatusCode::OK);
+        job.end(RequestOutcome::Broken, StatusCode::OK);
         Err(io::Error::other(job.reason))
     }
 
@@ -160,6 +161,6 @@
             host.loads.borrow_mut().note_success(&server, taken);
             open.answer.complete(host);
         }
-        self.job.end("answered", StatusCode::OK);
+        self.job.end(RequestOutcome::Answered, StatusCode::OK);
     }
 }
