Forget what was learned of pipelines that a configuration has removed

Cause: learned times and callers' waits were kept by pipeline for the life of the process, so that configurations with new names let the tables grow without bound.

Change: both tables keep the pipelines of the set that comes into force.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -13,7 +13,7 @@
     CallerPatience, HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange,
     ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreView,
 };
-use hollywheel_types::{HostId, MonoTime, PoolId, ServerId, SortedMap};
+use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, ServerId, SortedMap};
 
 use crate::batch_duty::BatchDuty;
 use crate::connection_pool::ConnectionPool;
@@ -190,6 +190,9 @@
         self.metrics
             .config_version
             .set(i64::try_from(set.version.0).unwrap_or(i64::MAX));
+        let is_known = |name: &PipelineId| set.pipelines.iter().any(|known| known.name == *name);
+        self.patience.borrow_mut().retain(is_known);
+        self.forecast.borrow_mut().retain(is_known);
         *self.installed.borrow_mut() = Some(InstalledSet {
             set: Rc::new(set),
             document: document.clone(),
--- a/crates/hollywheel-serving/src/forecast.rs
+++ b/crates/hollywheel-serving/src/forecast.rs
@@ -55,6 +55,13 @@
         self.learn(PathStep::Final(pipeline.clone()), taken);
     }
 
+    /// Forgets the pipelines for which the test fails.
+    pub fn retain(&mut self, mut test: impl FnMut(&PipelineId) -> bool) {
+        self.steps.retain(|step, _| match step {
+            PathStep::Stage(pipeline, _) | PathStep::Final(pipeline) => test(pipeline),
+        });
+    }
+
     fn learn(&mut self, step: PathStep, taken: Duration) {
         let taken = taken.as_secs_f64();
         let mean = self.steps.get_or_insert_with(step, || taken);
--- a/crates/hollywheel-serving/src/patience.rs
+++ b/crates/hollywheel-serving/src/patience.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Forgets the pipelines for which the test fails.
+    pub fn retain(&mut self, mut test: impl FnMut(&PipelineId) -> bool) {
+        self.pipelines.retain(|pipeline, _| test(pipeline));
+    }
+
     /// Notes that a request was turned away, whose caller may come back.
     pub fn note_refused(&mut self, now: MonoTime, pipeline: &PipelineId) {
         self.pipelines
