Let a piece that finds no room wait, without counting a try

Change: such a piece goes back into the queue with its tries as before. It still ends when its time is over.

Seen: a_piece_that_finds_no_room_waits_for_it fails before (the fourth answer ends the group) and passes after.

--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -338,7 +338,7 @@
                     if let Some(state) = self.servers.get_mut(&running.server) {
                         state.note_no_room(now);
                     }
-                    deliveries.extend(self.try_again(*piece));
+                    self.queue.put_back_untried(*piece);
                 }
                 PieceResult::Failed => deliveries.extend(self.try_again(*piece)),
                 PieceResult::Late | PieceResult::InputGone => {
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -335,6 +335,15 @@
         true
     }
 
+    /// Puts a piece back that its server did not try, if its group is still wanted.
+    pub(super) fn put_back_untried(&mut self, piece: WorkPiece) {
+        if let Some(group) = self.groups.get_mut(&piece.ticket) {
+            group.tries[piece.position] -= 1;
+            group.waiting.push(piece.position);
+            self.waiting += 1;
+        }
+    }
+
     /// Notes that a piece needs no more work; returns whether its group is still wanted.
     pub(super) fn finish(&mut self, piece: WorkPiece) -> bool {
         let Some(group) = self.groups.get_mut(&piece.ticket) else {
--- a/crates/hollywheel-serving/tests/batch.rs
+++ b/crates/hollywheel-serving/tests/batch.rs
@@ -200,6 +200,29 @@
     assert_eq!(batcher.next_call(at(181)).unwrap().pieces.len(), 1);
 }
 
+/// After all batchers were lost their servers are full of results that the new ones don't know.
+#[test]
+fn a_piece_that_finds_no_room_waits_for_it() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    batcher.offer(at(0), group(1, 1, 5000, 8000));
+    let mut now = 0;
+    for _ in 0..6 {
+        let plan = loop {
+            now += 5;
+            assert!(now < 7000, "no call");
+            if let Some(plan) = batcher.next_call(at(now)) {
+                break plan;
+            }
+        };
+        let full = CallOutcome::Answered(vec![PieceResult::NoRoom]);
+        let ends = batcher.finish_call(at(now + 2), plan.call, full);
+        assert!(ends.is_empty(), "{ends:?}");
+    }
+    assert_eq!(batcher.waiting(), 1);
+    let expired = batcher.drop_expired(at(7900));
+    assert_eq!(expired[0].result, PieceResult::Late);
+}
+
 #[test]
 fn a_call_that_failed_is_made_at_another_server() {
     let mut batcher = batcher(&[("s1", "a"), ("s2", "a")]);
--- a/crates/hollywheel-serving/tests/patience.rs
+++ b/crates/hollywheel-serving/tests/patience.rs
@@ -46,6 +46,16 @@
     assert_eq!(attempt, CallerAttempt::First);
 }
 
+#[test]
+fn pipelines_that_were_removed_are_forgotten() {
+    let mut patience = CallerPatience::new();
+    let _ = note(&mut patience, 0, 10_000);
+    patience.note_refused(MonoTime::from_millis(100), &pipeline());
+    assert_eq!(note(&mut patience, 200, 5000), CallerAttempt::Returned);
+    patience.retain(|name| *name != pipeline());
+    assert_eq!(note(&mut patience, 300, 5000), CallerAttempt::First);
+}
+
 /// A configuration with shorter deadlines came into force a minute ago.
 #[test]
 fn waits_of_long_ago_are_forgotten() {
