Keep one settings file for the tests of the adapter and of running hosts

Change: platform/tests/fixtures/settings.toml; running hosts put their addresses into it. It holds the fields of both, so that hosts also run with a field that they don't know.

--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -61,6 +61,9 @@
         .replace("KEY", key)
 }
 
+/// The settings file of a host, with example addresses.
+const SETTINGS: &str = include_str!("../../../../platform/tests/fixtures/settings.toml");
+
 /// Holds the addresses of a host's settings.
 #[derive(Clone, Copy, Debug)]
 pub struct HostAddresses {
@@ -72,36 +75,18 @@
 
 /// Returns the text of a host's settings file.
 pub fn settings(name: &str, addresses: &HostAddresses) -> String {
-    let HostAddresses {
-        callers,
-        ready,
-        peers,
-        store,
-    } = addresses;
-    format!(
-        r#"node = "{name}"
-zone = "a"
-[listen]
-front = "{callers}"
-ready = "{ready}"
-control = "{peers}"
-[limits]
-cpu-share = 0.25
-memory-mb = 260
-file-descriptors = 4100
-link-mbps = 1000.0
-[bounds]
-drain-ms = 2000
-grace-s = 8
-budget-ratio = 0.2
-budget-window-s = 10
-budget-slack = 58
-config-apply-ms = 2000
-[platform]
-address = "{store}"
-reads-per-s = 2000
-"#
-    )
+    let own = [
+        ("front-a-1", name.to_owned()),
+        ("10.1.0.1:80", addresses.callers.to_string()),
+        ("10.1.0.1:81", addresses.ready.to_string()),
+        ("10.1.0.1:70", addresses.peers.to_string()),
+        ("10.200.1.7:90", addresses.store.to_string()),
+    ];
+    let quoted = |text: &str| format!("\"{text}\"");
+    own.iter()
+        .fold(SETTINGS.to_owned(), |text, (example, value)| {
+            text.replace(&quoted(example), &quoted(value))
+        })
 }
 
 impl Fixture {
