Log connections that could not be accepted

Both listeners for callers, and those for hosts and readiness, dropped the error of a failed accept; a process without descriptors looked idle in its log.

Change: HW1104 and HW7112 with the error. The pause after it is as before, which bounds the lines (20 and 50 in a second).

Not tested by a run without descriptors.

--- a/crates/hollywheel-daemon/src/events.rs
+++ b/crates/hollywheel-daemon/src/events.rs
@@ -47,6 +47,7 @@
     ChildRestarted, "HW1101", WARN, "A part of the process failed and was restarted.", "Report the detail if it recurs.";
     ChildGivenUp, "HW1102", ERROR, "A part of the process failed too often; the process ends.", "Report the detail.";
     ListenFailed, "HW1103", ERROR, "An address cannot be listened on.", "Choose a free address.";
+    AcceptFailed, "HW1104", WARN, "A caller's connection could not be accepted.", "Raise the number of open files if the detail says so.";
     RequestAttained, "HW2001", DEBUG, "A request got its complete answer in time.", "None.";
     RequestLate, "HW2002", INFO, "A request got its complete answer after its deadline.", "Compare the stages' times with the target.";
     RequestRefused, "HW2003", INFO, "A request was refused as not run.", "Look at the reason; add capacity if it is overload.";
--- a/crates/hollywheel-daemon/src/front/server.rs
+++ b/crates/hollywheel-daemon/src/front/server.rs
@@ -19,6 +19,7 @@
 use super::body::FrontBody;
 use super::route::handle_call;
 use super::state::FrontState;
+use crate::events::{EventContext, LogEvent, log_event};
 use crate::web::{ConnectionGuard, StopOrder, WebServer};
 
 /// Bounds the header lines of a request.
@@ -68,7 +69,11 @@
                     connections.spawn(serve_connection(state, stream, served.clone(), guard));
                 }
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                let context = EventContext::default();
+                log_event(LogEvent::AcceptFailed, &context, &error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
     drop(listener);
--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -19,7 +19,7 @@
 /// Accepts connections of callers until the process ends.
 pub(crate) async fn serve_callers(host: Host, listener: Rc<TcpListener>) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = accept(&host, &listener).await;
         if *host.stopping.borrow() >= StopPhase::Closing {
             // A request that is not read here is sent again by its caller.
             continue;
--- a/crates/hollywheel-gateway/src/connect.rs
+++ b/crates/hollywheel-gateway/src/connect.rs
@@ -8,6 +8,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+use crate::host::Host;
+use crate::log::log_line;
+
 /// Data that is not acknowledged for this time ends a connection. A lossy link repeats a packet
 /// within some hundred milliseconds; deadlines are seconds.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
@@ -48,17 +51,19 @@
 
 /// Accepts a connection; an error that concerns one connection only is passed over after a
 /// pause.
-pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+pub(crate) async fn accept(host: &Host, listener: &TcpListener) -> TcpStream {
     /// Time for descriptors to become free when none is left.
     const PAUSE: Duration = Duration::from_millis(20);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if tune(&stream).is_ok() {
-                    return stream;
-                }
+            Ok((stream, _)) => match tune(&stream) {
+                Ok(()) => return stream,
+                Err(error) => log_line!(host, warn, AcceptFailed, detail = %error),
+            },
+            Err(error) => {
+                log_line!(host, warn, AcceptFailed, detail = %error);
+                tokio::time::sleep(PAUSE).await;
             }
-            Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -29,7 +29,7 @@
 /// of a region; one that breaks later was lost with its server.
 const STALE_LIMIT: Duration = Duration::from_millis(20);
 
-/// Sends the body of a request, which is always complete before it is sent.
+/// Holds the body of a request, which is always complete before it is sent.
 pub(crate) type CallBody = Full<Bytes>;
 
 /// Says why there is no answer.
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -47,6 +47,7 @@
     HostPassedOver, "HW7109", "Another host did not answer and is passed over for a while.", "host, duty, detail";
     ServerPassedOver, "HW7110", "A backend server failed too often and is passed over for a while.", "server, failures";
     ReadingChanged, "HW7111", "The host begins or ends to read the store itself.", "reads, reason, age_ms";
+    AcceptFailed, "HW7112", "A connection could not be accepted.", "detail";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -33,7 +33,7 @@
 /// Accepts connections of other hosts.
 pub(crate) async fn serve_peers(host: Host, listener: Rc<TcpListener>) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = accept(&host, &listener).await;
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| answer(host.clone(), request));
--- a/crates/hollywheel-gateway/src/side_server.rs
+++ b/crates/hollywheel-gateway/src/side_server.rs
@@ -31,7 +31,7 @@
 /// Answers on a side address until the process ends.
 pub(crate) async fn serve_side(host: Host, listener: Rc<TcpListener>, kind: SideAnswer) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = accept(&host, &listener).await;
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |_: Request<Incoming>| {
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A pool whose servers need a fixed time for each call, whatever it holds, carries its load
 //! only if pieces of many requests share a call. One host, or a few, collect the pieces for a
-//! pool. This machine decides what goes into which call, and when.
+//! pool. This state machine decides what goes into which call, and when.
 
 mod choose;
 mod message;
