Plan the store's feeds by the bound on their news, with fewer readers

Their sources: 13 readers that each asked two feeds every 0.7 s whatever the bound, a feed of the hosts' own table that was answered for each of 295 hosts that started, and first feeds of hosts that were no readers.

Ruled out: entries of servers, which change only when a server does.

Change: FeedPlan holds a feed open for 0.35 of the tighter bound (drain, configuration) and takes a view for fresh up to 0.6 of it; at the smallest bound these are the figures of before. One reader serves 48 hosts. Hosts that start or stop together are collected for 0.7 s, and the first feed waits 0.3 s after a listing, until the duty is decided.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -11,11 +11,13 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use hollywheel_serving::{FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord};
+use hollywheel_serving::{
+    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, reader_count,
+};
 use hollywheel_types::MonoTime;
 use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
 
-use crate::host::{FRESH_VIEW, Host};
+use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::peer_client::FOLLOW_PATH;
 use crate::peer_server::micros;
@@ -23,10 +25,6 @@
 
 /// The duty of reading the store.
 const READER_DUTY: &str = "store";
-/// The fewest hosts that read the store: with three, one may be cut off and one restart.
-const MIN_READERS: usize = 3;
-/// One reader serves so many hosts.
-const HOSTS_PER_READER: usize = 24;
 /// A follower is answered after this time if nothing has changed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(500);
 /// An answer that comes later than this after the wait counts as lost.
@@ -71,8 +69,7 @@
 fn readers(host: &Host) -> Vec<HostRecord> {
     let hosts = host.hosts.borrow();
     let mut order = hosts.duty_order(host.now(), READER_DUTY, None);
-    let count = hosts.known_count().div_ceil(HOSTS_PER_READER);
-    order.truncate(count.max(MIN_READERS));
+    order.truncate(reader_count(hosts.known_count()));
     order
 }
 
@@ -96,9 +93,13 @@
         let is_reader = readers.iter().any(|reader| reader.name == own);
         let reason = if is_reader { "reader" } else { "no fresh view" };
         set_reading(&host, is_reader || now < reads_until, reason);
-        let fresh = host.view.borrow().health(now, FRESH_VIEW) == FeedHealth::Following;
+        let fresh_view = host.feed_plan().fresh_view;
+        let fresh = host.view.borrow().health(now, fresh_view) == FeedHealth::Following;
         if is_reader && fresh {
-            tokio::time::sleep(FOLLOW_WAIT).await;
+            // Hosts that are heard of may take the duty over.
+            let changed = host.changed.notified();
+            tokio::time::sleep(COLLECT_TIME).await;
+            let _ = timeout(FOLLOW_WAIT, changed).await;
             continue;
         }
         let sources = sources(&host, &readers);
@@ -161,7 +162,7 @@
         if let Some(reply) = ask(host, source, *cursor).await {
             let age = reply.age_us.map(Duration::from_micros);
             take_reply(host, source, reply, cursor, asked);
-            if age.is_some_and(|age| age <= FRESH_VIEW) {
+            if age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
                 return true;
             }
         }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -10,8 +10,8 @@
 use hollywheel_adapter::{AnswerFacts, HostLimits, HostSettings};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    CallerPatience, HostRecord, HostTable, LoadTable, PathForecast, RetryBudget, RowChange,
-    ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreView,
+    CallerPatience, FeedPlan, HostRecord, HostTable, LoadTable, PathForecast, RetryBudget,
+    RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreView,
 };
 use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, ServerId, SortedMap};
 
@@ -23,10 +23,6 @@
 use crate::peer_client::PeerClient;
 use crate::results::ResultOutbox;
 
-/// A view of the store that is younger than this follows it: the store answers a feed after 0.7 s
-/// at the latest, and with the time of a long poll a silent store is noticed within 2 s.
-pub(crate) const FRESH_VIEW: Duration = Duration::from_millis(1200);
-
 /// Holds a configuration with the document that it was read from, for other hosts.
 #[derive(Clone)]
 pub(crate) struct InstalledSet {
@@ -135,6 +131,12 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Returns how the store is followed, by the tighter bound on its news.
+    pub(crate) fn feed_plan(&self) -> FeedPlan {
+        let bounds = self.settings.borrow().bounds;
+        FeedPlan::new(bounds.config_apply.min(bounds.drain))
+    }
+
     pub(crate) fn now(&self) -> MonoTime {
         self.clock.now()
     }
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -14,18 +14,21 @@
 use crate::log::{log_line, millis};
 use crate::store_client::{StoreConnection, StoreFailure};
 
-/// A feed is answered after this time if nothing has changed. A connection that has gone silent
-/// is noticed this time and the slack later, within the 2 s in which a configuration must be in
-/// force.
-const FEED_WAIT: Duration = Duration::from_millis(700);
-/// The same for the hosts' own table, whose changes may be late: a host that has gone is found
-/// out by the first call to it.
+/// A page of a listing is answered within this time.
+const LIST_LIMIT: Duration = Duration::from_millis(1100);
+/// A feed of the hosts' own table is answered after this time if nothing has changed. Its changes
+/// may be late: a host that has gone is found out by the first call to it.
 const HOSTS_WAIT: Duration = Duration::from_secs(6);
 /// The store's answers take milliseconds; at 50 times that a call still ends within this.
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// Entries of backend servers change many times a second; they are collected for this time, a
 /// seventh of the time in which a server that leaves must get nothing new.
 const COLLECT_TIME: Duration = Duration::from_millis(300);
+/// Hosts that start or stop together, as after a loss of power, are collected for this time.
+const HOSTS_COLLECT_TIME: Duration = Duration::from_millis(700);
+/// After a listing the first feed waits for this time, in which most hosts of a fleet that starts
+/// learn that others read the store.
+const FIRST_FEED_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after a failed call, and the longest one; both well below the 2 s bound.
 const RETRY_TIME: Duration = Duration::from_millis(100);
 const MAX_RETRY_TIME: Duration = Duration::from_millis(500);
@@ -80,7 +83,7 @@
             return self.list().await;
         };
         let wait = match self.table {
-            StoreTable::Operator | StoreTable::Servers => FEED_WAIT,
+            StoreTable::Operator | StoreTable::Servers => self.host.feed_plan().wait,
             StoreTable::Hosts => HOSTS_WAIT,
         };
         let call = StoreCall::Feed {
@@ -100,11 +103,10 @@
         if self.table == StoreTable::Servers {
             self.host.view.borrow_mut().confirm(told);
         }
-        let collects = changed && self.table == StoreTable::Servers;
-        Ok(if collects {
-            COLLECT_TIME
-        } else {
-            Duration::ZERO
+        Ok(match self.table {
+            StoreTable::Servers if changed => COLLECT_TIME,
+            StoreTable::Hosts if changed => HOSTS_COLLECT_TIME,
+            StoreTable::Operator | StoreTable::Servers | StoreTable::Hosts => Duration::ZERO,
         })
     }
 
@@ -120,10 +122,7 @@
                     .map(|row| next_key(&row.key))
                     .unwrap_or_default(),
             };
-            let page = self
-                .connection
-                .call(&call, FEED_WAIT + ANSWER_SLACK)
-                .await?;
+            let page = self.connection.call(&call, LIST_LIMIT).await?;
             // Changes after the first page may be missing from it; the feed repeats them.
             revision.get_or_insert(page.revision);
             let ends = !page.has_more || page.rows.is_empty();
@@ -144,7 +143,7 @@
         if self.table == StoreTable::Servers {
             self.host.view.borrow_mut().confirm(asked);
         }
-        Ok(Duration::ZERO)
+        Ok(FIRST_FEED_PAUSE)
     }
 
     fn apply_listing(&self, revision: u64, rows: Vec<StoreRow>) {
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod call_time;
 mod events;
+mod feed_plan;
 mod forecast;
 mod hosts;
 mod load;
@@ -27,6 +28,7 @@
 pub use budget::RetryBudget;
 pub use call_time::CallTimes;
 pub use events::{EventCutter, StreamEvent};
+pub use feed_plan::{FeedPlan, reader_count};
 pub use forecast::PathForecast;
 pub use hosts::{HostRecord, HostTable};
 pub use load::{LoadReport, LoadTable};
