Let a stream that was waited for go on elsewhere once it stalls again

Cause: read as a newcomer. A silent stream that no engine could continue was waited for until its deadline, also after it had sent further events and another engine had come.

Change: each event ends the waiting; the next silence is judged anew.

Seen: a_kept_stream_that_stalls_goes_on_at_a_new_engine fails before (the answer breaks at the deadline) and passes after.

--- a/crates/hollywheel-gateway/src/stream_pass.rs
+++ b/crates/hollywheel-gateway/src/stream_pass.rs
@@ -131,6 +131,7 @@
                 self.job.reason = match read {
                     Ok(Ok(chunk)) => {
                         self.open.as_mut()?.chunk = chunk;
+                        self.waits = false;
                         continue;
                     }
                     Ok(Err(failure)) => failure.name(),
--- a/crates/hollywheel-gateway/tests/troubles.rs
+++ b/crates/hollywheel-gateway/tests/troubles.rs
@@ -4,10 +4,11 @@
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use support::{Fixture, RawRequest, RawStep};
+use support::{Fixture, RawRequest, RawStep, servers};
 use tokio::time::sleep;
 
 const EVENT: &str = "id: 1\ndata: a\n\n";
@@ -279,6 +280,33 @@
     assert_eq!((answer.status, answer.body.as_deref()), (200, Ok(events)));
 }
 
+/// A stream that was waited for and stalls after its next event goes on at an engine that has come
+/// meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_kept_stream_that_stalls_goes_on_at_a_new_engine() {
+    let fixture = Fixture::start("kept-stream").await;
+    fixture
+        .replace_pool("model", |request| {
+            vec![
+                RawStep::Send(chunked_stream(request)),
+                RawStep::Pause(Duration::from_millis(1400)),
+                RawStep::Send(chunk("id: 2\ndata: b\n\n")),
+                RawStep::Pause(Duration::from_secs(20)),
+            ]
+        })
+        .await;
+    let call = fixture.call("POST", "/brief/ok", "g2");
+    let join = async {
+        sleep(Duration::from_millis(1300)).await;
+        let address = servers::serve("m2", Arc::clone(&fixture.log)).await;
+        fixture.store.set_server("m2", "model", address, "ready", 2);
+    };
+    let (answer, ()) = tokio::join!(call, join);
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    assert_eq!((answer.status, answer.body.as_deref()), (200, Ok(events)));
+    assert_eq!(fixture.log.with("ran g2").len(), 1, "the new engine ran it");
+}
+
 /// A stream without a told length that ends within an event was cut, and must not look complete.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_ends_within_an_event_is_not_complete() {
