--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -92,6 +92,18 @@
         })
 }
 
+/// Starts a gateway on a thread of this process.
+pub fn start_gateway(name: &str, addresses: &HostAddresses) {
+    let path = std::env::temp_dir().join(format!("hollywheel-{name}-{}", std::process::id()));
+    std::fs::write(&path, settings("front-a-1", addresses)).unwrap();
+    let settings = path.to_str().unwrap().to_owned();
+    std::thread::spawn(move || {
+        let words = ["gateway", "--settings", &settings, "--metrics-port", "0"];
+        let words = words.into_iter().chain(["--log-level", "error"]);
+        hollywheel_gateway::run_gateway(words.map(Into::into))
+    });
+}
+
 impl Fixture {
     /// Starts the stand-ins and a gateway, and waits until it is ready.
     pub async fn start(name: &str) -> Self {
@@ -116,20 +128,13 @@
             store.set_server(server, pool, address, "ready", 1);
         }
         store.set_config(&config(1, "k1"));
-        let path = std::env::temp_dir().join(format!("hollywheel-{name}-{}", std::process::id()));
         let addresses = HostAddresses {
             callers: fixture.callers,
             ready: fixture.ready,
             peers: fixture.peers,
             store: store_address,
         };
-        std::fs::write(&path, settings("front-a-1", &addresses)).unwrap();
-        let settings = path.to_str().unwrap().to_owned();
-        std::thread::spawn(move || {
-            let words = ["gateway", "--settings", &settings, "--metrics-port", "0"];
-            let words = words.into_iter().chain(["--log-level", "error"]);
-            hollywheel_gateway::run_gateway(words.map(Into::into))
-        });
+        start_gateway(name, &addresses);
         fixture.wait_until_ready().await;
         fixture
     }
--- a/crates/hollywheel-gateway/tests/troubles.rs
+++ b/crates/hollywheel-gateway/tests/troubles.rs
@@ -8,7 +8,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use support::{Fixture, RawRequest, RawStep, servers};
+use support::{
+    Fixture, HostAddresses, RawRequest, RawStep, free_address, request, send, serve_raw, servers,
+    start_gateway,
+};
 use tokio::time::sleep;
 
 const EVENT: &str = "id: 1\ndata: a\n\n";
@@ -221,6 +224,28 @@
     assert_eq!(fixture.call("POST", "/pay/ok", "d2").await.status, 200);
 }
 
+/// A store, or what has its address, may send without end as well; the host stays up and asks again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_sends_without_end_is_given_up() {
+    const BOUND: usize = 32 * 1024 * 1024;
+    let (store, log) =
+        serve_raw(|_| endless("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{\"rows\":[".into()))
+            .await;
+    let addresses = HostAddresses {
+        callers: free_address(),
+        ready: free_address(),
+        peers: free_address(),
+        store,
+    };
+    start_gateway("endless-store", &addresses);
+    sleep(Duration::from_millis(2500)).await;
+    let (sent, calls) = (log.repeated(), log.paths().len());
+    assert!(calls > 3, "it asks again: {calls} calls");
+    assert!(sent < BOUND * calls, "{sent} bytes in {calls} calls");
+    let ready = send(addresses.ready, request("GET", "/ready", "x", "")).await;
+    assert_eq!(ready.unwrap().status, 503, "up, without a configuration");
+}
+
 /// A byte now and then is no progress: a stream ends by its whole events.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_sends_a_byte_now_and_then_ends() {
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -183,3 +183,48 @@
     assert!(sent <= 200 + 58, "{sent} repeats for 1000 requests");
     assert!(sent > 200, "{sent} repeats for 1000 requests");
 }
+
+/// Draws numbers below a bound, the same in every run (a linear congruential generator).
+fn draw(state: &mut u64, bound: usize) -> usize {
+    *state = state
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1_442_695_040_888_963_407);
+    usize::try_from(*state >> 33).unwrap() % bound
+}
+
+/// Whatever a server sends and however it is split, no byte is lost, and the events are the same.
+#[test]
+fn any_bytes_are_cut_the_same_wherever_they_are_split() {
+    const WORDS: [&[u8]; 9] = [
+        b"id:",
+        b" 7",
+        b"\n",
+        b"\r\n",
+        b"\n\n",
+        b"data: a",
+        b":",
+        b"\xff",
+        b"99999999999999999999",
+    ];
+    let mut state = 1;
+    for _ in 0..2000 {
+        let words = (0..draw(&mut state, 24)).map(|_| WORDS[draw(&mut state, WORDS.len())]);
+        let stream: Vec<u8> = words.collect::<Vec<_>>().concat();
+        let mut whole = EventCutter::new();
+        let events = whole.take(&stream);
+        let mut bytes: Vec<u8> = events
+            .iter()
+            .flat_map(|event| event.bytes.clone())
+            .collect();
+        bytes.extend(whole.rest());
+        assert_eq!(bytes, stream);
+        let mut split = EventCutter::new();
+        let (mut parts, mut rest) = (Vec::new(), stream.as_slice());
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(1 + draw(&mut state, rest.len()));
+            parts.extend(split.take(part));
+            rest = later;
+        }
+        assert_eq!((parts, split.rest()), (events, whole.rest()), "{stream:?}");
+    }
+}
