Order what hosts tell of each other by the revisions of their rows

The logs of all hosts (HW7107, HW7108) show a fault that was there before and that the delay met more often: a host that has just started read the store's listing at 13.44 s, then asked a host of its settings whose view was older, and took over that another host had left (13.47 s), which had started again since. Nothing corrected it for 19 s, so that two hosts collected the pieces of one pool until 32 s and each counted on all of its room. From 32.3 s on two hosts changed their minds ten times a second between two sources.

Ruled out: hosts that are passed over after failures (no HW7109 for the two), different shards.

Change: the revision of its row orders all news of a host, as it does for backend servers; a listing's revision bounds what others may tell of hosts that it does not hold. HostEntry has the revision.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -214,8 +214,8 @@
     }
     for entry in &reply.hosts {
         match read_host(entry) {
-            Some(record) if entry.left => host.remove_host(&record.name, name),
-            Some(record) => host.upsert_host(record, name),
+            Some(record) if entry.left => host.remove_host(&record.name, entry.revision, name),
+            Some(record) => host.upsert_host(record, entry.revision, name),
             None => {}
         }
     }
@@ -275,9 +275,10 @@
         servers: servers.iter().map(write_server).collect(),
         hosts: hosts
             .changes_after(hosts_after)
-            .map(|(record, left)| HostEntry {
-                left,
-                ..write_host(record)
+            .map(|change| HostEntry {
+                left: change.left,
+                revision: change.revision,
+                ..write_host(&change.record)
             })
             .collect(),
         config_version: newer.as_ref().map_or(0, |known| known.set.version.0),
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -326,22 +326,34 @@
     }
 
     /// Adds a host or replaces what is known of it.
-    pub(crate) fn upsert_host(&self, record: HostRecord, source: &str) {
+    pub(crate) fn upsert_host(&self, record: HostRecord, revision: u64, source: &str) {
         let (name, incarnation) = (record.name.clone(), record.incarnation);
-        if self.hosts.borrow_mut().upsert(record) {
+        if self.hosts.borrow_mut().upsert(record, revision) {
             log_line!(self, info, HostJoined, host = %name, incarnation, source);
             self.changed.notify_waiters();
         }
     }
 
     /// Removes a host that has left.
-    pub(crate) fn remove_host(&self, name: &HostId, source: &str) {
-        if self.hosts.borrow_mut().remove(name) {
-            log_line!(self, info, HostLeft, host = %name, source);
-            self.changed.notify_waiters();
+    pub(crate) fn remove_host(&self, name: &HostId, revision: u64, source: &str) {
+        if self.hosts.borrow_mut().remove(name, revision) {
+            self.note_left(name, source);
+        }
+    }
+
+    /// Applies a complete listing of the hosts' rows.
+    pub(crate) fn list_hosts(&self, revision: u64, listed: &[HostId]) {
+        let left = self.hosts.borrow_mut().apply_listing(revision, listed);
+        for name in left {
+            self.note_left(&name, "store");
         }
     }
 
+    fn note_left(&self, name: &HostId, source: &str) {
+        log_line!(self, info, HostLeft, host = %name, source);
+        self.changed.notify_waiters();
+    }
+
     /// Notes that a host did not answer in a duty.
     pub(crate) fn pass_over(&self, name: &HostId, duty: &str, detail: &str) {
         log_line!(self, warn, HostPassedOver, host = %name, duty, detail);
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -7,7 +7,7 @@
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
 use hollywheel_serving::{HostRecord, RowChange};
-use hollywheel_types::{MonoTime, ServerId};
+use hollywheel_types::{HostId, MonoTime, ServerId};
 use hollywheel_wire::serving::HostEntry;
 
 use crate::host::Host;
@@ -148,16 +148,13 @@
 
     fn apply_listing(&self, revision: u64, rows: Vec<StoreRow>) {
         if self.table == StoreTable::Hosts {
-            let listed: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-            let hosts = self.host.hosts.borrow();
-            let missing = hosts.records().map(|record| record.name.clone());
-            let missing: Vec<_> = missing
-                .filter(|name| !listed.contains(&name.as_str()))
-                .collect();
-            drop(hosts);
-            for name in missing {
-                self.host.remove_host(&name, "store");
+            let listed = rows.iter().filter_map(|row| row.key.parse().ok());
+            let listed: Vec<HostId> = listed.collect();
+            for row in rows {
+                self.apply_host(&row);
             }
+            self.host.list_hosts(revision, &listed);
+            return;
         }
         if self.table == StoreTable::Servers {
             let changes = rows.into_iter().filter_map(|row| self.read_server(row));
@@ -219,13 +216,13 @@
         match row.value.as_deref().map(HostEntry::decode) {
             Some(Ok(entry)) => {
                 if let Some(record) = read_host(&entry) {
-                    self.host.upsert_host(record, "store");
+                    self.host.upsert_host(record, row.revision, "store");
                 }
             }
             Some(Err(_)) => {}
             None => {
                 if let Ok(name) = row.key.parse() {
-                    self.host.remove_host(&name, "store");
+                    self.host.remove_host(&name, row.revision, "store");
                 }
             }
         }
@@ -294,6 +291,6 @@
         domain: record.domain.to_string(),
         incarnation: record.incarnation,
         weight: record.weight,
-        left: false,
+        ..HostEntry::default()
     }
 }
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -34,16 +34,34 @@
     failures: u32,
     /// The number of the change that made it what it is.
     changed_at: u64,
+    /// The revision of its row in the store.
+    revision: u64,
     /// Whether it has left; what is known of it is kept for those that follow this host.
     left: bool,
 }
 
+/// Holds one change of a host's row.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostChange {
+    /// The host, as it was last known if it has left.
+    pub record: HostRecord,
+    /// The revision of its row in the store.
+    pub revision: u64,
+    /// Whether it has left.
+    pub left: bool,
+}
+
 /// Holds the hosts that are known and which of them do not answer.
+///
+/// The revisions of rows order what the store and other hosts tell, so that a host that lags
+/// behind takes nothing back.
 #[derive(Clone, Debug)]
 pub struct HostTable {
     own: HostId,
     hosts: SortedMap<HostId, HostState>,
     change: u64,
+    /// The revision of the last complete listing.
+    listed: u64,
 }
 
 /// A host in the failure domain of a duty counts as so many times its size.
@@ -67,51 +85,80 @@
     pub fn new(own: HostRecord) -> Self {
         let name = own.name.clone();
         let mut hosts = SortedMap::new();
-        hosts.insert(name.clone(), HostState::new(own, 1));
+        hosts.insert(name.clone(), HostState::new(own, 0, 1));
         Self {
             own: name,
             hosts,
             change: 1,
+            listed: 0,
         }
     }
 
-    /// Adds a host or replaces what is known of it; returns whether that is new.
-    pub fn upsert(&mut self, record: HostRecord) -> bool {
-        let known = self.hosts.get(&record.name);
-        let same = known.is_some_and(|known| known.record == record && !known.left);
-        if same || record.name == self.own {
+    /// Adds a host or replaces what is known of it, unless its row is older than what is known;
+    /// returns whether that is new.
+    pub fn upsert(&mut self, record: HostRecord, revision: u64) -> bool {
+        if record.name == self.own {
+            return false;
+        }
+        let is_old = match self.hosts.get_mut(&record.name) {
+            Some(known) if known.record == record && !known.left => {
+                known.revision = known.revision.max(revision);
+                true
+            }
+            Some(known) => revision <= known.revision,
+            // A listing would have held it.
+            None => revision <= self.listed,
+        };
+        if is_old {
             return false;
         }
         self.change += 1;
-        let state = HostState::new(record, self.change);
+        let state = HostState::new(record, revision, self.change);
         self.hosts.insert(state.record.name.clone(), state);
         true
     }
 
-    /// Removes a host that has left; returns whether it was known.
-    pub fn remove(&mut self, name: &HostId) -> bool {
+    /// Removes a host that has left, unless a newer row of it is known; returns whether that is
+    /// new.
+    pub fn remove(&mut self, name: &HostId, revision: u64) -> bool {
         let Some(state) = self.hosts.get_mut(name) else {
             return false;
         };
-        if *name == self.own || state.left {
+        if *name == self.own || state.left || revision <= state.revision {
             return false;
         }
         self.change += 1;
         state.left = true;
+        state.revision = revision;
         state.changed_at = self.change;
         true
     }
 
+    /// Takes a complete listing of the rows as of a revision; returns the hosts that have left.
+    pub fn apply_listing(&mut self, revision: u64, listed: &[HostId]) -> Vec<HostId> {
+        self.listed = self.listed.max(revision);
+        let missing = self.records().map(|record| record.name.clone());
+        let missing: Vec<HostId> = missing.filter(|name| !listed.contains(name)).collect();
+        missing
+            .into_iter()
+            .filter(|name| self.remove(name, revision))
+            .collect()
+    }
+
     /// Returns the number of the last change, which rises with every change.
     pub const fn change(&self) -> u64 {
         self.change
     }
 
-    /// Lists the hosts that have changed after a change number, and whether they have left.
-    pub fn changes_after(&self, change: u64) -> impl Iterator<Item = (&HostRecord, bool)> {
+    /// Lists the hosts that have changed after a change number.
+    pub fn changes_after(&self, change: u64) -> impl Iterator<Item = HostChange> {
         let states = self.hosts.values();
         let changed = states.filter(move |state| state.changed_at > change);
-        changed.map(|state| (&state.record, state.left))
+        changed.map(|state| HostChange {
+            record: state.record.clone(),
+            revision: state.revision,
+            left: state.left,
+        })
     }
 
     /// Notes that a host did not answer.
@@ -184,9 +231,10 @@
 }
 
 impl HostState {
-    const fn new(record: HostRecord, changed_at: u64) -> Self {
+    const fn new(record: HostRecord, revision: u64, changed_at: u64) -> Self {
         Self {
             record,
+            revision,
             passed_over_until: None,
             failures: 0,
             changed_at,
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -30,7 +30,7 @@
 pub use events::{EventCutter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
 pub use forecast::PathForecast;
-pub use hosts::{HostRecord, HostTable};
+pub use hosts::{HostChange, HostRecord, HostTable};
 pub use load::{LoadReport, LoadTable};
 pub use patience::{CallerAttempt, CallerPatience};
 pub use place::{PlaceQuery, PlaceVerdict, PromptPart, choose_engine, choose_least};
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -29,7 +29,7 @@
         .unwrap();
     let mut table = HostTable::new(own.clone());
     for record in hosts {
-        table.upsert(record.clone());
+        table.upsert(record.clone(), 1);
     }
     table
 }
@@ -78,17 +78,46 @@
     let other: HostId = "h2".parse().unwrap();
     table.note_unreachable(at(0), &other);
     assert_eq!(table.live_count(at(1)), 1);
-    assert!(table.upsert(HostRecord {
+    let again = HostRecord {
         incarnation: 2,
         ..host("h2", "a", 1)
-    }));
+    };
+    assert!(table.upsert(again, 2));
     assert_eq!(table.live_count(at(1)), 2);
-    assert!(table.remove(&other));
+    assert!(table.remove(&other, 3));
     assert_eq!(table.known_count(), 1);
-    let left: Vec<bool> = table.changes_after(1).map(|(_, left)| left).collect();
+    let left: Vec<bool> = table.changes_after(1).map(|change| change.left).collect();
     assert_eq!(left, [true]);
 }
 
+/// Hosts stop and start in turn; a host that has just started reads the store, and then hears of a
+/// host that lags behind what was before.
+#[test]
+fn a_host_that_lags_behind_takes_nothing_back() {
+    let hosts = [host("h1", "a", 1), host("h2", "a", 1)];
+    let mut table = table("h1", &hosts);
+    let h2: HostId = "h2".parse().unwrap();
+    let again = HostRecord {
+        incarnation: 2,
+        ..host("h2", "a", 1)
+    };
+    assert!(table.upsert(again.clone(), 7));
+    assert!(!table.remove(&h2, 5), "it had left before it started again");
+    assert!(!table.upsert(hosts[1].clone(), 3), "the start before");
+    assert_eq!(table.known_count(), 2);
+    assert!(table.remove(&h2, 9));
+    assert!(!table.upsert(again.clone(), 7), "it has left since");
+    assert_eq!(table.known_count(), 1);
+    assert!(table.upsert(again.clone(), 10));
+    assert_eq!(table.apply_listing(12, &[]), [h2]);
+    assert!(!table.upsert(again, 11), "the listing is newer");
+    assert!(
+        !table.upsert(host("h3", "a", 1), 11),
+        "also of a host that was not known"
+    );
+    assert!(table.upsert(host("h3", "a", 1), 13));
+}
+
 fn server(name: &str, domain: &str) -> (ServerId, ServerRecord) {
     let record = ServerRecord {
         pool: "p".parse().unwrap(),
