Let hosts without rows find each other while the store is away

Cause: read as a newcomer.

Change: a host whose row is not written yet is taken if it is not known.

Seen: hosts_without_rows_find_each_other fails before (each knows itself alone) and passes after.

--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -9,6 +9,8 @@
 /// A host that could not be reached is passed over for this time before it is tried again, and
 /// twice as long after each further failure. Below the length of a short outage (seconds).
 const PASS_OVER: Duration = Duration::from_millis(1500);
+/// Stands for the revision of a host whose row is not written yet, as while the store is away.
+const NO_ROW: u64 = 0;
 /// The longest time for which a host is passed over; one that starts again is used at once.
 const MAX_PASS_OVER: Duration = Duration::from_secs(24);
 
@@ -85,7 +87,7 @@
     pub fn new(own: HostRecord) -> Self {
         let name = own.name.clone();
         let mut hosts = SortedMap::new();
-        hosts.insert(name.clone(), HostState::new(own, 0, 1));
+        hosts.insert(name.clone(), HostState::new(own, NO_ROW, 1));
         Self {
             own: name,
             hosts,
@@ -106,8 +108,8 @@
                 true
             }
             Some(known) => revision <= known.revision,
-            // A listing would have held it.
-            None => revision <= self.listed,
+            // A listing would have held it, unless it has no row yet.
+            None => revision != NO_ROW && revision <= self.listed,
         };
         if is_old {
             return false;
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    HostRecord, HostTable, LoadReport, LoadTable, PlaceQuery, PlaceVerdict, PoolShard, PromptPart,
-    ServerPhase, ServerRecord, ShardWaits, choose_engine, choose_least, choose_shard, divide_pool,
+    HostChange, HostRecord, HostTable, LoadReport, LoadTable, PlaceQuery, PlaceVerdict, PoolShard,
+    PromptPart, ServerPhase, ServerRecord, ShardWaits, choose_engine, choose_least, choose_shard,
+    divide_pool,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, ServerId};
 
@@ -118,6 +119,31 @@
     assert!(table.upsert(host("h3", "a", 1), 13));
 }
 
+/// All hosts start while the store is away: they know the addresses of their settings, and what
+/// these tell of themselves and of others has no row.
+#[test]
+fn hosts_without_rows_find_each_other() {
+    let hosts: Vec<HostRecord> = (1..=4).map(|n| host(&format!("h{n}"), "a", 1)).collect();
+    let mut tables: Vec<HostTable> = hosts.iter().cloned().map(HostTable::new).collect();
+    for _ in 0..2 {
+        for asked in 1..tables.len() {
+            let told: Vec<HostChange> = tables[0].changes_after(0).collect();
+            let own: Vec<HostChange> = tables[asked].changes_after(0).collect();
+            for change in told {
+                tables[asked].upsert(change.record, change.revision);
+            }
+            for change in own {
+                tables[0].upsert(change.record, change.revision);
+            }
+        }
+    }
+    let known: Vec<usize> = tables.iter().map(HostTable::known_count).collect();
+    assert_eq!(known, [4; 4]);
+    let mut first = tables.remove(0);
+    assert!(!first.upsert(hosts[1].clone(), 5), "its row is read later");
+    assert_eq!(first.apply_listing(6, &[hosts[1].name.clone()]).len(), 2);
+}
+
 fn server(name: &str, domain: &str) -> (ServerId, ServerRecord) {
     let record = ServerRecord {
         pool: "p".parse().unwrap(),
