Order what the store tells by its era, and keep what holds over a rewind

Cause: the store may come back from a copy that is some seconds old and gives revisions out again. Feeds, the registry, the host table and the follow protocol compared revisions alone, so that a host stayed blind until the counter had passed its old value.

Change: StorePlace (era, then revision) wherever a revision was compared, kept, told or logged; the header is read once, in platform/. A later era lists all tables again; every host writes its row again; removals of the era before are withheld; the first listing of an era removes no host; a complete list goes with the first answer to a follower, which also closes a gap of before: a reader that had started again never told of servers that it had not seen.

--- a/crates/hollywheel-daemon/tests/soak.rs
+++ b/crates/hollywheel-daemon/tests/soak.rs
@@ -25,8 +25,8 @@
 use support::ServerLog;
 use system::play_seed;
 
-/// The seeds of the short run.
-const SHORT_SEEDS: std::ops::Range<u64> = 2..3;
+/// The seeds of the short run: one without drills of the store and one with them.
+const SHORT_SEEDS: [u64; 2] = [2, 200];
 
 fn seeds() -> Vec<u64> {
     if let Ok(range) = std::env::var("HOLLYWHEEL_SOAK_SEEDS") {
--- a/crates/hollywheel-daemon/tests/soak/faults.rs
+++ b/crates/hollywheel-daemon/tests/soak/faults.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use super::process::ProcessEnd;
 use super::proxy::LinkMode;
@@ -25,8 +25,16 @@
     ServerLink(usize, LinkMode),
     ServerLeaves(usize),
     NewVersion,
+    /// The store is away and comes back from a copy that is some seconds old.
+    StoreDrill,
 }
 
+/// Seeds from this one on also bring drills of the store; those before keep the faults that they
+/// have failed with.
+const FIRST_DRILL_SEED: u64 = 200;
+/// So many faults begin between two copies of the store.
+const COPY_FAULTS: usize = 5;
+
 fn draw_mode(random: &mut StdRng) -> LinkMode {
     match random.random_range(0..4) {
         0 => LinkMode::Delay,
@@ -36,10 +44,10 @@
     }
 }
 
-fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize) -> SoakFault {
+fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize, with_drills: bool) -> SoakFault {
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
-    match random.random_range(0..12) {
+    match random.random_range(0..if with_drills { 15 } else { 12 }) {
         0 | 1 => SoakFault::PauseHost(host),
         2 => SoakFault::KillHost(host),
         3 | 4 => SoakFault::StopHost(host),
@@ -48,7 +56,8 @@
         7 => SoakFault::StoreDown,
         8 | 9 => SoakFault::ServerLink(server, draw_mode(random)),
         10 => SoakFault::ServerLeaves(server),
-        _ => SoakFault::NewVersion,
+        11 => SoakFault::NewVersion,
+        _ => SoakFault::StoreDrill,
     }
 }
 
@@ -62,7 +71,7 @@
             system.hosts[host].signal(Signal::SIGHUP);
         }
         SoakFault::StoreLink(host, mode) => system.hosts[host].store.set_mode(mode),
-        SoakFault::StoreDown => system.store.set_down(true),
+        SoakFault::StoreDown | SoakFault::StoreDrill => system.store.set_down(true),
         SoakFault::ServerLink(server, mode) => system.servers[server].link.set_mode(mode),
         SoakFault::ServerLeaves(server) => system.announce(server, "draining"),
         SoakFault::NewVersion => system.publish("k1"),
@@ -74,6 +83,11 @@
         SoakFault::PauseHost(host) => system.hosts[host].signal(Signal::SIGCONT),
         SoakFault::StoreLink(host, _) => system.hosts[host].store.set_mode(LinkMode::Pass),
         SoakFault::StoreDown => system.store.set_down(false),
+        SoakFault::StoreDrill => {
+            system.store.rewind();
+            system.store.set_down(false);
+            system.write_again();
+        }
         SoakFault::ServerLink(server, _) => system.servers[server].link.set_mode(LinkMode::Pass),
         SoakFault::ServerLeaves(server) => system.announce(server, "ready"),
         SoakFault::KillHost(_)
@@ -102,13 +116,20 @@
 }
 
 /// Brings faults over the system for a time and ends them all.
-pub async fn bring_faults(system: &mut SoakSystem, random: &mut StdRng) -> Vec<String> {
+pub async fn bring_faults(system: &mut SoakSystem, seed: u64) -> Vec<String> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let random = &mut random;
+    let with_drills = seed >= FIRST_DRILL_SEED;
     let until = Instant::now() + FAULT_TIME;
     let mut running: Vec<(Instant, SoakFault)> = Vec::new();
     let mut begun = Vec::new();
     let mut found = Vec::new();
     while Instant::now() < until {
-        let fault = draw_fault(random, system.hosts.len(), system.servers.len());
+        if begun.len() % COPY_FAULTS == 0 {
+            system.store.take_copy();
+        }
+        let (hosts, servers) = (system.hosts.len(), system.servers.len());
+        let fault = draw_fault(random, hosts, servers, with_drills);
         println!("  {fault:?}");
         begin(system, fault);
         let length = Duration::from_millis(random.random_range(200..2500));
--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -5,8 +5,6 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -48,6 +46,7 @@
     name: &'static str,
     pool: &'static str,
     born: u64,
+    state: &'static str,
     /// The way to it.
     pub link: LinkProxy,
 }
@@ -62,6 +61,7 @@
     pub store: Arc<StoreStandin>,
     log: Arc<ServerLog>,
     version: u64,
+    key: &'static str,
     directory: PathBuf,
 }
 
@@ -79,6 +79,7 @@
             store,
             log: Arc::clone(&log),
             version: 0,
+            key: "",
             directory,
         };
         for (index, (name, pool)) in SERVERS.into_iter().enumerate() {
@@ -87,6 +88,7 @@
                 name,
                 pool,
                 born: 0,
+                state: "ready",
                 link,
             });
             system.announce(index, "ready");
@@ -101,8 +103,9 @@
     }
 
     /// Writes the entry of a server, of a new incarnation if it is ready.
-    pub fn announce(&mut self, server: usize, state: &str) {
+    pub fn announce(&mut self, server: usize, state: &'static str) {
         let server = &mut self.servers[server];
+        server.state = state;
         if state == "ready" {
             server.born += 1;
         }
@@ -112,11 +115,23 @@
     }
 
     /// Publishes the next version, in which one key is known.
-    pub fn publish(&mut self, key: &str) {
+    pub fn publish(&mut self, key: &'static str) {
         self.version += 1;
+        self.key = key;
         self.store.set_config(&config(self.version, key));
     }
 
+    /// Writes what the operator and the servers had written, as they do once the store has come
+    /// back older.
+    pub fn write_again(&self) {
+        for server in &self.servers {
+            let address = server.link.address;
+            self.store
+                .set_server(server.name, server.pool, address, server.state, server.born);
+        }
+        self.store.set_config(&config(self.version, self.key));
+    }
+
     /// Waits until every host answers a request of each kind.
     async fn wait_serving(&self, book: &CallBook, round: &str) -> Result<(), String> {
         let until = Instant::now() + RECOVERY;
@@ -319,13 +334,12 @@
 pub async fn play_seed(seed: u64) -> Vec<String> {
     println!("seed {seed}");
     let pauses = PauseWatch::start();
-    let mut random = StdRng::seed_from_u64(seed);
     let mut system = SoakSystem::start(seed).await;
     let book = CallBook::default();
     let mut found = Vec::new();
     found.extend(system.wait_serving(&book, "start").await.err());
     let mut callers = system.start_callers("load", seed, Duration::from_secs(7), &book);
-    found.extend(bring_faults(&mut system, &mut random).await);
+    found.extend(bring_faults(&mut system, seed).await);
     while callers.join_next().await.is_some() {}
     // Hosts that were told to stop may still be about it.
     sleep(GRACE / 2).await;
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -40,8 +40,8 @@
     DependencyRegained, "HW7102", "A dependency answers again.", "dependency, away_ms";
     ConfigInForce, "HW7103", "A configuration version is in force.", "version, before, source, pipelines, pools";
     ConfigUnreadable, "HW7104", "A configuration could not be read; the one before stays in force.", "source, detail";
-    ServerChanged, "HW7105", "What is known of a backend server has changed.", "server, revision, state, pool, source";
-    EntryUnreadable, "HW7106", "An entry does not describe a backend server and is not used.", "server, revision, detail";
+    ServerChanged, "HW7105", "What is known of a backend server has changed.", "server, place, state, pool, source";
+    EntryUnreadable, "HW7106", "An entry does not describe a backend server and is not used.", "server, place, detail";
     HostJoined, "HW7107", "Another host is known.", "host, incarnation, source";
     HostLeft, "HW7108", "Another host has left.", "host, source";
     HostPassedOver, "HW7109", "Another host did not answer and is passed over for a while.", "host, duty, detail";
@@ -50,6 +50,7 @@
     AcceptFailed, "HW7112", "A connection could not be accepted.", "detail";
     ServerLeaving, "HW7113", "A backend server says in an answer that it leaves; it gets nothing new from this host.", "server";
     ServerPaused, "HW7114", "A backend server wants no requests of this host for a time.", "server, pause_ms";
+    StoreEraChanged, "HW7115", "The store has come back from an older copy; its rows are listed again and the host's own row is written again.", "era, before, source, age_ms";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -12,16 +12,19 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{
-    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, reader_count,
+    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, StoreEra, StorePlace,
+    reader_count,
 };
 use hollywheel_types::MonoTime;
-use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
+use hollywheel_wire::serving::{
+    FollowReply, FollowRequest, HostEntry, ServerEntry, StorePlace as PlaceMessage,
+};
 
 use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::peer_client::FOLLOW_PATH;
 use crate::peer_server::micros;
-use crate::store_feed::{read_host, write_host};
+use crate::store_feed::{read_host, read_host_place, write_host};
 
 /// The duty of reading the store.
 const READER_DUTY: &str = "store";
@@ -200,6 +203,10 @@
     asked: MonoTime,
 ) {
     let name = source.name.as_str();
+    if let Some(era) = reply.store_era {
+        // What a host of an earlier era tells is ordered by the places of its rows.
+        host.note_era(StoreEra(era), name);
+    }
     if let Some(returned) = reply.store_returned_us {
         let at = host.now() - Duration::from_micros(returned);
         host.registry.borrow_mut().note_store_return(at);
@@ -207,15 +214,17 @@
     if !reply.config.is_empty() {
         host.install(&reply.config, name);
     }
-    for entry in &reply.servers {
-        if let Some(change) = read_server(entry) {
-            host.apply_server(change, name);
-        }
+    let servers = reply.servers.iter().filter_map(read_server);
+    match &reply.servers_place {
+        Some(place) => host.list_servers(read_place(place), servers.collect(), name),
+        None => servers.for_each(|change| host.apply_server(change, name)),
     }
     for entry in &reply.hosts {
         match read_host(entry) {
-            Some(record) if entry.left => host.remove_host(&record.name, entry.revision, name),
-            Some(record) => host.upsert_host(record, entry.revision, name),
+            Some(record) if entry.left => {
+                host.remove_host(&record.name, read_host_place(entry), name);
+            }
+            Some(record) => host.upsert_host(record, read_host_place(entry), name),
             None => {}
         }
     }
@@ -277,7 +286,8 @@
             .changes_after(hosts_after)
             .map(|change| HostEntry {
                 left: change.left,
-                revision: change.revision,
+                revision: change.place.revision,
+                era: change.place.era.0,
                 ..write_host(&change.record)
             })
             .collect(),
@@ -285,13 +295,22 @@
         config: newer.map(|known| known.document).unwrap_or_default(),
         age_us: host.view.borrow().age(now).map(micros),
         store_returned_us: registry.store_returned_at().map(|at| micros(now.since(at))),
+        store_era: host.store_era().map(|era| era.0),
+        servers_place: registry
+            .listed_place()
+            .filter(|_| !same)
+            .map(|place| PlaceMessage {
+                era: place.era.0,
+                revision: place.revision,
+            }),
     }
 }
 
 fn write_server(change: &RowChange) -> ServerEntry {
     let mut entry = ServerEntry {
         server: change.server.to_string(),
-        revision: change.revision,
+        revision: change.place.revision,
+        era: change.place.era.0,
         removed: true,
         ..ServerEntry::default()
     };
@@ -326,7 +345,17 @@
     };
     Some(RowChange {
         server: entry.server.parse().ok()?,
-        revision: entry.revision,
+        place: StorePlace {
+            era: StoreEra(entry.era),
+            revision: entry.revision,
+        },
         record,
     })
 }
+
+const fn read_place(place: &PlaceMessage) -> StorePlace {
+    StorePlace {
+        era: StoreEra(place.era),
+        revision: place.revision,
+    }
+}
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -11,7 +11,8 @@
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
     CallerPatience, FeedPlan, HostRecord, HostTable, LoadTable, PathForecast, RetryBudget,
-    RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreView,
+    RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreEra, StorePlace,
+    StoreView,
 };
 use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, ServerId, SortedMap};
 
@@ -41,6 +42,8 @@
     pub(crate) registry: RefCell<ServerRegistry>,
     pub(crate) hosts: RefCell<HostTable>,
     pub(crate) view: RefCell<StoreView>,
+    /// The latest era of the store that this host has heard of.
+    era: watch::Sender<Option<StoreEra>>,
     pub(crate) loads: RefCell<LoadTable>,
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     pub(crate) forecast: RefCell<PathForecast>,
@@ -100,6 +103,7 @@
             registry: RefCell::default(),
             hosts: RefCell::new(HostTable::new(own)),
             view: RefCell::default(),
+            era: watch::Sender::new(None),
             loads: RefCell::default(),
             budgets: RefCell::default(),
             forecast: RefCell::default(),
@@ -205,18 +209,86 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the latest era of the store that this host has heard of.
+    pub(crate) fn store_era(&self) -> Option<StoreEra> {
+        *self.era.borrow()
+    }
+
+    /// Notes that the store, or a host that follows it, tells an era; returns whether none later
+    /// is known.
+    pub(crate) fn note_era(&self, era: StoreEra, source: &str) -> bool {
+        let known = self.store_era();
+        if known >= Some(era) {
+            return known == Some(era);
+        }
+        let now = self.now();
+        if let Some(before) = known {
+            let age = self.view.borrow().age(now);
+            log_line!(
+                self,
+                warn,
+                StoreEraChanged,
+                era = era.0,
+                before = before.0,
+                source,
+                age_ms = age.map(millis)
+            );
+        }
+        self.registry.borrow_mut().note_era(now, era);
+        let gauge = i64::try_from(era.0).unwrap_or(i64::MAX);
+        self.metrics.store_era.set(gauge);
+        self.era.send_replace(Some(era));
+        true
+    }
+
+    /// Waits until a later era of the store than the one given is known.
+    pub(crate) async fn wait_for_later_era(&self, era: StoreEra) {
+        // The sender lives as long as the host.
+        let _ = self
+            .era
+            .subscribe()
+            .wait_for(|known| *known > Some(era))
+            .await;
+    }
+
+    /// Applies a complete list of backend servers, as it was at a place.
+    pub(crate) fn list_servers(&self, place: StorePlace, rows: Vec<RowChange>, source: &str) {
+        let now = self.now();
+        let before = self.registry.borrow().change();
+        self.registry.borrow_mut().apply_listing(now, place, rows);
+        let changed = self.registry.borrow().changes_after(before);
+        for change in &changed {
+            self.note_server(&change.server, change.place, source);
+        }
+        if !changed.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Uses the servers whose withheld entries were written again.
+    pub(crate) fn settle_servers(&self) {
+        let settled = self.registry.borrow_mut().settle(self.now());
+        for server in &settled {
+            let place = self.registry.borrow().listed_place().unwrap_or_default();
+            self.note_server(server, place, "written again");
+        }
+        if !settled.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Applies a change of a backend server.
     pub(crate) fn apply_server(&self, change: RowChange, source: &str) {
-        let (server, revision) = (change.server.clone(), change.revision);
+        let (server, place) = (change.server.clone(), change.place);
         let now = self.now();
         let differs = self.registry.borrow_mut().apply(now, change);
         if differs {
-            self.note_server(&server, revision, source);
+            self.note_server(&server, place, source);
             self.changed.notify_waiters();
         }
     }
 
-    fn note_server(&self, server: &ServerId, revision: u64, source: &str) {
+    fn note_server(&self, server: &ServerId, place: StorePlace, source: &str) {
         let registry = self.registry.borrow();
         let usable = registry.usable(self.now(), server);
         let state = if usable.is_some() {
@@ -230,7 +302,7 @@
             info,
             ServerChanged,
             server = %server,
-            revision,
+            place = %place,
             state,
             pool,
             source
@@ -326,24 +398,24 @@
     }
 
     /// Adds a host or replaces what is known of it.
-    pub(crate) fn upsert_host(&self, record: HostRecord, revision: u64, source: &str) {
+    pub(crate) fn upsert_host(&self, record: HostRecord, place: StorePlace, source: &str) {
         let (name, incarnation) = (record.name.clone(), record.incarnation);
-        if self.hosts.borrow_mut().upsert(record, revision) {
+        if self.hosts.borrow_mut().upsert(record, place) {
             log_line!(self, info, HostJoined, host = %name, incarnation, source);
             self.changed.notify_waiters();
         }
     }
 
     /// Removes a host that has left.
-    pub(crate) fn remove_host(&self, name: &HostId, revision: u64, source: &str) {
-        if self.hosts.borrow_mut().remove(name, revision) {
+    pub(crate) fn remove_host(&self, name: &HostId, place: StorePlace, source: &str) {
+        if self.hosts.borrow_mut().remove(name, place) {
             self.note_left(name, source);
         }
     }
 
     /// Applies a complete listing of the hosts' rows.
-    pub(crate) fn list_hosts(&self, revision: u64, listed: &[HostId]) {
-        let left = self.hosts.borrow_mut().apply_listing(revision, listed);
+    pub(crate) fn list_hosts(&self, place: StorePlace, listed: &[HostId]) {
+        let left = self.hosts.borrow_mut().apply_listing(place, listed);
         for name in left {
             self.note_left(&name, "store");
         }
--- a/crates/hollywheel-gateway/src/host_rows.rs
+++ b/crates/hollywheel-gateway/src/host_rows.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 
 use hollywheel_adapter::StoreCall;
+use hollywheel_serving::StoreEra;
 
 use crate::host::{Host, StopPhase};
 use crate::store_client::{StoreConnection, StoreFailure};
@@ -18,12 +19,16 @@
 /// While the host stops, the row is removed within this time or stays.
 const REMOVE_LIMIT: Duration = Duration::from_millis(800);
 
-/// Writes the host's row, and removes it when the graceful stop begins, so that no duty is given
+/// Once the store has come back older all hosts write their rows again, spread over this time, as
+/// much as a start of all of them is spread.
+const REWRITE_SPREAD: Duration = Duration::from_millis(500);
+
+/// Writes the host's row in each era of the store, and removes it when the graceful stop begins, so that no duty is given
 /// to this host any more.
 pub(crate) async fn keep_row(host: Host) {
     let mut connection = StoreConnection::new(&host);
     tokio::select! {
-        () = write_row(&host, &mut connection) => {}
+        () = write_rows(&host, &mut connection) => {}
         () = host.wait_for_stop(StopPhase::Leaving) => {}
     }
     host.wait_for_stop(StopPhase::Leaving).await;
@@ -31,7 +36,17 @@
     std::future::pending::<()>().await;
 }
 
-async fn write_row(host: &Host, connection: &mut StoreConnection) {
+async fn write_rows(host: &Host, connection: &mut StoreConnection) {
+    loop {
+        let era = write_row(host, connection).await;
+        host.wait_for_later_era(era).await;
+        let part = (host.tie() >> 32) as f64 / f64::from(u32::MAX);
+        tokio::time::sleep(REWRITE_SPREAD.mul_f64(part)).await;
+    }
+}
+
+/// Writes the host's row; returns the era in which the store has it.
+async fn write_row(host: &Host, connection: &mut StoreConnection) -> StoreEra {
     let record = host.own_record();
     let call = StoreCall::SetHost {
         key: record.name.to_string(),
@@ -39,7 +54,10 @@
     };
     let mut pause = RETRY_TIME;
     // The write has the same effect each time, so a lost answer is no reason not to repeat it.
-    while let Err(_failure) = connection.call(&call, WRITE_LIMIT).await {
+    loop {
+        if let Ok(answer) = connection.call(&call, WRITE_LIMIT).await {
+            return answer.place.era;
+        }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(MAX_RETRY_TIME);
     }
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) call_pieces: Family<NameLabel, Counter>,
     pub(crate) store_calls: Counter,
     pub(crate) config_version: Gauge,
+    pub(crate) store_era: Gauge,
     names: std::cell::RefCell<Vec<String>>,
 }
 
@@ -61,6 +62,7 @@
             call_pieces: Family::default(),
             store_calls: Counter::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             names: std::cell::RefCell::default(),
         };
         metrics.registered()
@@ -113,6 +115,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "hollywheel_store_era",
+            "Latest era of the platform's store that is known; it rises when the store comes back older",
+            self.store_era.clone(),
+        );
         self
     }
 
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -142,10 +142,11 @@
     );
 }
 
-/// Closes idle connections and forgets servers that have left.
+/// Closes idle connections, forgets servers that have left and uses those that came back.
 async fn sweep(host: Host) {
     loop {
         tokio::time::sleep(SWEEP_TIME).await;
+        host.settle_servers();
         let now = host.now();
         let registry = host.registry.borrow();
         host.connections
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -103,10 +103,14 @@
         let sender = self.sender().await?;
         let answer = sender.send_request(request).await.map_err(unknown)?;
         let status = answer.status();
+        let era = hollywheel_adapter::read_era(answer.headers()).map_err(unknown)?;
         let body = collect_body(answer.into_body(), DOCUMENT_LIMIT).await;
         let body = body.map_err(|failure| unknown(failure.name()))?;
+        if !self.host.note_era(era, "store") {
+            return Err(unknown(format!("an answer of the earlier era {era}")));
+        }
         match status {
-            StatusCode::OK => hollywheel_adapter::read_rows(&body).map_err(unknown),
+            StatusCode::OK => hollywheel_adapter::read_rows(era, &body).map_err(unknown),
             StatusCode::GONE => Err(StoreFailure::HistoryLost),
             StatusCode::PRECONDITION_FAILED => Err(StoreFailure::Conflict),
             other => Err(refused(other)),
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
-use hollywheel_serving::{HostRecord, RowChange};
+use hollywheel_serving::{HostRecord, RowChange, StoreEra, StorePlace};
 use hollywheel_types::{HostId, MonoTime, ServerId};
 use hollywheel_wire::serving::HostEntry;
 
@@ -38,10 +38,10 @@
     host: Host,
     table: StoreTable,
     connection: StoreConnection,
-    /// The revision up to which changes are known; none asks for a listing.
-    cursor: Option<u64>,
-    /// The newest revision seen; a listing that is older is stale.
-    newest: u64,
+    /// The place up to which changes are known; none asks for a listing.
+    cursor: Option<StorePlace>,
+    /// The newest place seen; a listing that is older is stale.
+    newest: StorePlace,
     lost_at: Option<MonoTime>,
 }
 
@@ -52,7 +52,7 @@
         host: host.clone(),
         table,
         cursor: None,
-        newest: 0,
+        newest: StorePlace::default(),
         lost_at: None,
     };
     let mut pause = RETRY_TIME;
@@ -88,19 +88,26 @@
         };
         let call = StoreCall::Feed {
             table: self.table,
-            after,
+            after: after.revision,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let answer = self.connection.call(&call, wait + ANSWER_SLACK).await?;
+        if answer.place.era > after.era {
+            // Revisions were given out again, so that some changes may not be told.
+            self.cursor = None;
+            return Ok(Duration::ZERO);
+        }
         // The answer tells every change up to when it was given.
         let told = self.host.now();
         let changed = !answer.rows.is_empty();
         for row in answer.rows {
             self.apply(row);
         }
-        self.cursor = Some(answer.revision.max(after));
-        self.newest = self.newest.max(answer.revision);
+        let place = answer.place.max(after);
+        self.cursor = Some(place);
+        self.newest = self.newest.max(place);
         if self.table == StoreTable::Servers {
+            self.host.registry.borrow_mut().note_place(place);
             self.host.view.borrow_mut().confirm(told);
         }
         Ok(match self.table {
@@ -112,7 +119,7 @@
 
     async fn list(&mut self) -> Result<Duration, StoreFailure> {
         let mut rows: Vec<StoreRow> = Vec::new();
-        let mut revision = None;
+        let mut place: Option<StorePlace> = None;
         let asked = self.host.now();
         loop {
             let call = StoreCall::List {
@@ -124,45 +131,47 @@
             };
             let page = self.connection.call(&call, LIST_LIMIT).await?;
             // Changes after the first page may be missing from it; the feed repeats them.
-            revision.get_or_insert(page.revision);
+            let first = *place.get_or_insert(page.place);
+            if first.era != page.place.era {
+                return Err(StoreFailure::Refused {
+                    detail: format!("the era changed from {} during the listing", first.era),
+                });
+            }
             let ends = !page.has_more || page.rows.is_empty();
             rows.extend(page.rows);
             if ends {
                 break;
             }
         }
-        let revision = revision.unwrap_or_default();
-        if revision < self.newest {
+        let place = place.unwrap_or_default();
+        if place < self.newest {
             return Err(StoreFailure::Refused {
-                detail: format!("the listing is stale: {revision} before {}", self.newest),
+                detail: format!("the listing is stale: {place} before {}", self.newest),
             });
         }
-        self.apply_listing(revision, rows);
-        self.newest = revision;
-        self.cursor = Some(revision);
+        self.apply_listing(place, rows);
+        self.newest = place;
+        self.cursor = Some(place);
         if self.table == StoreTable::Servers {
             self.host.view.borrow_mut().confirm(asked);
         }
         Ok(FIRST_FEED_PAUSE)
     }
 
-    fn apply_listing(&self, revision: u64, rows: Vec<StoreRow>) {
+    fn apply_listing(&self, place: StorePlace, rows: Vec<StoreRow>) {
         if self.table == StoreTable::Hosts {
             let listed = rows.iter().filter_map(|row| row.key.parse().ok());
             let listed: Vec<HostId> = listed.collect();
             for row in rows {
                 self.apply_host(&row);
             }
-            self.host.list_hosts(revision, &listed);
+            self.host.list_hosts(place, &listed);
             return;
         }
         if self.table == StoreTable::Servers {
             let changes = rows.into_iter().filter_map(|row| self.read_server(row));
             let changes: Vec<RowChange> = changes.collect();
-            let now = self.host.now();
-            let mut registry = self.host.registry.borrow_mut();
-            registry.apply_listing(now, revision, changes);
-            self.host.changed.notify_waiters();
+            self.host.list_servers(place, changes, "store");
             return;
         }
         for row in rows {
@@ -199,7 +208,7 @@
                     warn,
                     EntryUnreadable,
                     server = %server,
-                    revision = row.revision,
+                    place = %row.place,
                     detail = %error
                 );
             })
@@ -207,7 +216,7 @@
         });
         Some(RowChange {
             server,
-            revision: row.revision,
+            place: row.place,
             record,
         })
     }
@@ -216,13 +225,13 @@
         match row.value.as_deref().map(HostEntry::decode) {
             Some(Ok(entry)) => {
                 if let Some(record) = read_host(&entry) {
-                    self.host.upsert_host(record, row.revision, "store");
+                    self.host.upsert_host(record, row.place, "store");
                 }
             }
             Some(Err(_)) => {}
             None => {
                 if let Ok(name) = row.key.parse() {
-                    self.host.remove_host(&name, row.revision, "store");
+                    self.host.remove_host(&name, row.place, "store");
                 }
             }
         }
@@ -283,6 +292,14 @@
     })
 }
 
+/// Reads where the row of a host stands in the store's history.
+pub(crate) const fn read_host_place(entry: &HostEntry) -> StorePlace {
+    StorePlace {
+        era: StoreEra(entry.era),
+        revision: entry.revision,
+    }
+}
+
 /// Writes the entry of a host.
 pub(crate) fn write_host(record: &HostRecord) -> HostEntry {
     HostEntry {
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+#[derive(Clone)]
 struct Row {
     table: &'static str,
     key: String,
@@ -22,10 +24,13 @@
     revision: u64,
 }
 
-/// Holds the rows, and whether the store answers.
+/// Holds the rows, the era, a copy to come back from, and whether the store answers.
 #[derive(Default)]
 pub struct StoreStandin {
     rows: Mutex<Vec<Row>>,
+    copy: Mutex<Vec<Row>>,
+    era: AtomicU64,
+    calls: Mutex<Vec<String>>,
     changed: Notify,
     down: Mutex<bool>,
 }
@@ -93,6 +98,32 @@
         self.set("servers", server, None);
     }
 
+    /// Keeps a copy of all rows as they are.
+    pub fn take_copy(&self) {
+        *self.copy.lock().unwrap() = self.rows.lock().unwrap().clone();
+    }
+
+    /// Puts the copy in the place of all rows, as a store that comes back older. Revisions that
+    /// were given out since are given out again.
+    pub fn rewind(&self) {
+        *self.rows.lock().unwrap() = self.copy.lock().unwrap().clone();
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Lists the keys of a table that have a value.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.lock().unwrap();
+        let rows = rows.iter().filter(|row| row.table == table);
+        let present = rows.filter(|row| row.value.is_some());
+        present.map(|row| row.key.clone()).collect()
+    }
+
+    /// Takes the paths of the calls that have come so far.
+    pub fn take_calls(&self) -> Vec<String> {
+        std::mem::take(&mut self.calls.lock().unwrap())
+    }
+
     /// Takes the store away or brings it back.
     pub fn set_down(&self, down: bool) {
         *self.down.lock().unwrap() = down;
@@ -149,6 +180,8 @@
 }
 
 async fn answer(store: Arc<StoreStandin>, request: Request<Incoming>) -> (u16, String) {
+    let path = request.uri().path().to_owned();
+    store.calls.lock().unwrap().push(path);
     if *store.down.lock().unwrap() {
         return (503, "{}".into());
     }
@@ -167,12 +200,17 @@
             let wait: u64 = argument(query, "wait-ms").unwrap().parse().unwrap();
             let changed = store.changed.notified();
             let (rows, newest) = store.list(&table, Some(after));
-            if rows.is_empty() {
+            if rows.is_empty() && after <= newest {
                 let _ = tokio::time::timeout(Duration::from_millis(wait), changed).await;
-                store.list(&table, Some(after))
-            } else {
-                (rows, newest)
             }
+            if *store.down.lock().unwrap() {
+                return (503, "{}".into());
+            }
+            let (rows, newest) = store.list(&table, Some(after));
+            if after > newest {
+                return (410, "{}".into());
+            }
+            (rows, newest)
         }
         _ => (Vec::new(), store.list(&table, None).1),
     };
@@ -193,10 +231,14 @@
             let store = Arc::clone(&store);
             let service = service_fn(move |request| {
                 let answered = answer(Arc::clone(&store), request);
+                let store = Arc::clone(&store);
                 async move {
                     let (status, body) = answered.await;
+                    let era = store.era.load(Ordering::SeqCst);
                     let mut response = Response::new(Full::new(Bytes::from(body)));
                     *response.status_mut() = status.try_into().unwrap();
+                    let headers = response.headers_mut();
+                    headers.insert("store-era", era.into());
                     Ok::<_, Infallible>(response)
                 }
             });
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -6,11 +6,16 @@
 use hollywheel_types::{DomainId, HostId, MonoTime, SortedMap};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::store_place::{StoreEra, StorePlace};
+
 /// A host that could not be reached is passed over for this time before it is tried again, and
 /// twice as long after each further failure. Below the length of a short outage (seconds).
 const PASS_OVER: Duration = Duration::from_millis(1500);
-/// Stands for the revision of a host whose row is not written yet, as while the store is away.
-const NO_ROW: u64 = 0;
+/// Stands for the place of a host whose row is not written yet, as while the store is away.
+const NO_ROW: StorePlace = StorePlace {
+    era: StoreEra(0),
+    revision: 0,
+};
 /// The longest time for which a host is passed over; one that starts again is used at once.
 const MAX_PASS_OVER: Duration = Duration::from_secs(24);
 
@@ -36,8 +41,8 @@
     failures: u32,
     /// The number of the change that made it what it is.
     changed_at: u64,
-    /// The revision of its row in the store.
-    revision: u64,
+    /// The place of its row in the store's history.
+    place: StorePlace,
     /// Whether it has left; what is known of it is kept for those that follow this host.
     left: bool,
 }
@@ -47,23 +52,23 @@
 pub struct HostChange {
     /// The host, as it was last known if it has left.
     pub record: HostRecord,
-    /// The revision of its row in the store.
-    pub revision: u64,
+    /// The place of its row in the store's history.
+    pub place: StorePlace,
     /// Whether it has left.
     pub left: bool,
 }
 
 /// Holds the hosts that are known and which of them do not answer.
 ///
-/// The revisions of rows order what the store and other hosts tell, so that a host that lags
+/// The places of rows order what the store and other hosts tell, so that a host that lags
 /// behind takes nothing back.
 #[derive(Clone, Debug)]
 pub struct HostTable {
     own: HostId,
     hosts: SortedMap<HostId, HostState>,
     change: u64,
-    /// The revision of the last complete listing.
-    listed: u64,
+    /// The place of the last complete listing.
+    listed: StorePlace,
 }
 
 /// A host in the failure domain of a duty counts as so many times its size.
@@ -92,58 +97,66 @@
             own: name,
             hosts,
             change: 1,
-            listed: 0,
+            listed: NO_ROW,
         }
     }
 
     /// Adds a host or replaces what is known of it, unless its row is older than what is known;
     /// returns whether that is new.
-    pub fn upsert(&mut self, record: HostRecord, revision: u64) -> bool {
+    pub fn upsert(&mut self, record: HostRecord, place: StorePlace) -> bool {
         if record.name == self.own {
             return false;
         }
         let is_old = match self.hosts.get_mut(&record.name) {
             Some(known) if known.record == record && !known.left => {
-                known.revision = known.revision.max(revision);
+                known.place = known.place.max(place);
                 true
             }
-            Some(known) => revision <= known.revision,
+            Some(known) => place <= known.place,
             // A listing would have held it, unless it has no row yet.
-            None => revision != NO_ROW && revision <= self.listed,
+            None => place != NO_ROW && place <= self.listed,
         };
         if is_old {
             return false;
         }
         self.change += 1;
-        let state = HostState::new(record, revision, self.change);
+        let state = HostState::new(record, place, self.change);
         self.hosts.insert(state.record.name.clone(), state);
         true
     }
 
     /// Removes a host that has left, unless a newer row of it is known; returns whether that is
     /// new.
-    pub fn remove(&mut self, name: &HostId, revision: u64) -> bool {
+    pub fn remove(&mut self, name: &HostId, place: StorePlace) -> bool {
         let Some(state) = self.hosts.get_mut(name) else {
             return false;
         };
-        if *name == self.own || state.left || revision <= state.revision {
+        if *name == self.own || state.left || place <= state.place {
             return false;
         }
         self.change += 1;
         state.left = true;
-        state.revision = revision;
+        state.place = place;
         state.changed_at = self.change;
         true
     }
 
-    /// Takes a complete listing of the rows as of a revision; returns the hosts that have left.
-    pub fn apply_listing(&mut self, revision: u64, listed: &[HostId]) -> Vec<HostId> {
-        self.listed = self.listed.max(revision);
+    /// Takes a complete listing of the rows as of a place; returns the hosts that have left.
+    ///
+    /// The first listing of a later era removes nothing: rows that were written since the copy
+    /// are missing until their hosts write them again, and one that is gone is passed over when
+    /// it does not answer.
+    pub fn apply_listing(&mut self, place: StorePlace, listed: &[HostId]) -> Vec<HostId> {
+        let is_older_copy = self.listed != NO_ROW && place.era > self.listed.era;
+        self.listed = self.listed.max(place);
+        if is_older_copy {
+            return Vec::new();
+        }
         let missing = self.records().map(|record| record.name.clone());
         let missing: Vec<HostId> = missing.filter(|name| !listed.contains(name)).collect();
         missing
             .into_iter()
-            .filter(|name| self.remove(name, revision))
+            .filter(|name| self.remove(name, place))
             .collect()
     }
 
@@ -158,7 +171,7 @@
         let changed = states.filter(move |state| state.changed_at > change);
         changed.map(|state| HostChange {
             record: state.record.clone(),
-            revision: state.revision,
+            place: state.place,
             left: state.left,
         })
     }
@@ -233,10 +246,10 @@
 }
 
 impl HostState {
-    const fn new(record: HostRecord, revision: u64, changed_at: u64) -> Self {
+    const fn new(record: HostRecord, place: StorePlace, changed_at: u64) -> Self {
         Self {
             record,
-            revision,
+            place,
             passed_over_until: None,
             failures: 0,
             changed_at,
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -19,6 +19,7 @@
 mod serving_set;
 mod shards;
 mod stage_graph;
+mod store_place;
 mod store_view;
 
 pub use batch::{
@@ -42,4 +43,5 @@
 };
 pub use shards::{PoolShard, ShardWaits, choose_shard, divide_pool, least_wait};
 pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput};
+pub use store_place::{PlaceError, StoreEra, StorePlace};
 pub use store_view::{FeedHealth, StoreView};
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -4,8 +4,8 @@
 
 use hollywheel_serving::{
     HostChange, HostRecord, HostTable, LoadReport, LoadTable, PlaceQuery, PlaceVerdict, PoolShard,
-    PromptPart, ServerPhase, ServerRecord, ShardWaits, choose_engine, choose_least, choose_shard,
-    divide_pool,
+    PromptPart, ServerPhase, ServerRecord, ShardWaits, StoreEra, StorePlace, choose_engine,
+    choose_least, choose_shard, divide_pool,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, ServerId};
 
@@ -13,6 +13,13 @@
     MonoTime::from_millis(millis)
 }
 
+fn row_at(revision: u64) -> StorePlace {
+    StorePlace {
+        era: StoreEra(1),
+        revision,
+    }
+}
+
 fn host(name: &str, domain: &str, weight: u32) -> HostRecord {
     HostRecord {
         name: name.parse().unwrap(),
@@ -30,7 +37,7 @@
         .unwrap();
     let mut table = HostTable::new(own.clone());
     for record in hosts {
-        table.upsert(record.clone(), 1);
+        table.upsert(record.clone(), row_at(1));
     }
     table
 }
@@ -83,9 +90,9 @@
         incarnation: 2,
         ..host("h2", "a", 1)
     };
-    assert!(table.upsert(again, 2));
+    assert!(table.upsert(again, row_at(2)));
     assert_eq!(table.live_count(at(1)), 2);
-    assert!(table.remove(&other, 3));
+    assert!(table.remove(&other, row_at(3)));
     assert_eq!(table.known_count(), 1);
     let left: Vec<bool> = table.changes_after(1).map(|change| change.left).collect();
     assert_eq!(left, [true]);
@@ -102,21 +109,27 @@
         incarnation: 2,
         ..host("h2", "a", 1)
     };
-    assert!(table.upsert(again.clone(), 7));
-    assert!(!table.remove(&h2, 5), "it had left before it started again");
-    assert!(!table.upsert(hosts[1].clone(), 3), "the start before");
+    assert!(table.upsert(again.clone(), row_at(7)));
+    assert!(
+        !table.remove(&h2, row_at(5)),
+        "it had left before it started again"
+    );
+    assert!(
+        !table.upsert(hosts[1].clone(), row_at(3)),
+        "the start before"
+    );
     assert_eq!(table.known_count(), 2);
-    assert!(table.remove(&h2, 9));
-    assert!(!table.upsert(again.clone(), 7), "it has left since");
+    assert!(table.remove(&h2, row_at(9)));
+    assert!(!table.upsert(again.clone(), row_at(7)), "it has left since");
     assert_eq!(table.known_count(), 1);
-    assert!(table.upsert(again.clone(), 10));
-    assert_eq!(table.apply_listing(12, &[]), [h2]);
-    assert!(!table.upsert(again, 11), "the listing is newer");
+    assert!(table.upsert(again.clone(), row_at(10)));
+    assert_eq!(table.apply_listing(row_at(12), &[]), [h2]);
+    assert!(!table.upsert(again, row_at(11)), "the listing is newer");
     assert!(
-        !table.upsert(host("h3", "a", 1), 11),
+        !table.upsert(host("h3", "a", 1), row_at(11)),
         "also of a host that was not known"
     );
-    assert!(table.upsert(host("h3", "a", 1), 13));
+    assert!(table.upsert(host("h3", "a", 1), row_at(13)));
 }
 
 /// All hosts start while the store is away: they know the addresses of their settings, and what
@@ -130,18 +143,26 @@
             let told: Vec<HostChange> = tables[0].changes_after(0).collect();
             let own: Vec<HostChange> = tables[asked].changes_after(0).collect();
             for change in told {
-                tables[asked].upsert(change.record, change.revision);
+                tables[asked].upsert(change.record, change.place);
             }
             for change in own {
-                tables[0].upsert(change.record, change.revision);
+                tables[0].upsert(change.record, change.place);
             }
         }
     }
     let known: Vec<usize> = tables.iter().map(HostTable::known_count).collect();
     assert_eq!(known, [4; 4]);
     let mut first = tables.remove(0);
-    assert!(!first.upsert(hosts[1].clone(), 5), "its row is read later");
-    assert_eq!(first.apply_listing(6, &[hosts[1].name.clone()]).len(), 2);
+    assert!(
+        !first.upsert(hosts[1].clone(), row_at(5)),
+        "its row is read later"
+    );
+    assert_eq!(
+        first
+            .apply_listing(row_at(6), &[hosts[1].name.clone()])
+            .len(),
+        2
+    );
 }
 
 fn server(name: &str, domain: &str) -> (ServerId, ServerRecord) {
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    FeedHealth, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreView,
+    FeedHealth, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreEra, StorePlace,
+    StoreView,
 };
 use hollywheel_types::{MonoTime, PoolId, ServerId};
 
@@ -22,10 +23,17 @@
     }
 }
 
+fn place(revision: u64) -> StorePlace {
+    StorePlace {
+        era: StoreEra(1),
+        revision,
+    }
+}
+
 fn change(server: &str, revision: u64, record: Option<ServerRecord>) -> RowChange {
     RowChange {
         server: server.parse().unwrap(),
-        revision,
+        place: place(revision),
         record,
     }
 }
@@ -68,7 +76,7 @@
     let mut registry = ServerRegistry::new();
     registry.apply(at(0), change("s1", 5, Some(record(ServerPhase::Ready, 7))));
     registry.apply(at(0), change("s2", 9, Some(record(ServerPhase::Ready, 7))));
-    registry.apply_listing(at(1), 7, Vec::new());
+    registry.apply_listing(at(1), place(7), Vec::new());
     assert_eq!(usable(&registry, at(1)), ["s2"]);
 }
 
--- a/crates/hollywheel-wire/src/lib.rs
+++ b/crates/hollywheel-wire/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod serving {
     pub use crate::generated::{
         FollowReply, FollowRequest, FreeResults, HostEntry, PieceAnswer, PieceEnd, PieceOrder,
-        ServerEntry,
+        ServerEntry, StorePlace,
     };
 }
 
