Give the duties of a host that stops to the next one at once

A host that stops went on taking orders until the removal of its row had been read (0.7 s and more), and each batcher knew neither the room nor the calls of the others: queues at the servers, calls of 1.4 to 2.6 times their expected time, no room.

Change: a host that stops answers 503 to orders for pieces; the host that ordered gives the duty to the next one for the rest of that incarnation, without counting a try. The host that stops orders from the next one too.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -51,6 +51,7 @@
     ServerLeaving, "HW7113", "A backend server says in an answer that it leaves; it gets nothing new from this host.", "server";
     ServerPaused, "HW7114", "A backend server wants no requests of this host for a time.", "server, pause_ms";
     StoreEraChanged, "HW7115", "The store has come back from an older copy; its rows are listed again and the host's own row is written again.", "era, before, source, age_ms";
+    HostLeaving, "HW7116", "Another host stops; it gets no duty of this host any more.", "host";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without its results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -426,6 +426,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Notes that a host stops.
+    pub(crate) fn note_leaving_host(&self, name: &HostId) {
+        if self.hosts.borrow_mut().note_leaving(name) {
+            log_line!(self, info, HostLeaving, host = %name);
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Notes that a host did not answer in a duty.
     pub(crate) fn pass_over(&self, name: &HostId, duty: &str, detail: &str) {
         log_line!(self, warn, HostPassedOver, host = %name, duty, detail);
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -41,6 +41,8 @@
     Broken,
     /// No answer came in time.
     TimedOut,
+    /// The host stops and takes no duty any more.
+    Leaving,
     /// The host did not take the call.
     Refused,
 }
@@ -51,6 +53,7 @@
             Self::Unreachable => "unreachable",
             Self::Broken => "connection broke",
             Self::TimedOut => "no answer in time",
+            Self::Leaving => "leaving",
             Self::Refused => "refused",
         }
     }
@@ -100,8 +103,10 @@
                 .map_err(|_| PeerFailure::Broken)?;
             let answer = sender.send_request(request).await;
             let answer = answer.map_err(|_| PeerFailure::Broken)?;
-            if answer.status() != StatusCode::OK {
-                return Err(PeerFailure::Refused);
+            match answer.status() {
+                StatusCode::OK => {}
+                StatusCode::SERVICE_UNAVAILABLE => return Err(PeerFailure::Leaving),
+                _ => return Err(PeerFailure::Refused),
             }
             let body = collect_body(answer.into_body(), DOCUMENT_LIMIT).await;
             body.map_err(|_| PeerFailure::Broken)
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -58,6 +58,9 @@
         Ok(body) => body,
         Err(_) => return Ok(reply(StatusCode::BAD_REQUEST, Vec::new())),
     };
+    if path == PIECES_PATH && host.is_stopping() {
+        return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
+    }
     let answered = match path.as_str() {
         PIECES_PATH => make_pieces(&host, &body).await,
         FREE_PATH => free(&host, &body),
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -207,6 +207,8 @@
     let started = Instant::now();
     let grace = host.settings().bounds.grace;
     host.stopping.send_replace(StopPhase::Leaving);
+    let own = host.hosts.borrow().own().clone();
+    host.hosts.borrow_mut().note_leaving(&own);
     log_line!(
         host,
         info,
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -17,11 +17,11 @@
 use crate::batch_duty::{GroupEnd, PieceGroup};
 use crate::host::Host;
 use crate::log::{log_line, millis};
-use crate::peer_client::PIECES_PATH;
+use crate::peer_client::{PIECES_PATH, PeerFailure};
 use crate::peer_server::micros;
 use crate::results::{HeldResults, ResultOwner};
 
-/// Hosts that are asked in turn for the pieces of a stage.
+/// Hosts that do not answer an order for pieces before its stage is given up.
 const MAX_HOSTS: usize = 3;
 /// Another host answers an order this long after its expiry at the latest.
 const ANSWER_SLACK: Duration = Duration::from_millis(50);
@@ -151,13 +151,14 @@
     );
 }
 
-/// Returns the host that collects the pieces of a shard.
-fn find_batcher(host: &Host, pool: &PoolId, shard: &PoolShard) -> Option<HostRecord> {
+/// Returns the host that collects the pieces of a shard: this one if no host takes duties.
+fn find_batcher(host: &Host, pool: &PoolId, shard: &PoolShard) -> HostRecord {
     let hosts = host.hosts.borrow();
     let domain = shard.domain();
     let name = domain.map(ToString::to_string).unwrap_or_default();
     let order = hosts.duty_order(host.now(), &format!("pieces/{pool}/{name}"), domain);
-    order.into_iter().next()
+    let first = order.into_iter().next();
+    first.unwrap_or_else(|| host.own_record())
 }
 
 /// Returns the time that each stage of a request needs without any waiting.
@@ -318,58 +319,73 @@
     host: &Host,
     group: PieceGroup,
 ) -> Result<(HostId, Vec<PieceHandle>), StageFailure> {
-    for _ in 0..MAX_HOSTS {
-        let Some(record) = find_batcher(host, &group.pool, &group.shard) else {
-            return Err(StageFailure::Failed);
-        };
+    let mut silent = 0;
+    while silent < MAX_HOSTS {
+        let record = find_batcher(host, &group.pool, &group.shard);
         let own = *host.hosts.borrow().own() == record.name;
         let end = if own {
-            Some(host.batches.make(host, group.clone()).await)
+            OrderAnswer::Ended(host.batches.make(host, group.clone()).await)
         } else {
             order_remotely(host, &record, &group).await
         };
         match end {
-            Some(GroupEnd::Made(handles)) => return Ok((record.name, handles)),
-            Some(GroupEnd::Refused { retry_after }) => {
+            OrderAnswer::Ended(GroupEnd::Made(handles)) => return Ok((record.name, handles)),
+            OrderAnswer::Ended(GroupEnd::Refused { retry_after }) => {
                 return Err(StageFailure::Refused { retry_after });
             }
-            Some(GroupEnd::Late) => return Err(StageFailure::Late),
-            Some(GroupEnd::InputGone) => return Err(StageFailure::InputGone),
-            Some(GroupEnd::Failed) => return Err(StageFailure::Failed),
-            None => {}
+            OrderAnswer::Ended(GroupEnd::Late) => return Err(StageFailure::Late),
+            OrderAnswer::Ended(GroupEnd::InputGone) => return Err(StageFailure::InputGone),
+            OrderAnswer::Ended(GroupEnd::Failed) => return Err(StageFailure::Failed),
+            // The duty goes to another host from now on.
+            OrderAnswer::Leaving => host.note_leaving_host(&record.name),
+            OrderAnswer::Silent => silent += 1,
         }
     }
     Err(StageFailure::Failed)
 }
 
-/// Orders pieces from another host; none if it did not answer.
-async fn order_remotely(host: &Host, record: &HostRecord, group: &PieceGroup) -> Option<GroupEnd> {
+/// Says what another host answers to an order.
+enum OrderAnswer {
+    /// What became of the pieces.
+    Ended(GroupEnd),
+    /// It stops and takes none.
+    Leaving,
+    /// Nothing that could be read.
+    Silent,
+}
+
+/// Orders pieces from another host.
+async fn order_remotely(host: &Host, record: &HostRecord, group: &PieceGroup) -> OrderAnswer {
     let now = host.now();
     let limit = group.expires.since(now) + ANSWER_SLACK;
     let body = write_order(now, group).encode_to_vec();
     let answer = host.peers.call(record, PIECES_PATH, body, limit).await;
     let answer = match answer {
         Ok(body) => PieceAnswer::decode(body).ok(),
+        Err(PeerFailure::Leaving) => return OrderAnswer::Leaving,
         Err(failure) => {
             host.pass_over(&record.name, "pieces", failure.name());
             None
         }
-    }?;
+    };
+    let Some(answer) = answer else {
+        return OrderAnswer::Silent;
+    };
     host.hosts.borrow_mut().note_answer(&record.name);
     let wait = (Duration::from_micros(answer.forecast_us), host.now());
     host.pool_waits
         .borrow_mut()
         .get_or_insert_with(group.pool.clone(), SortedMap::new)
         .insert(group.shard.clone(), wait);
-    match answer.end() {
-        PieceEnd::Made => Some(GroupEnd::Made(answer.handles)),
-        PieceEnd::Refused => Some(GroupEnd::Refused {
+    OrderAnswer::Ended(match answer.end() {
+        PieceEnd::Made => GroupEnd::Made(answer.handles),
+        PieceEnd::Refused => GroupEnd::Refused {
             retry_after: Duration::from_micros(answer.retry_after_us),
-        }),
-        PieceEnd::Late => Some(GroupEnd::Late),
-        PieceEnd::InputGone => Some(GroupEnd::InputGone),
-        PieceEnd::Failed | PieceEnd::Unspecified => Some(GroupEnd::Failed),
-    }
+        },
+        PieceEnd::Late => GroupEnd::Late,
+        PieceEnd::InputGone => GroupEnd::InputGone,
+        PieceEnd::Failed | PieceEnd::Unspecified => GroupEnd::Failed,
+    })
 }
 
 /// Returns the finish of a stage that leaves the later ones their part of the time that is left
--- a/crates/hollywheel-gateway/tests/stop.rs
+++ b/crates/hollywheel-gateway/tests/stop.rs
@@ -1,5 +1,8 @@
 //! The graceful stop, in a test process of its own, since it is asked for by a signal.
 
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
+#[path = "support/peer_host.rs"]
+mod peer_host;
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
@@ -19,6 +22,10 @@
         .await
         .unwrap();
     assert_eq!(ready.status, 503);
+    let order = peer_host::order_pieces(fixture.peers).await;
+    assert_eq!(order, 503, "it takes no duty any more");
+    let draft = fixture.call("POST", "/draft/ok", "d1").await;
+    assert_eq!(draft.status, 200, "its own requests have their stages run");
     let mut served = 0;
     while stopped.elapsed() < Duration::from_millis(2300) {
         let answer = fixture.call("POST", "/pay/ok", "k1").await;
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -35,10 +35,10 @@
     down: Mutex<bool>,
 }
 
-fn base64(text: &str) -> String {
+fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut encoded = String::new();
-    for chunk in text.as_bytes().chunks(3) {
+    for chunk in bytes.chunks(3) {
         let bytes = [
             chunk[0],
             *chunk.get(1).unwrap_or(&0),
@@ -75,7 +75,7 @@
 
     /// Publishes a configuration.
     pub fn set_config(&self, text: &str) {
-        self.set("op", "config", Some(base64(text)));
+        self.set("op", "config", Some(base64(text.as_bytes())));
     }
 
     /// Writes the entry of one incarnation of a backend server.
@@ -90,7 +90,12 @@
         let entry = format!(
             r#"{{"service":"{pool}","address":"{address}","zone":"a","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":{born}}}"#
         );
-        self.set("servers", server, Some(base64(&entry)));
+        self.set("servers", server, Some(base64(entry.as_bytes())));
+    }
+
+    /// Writes the row of a host.
+    pub fn set_host(&self, host: &str, entry: &[u8]) {
+        self.set("hosts", host, Some(base64(entry)));
     }
 
     /// Removes the entry of a backend server.
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -43,6 +43,8 @@
     changed_at: u64,
     /// The place of its row in the store's history.
     place: StorePlace,
+    /// Whether it has said that it stops; it does so for the rest of its incarnation.
+    leaving: bool,
     /// Whether it has left; what is known of it is kept for those that follow this host.
     left: bool,
 }
@@ -199,6 +201,18 @@
         }
     }
 
+    /// Notes that a host stops, which may be this one: it gets no duty any more until it has started
+    /// again; returns whether that is new.
+    ///
+    /// Answers hosts that stop in turn under load: until the removal of its row is read (most of a
+    /// second) a host that leaves and the next one would both collect the pieces of a pool.
+    pub fn note_leaving(&mut self, name: &HostId) -> bool {
+        let Some(state) = self.hosts.get_mut(name) else {
+            return false;
+        };
+        !std::mem::replace(&mut state.leaving, true)
+    }
+
     /// Returns the number of hosts that count as alive, this one included.
     pub fn live_count(&self, now: MonoTime) -> usize {
         self.hosts
@@ -253,11 +267,12 @@
             passed_over_until: None,
             failures: 0,
             changed_at,
+            leaving: false,
             left: false,
         }
     }
 
     fn is_live(&self, now: MonoTime) -> bool {
-        !self.left && self.passed_over_until.is_none_or(|until| until <= now)
+        !self.left && !self.leaving && self.passed_over_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -132,6 +132,35 @@
     assert!(table.upsert(host("h3", "a", 1), row_at(13)));
 }
 
+/// Hosts stop in turn under load; their rows are still there.
+#[test]
+fn a_host_that_stops_gets_no_duty_until_it_has_started_again() {
+    let hosts: Vec<HostRecord> = (1..=5).map(|n| host(&format!("h{n}"), "a", 1)).collect();
+    let mut table = table("h1", &hosts);
+    let order = table.duty_order(at(0), "pieces/p/", None);
+    for stopped in 0..4 {
+        assert!(table.note_leaving(&order[stopped].name));
+        assert!(!table.note_leaving(&order[stopped].name), "known already");
+        table.note_answer(&order[stopped].name);
+        assert_eq!(
+            table.duty_order(at(9000), "pieces/p/", None),
+            order[stopped + 1..]
+        );
+        assert!(!table.upsert(order[stopped].clone(), row_at(9)), "its row");
+    }
+    let other = order.iter().find(|record| record.name.as_str() != "h1");
+    let other = other.unwrap().clone();
+    table.upsert(
+        HostRecord {
+            incarnation: 2,
+            ..other.clone()
+        },
+        row_at(20),
+    );
+    let names = names(&table.duty_order(at(9000), "pieces/p/", None));
+    assert!(names.contains(&other.name.to_string()), "{names:?}");
+}
+
 /// All hosts start while the store is away: they know the addresses of their settings, and what
 /// these tell of themselves and of others has no row.
 #[test]
