Plan later stages with their expected times, apart from I/O

The margin of a quarter on the expected times of later stages took requests of long chains for late that could still be in time.

--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -9,7 +9,7 @@
 
 use hollywheel_serving::{
     CallerAttempt, HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord,
-    ServingSet, StageGraph, StageInput, choose_shard, least_wait,
+    ServingSet, StageGraph, StageInput, StagePlan, StageTimes, choose_shard, least_wait,
 };
 use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
@@ -26,15 +26,6 @@
 /// Another host answers an order this long after its expiry at the latest.
 const ANSWER_SLACK: Duration = Duration::from_millis(50);
 
-/// Later stages are planned to take so many times their mean, since about half of the requests
-/// need more than the mean, and a request that misses its objective there has had its earlier
-/// pieces made in vain.
-const LATER_MARGIN: f64 = 1.25;
-
-/// Goals leave so many times the mean time to the first event free before it, since one request
-/// in ten waits for three times the mean.
-const FIRST_ANSWER_MARGIN: f64 = 0.5;
-
 /// Holds what the stages of a request need to know of it.
 #[derive(Clone)]
 pub(crate) struct StageContext {
@@ -204,14 +195,18 @@
     times: &[Duration],
     holding: bool,
 ) -> impl Future<Output = StageEnd> + 'a {
-    let first_answer = host.forecast.borrow().first_answer(&context.pipeline.name);
-    let later = graph.time_after(stage, times);
-    let rest = later.mul_f64(LATER_MARGIN) + first_answer;
-    let due = context.objective - rest;
     let work = work_times(&context.set, &context.pipeline, graph);
-    let end = due + later - first_answer.mul_f64(FIRST_ANSWER_MARGIN);
-    let later_work = graph.time_after(stage, &work);
-    let goal = stage_goal(host.now(), end, work[stage], later_work);
+    let plan = StagePlan::new(
+        host.now(),
+        context.objective,
+        context.deadline,
+        &StageTimes {
+            work: work[stage],
+            later_work: graph.time_after(stage, &work),
+            later: graph.time_after(stage, times),
+            first_answer: host.forecast.borrow().first_answer(&context.pipeline.name),
+        },
+    );
     let step = &context.pipeline.stages[stage];
     let servers = host.pool_servers(&step.pool);
     let input = graph.input(stage);
@@ -233,9 +228,9 @@
         key: context.piece_key.clone(),
         input,
         result_bytes: step.result_bytes,
-        goal: goal.min(due),
-        due,
-        expires: context.deadline - rest,
+        goal: plan.goal,
+        due: plan.due,
+        expires: plan.expires,
         rank: context.rank,
         holding,
         domain: place.domain,
@@ -388,13 +383,6 @@
     })
 }
 
-/// Returns the finish of a stage that leaves the later ones their part of the time that is left
-/// for all of them, each by its work.
-fn stage_goal(now: MonoTime, end: MonoTime, work: Duration, later: Duration) -> MonoTime {
-    let total = (work + later).as_secs_f64().max(f64::MIN_POSITIVE);
-    now + end.since(now).mul_f64(work.as_secs_f64() / total)
-}
-
 fn write_order(now: MonoTime, group: &PieceGroup) -> PieceOrder {
     let due = if group.due >= now {
         i64::try_from(micros(group.due.since(now))).unwrap_or(i64::MAX)
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -19,6 +19,7 @@
 mod serving_set;
 mod shards;
 mod stage_graph;
+mod stage_plan;
 mod store_place;
 mod store_view;
 
@@ -43,5 +44,6 @@
 };
 pub use shards::{PoolShard, ShardWaits, choose_shard, divide_pool, least_wait};
 pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput};
+pub use stage_plan::{StagePlan, StageTimes};
 pub use store_place::{PlaceError, StoreEra, StorePlace};
 pub use store_view::{FeedHealth, StoreView};
