Follow only hosts that tell the store's latest era

Cause, found while reading the diff: in a rolled upgrade hosts of the earlier version tell rows without an era, which count as older than any; a host of the new version that followed one took its view for fresh and all of its news for old.

Change: a source that tells no era, or an earlier one than is known, does not make the view fresh; the host asks the next source or reads the store itself.

Test: three stand-ins of readers that tell no era; a configuration published then was not in force after 2 s before.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -158,14 +158,17 @@
     sources
 }
 
-/// Follows the first source whose view is fresh; returns whether there was one.
+/// Follows the first source whose view is fresh; returns whether there was one. A source that tells
+/// no era, as one of an earlier version, or an earlier one than is known, does not follow the store.
 async fn follow_any(host: &Host, sources: &[HostRecord], cursor: &mut FollowCursor) -> bool {
     for source in sources {
         let asked = host.now();
         if let Some(reply) = ask(host, source, *cursor).await {
             let age = reply.age_us.map(Duration::from_micros);
+            let era = reply.store_era.map(StoreEra);
             take_reply(host, source, reply, cursor, asked);
-            if age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
+            let in_era = era.is_some() && era == host.store_era();
+            if in_era && age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
                 return true;
             }
         }
@@ -228,7 +231,8 @@
             None => {}
         }
     }
-    if let Some(age) = reply.age_us {
+    let in_era = reply.store_era.map(StoreEra) == host.store_era();
+    if let Some(age) = reply.age_us.filter(|_| in_era) {
         let confirmed = asked - Duration::from_micros(age);
         host.view.borrow_mut().confirm(confirmed);
     }
--- a/crates/hollywheel-gateway/src/host_rows.rs
+++ b/crates/hollywheel-gateway/src/host_rows.rs
@@ -23,8 +23,8 @@
 /// much as a start of all of them is spread.
 const REWRITE_SPREAD: Duration = Duration::from_millis(500);
 
-/// Writes the host's row in each era of the store, and removes it when the graceful stop begins, so that no duty is given
-/// to this host any more.
+/// Writes the host's row in each era of the store, and removes it when the graceful stop begins,
+/// so that no duty is given to this host any more.
 pub(crate) async fn keep_row(host: Host) {
     let mut connection = StoreConnection::new(&host);
     tokio::select! {
--- a/crates/hollywheel-gateway/tests/store_eras.rs
+++ b/crates/hollywheel-gateway/tests/store_eras.rs
@@ -1,11 +1,16 @@
 //! A store that is away for a moment and comes back from a copy that is some seconds old.
 
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
+#[path = "support/peer_host.rs"]
+mod peer_host;
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hollywheel_wire::serving::FollowReply;
+use prost::Message;
 use support::{Fixture, RawLog, RawStep, config, serve_raw};
 use tokio::time::sleep;
 
@@ -155,3 +160,25 @@
     assert!(writes <= 2, "one write an era: {writes}");
     assert!(calls.len() <= 40, "calls after the return: {}", calls.len());
 }
+
+/// The readers of the store are hosts of an earlier version, which say that their view is fresh but
+/// tell no era.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_tells_no_era_is_not_followed() {
+    let fixture = Fixture::start("era-not-told").await;
+    let reply = FollowReply {
+        incarnation: 1,
+        age_us: Some(0),
+        ..FollowReply::default()
+    };
+    for name in ["front-x-1", "front-y-1", "front-z-1"] {
+        let (address, _) = peer_host::serve_answer(200, reply.encode_to_vec()).await;
+        let entry = peer_host::large_host(name, address);
+        fixture.store.set_host(name, &entry);
+    }
+    sleep(FEEDS_ANSWERED).await;
+    fixture.store.set_config(&config(2, "k2"));
+    sleep(IN_FORCE).await;
+    let answer = fixture.call("POST", "/pay/ok", "old-key").await;
+    assert_eq!(answer.status, 401, "the key of version 1");
+}
--- a/crates/hollywheel-gateway/tests/support/peer_host.rs
+++ b/crates/hollywheel-gateway/tests/support/peer_host.rs
@@ -42,8 +42,10 @@
     answer.status().as_u16()
 }
 
-/// Serves a host that answers every call with a status; returns its address and counts its calls.
-pub async fn serve_status(status: u16) -> (SocketAddr, Arc<AtomicUsize>) {
+/// Serves a host that answers every call with a status and a body; returns its address and counts
+/// the orders for pieces.
+pub async fn serve_answer(status: u16, body: Vec<u8>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let body = Bytes::from(body);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let calls = Arc::new(AtomicUsize::new(0));
@@ -51,12 +53,12 @@
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            let calls = Arc::clone(&counted);
+            let (calls, body) = (Arc::clone(&counted), body.clone());
             let service = service_fn(move |request: Request<Incoming>| {
                 if request.uri().path() == "/pieces" {
                     calls.fetch_add(1, Ordering::SeqCst);
                 }
-                let mut answer = Response::new(Full::new(Bytes::new()));
+                let mut answer = Response::new(Full::new(body.clone()));
                 *answer.status_mut() = status.try_into().unwrap();
                 async move { Ok::<_, Infallible>(answer) }
             });
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -201,8 +201,8 @@
         }
     }
 
-    /// Notes that a host stops, which may be this one: it gets no duty any more until it has started
-    /// again; returns whether that is new.
+    /// Notes that a host stops, which may be this one: it gets no duty any more until it has
+    /// started again; returns whether that is new.
     ///
     /// Answers hosts that stop in turn under load: until the removal of its row is read (most of a
     /// second) a host that leaves and the next one would both collect the pieces of a pool.
