Count for the retry budget only requests inside its window; give no test address twice

The budget kept one part more than its window for both sums, so that requests of up to 10.5 s allowed repeats of 10 s. Now the oldest part counts for repeats only.

A port for metrics that the system chose, or a second call of free_address, could be one that another test of the process had been given and did not listen on yet. Addresses are given once, and metrics have one of their own, also in the soak.

--- a/crates/hollywheel-daemon/tests/soak/process.rs
+++ b/crates/hollywheel-daemon/tests/soak/process.rs
@@ -36,6 +36,7 @@
     /// The address that says whether it is ready.
     pub ready: SocketAddr,
     peers: SocketAddr,
+    metrics_port: u16,
     /// Its way to the store.
     pub store: LinkProxy,
     directory: PathBuf,
@@ -51,6 +52,7 @@
             callers: free_address(),
             ready: free_address(),
             peers: free_address(),
+            metrics_port: free_address().port(),
             store: LinkProxy::start(store),
             directory: directory.to_owned(),
             starts: 0,
@@ -82,7 +84,8 @@
         self.starts += 1;
         let log = File::create(self.file(&format!("{}.log", self.starts))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_hollywheeld"))
-            .args(["gateway", "--metrics-port", "0", "--settings"])
+            .args(["gateway", "--metrics-port", &self.metrics_port.to_string()])
+            .arg("--settings")
             .arg(self.file("toml"))
             .stdin(Stdio::null())
             .stderr(log.try_clone().unwrap())
--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 pub mod store;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -39,12 +39,23 @@
 /// Holds the body of a caller's request.
 pub type CallerBody = Full<Bytes>;
 
-/// Returns an address that nothing listens on. Each process has a loopback address of its own,
-/// so that a port is not taken by another one, or by an outgoing connection, before it is used.
+/// The addresses that this process has given out.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+
+/// Returns an address that nothing listens on, a new one each time. Each process has a loopback
+/// address of its own, so that a port is not taken by another one, or by an outgoing connection,
+/// before it is used.
 pub fn free_address() -> SocketAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let listener = TcpListener::bind((Ipv4Addr::new(127, 1 + high % 250, low, 1), 0)).unwrap();
-    listener.local_addr().unwrap()
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::new(127, 1 + high % 250, low, 1), 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        if !given.contains(&address) {
+            given.push(address);
+            return address;
+        }
+    }
 }
 
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
@@ -98,7 +109,15 @@
     std::fs::write(&path, settings("front-a-1", addresses)).unwrap();
     let settings = path.to_str().unwrap().to_owned();
     std::thread::spawn(move || {
-        let words = ["gateway", "--settings", &settings, "--metrics-port", "0"];
+        // A port that the system chooses may be one that was given out and is not listened on yet.
+        let metrics = free_address().port().to_string();
+        let words = [
+            "gateway",
+            "--settings",
+            &settings,
+            "--metrics-port",
+            &metrics,
+        ];
         let words = words.into_iter().chain(["--log-level", "error"]);
         hollywheel_gateway::run_gateway(words.map(Into::into))
     });
--- a/crates/hollywheel-serving/src/budget.rs
+++ b/crates/hollywheel-serving/src/budget.rs
@@ -55,8 +55,14 @@
 
     /// Says whether this host's share of the budget holds a repeated send.
     pub fn has_repeat(&mut self, now: MonoTime, hosts: usize) -> bool {
-        self.current(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let newest = self.current(now).number;
+        // The oldest part may lie outside of the window with some of its requests; its repeats
+        // count in any case.
+        let inside = self
+            .parts
+            .iter()
+            .filter(|part| part.number + u64::from(WINDOW_PARTS) > newest);
+        let requests: u32 = inside.map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
         let slack = self.slack / hosts.max(1) as f64;
         let bound = self.ratio * f64::from(requests) + slack;
@@ -66,7 +72,7 @@
     fn current(&mut self, now: MonoTime) -> &mut WindowPart {
         let length = u64::try_from(self.part_length.as_micros()).unwrap_or(u64::MAX);
         let number = now.0 / length.max(1);
-        // One part more than the window has, so that a sliding window is always covered.
+        // One part more than the window has, so that every repeat of a sliding window is counted.
         let oldest = number.saturating_sub(u64::from(WINDOW_PARTS));
         while self.parts.front().is_some_and(|part| part.number < oldest) {
             self.parts.pop_front();
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -184,6 +184,41 @@
     assert!(sent > 200, "{sent} repeats for 1000 requests");
 }
 
+/// Servers turn requests away for half a minute, and every request is sent again while it may be.
+#[test]
+fn repeated_sends_stay_within_the_bound_in_every_window() {
+    const HOSTS: usize = 9;
+    const WINDOW: u64 = 10_000;
+    let mut budgets: Vec<RetryBudget> = (0..HOSTS)
+        .map(|_| RetryBudget::new(0.2, 58.0, Duration::from_millis(WINDOW)))
+        .collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for millis in 0..30_000 {
+        let now = MonoTime::from_millis(millis);
+        let budget = &mut budgets[usize::try_from(millis).unwrap() % HOSTS];
+        if millis % 20 == 0 {
+            budget.count_request(now);
+            requests.push(millis);
+        }
+        if budget.take_repeat(now, HOSTS) {
+            repeats.push(millis);
+        }
+    }
+    let within = |times: &[u64], start: u64| {
+        let times = times.iter();
+        let count = times.filter(|time| (start..start + WINDOW).contains(time));
+        u32::try_from(count.count()).unwrap()
+    };
+    for start in (0..20_000).step_by(10) {
+        let bound = 0.2 * f64::from(within(&requests, start)) + 58.0;
+        let sent = f64::from(within(&repeats, start));
+        assert!(
+            sent <= bound,
+            "{sent} repeats from {start}, {bound} allowed"
+        );
+    }
+}
+
 /// Draws numbers below a bound, the same in every run (a linear congruential generator).
 fn draw(state: &mut u64, bound: usize) -> usize {
     *state = state
