Let a caller whose request could not be read get its answer

Shown now without load: a caller that goes on writing its head after the host has refused it had 'Broken pipe' and no answer, since the host closed the connection with bytes unread, which resets it. Ruled out: load itself; the new test fails each time on the code before, on a quiet connection.

Change: after a request that could not be read the host ends its side, and reads and drops what comes for a second or 4 MiB. Only there: bytes that cross an ordinary close stay unread, so that the caller knows that its request was not taken.

--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -1,13 +1,16 @@
 //! Connections of callers.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::connect::accept;
 use crate::host::{Host, StopPhase};
@@ -45,30 +48,51 @@
 }
 
 async fn serve_connection(host: Host, stream: TcpStream) {
-    let _guard = CallerGuard::new(&host);
+    let guard = CallerGuard::new(&host);
     let limits = host.set().map(|set| set.limits).unwrap_or_default();
     let service = {
         let host = host.clone();
         service_fn(move |request| {
             let host = host.clone();
-            async move { Ok::<_, Infallible>(answer_request(host, request).await) }
+            Box::pin(async move { Ok::<_, Infallible>(answer_request(host, request).await) })
         })
     };
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    // An error ends the connection; what it means for a request is logged with the request.
-    tokio::select! {
-        _ = connection.as_mut() => {}
+    let ended = tokio::select! {
+        ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended,
         () = host.wait_for_stop(StopPhase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
+    };
+    drop(guard);
+    let stream = connection.into_parts().io.into_inner();
+    // Other errors end the connection; what they mean for a request is logged with the request.
+    let is_refused = ended.is_err_and(|error| error.is_parse());
+    close(stream, is_refused).await;
+}
+
+/// Closes a connection. Behind a request that could not be read there may be more bytes; closed
+/// before they are read it would be reset, and its caller would lose the answer.
+async fn close(mut stream: TcpStream, is_refused: bool) {
+    // The caller may have closed it already.
+    let _ = stream.shutdown().await;
+    if !is_refused {
+        return;
     }
+    let mut rest = stream.take(LINGER_BYTES);
+    let mut sink = tokio::io::sink();
+    let _ = timeout(LINGER_TIME, tokio::io::copy(&mut rest, &mut sink)).await;
 }
 
+/// A caller whose request was refused has read the answer by then, also where a lossy link repeats
+/// packets (some hundred milliseconds).
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The most that is read of such a caller: as much as the largest body described.
+const LINGER_BYTES: u64 = 4 * 1024 * 1024;
 /// The smallest buffer that the HTTP library takes.
 const MIN_BUFFER: usize = 16 * 1024;
--- a/crates/hollywheel-gateway/tests/malformed.rs
+++ b/crates/hollywheel-gateway/tests/malformed.rs
@@ -13,6 +13,7 @@
 use support::Fixture;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use hollywheel_wire::serving::{FreeResults, PieceOrder};
 
@@ -137,6 +138,27 @@
     assert_eq!(fixture.call("POST", "/pay/ok", "a2").await.status, 200);
 }
 
+/// A caller still writes its head when the host has refused it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_is_refused_while_it_writes_gets_the_answer() {
+    let fixture = Fixture::start("refused-writer").await;
+    let mut caller = TcpStream::connect(fixture.callers).await.unwrap();
+    let chunk = [b'y'; 50_000];
+    caller
+        .write_all(b"POST /pay/x HTTP/1.1\r\nfiller: ")
+        .await
+        .unwrap();
+    for _ in 0..20 {
+        caller.write_all(&chunk).await.unwrap();
+        sleep(Duration::from_millis(10)).await;
+    }
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer:.80}");
+    assert_eq!(fixture.call("POST", "/pay/ok", "a3").await.status, 200);
+}
+
 /// A caller that stops in the middle of its body is told in its own time that nothing ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_whose_body_stalls_ends_in_its_time() {
