--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -106,7 +106,9 @@
             continue;
         }
         let sources = sources(&host, &readers);
-        if !follow_any(&host, &sources, &mut cursor).await {
+        if follow_any(&host, &sources, &mut cursor).await {
+            reads_until = MonoTime::default();
+        } else {
             reads_until = host.now() + OWN_READING;
             set_reading(&host, true, "no fresh view");
             tokio::time::sleep(RETRY_TIME).await;
--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -105,8 +105,14 @@
 
 /// Starts a gateway on a thread of this process.
 pub fn start_gateway(name: &str, addresses: &HostAddresses) {
-    let path = std::env::temp_dir().join(format!("hollywheel-{name}-{}", std::process::id()));
-    std::fs::write(&path, settings("front-a-1", addresses)).unwrap();
+    start_named_gateway(name, "front-a-1", addresses);
+}
+
+/// Starts a gateway with a host name of its own on a thread of this process.
+pub fn start_named_gateway(name: &str, host: &str, addresses: &HostAddresses) {
+    let path =
+        std::env::temp_dir().join(format!("hollywheel-{name}-{host}-{}", std::process::id()));
+    std::fs::write(&path, settings(host, addresses)).unwrap();
     let settings = path.to_str().unwrap().to_owned();
     std::thread::spawn(move || {
         // A port that the system chooses may be one that was given out and is not listened on yet.
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -184,6 +184,21 @@
         .map(|(_, value)| value.to_owned())
 }
 
+impl StoreStandin {
+    /// Waits until a feed can be answered: a row of its table has changed, or the store is down or
+    /// does not have the revision.
+    async fn wait_for_news(&self, table: &str, after: u64) {
+        loop {
+            let changed = self.changed.notified();
+            let (rows, newest) = self.list(table, Some(after));
+            if !rows.is_empty() || after > newest || *self.down.lock().unwrap() {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
 async fn answer(store: Arc<StoreStandin>, request: Request<Incoming>) -> (u16, String) {
     let path = request.uri().path().to_owned();
     store.calls.lock().unwrap().push(path);
@@ -203,11 +218,8 @@
         "/rows-feed" => {
             let after: u64 = argument(query, "after").unwrap().parse().unwrap();
             let wait: u64 = argument(query, "wait-ms").unwrap().parse().unwrap();
-            let changed = store.changed.notified();
-            let (rows, newest) = store.list(&table, Some(after));
-            if rows.is_empty() && after <= newest {
-                let _ = tokio::time::timeout(Duration::from_millis(wait), changed).await;
-            }
+            let wait = Duration::from_millis(wait);
+            let _ = tokio::time::timeout(wait, store.wait_for_news(&table, after)).await;
             if *store.down.lock().unwrap() {
                 return (503, "{}".into());
             }
