Log the limits that servers name and count what is sent to these servers

The adapter decodes the header of each response and, as with the other headers about a server's state, does not pass it on to callers. HW7117 and HW7118 report the start and the end of a limit, hollywheel_limited_servers and hollywheel_limited_sends_total how many servers have one and what this host sends to them. A response that may not come from the server itself does not end a limit, nor does one to a request that was sent before the limit was named. No decision changes.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -52,6 +52,8 @@
     ServerPaused, "HW7114", "A backend server asked for a pause; this host sends it no requests for that time.", "server, pause_ms";
     StoreEraChanged, "HW7115", "The store was restored from an older copy; its rows are listed again and the host's own row is written again.", "era, before, source, age_ms";
     HostLeaving, "HW7116", "Another host is shutting down; this host selects it for no further work.", "host";
+    ServerLimited, "HW7117", "A backend server named a limit on the requests that it accepts from all hosts together.", "server, limit, before, source";
+    ServerLimitEnded, "HW7118", "A backend server no longer names a limit on its requests.", "server, before, lasted_ms, source";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -10,11 +10,11 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    FeedPlan, HostRecord, HostTable, LatencyForecast, LoadTable, RetryBudget, RetryDetector,
-    RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreEra, StorePlace,
-    StoreView,
+    FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitStatement,
+    LimitTable, LoadTable, RetryBudget, RetryDetector, RowChange, ServerRecord, ServerRegistry,
+    ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
 };
-use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, ServerId, SortedMap};
+use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap};
 
 use crate::batch_coordinator::BatchCoordinator;
 use crate::connection_pool::ConnectionPool;
@@ -48,6 +48,8 @@
     era: watch::Sender<Option<StoreEra>>,
     /// Load, pauses and failures of the backend servers.
     pub(crate) loads: RefCell<LoadTable>,
+    /// Limits that backend servers have named on their requests.
+    pub(crate) limits: RefCell<LimitTable>,
     /// Retry budgets of the pools.
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     /// Learned times of stages and final calls.
@@ -114,6 +116,7 @@
             view: RefCell::default(),
             era: watch::Sender::new(None),
             loads: RefCell::default(),
+            limits: RefCell::default(),
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             patience: RefCell::default(),
@@ -353,6 +356,58 @@
         }
     }
 
+    /// Applies what a response to a request sent at `sent_at` says about its server's limit.
+    pub(crate) fn note_limit(&self, server: &ServerId, said: LimitStatement, sent_at: MonoTime) {
+        let notice = match said {
+            LimitStatement::Limited(rate) => LimitNotice {
+                rate: Some(rate),
+                at: self.now(),
+            },
+            LimitStatement::Unlimited => LimitNotice {
+                rate: None,
+                at: sent_at,
+            },
+            LimitStatement::Unknown => return,
+        };
+        self.apply_limit(server, notice, "response");
+    }
+
+    /// Applies a notice about a server's limit and logs the change; returns whether there is one.
+    pub(crate) fn apply_limit(&self, server: &ServerId, notice: LimitNotice, source: &str) -> bool {
+        let change = self.limits.borrow_mut().apply(server, notice);
+        match change {
+            Some(LimitChange::Named { rate, before }) => {
+                let before = before.map(RequestRate::get);
+                let limit = rate.get();
+                log_line!(self, info, ServerLimited, server = %server, limit, before, source);
+            }
+            Some(LimitChange::Ended { before, lasted }) => {
+                log_line!(
+                    self,
+                    info,
+                    ServerLimitEnded,
+                    server = %server,
+                    before = before.get(),
+                    lasted_ms = millis(lasted),
+                    source
+                );
+            }
+            None => return false,
+        }
+        let count = self.limits.borrow().limited_count();
+        let gauge = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.limited_servers.set(gauge);
+        true
+    }
+
+    /// Counts a request to a server if the server has named a limit.
+    pub(crate) fn count_limited_send(&self, server: &ServerId, pool: &PoolId) {
+        if self.limits.borrow().limit(server).is_some() {
+            let label = self.metrics.label(pool.as_str());
+            self.metrics.limited_sends.get_or_create(&label).inc();
+        }
+    }
+
     /// Returns how long every server of a pool is still paused; `None` if one of them accepts
     /// requests or if the pool has no servers.
     pub(crate) fn pool_pause(&self, pool: &PoolId) -> Option<Duration> {
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) repeats: Family<NameLabel, Counter>,
     pub(crate) calls: Family<NameLabel, Counter>,
     pub(crate) call_pieces: Family<NameLabel, Counter>,
+    pub(crate) limited_sends: Family<NameLabel, Counter>,
+    pub(crate) limited_servers: Gauge,
     pub(crate) store_calls: Counter,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
@@ -60,6 +62,8 @@
             repeats: Family::default(),
             calls: Family::default(),
             call_pieces: Family::default(),
+            limited_sends: Family::default(),
+            limited_servers: Gauge::default(),
             store_calls: Counter::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
@@ -106,6 +110,16 @@
             "Pieces in calls by pool",
             self.call_pieces.clone(),
         );
+        registry.register(
+            "hollywheel_limited_sends",
+            "Requests, stage calls and releases of results sent to servers with a limit, by pool",
+            self.limited_sends.clone(),
+        );
+        registry.register(
+            "hollywheel_limited_servers",
+            "Servers that have named a limit on their requests",
+            self.limited_servers.clone(),
+        );
         registry.register(
             "hollywheel_store_calls",
             "Calls of the platform's store",
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -154,6 +154,8 @@
             .evict_idle(|server| registry.usable(now, server).is_some());
         let mut loads = host.loads.borrow_mut();
         loads.retain(now, |server| registry.usable(now, server).is_some());
+        let mut limits = host.limits.borrow_mut();
+        limits.retain(now, |server| registry.usable(now, server).is_some());
     }
 }
 
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -104,6 +104,7 @@
         received: false,
         reason: "the request could not be encoded",
     })?;
+    host.count_limited_send(server, &record.pool);
     let sent = host.connections.send(server, record.address, request).await;
     let (answer, connection) = sent.map_err(|failure| match failure {
         SendFailure::NotSent => AttemptFailure {
@@ -118,6 +119,8 @@
         return Err(may_have_run("the answer belongs to another request"));
     }
     host.apply_answer_facts(server, &facts);
+    let is_genuine = facts.not_run || facts.authentic;
+    host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
     if facts.not_run {
         let reason = refusal_reason(answer.status());
         drain_refusal(host, answer, connection, facts).await;
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -45,6 +45,8 @@
     let Some(request) = build_stage_request(server, &record, STAGE_RUN_PATH, body) else {
         return CallOutcome::Failed;
     };
+    let sent_at = host.now();
+    host.count_limited_send(server, &record.pool);
     let sent = host
         .connections
         .send_idempotent(server, record.address, request);
@@ -53,6 +55,8 @@
     };
     let facts = hollywheel_adapter::decode_response_head(&answer, "");
     host.apply_answer_facts(server, &facts);
+    let is_genuine = facts.not_run || answer.status() == StatusCode::OK;
+    host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
     if facts.not_run {
         return CallOutcome::Refused {
             pause: facts.retry_after,
@@ -144,6 +148,8 @@
     let Some(request) = build_stage_request(server, &record, path, body) else {
         return false;
     };
+    let sent_at = host.now();
+    host.count_limited_send(server, &record.pool);
     let call = async {
         let (answer, connection) = host
             .connections
@@ -152,6 +158,8 @@
             .ok()?;
         let facts = hollywheel_adapter::decode_response_head(&answer, "");
         host.apply_answer_facts(server, &facts);
+        let is_genuine = answer.status() == StatusCode::OK;
+        host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
         collect_body(answer.into_body(), SMALL_LIMIT).await.ok()?;
         host.connections.give_back(connection, facts.idle_time);
         Some(())
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod rank;
 mod registry;
 mod retry_detector;
+mod server_limit;
 mod serving_set;
 mod shards;
 mod stage_graph;
@@ -40,6 +41,7 @@
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
 pub use retry_detector::{CallerAttempt, RetryDetector};
+pub use server_limit::{LimitChange, LimitNotice, LimitStatement, LimitTable};
 pub use serving_set::{
     CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
     PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
