Keep the requests of all hosts to a server within the limit that it names

Seen: engines that had named limits of 1.6 and 1.3 requests a second got 3.6 to 4.0 and 3.1 to 3.7, as before they named them. Callers saw nothing; the engines that asked for relief got none.

Cause: no host read the limit. Class of fault: a word of a server that binds all hosts together and reaches only those that get its responses. Reading it on each host would not do: each host alone stays below the limit (0.4 requests a second here), all of them together do not.

Change: a request, stage call or release of results to a server with a limit needs a permit, which one host per server grants at the rate of the limit. Limits and their ends are told to that host, to the readers and with the long poll to their followers. If the whole pool is at its limits, requests are refused at once and have not run; streams before their stages.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -19,7 +19,7 @@
 
 use crate::host::Host;
 use crate::log::{log_line, millis};
-use crate::stage_client::{free_at_servers, free_results, send_call, usable_server};
+use crate::stage_client::{FreeOutcome, free_at_servers, free_results, send_call, usable_server};
 
 /// Interval at which waiting groups are checked for expiry and for servers whose pause has ended.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
@@ -343,6 +343,8 @@
 
 /// Passes the usable servers of a shard to its batcher if the list may have changed.
 fn refresh_servers(host: &Host, key: &ShardKey, queue: &mut ShardQueue) {
+    let limits = host.limits.borrow();
+    queue.batcher.set_limits(|server| limits.limit(server));
     let change = host.registry.borrow().change();
     let now = host.now();
     if queue.listed_change == change && now.since(queue.listed_at) < SERVER_REFRESH_INTERVAL {
@@ -409,7 +411,9 @@
         .unwrap_or(CallOutcome::Failed);
     let all_produced = matches!(&outcome, CallOutcome::Answered(results)
         if results.iter().all(|result| matches!(result, PieceResult::Made(_))));
-    if !all_produced {
+    // A call that was not sent because of a limit is planned again, in most cases for another server.
+    let at_limit = matches!(&outcome, CallOutcome::AtLimit { .. });
+    if !all_produced && !at_limit {
         log_line!(
             host,
             info,
@@ -430,6 +434,7 @@
 fn outcome_name(outcome: &CallOutcome) -> &'static str {
     match outcome {
         CallOutcome::Refused { .. } => "refused",
+        CallOutcome::AtLimit { .. } => "at limit",
         CallOutcome::Failed => "failed",
         CallOutcome::Answered(results) => results
             .iter()
@@ -447,11 +452,16 @@
 /// Frees results at a server; the batcher counts their memory as free once the server has
 /// confirmed it.
 async fn free_and_confirm(host: Host, key: ShardKey, server: ServerId, handles: Vec<PieceHandle>) {
-    if !free_results(&host, &server, &handles).await {
-        return;
-    }
+    let outcome = free_results(&host, &server, &handles).await;
     if let Some(queue) = host.coordinator.queues.borrow_mut().get_mut(&key) {
-        queue.batcher.confirm_freed(&server, &handles);
+        match outcome {
+            FreeOutcome::Freed => queue.batcher.confirm_freed(&server, &handles),
+            FreeOutcome::AtLimit => queue.batcher.defer_unneeded(&server, handles),
+            FreeOutcome::Failed => {}
+        }
+    }
+    if outcome != FreeOutcome::Freed {
+        return;
     }
     host.coordinator.dispatch_calls(&host, &key);
 }
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::log::{log_line, millis};
 use crate::peer_client::FOLLOW_PATH;
 use crate::peer_server::micros;
+use crate::server_limits::{apply_entry, encode_limit};
 use crate::store_feed::{decode_host, encode_host, host_place};
 
 /// Key by which the readers are selected among the hosts.
@@ -71,7 +72,7 @@
 }
 
 /// Returns the hosts that are selected to read the store.
-fn list_readers(host: &Host) -> Vec<HostRecord> {
+pub(crate) fn list_readers(host: &Host) -> Vec<HostRecord> {
     let hosts = host.hosts.borrow();
     let mut order = hosts.duty_order(host.now(), READER_ROLE_KEY, None);
     order.truncate(reader_count(hosts.known_count()));
@@ -85,6 +86,7 @@
     incarnation: u64,
     server_change: u64,
     host_change: u64,
+    limit_change: u64,
 }
 
 /// Decides whether this host reads the store. Follows another host if it does not, or if its own
@@ -196,6 +198,7 @@
         host_change: cursor.host_change,
         config_version: host.serving_set().map_or(0, |set| set.version.0),
         wait_ms: u32::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u32::MAX),
+        limit_change: Some(cursor.limit_change),
     };
     let limit = FOLLOW_WAIT + ANSWER_SLACK;
     let body = message.encode_to_vec();
@@ -245,6 +248,9 @@
             None => {}
         }
     }
+    for entry in &reply.limits {
+        apply_entry(host, entry, name);
+    }
     let in_era = reply.store_era.map(StoreEra) == host.store_era();
     if let Some(age) = reply.age_us.filter(|_| in_era) {
         let confirmed_at = asked_at - Duration::from_micros(age);
@@ -254,6 +260,7 @@
         incarnation: reply.incarnation,
         server_change: reply.server_change,
         host_change: reply.host_change,
+        limit_change: reply.limit_change,
     };
 }
 
@@ -285,6 +292,9 @@
         || version > request.config_version
         || host.registry.borrow().change() != request.server_change
         || host.hosts.borrow().change() != request.host_change
+        || request
+            .limit_change
+            .is_some_and(|change| change != host.limits.borrow().change())
 }
 
 /// Builds the answer to a follower: all rows if its cursor belongs to another incarnation of this
@@ -299,6 +309,8 @@
     let hosts_after = if same { request.host_change } else { 0 };
     let installed = host.installed();
     let newer = installed.filter(|known| known.set.version.0 > request.config_version);
+    let limits = host.limits.borrow();
+    let limits_after = request.limit_change.filter(|_| same).unwrap_or(0);
     FollowReply {
         incarnation: host.incarnation,
         server_change: registry.change(),
@@ -325,6 +337,11 @@
                 era: place.era.0,
                 revision: place.revision,
             }),
+        limits: limits
+            .changes_after(limits_after)
+            .map(|(server, notice)| encode_limit(now, server, notice))
+            .collect(),
+        limit_change: limits.change(),
     }
 }
 
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -10,8 +10,8 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitStatement,
-    LimitTable, LoadTable, RetryBudget, RetryDetector, RowChange, ServerRecord, ServerRegistry,
+    FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitTable,
+    LoadTable, PermitLedger, RetryBudget, RetryDetector, RowChange, ServerRecord, ServerRegistry,
     ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap};
@@ -50,6 +50,8 @@
     pub(crate) loads: RefCell<LoadTable>,
     /// Limits that backend servers have named on their requests.
     pub(crate) limits: RefCell<LimitTable>,
+    /// Permits that this host has granted for servers with a limit.
+    pub(crate) permits: RefCell<PermitLedger>,
     /// Retry budgets of the pools.
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     /// Learned times of stages and final calls.
@@ -117,6 +119,7 @@
             era: watch::Sender::new(None),
             loads: RefCell::default(),
             limits: RefCell::default(),
+            permits: RefCell::default(),
             budgets: RefCell::default(),
             forecast: RefCell::default(),
             patience: RefCell::default(),
@@ -356,22 +359,6 @@
         }
     }
 
-    /// Applies what a response to a request sent at `sent_at` says about its server's limit.
-    pub(crate) fn note_limit(&self, server: &ServerId, said: LimitStatement, sent_at: MonoTime) {
-        let notice = match said {
-            LimitStatement::Limited(rate) => LimitNotice {
-                rate: Some(rate),
-                at: self.now(),
-            },
-            LimitStatement::Unlimited => LimitNotice {
-                rate: None,
-                at: sent_at,
-            },
-            LimitStatement::Unknown => return,
-        };
-        self.apply_limit(server, notice, "response");
-    }
-
     /// Applies a notice about a server's limit and logs the change; returns whether there is one.
     pub(crate) fn apply_limit(&self, server: &ServerId, notice: LimitNotice, source: &str) -> bool {
         let change = self.limits.borrow_mut().apply(server, notice);
@@ -397,6 +384,7 @@
         let count = self.limits.borrow().limited_count();
         let gauge = i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.limited_servers.set(gauge);
+        self.view_changed.notify_waiters();
         true
     }
 
@@ -408,6 +396,33 @@
         }
     }
 
+    /// Counts a request, call or release of results that was withheld because of a limit.
+    pub(crate) fn count_limited_denial(&self, pool: &PoolId) {
+        let label = self.metrics.label(pool.as_str());
+        self.metrics.limited_denials.get_or_create(&label).inc();
+    }
+
+    /// Returns the time after which the caller of a rejected request finds a place: the end of the
+    /// first pause of a server of the pool, or the first place that no other caller of this host was
+    /// told at a server with a limit. `None` if a server accepts requests or the pool has none.
+    pub(crate) fn retry_wait(&self, pool: &PoolId) -> Option<Duration> {
+        let now = self.now();
+        let registry = self.registry.borrow();
+        let loads = self.loads.borrow();
+        let mut limits = self.limits.borrow_mut();
+        let mut first: Option<(Duration, &ServerId)> = None;
+        for (server, _) in registry.pool_servers(now, pool) {
+            let pause = loads.pause_left(now, server);
+            let wait = pause.max(limits.announced_wait(now, server))?;
+            if first.is_none_or(|(least, _)| wait < least) {
+                first = Some((wait, server));
+            }
+        }
+        let (wait, server) = first?;
+        limits.announce_place(now, server, self.hosts.borrow().known_count());
+        Some(wait)
+    }
+
     /// Returns how long every server of a pool is still paused; `None` if one of them accepts
     /// requests or if the pool has no servers.
     pub(crate) fn pool_pause(&self, pool: &PoolId) -> Option<Duration> {
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod results;
 mod run;
 mod server_attempt;
+mod server_limits;
 mod stage_client;
 mod stage_run;
 mod status_server;
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) calls: Family<NameLabel, Counter>,
     pub(crate) call_pieces: Family<NameLabel, Counter>,
     pub(crate) limited_sends: Family<NameLabel, Counter>,
+    pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
     pub(crate) store_calls: Counter,
     pub(crate) config_version: Gauge,
@@ -63,6 +64,7 @@
             calls: Family::default(),
             call_pieces: Family::default(),
             limited_sends: Family::default(),
+            limited_denials: Family::default(),
             limited_servers: Gauge::default(),
             store_calls: Counter::default(),
             config_version: Gauge::default(),
@@ -115,6 +117,11 @@
             "Requests, stage calls and releases of results sent to servers with a limit, by pool",
             self.limited_sends.clone(),
         );
+        registry.register(
+            "hollywheel_limited_denials",
+            "Requests, stage calls and releases of results withheld because of a server's limit, by pool",
+            self.limited_denials.clone(),
+        );
         registry.register(
             "hollywheel_limited_servers",
             "Servers that have named a limit on their requests",
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -23,6 +23,10 @@
 pub(crate) const PIECES_PATH: &str = "/pieces";
 /// Path for the release of results.
 pub(crate) const FREE_PATH: &str = "/free";
+/// Path for a permit to send a request to a server with a limit.
+pub(crate) const PERMIT_PATH: &str = "/permit";
+/// Path for limits that were just named or have ended.
+pub(crate) const LIMITS_PATH: &str = "/limits";
 /// Path for the long poll of a follower for store changes.
 pub(crate) const FOLLOW_PATH: &str = "/follow";
 
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -23,7 +23,10 @@
 use crate::follow::answer_follow;
 use crate::host::Host;
 use crate::limited_body::collect_body;
-use crate::peer_client::{FOLLOW_PATH, FREE_PATH, LocalExecutor, PIECES_PATH};
+use crate::peer_client::{
+    FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH, PIECES_PATH,
+};
+use crate::server_limits::{answer_permit, receive_news};
 
 /// Interval and time-out of keep-alive probes; a connection whose probe is not answered is closed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
@@ -58,12 +61,14 @@
         Ok(body) => body,
         Err(_) => return Ok(reply(StatusCode::BAD_REQUEST, Vec::new())),
     };
-    if path == PIECES_PATH && host.is_stopping() {
+    if [PIECES_PATH, PERMIT_PATH].contains(&path.as_str()) && host.is_stopping() {
         return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
     }
     let answered = match path.as_str() {
         PIECES_PATH => process_pieces(&host, &body).await,
         FREE_PATH => release_results(&host, &body),
+        PERMIT_PATH => answer_permit(&host, &body).await,
+        LIMITS_PATH => receive_news(&host, &body),
         FOLLOW_PATH => answer_follow(&host, &body).await,
         _ => None,
     };
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
-use hollywheel_serving::{PlacementQuery, PlacementVerdict, ServerRecord, choose_least_loaded};
+use hollywheel_serving::{PlacementQuery, ServerRecord, choose_least_loaded};
 use hollywheel_types::{ExecutionVerdict, ServerId};
 
 use crate::body::AnswerBody;
@@ -15,6 +15,7 @@
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::server_attempt::{AttemptExtras, AttemptFailure, record_attempt_failure, send_attempt};
+use crate::server_limits::{PermittedChoice, choose_permitted};
 
 /// Load, as a multiple of a server's slots, from which it gets no requests; a server queues about
 /// this many and refuses more.
@@ -82,7 +83,7 @@
 /// Sends the request to one server after another until it has an answer or may not be retried.
 async fn try_servers(host: &Host, context: &RequestContext, state: &mut CallState) {
     loop {
-        let Some((server, record)) = choose_server(host, context, state) else {
+        let Some((server, record)) = choose_server(host, context, state).await else {
             return;
         };
         state.tries += 1;
@@ -143,27 +144,32 @@
 }
 
 /// Chooses a server for the next attempt; sets the reason if there is none.
-fn choose_server(
+async fn choose_server(
     host: &Host,
     context: &RequestContext,
     state: &mut CallState,
 ) -> Option<(ServerId, ServerRecord)> {
-    let servers = host.pool_servers(&context.pool);
-    let query = PlacementQuery {
-        now: host.now(),
-        servers: &servers,
-        exclude: &state.excluded,
-        tie: context.tie_breaker,
-        domain: Some(&host.settings().domain),
+    let place = |servers: &[(ServerId, ServerRecord)]| {
+        let query = PlacementQuery {
+            now: host.now(),
+            servers,
+            exclude: &state.excluded,
+            tie: context.tie_breaker,
+            domain: Some(&host.settings().domain),
+        };
+        choose_least_loaded(&query, &host.loads.borrow(), FULL_LOAD)
     };
-    let placed = choose_least_loaded(&query, &host.loads.borrow(), FULL_LOAD);
-    match placed {
-        PlacementVerdict::Server(server) => servers.into_iter().find(|(name, _)| *name == server),
-        PlacementVerdict::Full => {
+    match choose_permitted(host, &context.pool, place).await {
+        PermittedChoice::Server(server, record) => Some((server, record)),
+        PermittedChoice::Full => {
             state.reason = "every server is full";
             None
         }
-        PlacementVerdict::NoServer => {
+        PermittedChoice::AtLimit => {
+            state.reason = "every server is at its limit";
+            None
+        }
+        PermittedChoice::NoServer => {
             if state.reason.is_empty() {
                 state.reason = match host.pool_pause(&context.pool) {
                     Some(_) => "every server asked for a pause",
@@ -245,7 +251,7 @@
             RequestOutcome::Refused,
             StatusCode::SERVICE_UNAVAILABLE,
             Some(
-                host.pool_pause(&context.pool)
+                host.retry_wait(&context.pool)
                     .unwrap_or_default()
                     .max(FULL_BACKOFF),
             ),
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -156,6 +156,8 @@
         loads.retain(now, |server| registry.usable(now, server).is_some());
         let mut limits = host.limits.borrow_mut();
         limits.retain(now, |server| registry.usable(now, server).is_some());
+        let mut permits = host.permits.borrow_mut();
+        permits.retain(now, |server| registry.usable(now, server).is_some());
     }
 }
 
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -16,6 +16,7 @@
 use crate::limited_body::{SMALL_LIMIT, collect_body};
 use crate::log::{log_line, millis};
 use crate::request::RequestContext;
+use crate::server_limits::note_response_limit;
 
 /// Time to read the body of a refusal so that its connection can be reused; the body itself is
 /// not needed.
@@ -120,7 +121,8 @@
     }
     host.apply_answer_facts(server, &facts);
     let is_genuine = facts.not_run || facts.authentic;
-    host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
+    let said = facts.limit.trusted_if(is_genuine);
+    note_response_limit(host, server, said, sent_at);
     if facts.not_run {
         let reason = refusal_reason(answer.status());
         drain_refusal(host, answer, connection, facts).await;
--- /dev/null
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -0,0 +1,344 @@
+//! Limits on requests that backend servers name, shared by all hosts.
+//!
+//! For each server one host grants the permits to send requests to it while it names a limit. The
+//! host that learns of a limit, or of its end, from a response tells that host and the readers of
+//! the store, whose followers learn of it with the other changes that they poll for.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+
+use hollywheel_serving::{
+    HostRecord, LimitNotice, LimitStatement, PermitVerdict, PlacementVerdict, ServerRecord,
+};
+use hollywheel_types::{MonoTime, PoolId, RequestRate, ServerId};
+use hollywheel_wire::serving::{LimitEntry, LimitNews, PermitReply, PermitRequest};
+
+use crate::follow::list_readers;
+use crate::host::Host;
+use crate::peer_client::{LIMITS_PATH, PERMIT_PATH, PeerFailure};
+use crate::peer_server::micros;
+
+/// Time-out of a request for a permit, which a live host answers within milliseconds.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time-out of a request for a permit that is passed on, so that the first host still gets a reply.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time-out of telling another host about limits.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which no further permit is requested for a server while one request is in flight. A
+/// reply ends it.
+const REQUEST_SPACING: Duration = Duration::from_millis(20);
+/// Time for which no permit is requested for a server after its host did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+/// The longest wait for a place of a server if no other server of the pool takes the request.
+const PLACE_PATIENCE: Duration = Duration::from_millis(150);
+/// Number of servers with a limit that are asked for in turn before one without a limit is chosen.
+const MAX_REQUESTS: usize = 4;
+
+/// Applies what a response to a request sent at `sent_at` says about its server's limit, and tells
+/// other hosts if that is news.
+pub(crate) fn note_response_limit(
+    host: &Host,
+    server: &ServerId,
+    said: LimitStatement,
+    sent_at: MonoTime,
+) {
+    let notice = match said {
+        LimitStatement::Limited(rate) => LimitNotice {
+            rate: Some(rate),
+            at: host.now(),
+        },
+        LimitStatement::Unlimited => LimitNotice {
+            rate: None,
+            at: sent_at,
+        },
+        LimitStatement::Unknown => return,
+    };
+    if host.apply_limit(server, notice, "response") {
+        announce_limit(host, server, notice);
+    }
+}
+
+/// Tells a notice to the host that grants permits for the server and to the readers of the store.
+fn announce_limit(host: &Host, server: &ServerId, notice: LimitNotice) {
+    let own = host.hosts.borrow().own().clone();
+    let mut targets = list_readers(host);
+    targets.extend(permit_host(host, server));
+    targets.sort_by(|left, right| left.name.cmp(&right.name));
+    targets.dedup_by(|left, right| left.name == right.name);
+    targets.retain(|target| target.name != own);
+    let news = LimitNews {
+        limits: vec![encode_limit(host.now(), server, notice)],
+    };
+    let body = news.encode_to_vec();
+    for target in targets {
+        let (host, body) = (host.clone(), body.clone());
+        tokio::task::spawn_local(async move {
+            // Hosts that this does not reach learn of the limit from responses or permits.
+            let _ = host
+                .peers
+                .call(&target, LIMITS_PATH, body, NEWS_TIMEOUT)
+                .await;
+        });
+    }
+}
+
+/// Returns the host that grants the permits for a server.
+fn permit_host(host: &Host, server: &ServerId) -> Option<HostRecord> {
+    let hosts = host.hosts.borrow();
+    let holder = hosts.duty_holder(host.now(), &format!("limit/{server}"));
+    holder.cloned()
+}
+
+/// Takes a permit to send one request to a server; granted at once if the server names no limit.
+pub(crate) async fn take_permit(
+    host: &Host,
+    server: &ServerId,
+    patience: Duration,
+) -> PermitVerdict {
+    loop {
+        let Some(notice) = host.limits.borrow().notice(server) else {
+            return PermitVerdict::Granted {
+                wait: Duration::ZERO,
+            };
+        };
+        let Some(rate) = notice.rate else {
+            return PermitVerdict::Granted {
+                wait: Duration::ZERO,
+            };
+        };
+        let now = host.now();
+        let wait = host.limits.borrow().place_wait(now, server);
+        if let Some(wait) = wait.filter(|wait| *wait > patience) {
+            return PermitVerdict::Denied { wait };
+        }
+        let own = host.hosts.borrow().own().clone();
+        let granting = permit_host(host, server).filter(|granting| granting.name != own);
+        let verdict = match granting {
+            None => host.permits.borrow_mut().take(now, server, rate, patience),
+            Some(granting) => {
+                host.limits
+                    .borrow_mut()
+                    .note_next_place(server, now + REQUEST_SPACING);
+                match request_permit(host, &granting, server, notice, patience, false).await {
+                    Ok(reply) => decode_reply(host, &granting, &reply),
+                    Err(PeerFailure::Leaving) => {
+                        host.mark_host_leaving(&granting.name);
+                        host.limits.borrow_mut().note_next_place(server, now);
+                        continue;
+                    }
+                    // A host of an earlier software version grants no permits.
+                    Err(PeerFailure::Refused) => {
+                        host.permits.borrow_mut().take(now, server, rate, patience)
+                    }
+                    Err(failure) => {
+                        host.mark_unreachable(&granting.name, "limit", failure.name());
+                        PermitVerdict::Denied {
+                            wait: FAILURE_PAUSE,
+                        }
+                    }
+                }
+            }
+        };
+        let next_place = match verdict {
+            PermitVerdict::Granted { .. } => host.now(),
+            PermitVerdict::Denied { wait } => host.now() + wait,
+        };
+        host.limits.borrow_mut().note_next_place(server, next_place);
+        return verdict;
+    }
+}
+
+/// Requests a permit from another host.
+async fn request_permit(
+    host: &Host,
+    granting: &HostRecord,
+    server: &ServerId,
+    notice: LimitNotice,
+    patience: Duration,
+    forwarded: bool,
+) -> Result<PermitReply, PeerFailure> {
+    let message = PermitRequest {
+        limit: Some(encode_limit(host.now(), server, notice)),
+        patience_us: micros(patience),
+        forwarded,
+    };
+    let body = message.encode_to_vec();
+    let limit = match forwarded {
+        true => FORWARD_TIMEOUT,
+        false => PERMIT_TIMEOUT,
+    };
+    let reply = host.peers.call(granting, PERMIT_PATH, body, limit).await?;
+    host.hosts.borrow_mut().note_answer(&granting.name);
+    PermitReply::decode(reply).map_err(|_| PeerFailure::Broken)
+}
+
+/// Reads the reply of the host that grants the permits and applies what it knows about the limit.
+fn decode_reply(host: &Host, granting: &HostRecord, reply: &PermitReply) -> PermitVerdict {
+    if let Some(entry) = &reply.limit {
+        apply_entry(host, entry, granting.name.as_str());
+    }
+    let wait = Duration::from_micros(reply.wait_us);
+    match reply.granted {
+        true => PermitVerdict::Granted { wait },
+        false => PermitVerdict::Denied { wait },
+    }
+}
+
+/// Answers a request for a permit; `None` if it is invalid. A host that is not the one to grant it
+/// passes the request on, so that two hosts do not grant permits for one server.
+pub(crate) async fn answer_permit(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    let request = PermitRequest::decode(body.clone()).ok()?;
+    let entry = request.limit?;
+    let server: ServerId = entry.server.parse().ok()?;
+    apply_entry(host, &entry, "permit");
+    let patience = Duration::from_micros(request.patience_us);
+    let own = host.hosts.borrow().own().clone();
+    let granting = permit_host(host, &server).filter(|granting| granting.name != own);
+    let notice = host.limits.borrow().notice(&server)?;
+    if let Some(granting) = granting.filter(|_| !request.forwarded) {
+        match request_permit(host, &granting, &server, notice, patience, true).await {
+            Ok(reply) => return Some(reply.encode_to_vec()),
+            Err(PeerFailure::Leaving) => host.mark_host_leaving(&granting.name),
+            Err(failure) => host.mark_unreachable(&granting.name, "limit", failure.name()),
+        }
+    }
+    let now = host.now();
+    let verdict = match notice.rate {
+        Some(rate) => host.permits.borrow_mut().take(now, &server, rate, patience),
+        None => PermitVerdict::Granted {
+            wait: Duration::ZERO,
+        },
+    };
+    let (granted, wait) = match verdict {
+        PermitVerdict::Granted { wait } => (true, wait),
+        PermitVerdict::Denied { wait } => (false, wait),
+    };
+    let reply = PermitReply {
+        granted,
+        wait_us: micros(wait),
+        limit: Some(encode_limit(now, &server, notice)),
+    };
+    Some(reply.encode_to_vec())
+}
+
+/// Applies limits that another host tells; `None` if the message is invalid.
+pub(crate) fn receive_news(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    let news = LimitNews::decode(body.clone()).ok()?;
+    for entry in &news.limits {
+        apply_entry(host, entry, "host");
+    }
+    Some(Vec::new())
+}
+
+/// Applies what another host tells about a limit. An entry that cannot be read is ignored.
+pub(crate) fn apply_entry(host: &Host, entry: &LimitEntry, source: &str) {
+    let Ok(server) = entry.server.parse::<ServerId>() else {
+        return;
+    };
+    let notice = LimitNotice {
+        rate: entry.limit.map(RequestRate::per_second),
+        at: host.now() - Duration::from_micros(entry.age_us),
+    };
+    host.apply_limit(&server, notice, source);
+}
+
+/// Encodes a notice; its time becomes an age.
+pub(crate) fn encode_limit(now: MonoTime, server: &ServerId, notice: LimitNotice) -> LimitEntry {
+    LimitEntry {
+        server: server.to_string(),
+        limit: notice.rate.map(RequestRate::get),
+        age_us: micros(now.since(notice.at)),
+    }
+}
+
+/// Outcome of choosing a server that may be sent a request now.
+pub(crate) enum PermittedChoice {
+    /// The request may be sent to this server.
+    Server(ServerId, ServerRecord),
+    /// Every server is at its load limit.
+    Full,
+    /// Every server that is left is at the limit that it has named.
+    AtLimit,
+    /// There is no server left.
+    NoServer,
+}
+
+/// Chooses a server by `place` and takes a permit for it if it names a limit.
+///
+/// Servers with a limit are asked for first, so that they get the work that they accept; then one
+/// without a limit is chosen. Only if there is none, a place at a server with a limit is awaited.
+pub(crate) async fn choose_permitted(
+    host: &Host,
+    pool: &PoolId,
+    place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
+) -> PermittedChoice {
+    if host.limits.borrow().limited_count() == 0 {
+        let servers = host.pool_servers(pool);
+        return match place(&servers) {
+            PlacementVerdict::Server(server) => find_choice(servers, &server),
+            PlacementVerdict::Full => PermittedChoice::Full,
+            PlacementVerdict::NoServer => PermittedChoice::NoServer,
+        };
+    }
+    if let Some(chosen) = choose_with_patience(host, pool, Duration::ZERO, &place).await {
+        return chosen;
+    }
+    let mut unlimited = host.pool_servers(pool);
+    unlimited.retain(|(server, _)| host.limits.borrow().limit(server).is_none());
+    let verdict = place(&unlimited);
+    if let PlacementVerdict::Server(server) = &verdict {
+        return find_choice(unlimited, server);
+    }
+    if let Some(chosen) = choose_with_patience(host, pool, PLACE_PATIENCE, &place).await {
+        return chosen;
+    }
+    match place(&host.pool_servers(pool)) {
+        PlacementVerdict::Full => PermittedChoice::Full,
+        PlacementVerdict::NoServer => PermittedChoice::NoServer,
+        PlacementVerdict::Server(_) if verdict == PlacementVerdict::Full => PermittedChoice::Full,
+        PlacementVerdict::Server(_) => PermittedChoice::AtLimit,
+    }
+}
+
+/// Returns the choice of a server with its record.
+fn find_choice(servers: Vec<(ServerId, ServerRecord)>, chosen: &ServerId) -> PermittedChoice {
+    let mut servers = servers.into_iter();
+    match servers.find(|(server, _)| server == chosen) {
+        Some((server, record)) => PermittedChoice::Server(server, record),
+        None => PermittedChoice::NoServer,
+    }
+}
+
+/// Chooses among the servers that may have a place within `patience`, until a permit is granted.
+async fn choose_with_patience(
+    host: &Host,
+    pool: &PoolId,
+    patience: Duration,
+    place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
+) -> Option<PermittedChoice> {
+    for _ in 0..MAX_REQUESTS {
+        let mut servers = host.pool_servers(pool);
+        let now = host.now();
+        servers.retain(|(server, _)| {
+            let wait = host.limits.borrow().place_wait(now, server);
+            wait.is_none_or(|wait| wait <= patience)
+        });
+        let PlacementVerdict::Server(server) = place(&servers) else {
+            return None;
+        };
+        if let PermitVerdict::Granted { wait } = take_permit(host, &server, patience).await {
+            if !wait.is_zero() {
+                tokio::time::sleep(wait).await;
+            }
+            let mut usable = host.pool_servers(pool).into_iter();
+            if let Some((server, record)) = usable.find(|(name, _)| *name == server) {
+                return Some(PermittedChoice::Server(server, record));
+            }
+        } else {
+            host.count_limited_denial(pool);
+        }
+    }
+    None
+}
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -8,12 +8,13 @@
 use tokio::time::timeout;
 
 use hollywheel_adapter::{STAGE_RUN_PATH, StagePiece};
-use hollywheel_serving::{CallOutcome, PieceHandle, PieceResult, ServerRecord};
+use hollywheel_serving::{CallOutcome, PermitVerdict, PieceHandle, PieceResult, ServerRecord};
 use hollywheel_types::{ServerId, SortedMap};
 
 use crate::host::Host;
 use crate::limited_body::{PIECES_LIMIT, SMALL_LIMIT, collect_body};
 use crate::log::log_line;
+use crate::server_limits::{note_response_limit, take_permit};
 
 /// Time-out of a call that frees results. It is not retried: a server drops results that were not
 /// freed at the end of their lifetime.
@@ -39,6 +40,10 @@
     if pause.is_some() {
         return CallOutcome::Refused { pause };
     }
+    if let PermitVerdict::Denied { wait } = take_permit(host, server, Duration::ZERO).await {
+        host.count_limited_denial(&record.pool);
+        return CallOutcome::AtLimit { wait };
+    }
     let Ok(body) = hollywheel_adapter::encode_stage_run(pieces) else {
         return CallOutcome::Failed;
     };
@@ -56,7 +61,8 @@
     let facts = hollywheel_adapter::decode_response_head(&answer, "");
     host.apply_answer_facts(server, &facts);
     let is_genuine = facts.not_run || answer.status() == StatusCode::OK;
-    host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
+    let said = facts.limit.trusted_if(is_genuine);
+    note_response_limit(host, server, said, sent_at);
     if facts.not_run {
         return CallOutcome::Refused {
             pause: facts.retry_after,
@@ -132,21 +138,40 @@
     }
 }
 
-/// Frees results at a server; returns whether it answered. The server drops a result that could
-/// not be freed at the end of its lifetime.
-pub(crate) async fn free_results(host: &Host, server: &ServerId, handles: &[PieceHandle]) -> bool {
+/// Outcome of freeing results at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FreeOutcome {
+    /// The server has freed them.
+    Freed,
+    /// The server was not asked, because it has named a limit on its requests.
+    AtLimit,
+    /// The server was not asked or did not answer. It drops the results at the end of their
+    /// lifetime.
+    Failed,
+}
+
+/// Frees results at a server.
+pub(crate) async fn free_results(
+    host: &Host,
+    server: &ServerId,
+    handles: &[PieceHandle],
+) -> FreeOutcome {
     let Some(record) = usable_server(host, server) else {
-        return false;
+        return FreeOutcome::Failed;
     };
     if host.loads.borrow().pause_left(host.now(), server).is_some() {
-        return false;
+        return FreeOutcome::Failed;
+    }
+    if let PermitVerdict::Denied { .. } = take_permit(host, server, Duration::ZERO).await {
+        host.count_limited_denial(&record.pool);
+        return FreeOutcome::AtLimit;
     }
     let Ok(body) = hollywheel_adapter::encode_stage_free(handles) else {
-        return false;
+        return FreeOutcome::Failed;
     };
     let path = hollywheel_adapter::STAGE_FREE_PATH;
     let Some(request) = build_stage_request(server, &record, path, body) else {
-        return false;
+        return FreeOutcome::Failed;
     };
     let sent_at = host.now();
     host.count_limited_send(server, &record.pool);
@@ -159,10 +184,14 @@
         let facts = hollywheel_adapter::decode_response_head(&answer, "");
         host.apply_answer_facts(server, &facts);
         let is_genuine = answer.status() == StatusCode::OK;
-        host.note_limit(server, facts.limit.trusted_if(is_genuine), sent_at);
+        let said = facts.limit.trusted_if(is_genuine);
+        note_response_limit(host, server, said, sent_at);
         collect_body(answer.into_body(), SMALL_LIMIT).await.ok()?;
         host.connections.give_back(connection, facts.idle_time);
         Some(())
     };
-    matches!(timeout(FREE_TIMEOUT, call).await, Ok(Some(())))
+    match timeout(FREE_TIMEOUT, call).await {
+        Ok(Some(())) => FreeOutcome::Freed,
+        Ok(None) | Err(_) => FreeOutcome::Failed,
+    }
 }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -24,6 +24,8 @@
 use crate::server_attempt::{
     AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, send_attempt,
 };
+use crate::server_limits::{PermittedChoice, choose_permitted};
+use crate::stage_client::usable_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
 
@@ -69,6 +71,8 @@
     guard: RequestGuard,
     graph: StageGraph,
     held_results: HeldResults,
+    /// Engine with a limit for which a permit was taken before the stages.
+    reserved: Option<ServerId>,
     stage_runs: u32,
     /// Servers whose attempt failed.
     pub(crate) excluded: Vec<ServerId>,
@@ -149,6 +153,7 @@
             host: host.clone(),
             context,
             guard,
+            reserved: None,
             stage_runs: 0,
             excluded: Vec::new(),
             tries: 0,
@@ -190,8 +195,9 @@
     pub(crate) async fn open(&mut self) -> Result<OpenStream, OpenFailure> {
         loop {
             self.check_pool_pause()?;
+            self.reserve_engine().await?;
             self.produce_inputs().await?;
-            let (server, record) = self.choose_server()?;
+            let (server, record) = self.choose_server().await?;
             self.tries += 1;
             let load = self.host.server_load(&server, &record);
             self.chosen = Some((server.clone(), load));
@@ -240,12 +246,29 @@
         Err(self.give_up())
     }
 
+    /// Takes a permit for an engine before the stages run if every engine has named a limit;
+    /// refuses the request if none is granted, since its stages would be run in vain.
+    async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
+        let servers = self.host.pool_servers(&self.context.pool);
+        let has_unlimited = servers.iter().any(|(server, _)| {
+            let is_limited = self.host.limits.borrow().limit(server).is_some();
+            !is_limited && !self.excluded.contains(server)
+        });
+        if has_unlimited || servers.is_empty() || self.reserved.is_some() {
+            return Ok(());
+        }
+        let (server, _) = self.choose_server().await?;
+        self.reserved = Some(server);
+        Ok(())
+    }
+
     /// Returns whether the stream of a server could continue at another server that has capacity.
     pub(crate) fn can_continue(&self, server: &ServerId) -> bool {
         let pipeline = &self.context.pipeline;
         let has_tries = self.tries < MAX_TRIES && self.received_attempts < pipeline.max_attempts;
         let mut servers = self.host.pool_servers(&self.context.pool);
-        servers.retain(|(name, _)| name != server);
+        let limits = self.host.limits.borrow();
+        servers.retain(|(name, _)| name != server && limits.limit(name).is_none());
         let has_room = matches!(self.place(&servers), PlacementVerdict::Server(_));
         has_tries && pipeline.may_repeat() && has_room && self.host.has_repeat(&self.context.pool)
     }
@@ -304,10 +327,13 @@
 
     /// Returns the outcome of a request that is not sent to another engine.
     fn give_up(&self) -> OpenFailure {
-        let pause = self.host.pool_pause(&self.context.pool);
         match self.verdict {
             ExecutionVerdict::NotRun => OpenFailure::Refused {
-                retry_after: pause.unwrap_or_default().max(FULL_BACKOFF),
+                retry_after: self
+                    .host
+                    .retry_wait(&self.context.pool)
+                    .unwrap_or_default()
+                    .max(FULL_BACKOFF),
             },
             ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
         }
@@ -364,7 +390,11 @@
     /// produced close to where they are read.
     fn choose_domain(&self) -> Option<DomainId> {
         let servers = self.host.pool_servers(&self.context.pool);
-        match self.place(&servers) {
+        let placed = match &self.reserved {
+            Some(server) => PlacementVerdict::Server(server.clone()),
+            None => self.place(&servers),
+        };
+        match placed {
             PlacementVerdict::Server(server) => servers
                 .into_iter()
                 .find(|(name, _)| *name == server)
@@ -374,17 +404,19 @@
     }
 
     /// Chooses an engine of the pool for the final call; fails if none has capacity.
-    fn choose_server(&mut self) -> Result<(ServerId, ServerRecord), OpenFailure> {
-        let servers = self.host.pool_servers(&self.context.pool);
-        let reason = match self.place(&servers) {
-            PlacementVerdict::Server(server) => {
-                if let Some(found) = servers.into_iter().find(|(name, _)| *name == server) {
-                    return Ok(found);
-                }
-                "no engine"
-            }
-            PlacementVerdict::Full => "every engine is full",
-            PlacementVerdict::NoServer => "no engine",
+    async fn choose_server(&mut self) -> Result<(ServerId, ServerRecord), OpenFailure> {
+        if let Some(server) = self.reserved.take()
+            && let Some(record) = usable_server(&self.host, &server)
+        {
+            return Ok((server, record));
+        }
+        let place = |servers: &[(ServerId, ServerRecord)]| self.place(servers);
+        let choice = choose_permitted(&self.host, &self.context.pool, place).await;
+        let reason = match choice {
+            PermittedChoice::Server(server, record) => return Ok((server, record)),
+            PermittedChoice::Full => "every engine is full",
+            PermittedChoice::AtLimit => "every engine is at its limit",
+            PermittedChoice::NoServer => "no engine",
         };
         if self.reason.is_empty() {
             self.reason = reason;
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -103,6 +103,11 @@
         /// The time for which the server asked for no further call, if it gave one.
         pause: Option<Duration>,
     },
+    /// The call was not sent: the server has named a limit on its requests.
+    AtLimit {
+        /// The time until the server may have a free place.
+        wait: Duration,
+    },
     /// The connection broke, or no complete response arrived before the time-out.
     Failed,
 }
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use hollywheel_types::{DomainId, MonoTime, ServerId, SortedMap};
+use hollywheel_types::{DomainId, MonoTime, RequestRate, ServerId, SortedMap};
 
 use choose::SLOW_RATIO;
 pub use message::{
@@ -138,6 +138,13 @@
         self.servers.retain(|_, state| !state.is_removable());
     }
 
+    /// Updates the limits on requests that the servers have named.
+    pub fn set_limits(&mut self, limit: impl Fn(&ServerId) -> Option<RequestRate>) {
+        for (server, state) in self.servers.iter_mut() {
+            state.limit = limit(server);
+        }
+    }
+
     /// Admits a group of pieces, or refuses it if it would expire before it is executed or if the
     /// backlog of late work is full.
     ///
@@ -188,9 +195,10 @@
         let servers = || self.servers.values().filter(|server| server.is_present());
         let free_at = servers().map(|server| server.free_at(now)).min();
         let batch = u32::try_from(self.policy.pool.batch.max(1)).unwrap_or(u32::MAX);
+        let full_call = self.policy.pool.call_time + self.policy.pool.piece_time * batch;
         PoolRate {
             wait: free_at.map_or(Duration::ZERO, |at| at.since(now)),
-            servers: servers().map(|server| 1.0 / server.slowness()).sum(),
+            servers: servers().map(|server| server.throughput(full_call)).sum(),
             fixed_time: self.policy.pool.call_time / batch,
             hold_time: self.hold_time,
             room_bytes: self.policy.pool.room_bytes.max(1),
@@ -307,6 +315,7 @@
             match &outcome {
                 CallOutcome::Answered(_) => state.note_answer(taken, running.expected),
                 CallOutcome::Refused { pause } => state.note_refused(now, *pause),
+                CallOutcome::AtLimit { wait } => state.note_at_limit(now, *wait),
                 CallOutcome::Failed => {
                     state.note_answer(taken.max(running.expected), running.expected);
                     state.note_failed(now);
@@ -319,6 +328,12 @@
         }
         match outcome {
             CallOutcome::Answered(results) => self.deliver(now, &running, results),
+            CallOutcome::AtLimit { .. } => {
+                for piece in &running.pieces {
+                    self.queue.requeue_unexecuted(*piece);
+                }
+                Vec::new()
+            }
             CallOutcome::Refused { .. } | CallOutcome::Failed => {
                 let pieces = running.pieces.iter();
                 pieces
--- a/crates/hollywheel-serving/src/batch/results.rs
+++ b/crates/hollywheel-serving/src/batch/results.rs
@@ -52,7 +52,8 @@
     }
 
     /// Takes the results to free now, by server: at once where little memory is left, otherwise
-    /// after a delay, so that one call frees many.
+    /// after a delay, so that one call frees many. Servers with a limit on their requests are only
+    /// asked to free results when little memory is left; the others expire there.
     pub fn take_unneeded(&mut self, now: MonoTime) -> Vec<(ServerId, Vec<PieceHandle>)> {
         let memory_bytes = self.policy.pool.room_bytes;
         let mut taken = Vec::new();
@@ -64,7 +65,7 @@
             results.handles.retain(|handle| state.has_result(handle));
             let pending_since = *results.pending_since.get_or_insert(now);
             let is_due = state.free_bytes(now, memory_bytes) < memory_bytes / LOW_MEMORY_DIVISOR
-                || now.since(pending_since) >= FREE_DELAY;
+                || (state.limit.is_none() && now.since(pending_since) >= FREE_DELAY);
             if is_due && !results.handles.is_empty() {
                 taken.push((server.clone(), std::mem::take(&mut results.handles)));
             }
@@ -74,6 +75,14 @@
         taken
     }
 
+    /// Keeps results that could not be freed yet because of their server's limit.
+    pub fn defer_unneeded(&mut self, server: &ServerId, handles: Vec<PieceHandle>) {
+        let results = self
+            .unneeded
+            .get_or_insert_with(server.clone(), UnneededResults::default);
+        results.handles.extend(handles);
+    }
+
     /// Records that a server has freed results; their memory is available from now on.
     pub fn confirm_freed(&mut self, server: &ServerId, handles: &[PieceHandle]) {
         if let Some(state) = self.servers.get_mut(server) {
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hollywheel_types::{DomainId, MonoTime, ServerId, SortedMap};
+use hollywheel_types::{DomainId, MonoTime, RequestRate, ServerId, SortedMap};
 
 use crate::stage_graph::PieceHandle;
 
@@ -44,6 +44,8 @@
     /// The number of consecutive failures.
     failures: u32,
     paused_until: MonoTime,
+    /// The limit on requests that the server has named.
+    pub(super) limit: Option<RequestRate>,
     /// The memory reserved for the results of the call in progress.
     reserved_bytes: u64,
     results: SortedMap<PieceHandle, StoredResult>,
@@ -62,6 +64,7 @@
             slowness: 1.0,
             failures: 0,
             paused_until: MonoTime::default(),
+            limit: None,
             reserved_bytes: 0,
             results: SortedMap::new(),
             room_cap: None,
@@ -147,6 +150,21 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
+    /// Records that a call was not sent because of the server's limit.
+    pub(super) fn note_at_limit(&mut self, now: MonoTime, wait: Duration) {
+        self.paused_until = self.paused_until.max(now + wait);
+    }
+
+    /// Returns the number of servers at normal speed with the same throughput as this one, from the
+    /// duration of a full call.
+    pub(super) fn throughput(&self, full_call: Duration) -> f64 {
+        let speed = 1.0 / self.slowness;
+        match self.limit {
+            Some(limit) => speed.min(limit.over(full_call)),
+            None => speed,
+        }
+    }
+
     /// Records that the server had no memory left although this batcher's results do not fill it.
     /// It stores results that this batcher does not know, for example of a predecessor that
     /// failed.
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -253,6 +253,15 @@
             .collect()
     }
 
+    /// Returns the live host that has a duty: the first one in [`HostTable::duty_order`]. None if no
+    /// host is live, as on a host that stops and knows no other.
+    pub fn duty_holder(&self, now: MonoTime, duty: &str) -> Option<&HostRecord> {
+        let live = self.hosts.values().filter(|state| state.is_live(now));
+        let scored = live.map(|state| (duty_score(duty, None, &state.record), &state.record));
+        let highest = scored.max_by(|left, right| left.0.total_cmp(&right.0));
+        highest.map(|(_, record)| record)
+    }
+
     /// Returns the name of this host.
     pub const fn own(&self) -> &HostId {
         &self.own
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -41,7 +41,9 @@
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
 pub use retry_detector::{CallerAttempt, RetryDetector};
-pub use server_limit::{LimitChange, LimitNotice, LimitStatement, LimitTable};
+pub use server_limit::{
+    LimitChange, LimitNotice, LimitStatement, LimitTable, PermitLedger, PermitVerdict,
+};
 pub use serving_set::{
     CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
     PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
