Exchange limits between the readers of the store

Seen in a test: a host that starts while a limit is in force sent the server 5 requests before the first response; callers see nothing, the server gets a burst from each host that restarts.

Cause: followers get limits with their long poll, but a host that reads the store itself follows nobody and only hears of limits that are named after its start. The same holds for a reader that was frozen or cut off when the news went out.

Evidence: host_that_joins_exceeds_a_limit_named_before fails without the exchange (5 requests, 3 allowed) and passes with it.

Readers now exchange what they know once a second, and at once after their start.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -61,6 +61,11 @@
         let _ = self.reads.subscribe().wait_for(|reads| *reads).await;
     }
 
+    /// Returns whether this host reads the store.
+    pub(crate) fn is_reading(&self) -> bool {
+        *self.reads.borrow()
+    }
+
     /// Sets whether this host reads the store; returns whether that is a change.
     fn set(&self, reads: bool) -> bool {
         self.reads.send_if_modified(|known| {
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::log::{log_line, millis};
 use crate::peer_server::serve_peers;
 use crate::results::flush_release_queue;
+use crate::server_limits::exchange_limits;
 use crate::status_server::{StatusEndpoint, serve_status};
 use crate::store_feed::follow_table;
 use crate::supervisor::{TaskEntry, supervise, task_entry};
@@ -121,6 +122,7 @@
         }),
         with_host("own-row", |host| Box::pin(maintain_row(host))),
         with_host("follow", |host| Box::pin(follow_hosts(host))),
+        with_host("limits", |host| Box::pin(exchange_limits(host))),
         with_host("batches", |host| Box::pin(run_dispatch_timer(host))),
         with_host("results", |host| Box::pin(flush_release_queue(host))),
         with_host("sweep", |host| Box::pin(sweep(host))),
--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -2,7 +2,8 @@
 //!
 //! For each server one host grants the permits to send requests to it while it names a limit. The
 //! host that learns of a limit, or of its end, from a response tells that host and the readers of
-//! the store, whose followers learn of it with the other changes that they poll for.
+//! the store, whose followers learn of it with the other changes that they poll for. Readers compare
+//! what they know at an interval, since one may have started, or have been cut off, after the news.
 
 use std::time::Duration;
 
@@ -26,6 +27,10 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time-out of telling another host about limits.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which a reader of the store exchanges limits with another one.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// The same until the first exchange, before which the host knows no limit.
+const FIRST_EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which no further permit is requested for a server while one request is in flight. A
 /// reply ends it.
 const REQUEST_SPACING: Duration = Duration::from_millis(20);
@@ -223,13 +228,64 @@
     Some(reply.encode_to_vec())
 }
 
-/// Applies limits that another host tells; `None` if the message is invalid.
+/// Applies limits that another host tells and replies with those that this host knows; `None` if the
+/// message is invalid.
 pub(crate) fn receive_news(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
+    apply_news(host, body)?;
+    Some(known_limits(host).encode_to_vec())
+}
+
+fn apply_news(host: &Host, body: &Bytes) -> Option<()> {
     let news = LimitNews::decode(body.clone()).ok()?;
     for entry in &news.limits {
         apply_entry(host, entry, "host");
     }
-    Some(Vec::new())
+    Some(())
+}
+
+/// Returns what this host knows about the limits of all servers.
+fn known_limits(host: &Host) -> LimitNews {
+    let now = host.now();
+    let limits = host.limits.borrow();
+    let known = limits.changes_after(0);
+    LimitNews {
+        limits: known
+            .map(|(server, notice)| encode_limit(now, server, notice))
+            .collect(),
+    }
+}
+
+/// Exchanges limits with another reader of the store at an interval while this host is a reader.
+/// Followers learn of limits from the reader that they follow.
+pub(crate) async fn exchange_limits(host: Host) {
+    let mut interval = FIRST_EXCHANGE_INTERVAL;
+    loop {
+        tokio::time::sleep(interval).await;
+        if !host.reader_role.is_reading() {
+            continue;
+        }
+        let own = host.hosts.borrow().own().clone();
+        let mut others = list_readers(&host);
+        others.retain(|other| other.name != own);
+        if others.is_empty() {
+            continue;
+        }
+        let count = u64::try_from(others.len()).unwrap_or(u64::MAX);
+        let index = usize::try_from(host.next_tie_breaker() % count).unwrap_or(0);
+        let other = others.swap_remove(index);
+        let body = known_limits(&host).encode_to_vec();
+        let reply = host.peers.call(&other, LIMITS_PATH, body, NEWS_TIMEOUT);
+        match reply.await {
+            Ok(reply) => {
+                // A reply that cannot be decoded is left out; the next one may be readable.
+                let _ = apply_news(&host, &reply);
+                interval = EXCHANGE_INTERVAL;
+            }
+            // A host of an earlier software version knows no limits.
+            Err(PeerFailure::Refused) => interval = EXCHANGE_INTERVAL,
+            Err(failure) => host.mark_unreachable(&other.name, "limits", failure.name()),
+        }
+    }
 }
 
 /// Applies what another host tells about a limit. An entry that cannot be read is ignored.
--- a/crates/hollywheel-gateway/tests/server_limit.rs
+++ b/crates/hollywheel-gateway/tests/server_limit.rs
@@ -1,17 +1,20 @@
 //! Checks that all hosts together honour the limits on requests that servers name in responses.
 
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
+#[path = "support/peer_host.rs"]
+mod peer_host;
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use support::store::StoreStandin;
 use support::{
-    CallerResponse, HostAddresses, RawStep, config, free_address, request, send, serve_raw,
-    start_named_gateway, store,
+    CallerResponse, HostAddresses, RawRequest, RawStep, config, free_address, request, send,
+    serve_raw, start_named_gateway, store,
 };
 use tokio::time::sleep;
 
@@ -23,6 +26,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Requests that the users' rule allows in one window: one and a half times the limit and 5 more.
 const ALLOWED: f64 = 1.5 * LIMIT * 4.0 + 5.0;
+/// Duration of a call for pieces, as in the configuration.
+const STAGE_CALL_TIME: Duration = Duration::from_millis(22);
 /// Number of hosts, as in the smaller deployments.
 const HOSTS: usize = 9;
 
@@ -30,15 +35,36 @@
 struct LimitedServer {
     address: SocketAddr,
     limited: Arc<AtomicBool>,
+    /// Time until a response other than to a call for pieces, in milliseconds.
+    response_time: Arc<AtomicU64>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
+/// Returns the body of a response that fits the request: results of pieces, a confirmation, or an
+/// event of a stream.
+fn respond_to(request: &RawRequest, number: usize) -> String {
+    match request.path.as_str() {
+        "/stage-run" => {
+            let pieces = request.body.matches("\"stage\":").count();
+            let items: Vec<String> = (0..pieces)
+                .map(|piece| format!(r#"{{"handle":"{}/{number}-{piece}"}}"#, request.authority))
+                .collect();
+            format!(r#"{{"items":[{}]}}"#, items.join(","))
+        }
+        "/stage-free" => "{}".to_owned(),
+        path if path.starts_with("/pay") => "paid".to_owned(),
+        _ => "id: 1\ndata: a\n\n".to_owned(),
+    }
+}
+
 impl LimitedServer {
     /// Starts a server that names the limit while `limited` is set. It answers any request, stage
     /// calls included.
     async fn start() -> Self {
         let limited = Arc::new(AtomicBool::new(false));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let response_time = Arc::new(AtomicU64::new(0));
+        let response_millis = Arc::clone(&response_time);
         let (is_limited, log) = (Arc::clone(&limited), Arc::clone(&arrivals));
         let (address, _) = serve_raw(move |request| {
             let number = {
@@ -50,25 +76,28 @@
                 true => format!("server-limit: {LIMIT}\r\n"),
                 false => String::new(),
             };
-            let body = match request.path.as_str() {
-                "/stage-run" => format!(
-                    r#"{{"items":[{{"handle":"{}/{number}-0"}},{{"handle":"{}/{number}-1"}}]}}"#,
-                    request.authority, request.authority
-                ),
-                "/stage-free" => "{}".to_owned(),
-                path if path.starts_with("/pay") || path.starts_with("/look") => "paid".to_owned(),
-                _ => "id: 1\ndata: a\n\n".to_owned(),
+            let body = respond_to(request, number);
+            let pause = match request.path.as_str() {
+                "/stage-run" => STAGE_CALL_TIME,
+                _ => Duration::from_millis(response_millis.load(Ordering::Relaxed)),
             };
-            vec![RawStep::Send(request.response("200 OK", &header, &body))]
+            let response = request.response("200 OK", &header, &body);
+            vec![RawStep::Pause(pause), RawStep::Send(response)]
         })
         .await;
         Self {
             address,
             limited,
+            response_time,
             arrivals,
         }
     }
 
+    fn set_response_time(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap();
+        self.response_time.store(millis, Ordering::Relaxed);
+    }
+
     fn set_limited(&self, limited: bool) {
         self.limited.store(limited, Ordering::Relaxed);
     }
@@ -196,15 +225,164 @@
     for (response, _) in &responses {
         assert_eq!(response.status, 200, "{response:?}");
     }
-    let most = limited.most_in_window(started + CONTACT_TIME);
+    check_arrivals(&limited, started + CONTACT_TIME, Instant::now());
+}
+
+/// Checks that a server got no more requests than the users' rule allows from `start` on, and at
+/// least half of what it accepts until `end`.
+fn check_arrivals(server: &LimitedServer, start: Instant, end: Instant) {
+    let most = server.most_in_window(start);
     assert!(
         most as f64 <= ALLOWED,
         "{most} requests in {WINDOW:?}, allowed {ALLOWED}"
     );
-    let count = limited.count_since(started + CONTACT_TIME) as f64;
-    let offered = LIMIT * (WINDOW * 2).as_secs_f64();
+    let count = server.count_since(start) as f64;
+    let offered = LIMIT * end.duration_since(start).as_secs_f64();
     assert!(
         count >= 0.5 * offered,
-        "{count} requests within a limit of {offered}: the server gets too little work"
+        "{count} requests, {offered} accepted"
     );
 }
+
+/// Stage calls and releases of results count as well, from whichever host they come.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stage_server_gets_more_calls_and_releases_than_its_limit() {
+    let fleet = HostFleet::start("limit-stage", 3).await;
+    let _engine = fleet.add_server("m1", "model").await;
+    let limited = fleet.add_server("s1", "stage").await;
+    let _free = fleet.add_server("s2", "stage").await;
+    limited.set_limited(true);
+    let start = Instant::now() + CONTACT_TIME;
+    let time = CONTACT_TIME + WINDOW * 2;
+    let responses = fleet
+        .call_for("/draft/ok", Duration::from_millis(20), time)
+        .await;
+    for (response, _) in &responses {
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    check_arrivals(&limited, start, Instant::now());
+}
+
+/// What the pool cannot serve within its limits is rejected at once and reaches no server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_held_back_while_all_servers_of_a_pool_are_at_their_limits() {
+    for (pool, path) in [("plain", "/pay/ok"), ("model", "/draft/ok")] {
+        let fleet = HostFleet::start("limit-pool", 3).await;
+        let stage = fleet.add_server("s1", "stage").await;
+        let limited = fleet.add_server("x1", pool).await;
+        let other = fleet.add_server("x2", pool).await;
+        limited.set_limited(true);
+        other.set_limited(true);
+        // Both servers name their limits before requests are counted.
+        fleet
+            .call_for(path, Duration::from_millis(100), Duration::from_secs(1))
+            .await;
+        let (start, before) = (Instant::now(), stage.count_since(Instant::now() - WINDOW));
+        let time = CONTACT_TIME + WINDOW;
+        let responses = fleet.call_for(path, Duration::from_millis(50), time).await;
+        let (served, rejected): (Vec<_>, Vec<_>) = responses
+            .iter()
+            .partition(|(response, _)| response.status == 200);
+        let arrived = limited.count_since(start) + other.count_since(start);
+        assert_eq!(arrived, served.len(), "{path}: a rejected request has run");
+        assert!(rejected.len() > served.len(), "{path}: the load is too low");
+        for (response, took) in rejected {
+            assert_eq!(response.status, 503, "{path}: {response:?}");
+            let retry_after = response.retry_after.unwrap();
+            assert!((0.1..=2.5).contains(&retry_after), "{path}: {retry_after}");
+            assert!(*took < Duration::from_millis(400), "{path}: {took:?}");
+        }
+        for server in [&limited, &other] {
+            check_arrivals(server, start, start + time);
+        }
+        if pool == "model" {
+            // Two calls for pieces per request at most, and releases of results.
+            let calls = stage.count_since(start - WINDOW) - before;
+            assert!(
+                calls <= 5 * served.len(),
+                "stages ran for rejected requests"
+            );
+        }
+    }
+}
+
+/// Every host sends to the server again as soon as one has seen a response without a limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_keep_to_a_limit_that_has_ended() {
+    let fleet = HostFleet::start("limit-ends", HOSTS).await;
+    let limited = fleet.add_server("p1", "plain").await;
+    let _free = fleet.add_server("p2", "plain").await;
+    limited.set_limited(true);
+    let interval = Duration::from_millis(40);
+    fleet.call_for("/pay/ok", interval, CONTACT_TIME).await;
+    limited.set_limited(false);
+    // The next request within the limit, and the time in which the other hosts learn of its end.
+    fleet
+        .call_for("/pay/ok", interval, Duration::from_secs(2))
+        .await;
+    let start = Instant::now();
+    fleet
+        .call_for("/pay/ok", interval, Duration::from_secs(2))
+        .await;
+    let count = limited.count_since(start);
+    assert!(count >= 12, "{count} of about 25 requests in 2 s");
+}
+
+/// A host that starts while a limit is in force has not seen a response that names it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_that_joins_exceeds_a_limit_named_before() {
+    let mut fleet = HostFleet::start("limit-joins", 2).await;
+    let limited = fleet.add_server("p1", "plain").await;
+    let free = fleet.add_server("p2", "plain").await;
+    limited.set_limited(true);
+    fleet
+        .call_for("/pay/ok", Duration::from_millis(40), CONTACT_TIME)
+        .await;
+    // The new host sends many requests before the first response.
+    for server in [&limited, &free] {
+        server.set_response_time(Duration::from_millis(300));
+    }
+    fleet.add_host().await;
+    sleep(Duration::from_millis(1000)).await;
+    let start = Instant::now();
+    fleet.callers.drain(..2);
+    fleet
+        .call_for(
+            "/pay/ok",
+            Duration::from_millis(15),
+            Duration::from_millis(150),
+        )
+        .await;
+    let count = limited.count_since(start);
+    assert!(
+        count <= 3,
+        "{count} requests in 0.2 s from a host that joined"
+    );
+}
+
+/// The host with the duty to grant permits accepts connections and never answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn server_with_a_limit_gets_no_work_while_a_host_is_silent() {
+    let fleet = HostFleet::start("limit-silent", 2).await;
+    let limited = fleet.add_server("p1", "plain").await;
+    let _free = fleet.add_server("p2", "plain").await;
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = silent.local_addr().unwrap();
+    let entry = peer_host::encode_heavy_host("front-z-1", address);
+    fleet.store.set_host("front-z-1", &entry);
+    sleep(Duration::from_millis(1500)).await;
+    limited.set_limited(true);
+    let start = Instant::now() + CONTACT_TIME;
+    let responses = fleet
+        .call_for(
+            "/pay/ok",
+            Duration::from_millis(40),
+            CONTACT_TIME + WINDOW * 2,
+        )
+        .await;
+    for (response, took) in &responses {
+        assert_eq!(response.status, 200, "{response:?}");
+        assert!(*took < Duration::from_millis(600), "{took:?}");
+    }
+    check_arrivals(&limited, start, Instant::now());
+}
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -14,6 +14,8 @@
     pub path: String,
     /// The request line and headers in lower case.
     head: String,
+    /// The body of the request.
+    pub body: String,
     /// The index of the request on its connection, starting at 0.
     pub index: usize,
     /// The `host` header: the address by which the gateway knows this server.
@@ -94,6 +96,7 @@
     let mut request = RawRequest {
         path,
         head: head.to_lowercase(),
+        body: String::new(),
         index,
         authority: String::new(),
     };
@@ -101,6 +104,7 @@
     let length: usize = request.header("content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
+    request.body = String::from_utf8(body).ok()?;
     Some(request)
 }
 
