Take no share of the retry slack before the other hosts are known

Seen in a test only: nine hosts that restart at once and know only themselves for a second repeat 522 sends where 58 are allowed (budget-slack), since each takes the whole slack. Callers would see retries multiply while servers are in trouble, just after a restart.

Cause: the share is the slack divided by the known hosts, and a host that has just started knows one.

A host takes no slack until it knows another host or a listing of the hosts' rows; the ratio of its own requests is not affected. The test hosts_that_start_together_exceed_the_common_retry_budget failed before (522) and passes now.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -470,14 +470,15 @@
         self.with_budget(pool, RetryBudget::has_repeat)
     }
 
-    /// Calls a function with the retry budget of a pool, the time and the number of known hosts.
+    /// Calls a function with the retry budget of a pool, the time and the number of hosts that share
+    /// the budget.
     fn with_budget<T>(
         &self,
         pool: &PoolId,
-        act: impl FnOnce(&mut RetryBudget, MonoTime, usize) -> T,
+        act: impl FnOnce(&mut RetryBudget, MonoTime, Option<usize>) -> T,
     ) -> T {
         let now = self.now();
-        let hosts = self.hosts.borrow().known_count();
+        let hosts = self.hosts.borrow().sharing_count();
         let settings = self.settings();
         let bounds = &settings.bounds;
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/hollywheel-serving/src/budget.rs
+++ b/crates/hollywheel-serving/src/budget.rs
@@ -19,7 +19,8 @@
 /// Limits the repeated sends (retries and hedges) to one pool over a sliding window.
 ///
 /// Every host may repeat a fixed ratio of its own requests plus an equal share of the slack, so
-/// the sum over all hosts stays within the common bound without any messages between them.
+/// the sum over all hosts stays within the common bound without any messages between them. A host
+/// that does not know yet how many share the slack takes none of it.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
@@ -47,7 +48,7 @@
 
     /// Spends one repeated send if this host's share of the budget allows it; returns whether it
     /// does.
-    pub fn take_repeat(&mut self, now: MonoTime, hosts: usize) -> bool {
+    pub fn take_repeat(&mut self, now: MonoTime, hosts: Option<usize>) -> bool {
         let allowed = self.has_repeat(now, hosts);
         if allowed {
             self.current_part(now).repeats += 1;
@@ -56,7 +57,7 @@
     }
 
     /// Returns whether this host's share of the budget allows another repeated send.
-    pub fn has_repeat(&mut self, now: MonoTime, hosts: usize) -> bool {
+    pub fn has_repeat(&mut self, now: MonoTime, hosts: Option<usize>) -> bool {
         let newest_number = self.current_part(now).number;
         // Some requests of the oldest part may be outside the window, so none of them counts; its
         // repeats all count, which keeps the result within the bound.
@@ -66,7 +67,7 @@
             .filter(|part| part.number + u64::from(WINDOW_PARTS) > newest_number);
         let requests: u32 = parts_in_window.map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let slack = self.slack / hosts.max(1) as f64;
+        let slack = hosts.map_or(0.0, |hosts| self.slack / hosts.max(1) as f64);
         let bound = self.ratio * f64::from(requests) + slack;
         f64::from(repeats + 1) <= bound
     }
--- a/crates/hollywheel-serving/src/hosts.rs
+++ b/crates/hollywheel-serving/src/hosts.rs
@@ -232,6 +232,13 @@
         self.records().count()
     }
 
+    /// Returns the number of hosts that share a common bound, including this one; none while this
+    /// host has just started and knows neither another host nor a listing of the rows.
+    pub fn sharing_count(&self) -> Option<usize> {
+        let count = self.known_count();
+        (count > 1 || self.listed != NO_ROW).then_some(count)
+    }
+
     /// Lists the live hosts in the order of succession for a duty; the first one has it. Hosts are
     /// favoured in proportion to their weight, and if they are in the duty's failure domain.
     pub fn duty_order(
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    EventSplitter, PipelineRoute, PoolSettings, PoolWeight, PoolWork, RequestKind, RetryBudget,
-    ServingSet, StageGraph, StageInput, StageStep,
+    EventSplitter, HostRecord, HostTable, PipelineRoute, PoolSettings, PoolWeight, PoolWork,
+    RequestKind, RetryBudget, ServingSet, StageGraph, StageInput, StageStep, StoreEra, StorePlace,
 };
 use hollywheel_types::{ConfigVersion, MonoTime, SortedMap};
 
@@ -187,12 +187,50 @@
         if millis % 10 == 0 {
             budget.count_request(now);
         }
-        sent += u32::from(budget.take_repeat(now, HOSTS));
+        sent += u32::from(budget.take_repeat(now, Some(HOSTS)));
     }
     assert!(sent <= 200 + 58, "{sent} repeats for 1000 requests");
     assert!(sent > 200, "{sent} repeats for 1000 requests");
 }
 
+/// All hosts restart at once and find each other a second later; until then each knows only itself.
+#[test]
+fn hosts_that_start_together_exceed_the_common_retry_budget() {
+    const HOSTS: u64 = 9;
+    let records: Vec<HostRecord> = (0..HOSTS)
+        .map(|number| HostRecord {
+            name: format!("h{number}").parse().unwrap(),
+            address: "10.0.0.1:7000".parse().unwrap(),
+            domain: "a".parse().unwrap(),
+            incarnation: 1,
+            weight: 1,
+        })
+        .collect();
+    let place = StorePlace {
+        era: StoreEra(1),
+        revision: 1,
+    };
+    let mut sent = 0;
+    for own in &records {
+        let mut table = HostTable::new(own.clone());
+        let mut budget = RetryBudget::new(0.2, 58.0, Duration::from_secs(10));
+        for millis in 0..10_000 {
+            if millis == 1000 {
+                for record in &records {
+                    table.upsert(record.clone(), place);
+                }
+            }
+            let now = MonoTime::from_millis(millis);
+            sent += u32::from(budget.take_repeat(now, table.sharing_count()));
+        }
+    }
+    assert!(sent <= 58, "{sent} repeats without requests, allowed 58");
+    assert!(
+        sent >= 40,
+        "{sent} repeats, 58 allowed: hosts never use the slack"
+    );
+}
+
 /// Servers reject requests for half a minute, and every host repeats sends as often as its budget
 /// allows.
 #[test]
@@ -210,7 +248,7 @@
             budget.count_request(now);
             requests.push(millis);
         }
-        if budget.take_repeat(now, HOSTS) {
+        if budget.take_repeat(now, Some(HOSTS)) {
             repeats.push(millis);
         }
     }
