--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -38,8 +38,13 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// The longest wait for a place of a server if no other server of the pool takes the request.
 const PLACE_PATIENCE: Duration = Duration::from_millis(150);
-/// Number of servers with a limit that are asked for in turn before one without a limit is chosen.
-const MAX_REQUESTS: usize = 4;
+/// Number of servers with a limit for which a request asks for permits in turn.
+const MAX_PERMIT_REQUESTS: usize = 4;
+
+/// The permit for a server without a limit.
+const PERMITTED: PermitVerdict = PermitVerdict::Granted {
+    wait: Duration::ZERO,
+};
 
 /// Applies what a response to a request sent at `sent_at` says about its server's limit, and tells
 /// other hosts if that is news.
@@ -89,11 +94,11 @@
     }
 }
 
-/// Returns the host that grants the permits for a server.
+/// Returns the other host that grants the permits for a server; none if this host does.
 fn permit_host(host: &Host, server: &ServerId) -> Option<HostRecord> {
     let hosts = host.hosts.borrow();
-    let holder = hosts.duty_holder(host.now(), &format!("limit/{server}"));
-    holder.cloned()
+    let holder = hosts.duty_holder(host.now(), &format!("limit/{server}"))?;
+    (holder.name != *hosts.own()).then(|| holder.clone())
 }
 
 /// Takes a permit to send one request to a server; granted at once if the server names no limit.
@@ -102,56 +107,49 @@
     server: &ServerId,
     patience: Duration,
 ) -> PermitVerdict {
+    let wait = host.limits.borrow().place_wait(host.now(), server);
+    let Some(wait) = wait else {
+        return PERMITTED;
+    };
+    if wait > patience {
+        return PermitVerdict::Denied { wait };
+    }
+    let verdict = obtain_permit(host, server, patience).await;
+    let next_place = match verdict {
+        PermitVerdict::Granted { .. } => host.now(),
+        PermitVerdict::Denied { wait } => host.now() + wait,
+    };
+    host.limits.borrow_mut().note_next_place(server, next_place);
+    verdict
+}
+
+/// Takes a permit from the host that grants those for a server, which may be this one.
+async fn obtain_permit(host: &Host, server: &ServerId, patience: Duration) -> PermitVerdict {
     loop {
-        let Some(notice) = host.limits.borrow().notice(server) else {
-            return PermitVerdict::Granted {
-                wait: Duration::ZERO,
-            };
-        };
-        let Some(rate) = notice.rate else {
-            return PermitVerdict::Granted {
-                wait: Duration::ZERO,
-            };
+        let notice = host.limits.borrow().notice(server);
+        let Some((notice, rate)) = notice.and_then(|notice| Some((notice, notice.rate?))) else {
+            return PERMITTED;
         };
         let now = host.now();
-        let wait = host.limits.borrow().place_wait(now, server);
-        if let Some(wait) = wait.filter(|wait| *wait > patience) {
-            return PermitVerdict::Denied { wait };
-        }
-        let own = host.hosts.borrow().own().clone();
-        let granting = permit_host(host, server).filter(|granting| granting.name != own);
-        let verdict = match granting {
-            None => host.permits.borrow_mut().take(now, server, rate, patience),
-            Some(granting) => {
-                host.limits
-                    .borrow_mut()
-                    .note_next_place(server, now + REQUEST_SPACING);
-                match request_permit(host, &granting, server, notice, patience, false).await {
-                    Ok(reply) => decode_reply(host, &granting, &reply),
-                    Err(PeerFailure::Leaving) => {
-                        host.mark_host_leaving(&granting.name);
-                        host.limits.borrow_mut().note_next_place(server, now);
-                        continue;
-                    }
-                    // A host of an earlier software version grants no permits.
-                    Err(PeerFailure::Refused) => {
-                        host.permits.borrow_mut().take(now, server, rate, patience)
-                    }
-                    Err(failure) => {
-                        host.mark_unreachable(&granting.name, "limit", failure.name());
-                        PermitVerdict::Denied {
-                            wait: FAILURE_PAUSE,
-                        }
-                    }
-                }
-            }
+        let take_own = || host.permits.borrow_mut().take(now, server, rate, patience);
+        let Some(granting) = permit_host(host, server) else {
+            return take_own();
         };
-        let next_place = match verdict {
-            PermitVerdict::Granted { .. } => host.now(),
-            PermitVerdict::Denied { wait } => host.now() + wait,
-        };
-        host.limits.borrow_mut().note_next_place(server, next_place);
-        return verdict;
+        let spacing = now + REQUEST_SPACING;
+        host.limits.borrow_mut().note_next_place(server, spacing);
+        match request_permit(host, &granting, server, notice, patience, false).await {
+            Ok(reply) => return decode_reply(host, &granting, &reply),
+            // Another host grants the permits from now on.
+            Err(PeerFailure::Leaving) => host.mark_host_leaving(&granting.name),
+            // A host of an earlier software version grants no permits.
+            Err(PeerFailure::Refused) => return take_own(),
+            Err(failure) => {
+                host.mark_unreachable(&granting.name, "limit", failure.name());
+                return PermitVerdict::Denied {
+                    wait: FAILURE_PAUSE,
+                };
+            }
+        }
     }
 }
 
@@ -199,10 +197,9 @@
     let server: ServerId = entry.server.parse().ok()?;
     apply_entry(host, &entry, "permit");
     let patience = Duration::from_micros(request.patience_us);
-    let own = host.hosts.borrow().own().clone();
-    let granting = permit_host(host, &server).filter(|granting| granting.name != own);
     let notice = host.limits.borrow().notice(&server)?;
-    if let Some(granting) = granting.filter(|_| !request.forwarded) {
+    let granting = permit_host(host, &server).filter(|_| !request.forwarded);
+    if let Some(granting) = granting {
         match request_permit(host, &granting, &server, notice, patience, true).await {
             Ok(reply) => return Some(reply.encode_to_vec()),
             Err(PeerFailure::Leaving) => host.mark_host_leaving(&granting.name),
@@ -212,9 +209,7 @@
     let now = host.now();
     let verdict = match notice.rate {
         Some(rate) => host.permits.borrow_mut().take(now, &server, rate, patience),
-        None => PermitVerdict::Granted {
-            wait: Duration::ZERO,
-        },
+        None => PERMITTED,
     };
     let (granted, wait) = match verdict {
         PermitVerdict::Granted { wait } => (true, wait),
@@ -374,7 +369,7 @@
     patience: Duration,
     place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
 ) -> Option<PermittedChoice> {
-    for _ in 0..MAX_REQUESTS {
+    for _ in 0..MAX_PERMIT_REQUESTS {
         let mut servers = host.pool_servers(pool);
         let now = host.now();
         servers.retain(|(server, _)| {
