Let servers name limits in the soak

From seed 300 on servers name limits beside the other faults, and after them servers of three pools are checked against the bound of the users' rule while callers must be served by the others.

--- a/crates/hollywheel-daemon/tests/soak.rs
+++ b/crates/hollywheel-daemon/tests/soak.rs
@@ -25,8 +25,9 @@
 use support::ServerLog;
 use system::play_seed;
 
-/// The seeds of the short run: one without drills of the store and one with them.
-const SHORT_SEEDS: [u64; 2] = [2, 200];
+/// The seeds of the short run: one without drills of the store, one with them, and one with limits of
+/// servers too.
+const SHORT_SEEDS: [u64; 3] = [2, 200, 300];
 
 fn seeds() -> Vec<u64> {
     if let Ok(range) = std::env::var("HOLLYWHEEL_SOAK_SEEDS") {
--- a/crates/hollywheel-daemon/tests/soak/faults.rs
+++ b/crates/hollywheel-daemon/tests/soak/faults.rs
@@ -27,11 +27,17 @@
     NewVersion,
     /// The store is away and comes back from a copy that is some seconds old.
     StoreDrill,
+    /// The server names a limit on its requests.
+    ServerLimit(usize),
 }
 
 /// Seeds from this one on also bring drills of the store; those before keep the faults that they
 /// have failed with.
 const FIRST_DRILL_SEED: u64 = 200;
+/// Seeds from this one on also let servers name limits.
+pub const FIRST_LIMIT_SEED: u64 = 300;
+/// The limit that servers name, in requests per second.
+pub const SERVER_LIMIT: f64 = 2.0;
 /// So many faults begin between two copies of the store.
 const COPY_FAULTS: usize = 5;
 
@@ -44,10 +50,15 @@
     }
 }
 
-fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize, with_drills: bool) -> SoakFault {
+fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize, seed: u64) -> SoakFault {
+    let kinds = match seed {
+        0..FIRST_DRILL_SEED => 12,
+        FIRST_DRILL_SEED..FIRST_LIMIT_SEED => 15,
+        FIRST_LIMIT_SEED.. => 19,
+    };
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
-    match random.random_range(0..if with_drills { 15 } else { 12 }) {
+    match random.random_range(0..kinds) {
         0 | 1 => SoakFault::PauseHost(host),
         2 => SoakFault::KillHost(host),
         3 | 4 => SoakFault::StopHost(host),
@@ -57,7 +68,8 @@
         8 | 9 => SoakFault::ServerLink(server, draw_mode(random)),
         10 => SoakFault::ServerLeaves(server),
         11 => SoakFault::NewVersion,
-        _ => SoakFault::StoreDrill,
+        12..15 => SoakFault::StoreDrill,
+        _ => SoakFault::ServerLimit(server),
     }
 }
 
@@ -75,6 +87,7 @@
         SoakFault::ServerLink(server, mode) => system.servers[server].link.set_mode(mode),
         SoakFault::ServerLeaves(server) => system.announce(server, "draining"),
         SoakFault::NewVersion => system.publish("k1"),
+        SoakFault::ServerLimit(server) => system.set_limit(server, Some(SERVER_LIMIT)),
     }
 }
 
@@ -90,6 +103,7 @@
         }
         SoakFault::ServerLink(server, _) => system.servers[server].link.set_mode(LinkMode::Pass),
         SoakFault::ServerLeaves(server) => system.announce(server, "ready"),
+        SoakFault::ServerLimit(server) => system.set_limit(server, None),
         SoakFault::KillHost(_)
         | SoakFault::StopHost(_)
         | SoakFault::ReloadHost(_)
@@ -119,7 +133,6 @@
 pub async fn bring_faults(system: &mut SoakSystem, seed: u64) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
     let random = &mut random;
-    let with_drills = seed >= FIRST_DRILL_SEED;
     let until = Instant::now() + FAULT_TIME;
     let mut running: Vec<(Instant, SoakFault)> = Vec::new();
     let mut begun = Vec::new();
@@ -129,7 +142,7 @@
             system.store.take_backup();
         }
         let (hosts, servers) = (system.hosts.len(), system.servers.len());
-        let fault = draw_fault(random, hosts, servers, with_drills);
+        let fault = draw_fault(random, hosts, servers, seed);
         println!("  {fault:?}");
         begin(system, fault);
         let length = Duration::from_millis(random.random_range(200..2500));
--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::check::violations;
-use super::faults::bring_faults;
+use super::faults::{FIRST_LIMIT_SEED, SERVER_LIMIT, bring_faults};
 use super::load::{CallBook, CallRecord, CallerEnd, call_once, run_caller};
 use super::process::{GRACE, HostProcess, ProcessEnd};
 use super::proxy::LinkProxy;
@@ -33,6 +33,12 @@
 const SLACK: Duration = Duration::from_millis(500);
 /// Hosts serve again this long after all faults have ended.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// The window in which the users count requests to a server with a limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Hosts keep to a limit this long after it was first named (`contact-ms`).
+const LIMIT_KNOWN: Duration = Duration::from_secs(3);
+/// Interval between two requests while servers name limits.
+const LIMIT_CALL_INTERVAL: Duration = Duration::from_millis(25);
 /// A server stops its work this long after its caller has left.
 const GONE_TIME: Duration = Duration::from_millis(1000);
 
@@ -114,6 +120,11 @@
             .set_server(server.name, server.pool, address, state, born);
     }
 
+    /// Lets a server name a limit on its requests, or no longer.
+    pub fn set_limit(&self, server: usize, limit: Option<f64>) {
+        self.log.set_limit(self.servers[server].name, limit);
+    }
+
     /// Publishes the next version, in which one key is known.
     pub fn publish(&mut self, key: &'static str) {
         self.version += 1;
@@ -213,6 +224,59 @@
         found
     }
 
+    /// Checks that servers of each pool get no more requests from all hosts than they accept, and
+    /// that callers are served by the others.
+    async fn check_limit(&mut self, book: &CallBook) -> Vec<String> {
+        const LIMITED: [usize; 3] = [1, 3, 5];
+        for server in LIMITED {
+            self.set_limit(server, Some(SERVER_LIMIT));
+        }
+        let named = Instant::now();
+        let mut calls = JoinSet::new();
+        let mut number = 0;
+        while named.elapsed() < LIMIT_KNOWN + LIMIT_WINDOW * 2 {
+            let host = number % self.hosts.len();
+            let path = ["/pay/ok", "/draft/ok"][number / self.hosts.len() % 2];
+            let (address, attempt) = (self.hosts[host].callers, format!("limit{number}"));
+            calls.spawn(async move {
+                let end = call_once(address, path, &attempt, "k1").await;
+                CallRecord {
+                    attempt,
+                    path,
+                    host,
+                    end,
+                }
+            });
+            number += 1;
+            sleep(LIMIT_CALL_INTERVAL).await;
+        }
+        let mut found = Vec::new();
+        while let Some(call) = calls.join_next().await {
+            let call = call.unwrap();
+            if !matches!(call.end, CallerEnd::Whole(200, ..)) {
+                found.push(format!("not served beside a server with a limit: {call}"));
+            }
+            book.lock().unwrap().push(call);
+        }
+        let allowed = 1.5 * SERVER_LIMIT * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        for server in LIMITED {
+            let name = self.servers[server].name;
+            let arrivals = self.log.arrivals_since(name, named + LIMIT_KNOWN);
+            let from = |first: &Instant| {
+                let in_window = arrivals
+                    .iter()
+                    .filter(|at| *at >= first && at.duration_since(*first) < LIMIT_WINDOW);
+                in_window.count()
+            };
+            let most = arrivals.iter().map(from).max().unwrap_or(0);
+            if most as f64 > allowed {
+                found.push(format!("{name} got {most} requests, {allowed} are allowed"));
+            }
+            self.set_limit(server, None);
+        }
+        found
+    }
+
     /// Checks that a server that leaves gets nothing new.
     async fn check_leaving(&mut self, book: &CallBook) -> Vec<String> {
         self.announce(0, "draining");
@@ -358,6 +422,9 @@
     }
     found.extend(system.wait_serving(&book, "after").await.err());
     found.extend(system.check_config(&book).await);
+    if seed >= FIRST_LIMIT_SEED {
+        found.extend(system.check_limit(&book).await);
+    }
     found.extend(system.check_leaving(&book).await);
     found.extend(system.check_gone(&book).await);
     found.extend(system.check_stop(seed, &book).await);
--- a/crates/hollywheel-gateway/tests/support/servers.rs
+++ b/crates/hollywheel-gateway/tests/support/servers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -23,6 +23,10 @@
 #[derive(Default)]
 pub struct ServerLog {
     lines: Mutex<Vec<String>>,
+    /// The servers that name a limit on their requests, with the limit in requests per second.
+    limits: Mutex<Vec<(String, f64)>>,
+    /// The servers that received requests, with the time of each one.
+    arrivals: Mutex<Vec<(String, Instant)>>,
 }
 
 impl ServerLog {
@@ -31,6 +35,29 @@
         self.lines.lock().unwrap().push(line);
     }
 
+    /// Lets a server name a limit in its responses, or no longer.
+    pub fn set_limit(&self, server: &str, limit: Option<f64>) {
+        let mut limits = self.limits.lock().unwrap();
+        limits.retain(|(name, _)| name != server);
+        limits.extend(limit.map(|limit| (server.to_owned(), limit)));
+    }
+
+    fn limit(&self, server: &str) -> Option<f64> {
+        let limits = self.limits.lock().unwrap();
+        let named = limits.iter().find(|(name, _)| name == server);
+        named.map(|(_, limit)| *limit)
+    }
+
+    /// Returns when a server received requests, from a time on.
+    pub fn arrivals_since(&self, server: &str, start: Instant) -> Vec<Instant> {
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals
+            .iter()
+            .filter(|(name, at)| name == server && *at >= start)
+            .map(|(_, at)| *at)
+            .collect()
+    }
+
     /// Returns the lines that start with a prefix.
     pub fn lines_with_prefix(&self, prefix: &str) -> Vec<String> {
         let lines = self.lines.lock().unwrap();
@@ -135,6 +162,26 @@
     text_body(format!(r#"{{"items":[{}]}}"#, items.join(",")))
 }
 
+/// Handles one request and adds the limit that the server names to the response.
+async fn respond_with_limit(
+    server: String,
+    address: SocketAddr,
+    log: Arc<ServerLog>,
+    reused: bool,
+    request: Request<Incoming>,
+) -> Result<Response<ServerBody>, std::io::Error> {
+    let arrival = (server.clone(), Instant::now());
+    log.arrivals.lock().unwrap().push(arrival);
+    let responded = respond(server.clone(), address, Arc::clone(&log), reused, request).await;
+    responded.map(|mut response| {
+        if let Some(limit) = log.limit(&server) {
+            let value = limit.to_string().parse().unwrap();
+            response.headers_mut().insert("server-limit", value);
+        }
+        response
+    })
+}
+
 /// Handles one request; `reused` is false for the first one on a connection. An error resets the
 /// connection.
 async fn respond(
@@ -268,7 +315,7 @@
             let reused = AtomicBool::new(false);
             let service = service_fn(move |request| {
                 let reused = reused.swap(true, Ordering::Relaxed);
-                respond(server.clone(), address, Arc::clone(&log), reused, request)
+                respond_with_limit(server.clone(), address, Arc::clone(&log), reused, request)
             });
             tokio::spawn(async move {
                 // An error of the handler resets the connection, as a crash of the server would.
