Check an engine with a reserved permit for a pause before it is used

Seen in a test: an engine that asked for a pause of 3 s got a request 0.1 s later. The request held a permit for it since before its stages ran, and only the engine's entry was checked when they had ended. Callers see nothing; the engine gets work that it has turned away.

Class of fault: a decision that was taken before a wait is used after it without looking again. The same holds for the wait for a place, which now checks the pause as well.

reserved_engine_gets_a_request_in_its_pause failed before (200 instead of 503) and passes now.

--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -20,6 +20,7 @@
 use crate::host::Host;
 use crate::peer_client::{LIMITS_PATH, PERMIT_PATH, PeerFailure};
 use crate::peer_server::micros;
+use crate::stage_client::unpaused_server;
 
 /// Time-out of a request for a permit, which a live host answers within milliseconds.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -383,8 +384,8 @@
             if !wait.is_zero() {
                 tokio::time::sleep(wait).await;
             }
-            let mut usable = host.pool_servers(pool).into_iter();
-            if let Some((server, record)) = usable.find(|(name, _)| *name == server) {
+            // The server may have left or asked for a pause in the meantime.
+            if let Some(record) = unpaused_server(host, &server) {
                 return Some(PermittedChoice::Server(server, record));
             }
         } else {
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -26,6 +26,12 @@
     registry.usable(host.now(), server).cloned()
 }
 
+/// Returns the record of a server if requests may be sent to it now and it has not asked for a pause.
+pub(crate) fn unpaused_server(host: &Host, server: &ServerId) -> Option<ServerRecord> {
+    let pause = host.loads.borrow().pause_left(host.now(), server);
+    usable_server(host, server).filter(|_| pause.is_none())
+}
+
 /// Sends a batched call to a stage server and reads the result of each piece.
 pub(crate) async fn send_call(
     host: &Host,
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -25,7 +25,7 @@
     AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, send_attempt,
 };
 use crate::server_limits::{PermittedChoice, choose_permitted};
-use crate::stage_client::usable_server;
+use crate::stage_client::unpaused_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
 
@@ -406,7 +406,7 @@
     /// Chooses an engine of the pool for the final call; fails if none has capacity.
     async fn choose_server(&mut self) -> Result<(ServerId, ServerRecord), OpenFailure> {
         if let Some(server) = self.reserved.take()
-            && let Some(record) = usable_server(&self.host, &server)
+            && let Some(record) = unpaused_server(&self.host, &server)
         {
             return Ok((server, record));
         }
--- a/crates/hollywheel-gateway/tests/server_limit.rs
+++ b/crates/hollywheel-gateway/tests/server_limit.rs
@@ -26,8 +26,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Requests that the users' rule allows in one window: one and a half times the limit and 5 more.
 const ALLOWED: f64 = 1.5 * LIMIT * 4.0 + 5.0;
-/// Duration of a call for pieces, as in the configuration.
-const STAGE_CALL_TIME: Duration = Duration::from_millis(22);
+/// Duration of a call for pieces in milliseconds, as in the configuration.
+const STAGE_CALL_MILLIS: u64 = 22;
 /// Number of hosts, as in the smaller deployments.
 const HOSTS: usize = 9;
 
@@ -37,6 +37,8 @@
     limited: Arc<AtomicBool>,
     /// Time until a response other than to a call for pieces, in milliseconds.
     response_time: Arc<AtomicU64>,
+    /// Duration of a call for pieces, in milliseconds.
+    stage_time: Arc<AtomicU64>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
@@ -64,7 +66,8 @@
         let limited = Arc::new(AtomicBool::new(false));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let response_time = Arc::new(AtomicU64::new(0));
-        let response_millis = Arc::clone(&response_time);
+        let stage_time = Arc::new(AtomicU64::new(STAGE_CALL_MILLIS));
+        let (response_millis, stage_millis) = (Arc::clone(&response_time), Arc::clone(&stage_time));
         let (is_limited, log) = (Arc::clone(&limited), Arc::clone(&arrivals));
         let (address, _) = serve_raw(move |request| {
             let number = {
@@ -78,9 +81,10 @@
             };
             let body = respond_to(request, number);
             let pause = match request.path.as_str() {
-                "/stage-run" => STAGE_CALL_TIME,
-                _ => Duration::from_millis(response_millis.load(Ordering::Relaxed)),
+                "/stage-run" => stage_millis.load(Ordering::Relaxed),
+                _ => response_millis.load(Ordering::Relaxed),
             };
+            let pause = Duration::from_millis(pause);
             let response = request.response("200 OK", &header, &body);
             vec![RawStep::Pause(pause), RawStep::Send(response)]
         })
@@ -89,10 +93,16 @@
             address,
             limited,
             response_time,
+            stage_time,
             arrivals,
         }
     }
 
+    fn set_stage_time(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap();
+        self.stage_time.store(millis, Ordering::Relaxed);
+    }
+
     fn set_response_time(&self, time: Duration) {
         let millis = u64::try_from(time.as_millis()).unwrap();
         self.response_time.store(millis, Ordering::Relaxed);
@@ -386,3 +396,37 @@
     }
     check_arrivals(&limited, start, Instant::now());
 }
+
+/// The engine asks for a pause while the stages of a request run that holds a permit for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reserved_engine_gets_a_request_in_its_pause() {
+    let fleet = HostFleet::start("limit-pause", 1).await;
+    let stage = fleet.add_server("s1", "stage").await;
+    let (address, engine_log) = serve_raw(|request| {
+        let body = "id: 1\ndata: a\n\n";
+        let response = match request.header("attempt-id").as_str() {
+            "b" => {
+                let extra = "not-executed: 1\r\nretry-after: 3\r\nserver-limit: 20\r\n";
+                request.response("503 Service Unavailable", extra, "")
+            }
+            _ => request.response("200 OK", "server-limit: 20\r\n", body),
+        };
+        vec![RawStep::Send(response)]
+    })
+    .await;
+    fleet.store.set_server("m1", "model", address, "ready", 1);
+    sleep(Duration::from_millis(900)).await;
+    let host = fleet.callers[0];
+    let first = send(host, request("POST", "/draft/ok", "f", "k1")).await;
+    assert_eq!(first.unwrap().status, 200);
+    sleep(Duration::from_millis(100)).await;
+    stage.set_stage_time(Duration::from_millis(150));
+    let waiting = tokio::spawn(send(host, request("POST", "/draft/ok", "a", "k1")));
+    sleep(Duration::from_millis(120)).await;
+    let mut without_stages = request("POST", "/draft/ok", "b", "k1");
+    let pieces = "0,0".parse().unwrap();
+    without_stages.headers_mut().insert("pieces", pieces);
+    assert_eq!(send(host, without_stages).await.unwrap().status, 503);
+    assert_eq!(waiting.await.unwrap().unwrap().status, 503);
+    assert_eq!(engine_log.paths().len(), 2, "{:?}", engine_log.paths());
+}
--- a/crates/hollywheel-serving/src/server_limit/ledger.rs
+++ b/crates/hollywheel-serving/src/server_limit/ledger.rs
@@ -42,7 +42,7 @@
         Self::default()
     }
 
-    /// Takes the next place of a server if it is free within `patience`, of which [`MAX_PATIENCE`]
+    /// Takes the next place of a server if it is free within `patience`, of which `MAX_PATIENCE`
     /// counts at most.
     ///
     /// The first place of an unknown server is free after one interval: its limit was just named,
--- a/crates/hollywheel-serving/src/server_limit/table.rs
+++ b/crates/hollywheel-serving/src/server_limit/table.rs
@@ -184,7 +184,7 @@
     }
 
     /// Returns the time until the first place of a server that no rejected caller was told, or
-    /// [`MAX_ANNOUNCED_WAIT`] if that is shorter; none if the server has no limit.
+    /// `MAX_ANNOUNCED_WAIT` if that is shorter; none if the server has no limit.
     pub fn announced_wait(&self, now: MonoTime, server: &ServerId) -> Option<Duration> {
         let entry = self.entries.get(server)?;
         let place = entry.announced_place.max(entry.next_place);
