Log the answers that are discarded before they have arrived

The logs of the late configurations show calls that timed out, but not whether anything of their answers had arrived, nor how large the document was, so an answer that is too large for its time-out cannot be told from a host that is silent. HW7119 gives the bytes that were discarded, HW7103 the size of the document; hollywheel_discarded_bytes_total and hollywheel_config_bytes count both. No decision changes.

Test: events_page_contains_the_catalogue passed.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -38,7 +38,7 @@
     ReadyChanged, "HW7006", "The readiness of the host has changed.", "ready, reason";
     DependencyLost, "HW7101", "A dependency does not answer.", "dependency, detail, age_ms";
     DependencyRecovered, "HW7102", "A dependency answers again.", "dependency, away_ms";
-    ConfigInForce, "HW7103", "A configuration version has become active.", "version, before, source, pipelines, pools";
+    ConfigInForce, "HW7103", "A configuration version has become active.", "version, before, source, pipelines, pools, bytes";
     ConfigInvalid, "HW7104", "A configuration is invalid; the previous one stays active.", "source, detail";
     ServerChanged, "HW7105", "The state of a backend server has changed.", "server, place, state, pool, source";
     EntryInvalid, "HW7106", "The store entry of a backend server is invalid and is ignored.", "server, place, detail";
@@ -54,6 +54,7 @@
     HostLeaving, "HW7116", "Another host is shutting down; this host selects it for no further work.", "host";
     ServerLimited, "HW7117", "A backend server named a limit on the requests that it accepts from all hosts together.", "server, limit, before, source";
     ServerLimitEnded, "HW7118", "A backend server no longer names a limit on its requests.", "server, before, lasted_ms, source";
+    AnswerDiscarded, "HW7119", "An answer of the store or of another host was discarded before it had arrived completely.", "source, bytes, waited_ms";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -22,7 +22,7 @@
 
 use crate::host::Host;
 use crate::log::{log_line, millis};
-use crate::peer_client::FOLLOW_PATH;
+use crate::peer_client::{FOLLOW_PATH, PeerFailure};
 use crate::peer_server::micros;
 use crate::server_limits::{apply_entry, encode_limit};
 use crate::store_feed::{decode_host, encode_host, host_place};
@@ -213,6 +213,9 @@
             FollowReply::decode(reply).ok()
         }
         Err(failure) => {
+            if let PeerFailure::TimedOut { received } = failure {
+                host.log_discarded(source.name.as_str(), received, limit);
+            }
             host.mark_unreachable(&source.name, "follow", failure.name());
             None
         }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -211,11 +211,15 @@
             before,
             source,
             pipelines = set.pipelines.len(),
-            pools = set.pools.len()
+            pools = set.pools.len(),
+            bytes = document.len()
         );
         self.metrics
             .config_version
             .set(i64::try_from(set.version.0).unwrap_or(i64::MAX));
+        self.metrics
+            .config_bytes
+            .set(i64::try_from(document.len()).unwrap_or(i64::MAX));
         let is_known = |name: &PipelineId| set.pipelines.iter().any(|known| known.name == *name);
         self.patience.borrow_mut().retain(is_known);
         self.forecast.borrow_mut().retain(is_known);
@@ -537,6 +541,17 @@
         }
     }
 
+    /// Logs and counts the part of an answer that had arrived when its call was given up after
+    /// `waited`.
+    pub(crate) fn log_discarded(&self, source: &str, bytes: usize, waited: Duration) {
+        if bytes == 0 {
+            return;
+        }
+        self.metrics.discarded_bytes.inc_by(bytes as u64);
+        let waited_ms = millis(waited);
+        log_line!(self, warn, AnswerDiscarded, source, bytes, waited_ms);
+    }
+
     /// Returns a pseudo-random number, different for each call and host.
     pub(crate) fn next_tie_breaker(&self) -> u64 {
         /// Step of a 64-bit Weyl sequence: 2^64 divided by the golden ratio, which spreads the
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -1,6 +1,9 @@
 //! Reads bodies up to a size limit, to bound the memory that a peer can make this process use.
 
-use bytes::Bytes;
+use std::cell::Cell;
+use std::pin::pin;
+
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 
@@ -49,3 +52,33 @@
         Err(_) => Err(BodyFailure::Broken),
     }
 }
+
+/// Reads a body completely, and counts the bytes that have arrived so that they are known if the
+/// future is dropped before the end.
+///
+/// # Errors
+///
+/// Returns [`BodyFailure`] if the body exceeds `limit` bytes or is truncated.
+pub(crate) async fn collect_counted<B>(
+    body: B,
+    limit: usize,
+    received: &Cell<usize>,
+) -> Result<Bytes, BodyFailure>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
+    let mut body = pin!(body);
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.as_mut().frame().await {
+        let frame = frame.map_err(|_| BodyFailure::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        received.set(received.get() + data.len());
+        if received.get() > limit {
+            return Err(BodyFailure::TooLarge);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
     pub(crate) store_calls: Counter,
+    pub(crate) discarded_bytes: Counter,
+    pub(crate) config_bytes: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
     known_names: std::cell::RefCell<Vec<String>>,
@@ -67,6 +69,8 @@
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
             store_calls: Counter::default(),
+            discarded_bytes: Counter::default(),
+            config_bytes: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
             known_names: std::cell::RefCell::default(),
@@ -132,6 +136,16 @@
             "Calls of the platform's store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "hollywheel_discarded_bytes",
+            "Bytes of answers of the store and of other hosts that were discarded before the rest arrived",
+            self.discarded_bytes.clone(),
+        );
+        registry.register(
+            "hollywheel_config_bytes",
+            "Size of the document of the configuration in force",
+            self.config_bytes.clone(),
+        );
         registry.register(
             "hollywheel_config_version",
             "Version of the configuration in force",
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -1,7 +1,7 @@
 //! Client side of calls between hosts: HTTP/2 without TLS, one connection per host, opened when
 //! needed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use hollywheel_types::{HostId, SortedMap};
 
 use crate::connect::connect;
-use crate::limited_body::{DOCUMENT_LIMIT, collect_body};
+use crate::limited_body::{DOCUMENT_LIMIT, collect_counted};
 
 /// Path for a group of pieces that the called host coordinates.
 pub(crate) const PIECES_PATH: &str = "/pieces";
@@ -45,7 +45,10 @@
     /// The connection failed during the call.
     Broken,
     /// The call timed out.
-    TimedOut,
+    TimedOut {
+        /// Bytes of the answer's body that had arrived.
+        received: usize,
+    },
     /// The host is shutting down and coordinates no more work.
     Leaving,
     /// The host rejected the call as invalid.
@@ -57,7 +60,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::Broken => "connection failed",
-            Self::TimedOut => "timed out",
+            Self::TimedOut { .. } => "timed out",
             Self::Leaving => "leaving",
             Self::Refused => "refused",
         }
@@ -104,6 +107,7 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Bytes, PeerFailure> {
+        let received = Cell::new(0);
         let call = async {
             let mut sender = self.sender(peer).await?;
             let request = Request::builder()
@@ -118,12 +122,15 @@
                 StatusCode::SERVICE_UNAVAILABLE => return Err(PeerFailure::Leaving),
                 _ => return Err(PeerFailure::Refused),
             }
-            let body = collect_body(answer.into_body(), DOCUMENT_LIMIT).await;
+            let body = collect_counted(answer.into_body(), DOCUMENT_LIMIT, &received).await;
             body.map_err(|_| PeerFailure::Broken)
         };
-        timeout(limit, call)
-            .await
-            .unwrap_or(Err(PeerFailure::TimedOut))
+        let answered = timeout(limit, call).await;
+        answered.unwrap_or_else(|_| {
+            Err(PeerFailure::TimedOut {
+                received: received.get(),
+            })
+        })
     }
 
     /// Returns a sender on the open connection to a host, or on a new one.
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform's store.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 
 use crate::connect::connect;
 use crate::host::Host;
-use crate::limited_body::{DOCUMENT_LIMIT, collect_body};
+use crate::limited_body::{DOCUMENT_LIMIT, collect_counted};
 
 /// Time-out of connecting; the store accepts a connection within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -87,17 +88,24 @@
         limit: Duration,
     ) -> Result<StoreRows, StoreFailure> {
         self.host.metrics.store_calls.inc();
-        let answered = timeout(limit, self.exchange(call)).await;
-        let answered =
-            answered.unwrap_or_else(|_| Err(unknown("the store did not answer in time")));
+        let received = Cell::new(0);
+        let answered = timeout(limit, self.exchange(call, &received)).await;
+        let answered = answered.unwrap_or_else(|_| {
+            self.host.log_discarded("store", received.get(), limit);
+            Err(unknown("the store did not answer in time"))
+        });
         if matches!(answered, Err(StoreFailure::Unknown { .. })) {
             self.sender = None;
         }
         answered
     }
 
-    /// Sends a call and reads its answer.
-    async fn exchange(&mut self, call: &StoreCall) -> Result<StoreRows, StoreFailure> {
+    /// Sends a call and reads its answer; counts the bytes of the answer's body in `received`.
+    async fn exchange(
+        &mut self,
+        call: &StoreCall,
+        received: &Cell<usize>,
+    ) -> Result<StoreRows, StoreFailure> {
         let (method, path, body) = hollywheel_adapter::encode_store_call(call).map_err(refused)?;
         let request = Request::builder()
             .method(method)
@@ -110,7 +118,7 @@
         let answer = sender.send_request(request).await.map_err(unknown)?;
         let status = answer.status();
         let era = hollywheel_adapter::decode_store_era(answer.headers()).map_err(unknown)?;
-        let body = collect_body(answer.into_body(), DOCUMENT_LIMIT).await;
+        let body = collect_counted(answer.into_body(), DOCUMENT_LIMIT, received).await;
         let body = body.map_err(|failure| unknown(failure.name()))?;
         if !self.host.observe_era(era, "store") {
             return Err(unknown(format!(
