--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -127,9 +127,14 @@
 
 /// Starts a gateway with the given host name on a thread of this process.
 pub fn start_named_gateway(name: &str, host: &str, addresses: &HostAddresses) {
+    start_gateway_with(name, host, &settings(host, addresses));
+}
+
+/// Starts a gateway with the given settings file on a thread of this process.
+pub fn start_gateway_with(name: &str, host: &str, text: &str) {
     let path =
         std::env::temp_dir().join(format!("hollywheel-{name}-{host}-{}", std::process::id()));
-    std::fs::write(&path, settings(host, addresses)).unwrap();
+    std::fs::write(&path, text).unwrap();
     let settings = path.to_str().unwrap().to_owned();
     std::thread::spawn(move || {
         // Port 0 could resolve to a port that `free_address` returned and nothing listens on yet.
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -39,6 +39,8 @@
     changed: Notify,
     /// Whether every call gets status 503.
     down: Mutex<bool>,
+    /// Whether hosts' writes of their rows are confirmed and have no effect.
+    ignores_hosts: AtomicBool,
 }
 
 /// Encodes bytes in base64 with padding.
@@ -106,6 +108,12 @@
         self.set_row("hosts", host, Some(encode_base64(entry)));
     }
 
+    /// Confirms hosts' writes of their rows without applying them, so that only the rows written by
+    /// [`Self::set_host`] count.
+    pub fn ignore_host_writes(&self) {
+        self.ignores_hosts.store(true, Ordering::SeqCst);
+    }
+
     /// Removes the registration entry of a backend server.
     pub fn remove_server(&self, server: &str) {
         self.set_row("servers", server, None);
@@ -178,6 +186,9 @@
         let Some((written, removed)) = body.split_once("\"remove\":") else {
             return;
         };
+        if self.ignores_hosts.load(Ordering::SeqCst) {
+            return;
+        }
         if let (Some(key), Some(value)) =
             (string_field(written, "key"), string_field(written, "value"))
         {
