Fetch configurations in compressed parts, and bound calls by progress

What callers saw: requests on routes that a configuration had moved, added or removed were served as the version before allowed, or got 404, more than 3 s after the operator's change had been acknowledged.

Cause: the configuration came as part of one answer, and the answer had to arrive completely within 0.9 s (from another host) or 1.1 to 1.5 s (from the store). A document of 1.2 MB takes 1.0 s on a link of 10 Mbit/s, 1.4 s as the store encodes it. What had arrived was discarded, the source was ejected as unreachable, and the transfer started at the next one from the first byte. 81 hosts did so at once, which filled the links of their sources too.

Evidence: all 84 followers report time-outs within 5 ms, 0.9 s after the version exists, then every 0.9 s; hosts on 10 Mbit/s receive 8 MB in 9 s and have nothing; hosts with larger links have the version at once.

Class of fault: a time-out on a whole transfer stands for "the other side does not answer", though its length depends on the size of the answer. Why this works: news of a version and its document are separate. A follower learns of the version with its long poll and fetches the document in compressed parts of 16 KB (1.2 MB become 0.1 MB), keeps what has arrived, and goes on at another host if one fails. Polls and calls of the store must begin to answer in time and may then take as long as they make progress. Ruled out: a longer time-out, which would only move the size at which it fails and delay the detection of a silent host.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -15,11 +15,12 @@
     FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, StoreEra, StorePlace,
     reader_count,
 };
-use hollywheel_types::MonoTime;
+use hollywheel_types::{ConfigVersion, MonoTime};
 use hollywheel_wire::serving::{
     FollowReply, FollowRequest, HostEntry, ServerEntry, StorePlace as PlaceMessage,
 };
 
+use crate::config_fetch::ConfigNotice;
 use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::peer_client::{FOLLOW_PATH, PeerFailure};
@@ -144,7 +145,7 @@
 /// Lists the hosts to try to follow: the readers in an order that differs between hosts, then some
 /// others, which may reach the store when the readers do not. If no other host is known, lists the
 /// seed addresses of the settings.
-fn list_sources(host: &Host, readers: &[HostRecord]) -> Vec<HostRecord> {
+pub(crate) fn list_sources(host: &Host, readers: &[HostRecord]) -> Vec<HostRecord> {
     /// Hosts that are tried when no reader has a fresh view.
     const MAX_FALLBACKS: usize = 3;
     let hosts = host.hosts.borrow();
@@ -201,13 +202,14 @@
         incarnation: cursor.incarnation,
         server_change: cursor.server_change,
         host_change: cursor.host_change,
-        config_version: host.serving_set().map_or(0, |set| set.version.0),
+        config_version: host.config_version().0,
+        fetches_config: true,
         wait_ms: u32::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u32::MAX),
         limit_change: Some(cursor.limit_change),
     };
     let limit = FOLLOW_WAIT + ANSWER_SLACK;
     let body = message.encode_to_vec();
-    match host.peers.call(source, FOLLOW_PATH, body, limit).await {
+    match host.peers.download(source, FOLLOW_PATH, body, limit).await {
         Ok(reply) => {
             host.hosts.borrow_mut().note_answer(&source.name);
             FollowReply::decode(reply).ok()
@@ -241,6 +243,11 @@
     }
     if !reply.config.is_empty() {
         host.install(&reply.config, name);
+    } else if reply.config_version > host.config_version().0 {
+        host.config_notice.send_replace(Some(ConfigNotice {
+            version: ConfigVersion(reply.config_version),
+            source: source.clone(),
+        }));
     }
     let servers = reply.servers.iter().filter_map(decode_server);
     match &reply.servers_place {
@@ -294,7 +301,7 @@
 
 /// Returns whether there is anything that a follower does not know yet.
 fn has_changes(host: &Host, request: &FollowRequest) -> bool {
-    let version = host.serving_set().map_or(0, |set| set.version.0);
+    let version = host.config_version().0;
     request.incarnation != host.incarnation
         || host.view.borrow().age(host.now()).is_none()
         || version > request.config_version
@@ -334,7 +341,12 @@
             })
             .collect(),
         config_version: newer.as_ref().map_or(0, |known| known.set.version.0),
-        config: newer.map(|known| known.document).unwrap_or_default(),
+        // A host of an earlier software version expects the document here.
+        config: newer
+            .filter(|_| !request.fetches_config)
+            .and_then(|known| known.packed.unpack().ok())
+            .map(Bytes::from)
+            .unwrap_or_default(),
         age_us: host.view.borrow().age(now).map(micros),
         store_returned_us: registry.store_returned_at().map(|at| micros(now.since(at))),
         store_era: host.store_era().map(|era| era.0),
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -4,19 +4,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
     FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitTable,
-    LoadTable, PermitLedger, RetryBudget, RetryDetector, RowChange, ServerRecord, ServerRegistry,
-    ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
+    LoadTable, PackedDocument, PermitLedger, RetryBudget, RetryDetector, RowChange, ServerRecord,
+    ServerRegistry, ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
+};
+use hollywheel_types::{
+    ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
 };
-use hollywheel_types::{HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap};
 
 use crate::batch_coordinator::BatchCoordinator;
+use crate::config_fetch::ConfigNotice;
 use crate::connection_pool::ConnectionPool;
 use crate::follow::ReaderRole;
 use crate::log::{LogLimiter, log_line, millis};
@@ -24,11 +26,11 @@
 use crate::peer_client::PeerClient;
 use crate::results::ReleaseQueue;
 
-/// The active configuration and the document that it was read from, which followers get.
+/// The active configuration and the document that it was read from, which other hosts get.
 #[derive(Clone)]
 pub(crate) struct InstalledSet {
     pub(crate) set: Rc<ServingSet>,
-    pub(crate) document: Bytes,
+    pub(crate) packed: Rc<PackedDocument>,
 }
 
 /// State shared by all tasks of the process.
@@ -40,6 +42,8 @@
     pub(crate) log: LogLimiter,
     pub(crate) metrics: HostMetrics,
     installed: RefCell<Option<InstalledSet>>,
+    /// Newer configuration that another host has.
+    pub(crate) config_notice: watch::Sender<Option<ConfigNotice>>,
     pub(crate) registry: RefCell<ServerRegistry>,
     pub(crate) hosts: RefCell<HostTable>,
     /// Freshness of this host's copy of the store.
@@ -113,6 +117,7 @@
             log: LogLimiter::new(clock),
             metrics: HostMetrics::new(),
             installed: RefCell::default(),
+            config_notice: watch::Sender::new(None),
             registry: RefCell::default(),
             hosts: RefCell::new(HostTable::new(own)),
             view: RefCell::default(),
@@ -189,9 +194,28 @@
         self.installed.borrow().clone()
     }
 
+    /// Returns the version of the active configuration; 0 before the first one was read.
+    pub(crate) fn config_version(&self) -> ConfigVersion {
+        self.serving_set()
+            .map_or(ConfigVersion(0), |set| set.version)
+    }
+
     /// Reads a configuration and activates it if it is newer than the active one. An invalid
     /// configuration is logged and ignored.
-    pub(crate) fn install(&self, document: &Bytes, source: &str) {
+    pub(crate) fn install(&self, document: &[u8], source: &str) {
+        self.install_document(document, None, source);
+    }
+
+    /// Activates a configuration that came from another host, as [`Self::install`] does.
+    pub(crate) fn install_packed(&self, packed: PackedDocument, source: &str) {
+        match packed.unpack() {
+            Ok(document) => self.install_document(&document, Some(packed), source),
+            Err(error) => log_line!(self, error, ConfigInvalid, source, detail = %error),
+        }
+    }
+
+    /// Activates a configuration, given as a document and, if known, in its compressed form.
+    fn install_document(&self, document: &[u8], packed: Option<PackedDocument>, source: &str) {
         let set = match hollywheel_adapter::decode_config(document) {
             Ok(set) => set,
             Err(error) => {
@@ -199,7 +223,7 @@
                 return;
             }
         };
-        let before = self.serving_set().map_or(0, |set| set.version.0);
+        let before = self.config_version().0;
         if set.version.0 <= before {
             return;
         }
@@ -223,9 +247,10 @@
         let is_known = |name: &PipelineId| set.pipelines.iter().any(|known| known.name == *name);
         self.patience.borrow_mut().retain(is_known);
         self.forecast.borrow_mut().retain(is_known);
+        let packed = packed.unwrap_or_else(|| PackedDocument::pack(set.version, document));
         *self.installed.borrow_mut() = Some(InstalledSet {
             set: Rc::new(set),
-            document: document.clone(),
+            packed: Rc::new(packed),
         });
         self.view_changed.notify_waiters();
     }
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 mod caller_server;
 mod command;
+mod config_fetch;
 mod connect;
 mod connection_pool;
 mod events;
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
+use tokio::time::timeout;
 
 /// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes;
 /// the smallest supported host (160 MB) can hold thirty answers of this size.
@@ -19,6 +21,10 @@
 /// host, which may contain a configuration and all servers.
 pub(crate) const DOCUMENT_LIMIT: usize = 16 * 1024 * 1024;
 
+/// Time without a byte after which the rest of a body counts as lost. A packet lost on a lossy link is
+/// sent again within some hundred milliseconds.
+pub(crate) const STALL_TIME: Duration = Duration::from_millis(600);
+
 /// Reason why a body was not read completely.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum BodyFailure {
@@ -26,6 +32,8 @@
     TooLarge,
     /// The connection failed or closed before the end of the body.
     Broken,
+    /// Nothing arrived for too long.
+    Stalled,
 }
 
 impl BodyFailure {
@@ -33,6 +41,7 @@
         match self {
             Self::TooLarge => "the body exceeds the size limit",
             Self::Broken => "the body is truncated",
+            Self::Stalled => "the body stopped arriving",
         }
     }
 }
@@ -53,15 +62,16 @@
     }
 }
 
-/// Reads a body completely, and counts the bytes that have arrived so that they are known if the
-/// future is dropped before the end.
+/// Reads a body completely as long as it makes progress: it fails once nothing has arrived for
+/// `stall_time`. Counts the bytes that have arrived, which are known also after a failure.
 ///
 /// # Errors
 ///
-/// Returns [`BodyFailure`] if the body exceeds `limit` bytes or is truncated.
-pub(crate) async fn collect_counted<B>(
+/// Returns [`BodyFailure`] if the body exceeds `limit` bytes, stalls or is truncated.
+pub(crate) async fn collect_steadily<B>(
     body: B,
     limit: usize,
+    stall_time: Duration,
     received: &Cell<usize>,
 ) -> Result<Bytes, BodyFailure>
 where
@@ -69,7 +79,11 @@
 {
     let mut body = pin!(body);
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.as_mut().frame().await {
+    loop {
+        let frame = timeout(stall_time, body.as_mut().frame()).await;
+        let Some(frame) = frame.map_err(|_| BodyFailure::Stalled)? else {
+            return Ok(collected.freeze());
+        };
         let frame = frame.map_err(|_| BodyFailure::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
@@ -80,5 +94,4 @@
         }
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
 }
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::Mutex;
@@ -17,7 +18,9 @@
 use hollywheel_types::{HostId, SortedMap};
 
 use crate::connect::connect;
-use crate::limited_body::{DOCUMENT_LIMIT, collect_counted};
+use crate::limited_body::{
+    BodyFailure, DOCUMENT_LIMIT, STALL_TIME, collect_body, collect_steadily,
+};
 
 /// Path for a group of pieces that the called host coordinates.
 pub(crate) const PIECES_PATH: &str = "/pieces";
@@ -27,6 +30,8 @@
 pub(crate) const PERMIT_PATH: &str = "/permit";
 /// Path for limits that were just named or have ended.
 pub(crate) const LIMITS_PATH: &str = "/limits";
+/// Path for a part of the active configuration.
+pub(crate) const CONFIG_PATH: &str = "/config";
 /// Path for the long poll of a follower for store changes.
 pub(crate) const FOLLOW_PATH: &str = "/follow";
 
@@ -107,32 +112,62 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Bytes, PeerFailure> {
-        let received = Cell::new(0);
         let call = async {
-            let mut sender = self.sender(peer).await?;
-            let request = Request::builder()
-                .method(Method::POST)
-                .uri(format!("http://{}{path}", peer.address))
-                .body(Full::new(Bytes::from(body)))
-                .map_err(|_| PeerFailure::Broken)?;
-            let answer = sender.send_request(request).await;
-            let answer = answer.map_err(|_| PeerFailure::Broken)?;
-            match answer.status() {
-                StatusCode::OK => {}
-                StatusCode::SERVICE_UNAVAILABLE => return Err(PeerFailure::Leaving),
-                _ => return Err(PeerFailure::Refused),
-            }
-            let body = collect_counted(answer.into_body(), DOCUMENT_LIMIT, &received).await;
+            let answer = self.begin(peer, path, body).await?;
+            let body = collect_body(answer, DOCUMENT_LIMIT).await;
             body.map_err(|_| PeerFailure::Broken)
         };
         let answered = timeout(limit, call).await;
-        answered.unwrap_or_else(|_| {
-            Err(PeerFailure::TimedOut {
+        answered.unwrap_or(Err(PeerFailure::TimedOut { received: 0 }))
+    }
+
+    /// Calls another host for an answer whose size is not known. The answer must begin within
+    /// `answer_time`; after that it may take as long as it makes progress.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerFailure`] if the answer does not begin in time, stalls or is truncated.
+    pub(crate) async fn download(
+        &self,
+        peer: &HostRecord,
+        path: &'static str,
+        body: Vec<u8>,
+        answer_time: Duration,
+    ) -> Result<Bytes, PeerFailure> {
+        let begun = timeout(answer_time, self.begin(peer, path, body)).await;
+        let answer = begun.unwrap_or(Err(PeerFailure::TimedOut { received: 0 }))?;
+        let received = Cell::new(0);
+        let body = collect_steadily(answer, DOCUMENT_LIMIT, STALL_TIME, &received).await;
+        body.map_err(|failure| match failure {
+            BodyFailure::Stalled => PeerFailure::TimedOut {
                 received: received.get(),
-            })
+            },
+            BodyFailure::TooLarge | BodyFailure::Broken => PeerFailure::Broken,
         })
     }
 
+    /// Sends a call and returns the body of its answer, which has begun.
+    async fn begin(
+        &self,
+        peer: &HostRecord,
+        path: &'static str,
+        body: Vec<u8>,
+    ) -> Result<Incoming, PeerFailure> {
+        let mut sender = self.sender(peer).await?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", peer.address))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| PeerFailure::Broken)?;
+        let answer = sender.send_request(request).await;
+        let answer = answer.map_err(|_| PeerFailure::Broken)?;
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            StatusCode::SERVICE_UNAVAILABLE => Err(PeerFailure::Leaving),
+            _ => Err(PeerFailure::Refused),
+        }
+    }
+
     /// Returns a sender on the open connection to a host, or on a new one.
     async fn sender(&self, peer: &HostRecord) -> Result<SendRequest<Full<Bytes>>, PeerFailure> {
         let link = {
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -19,12 +19,13 @@
 use hollywheel_wire::serving::{FreeResults, PieceAnswer, PieceEnd, PieceOrder};
 
 use crate::batch_coordinator::{GroupOutcome, PieceGroup};
+use crate::config_fetch::answer_part;
 use crate::connect::accept;
 use crate::follow::answer_follow;
 use crate::host::Host;
 use crate::limited_body::collect_body;
 use crate::peer_client::{
-    FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH, PIECES_PATH,
+    CONFIG_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH, PIECES_PATH,
 };
 use crate::server_limits::{answer_permit, receive_news};
 
@@ -69,6 +70,7 @@
         FREE_PATH => release_results(&host, &body),
         PERMIT_PATH => answer_permit(&host, &body).await,
         LIMITS_PATH => receive_news(&host, &body),
+        CONFIG_PATH => answer_part(&host, &body),
         FOLLOW_PATH => answer_follow(&host, &body).await,
         _ => None,
     };
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -292,5 +292,6 @@
     body.map_err(|failure| match failure {
         BodyFailure::TooLarge => Rejection::TooLarge,
         BodyFailure::Broken => Rejection::BadBody,
+        BodyFailure::Stalled => Rejection::SlowBody,
     })
 }
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::batch_coordinator::run_dispatch_timer;
 use crate::caller_server::serve_callers;
+use crate::config_fetch::fetch_configs;
 use crate::connect::listen;
 use crate::follow::follow_hosts;
 use crate::host::{Host, HostState, StopPhase};
@@ -122,6 +123,7 @@
         }),
         with_host("own-row", |host| Box::pin(maintain_row(host))),
         with_host("follow", |host| Box::pin(follow_hosts(host))),
+        with_host("config", |host| Box::pin(fetch_configs(host))),
         with_host("limits", |host| Box::pin(exchange_limits(host))),
         with_host("batches", |host| Box::pin(run_dispatch_timer(host))),
         with_host("results", |host| Box::pin(flush_release_queue(host))),
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
@@ -15,7 +16,7 @@
 
 use crate::connect::connect;
 use crate::host::Host;
-use crate::limited_body::{DOCUMENT_LIMIT, collect_counted};
+use crate::limited_body::{DOCUMENT_LIMIT, STALL_TIME, collect_steadily};
 
 /// Time-out of connecting; the store accepts a connection within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -77,7 +78,8 @@
         }
     }
 
-    /// Performs a call without retrying it. If its outcome is unknown, closes the connection.
+    /// Performs a call without retrying it. The answer must begin within `answer_time`; after that
+    /// it may take as long as it makes progress. If the outcome is unknown, closes the connection.
     ///
     /// # Errors
     ///
@@ -85,27 +87,23 @@
     pub(crate) async fn call(
         &mut self,
         call: &StoreCall,
-        limit: Duration,
+        answer_time: Duration,
     ) -> Result<StoreRows, StoreFailure> {
         self.host.metrics.store_calls.inc();
-        let received = Cell::new(0);
-        let answered = timeout(limit, self.exchange(call, &received)).await;
-        let answered = answered.unwrap_or_else(|_| {
-            self.host.log_discarded("store", received.get(), limit);
-            Err(unknown("the store did not answer in time"))
-        });
+        let begun = timeout(answer_time, self.begin(call)).await;
+        let begun = begun.unwrap_or_else(|_| Err(unknown("the store did not answer in time")));
+        let answered = match begun {
+            Ok(answer) => self.read(answer).await,
+            Err(failure) => Err(failure),
+        };
         if matches!(answered, Err(StoreFailure::Unknown { .. })) {
             self.sender = None;
         }
         answered
     }
 
-    /// Sends a call and reads its answer; counts the bytes of the answer's body in `received`.
-    async fn exchange(
-        &mut self,
-        call: &StoreCall,
-        received: &Cell<usize>,
-    ) -> Result<StoreRows, StoreFailure> {
+    /// Sends a call and returns its answer, which has begun.
+    async fn begin(&mut self, call: &StoreCall) -> Result<Response<Incoming>, StoreFailure> {
         let (method, path, body) = hollywheel_adapter::encode_store_call(call).map_err(refused)?;
         let request = Request::builder()
             .method(method)
@@ -115,11 +113,20 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(refused)?;
         let sender = self.sender().await?;
-        let answer = sender.send_request(request).await.map_err(unknown)?;
+        sender.send_request(request).await.map_err(unknown)
+    }
+
+    /// Reads the rest of an answer.
+    async fn read(&self, answer: Response<Incoming>) -> Result<StoreRows, StoreFailure> {
         let status = answer.status();
         let era = hollywheel_adapter::decode_store_era(answer.headers()).map_err(unknown)?;
-        let body = collect_counted(answer.into_body(), DOCUMENT_LIMIT, received).await;
-        let body = body.map_err(|failure| unknown(failure.name()))?;
+        let (begun_at, received) = (self.host.now(), Cell::new(0));
+        let body = collect_steadily(answer.into_body(), DOCUMENT_LIMIT, STALL_TIME, &received);
+        let body = body.await.map_err(|failure| {
+            let waited = self.host.now().since(begun_at);
+            self.host.log_discarded("store", received.get(), waited);
+            unknown(failure.name())
+        })?;
         if !self.host.observe_era(era, "store") {
             return Err(unknown(format!(
                 "the answer is from the earlier store era {era}"
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use prost::Message;
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
@@ -209,7 +208,7 @@
 
     fn apply_config(&self, row: StoreRow) {
         if let Some(document) = row.value.as_ref().filter(|_| row.is_config()) {
-            self.host.install(&Bytes::from(document.clone()), "store");
+            self.host.install(document, "store");
         }
     }
 
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod latency_forecast;
 mod load;
+mod packed_document;
 mod placement;
 mod rank;
 mod registry;
@@ -35,6 +36,9 @@
 pub use hosts::{HostChange, HostRecord, HostTable};
 pub use latency_forecast::LatencyForecast;
 pub use load::{LoadReport, LoadTable};
+pub use packed_document::{
+    DocumentAssembly, DocumentError, DocumentId, DocumentPart, PART_BYTES, PackedDocument,
+};
 pub use placement::{
     PlacementQuery, PlacementVerdict, PromptPart, choose_engine, choose_least_loaded,
 };
