Count the repeats that are withheld and the hosts that share the slack

Whether repeats pile up because hosts misjudge their share of the slack can't be told from logs or metrics: neither says among how many hosts a host divides the slack, nor how often the budget had nothing left. hollywheel_budget_hosts and hollywheel_withheld_repeats_total do. No decision changes.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -487,10 +487,12 @@
     /// Takes one retry from the budget of a pool; returns whether it was available.
     pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
         let taken = self.with_budget(pool, RetryBudget::take_repeat);
-        if taken {
-            let label = self.metrics.label(pool.as_str());
-            self.metrics.repeats.get_or_create(&label).inc();
-        }
+        let label = self.metrics.label(pool.as_str());
+        let counts = match taken {
+            true => &self.metrics.repeats,
+            false => &self.metrics.withheld_repeats,
+        };
+        counts.get_or_create(&label).inc();
         taken
     }
 
@@ -508,6 +510,8 @@
     ) -> T {
         let now = self.now();
         let hosts = self.hosts.borrow().sharing_count();
+        let gauge = i64::try_from(hosts.unwrap_or(0)).unwrap_or(i64::MAX);
+        self.metrics.budget_hosts.set(gauge);
         let settings = self.settings();
         let bounds = &settings.bounds;
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub(crate) first_seconds: Family<NameLabel, Histogram>,
     pub(crate) stage_seconds: Family<NameLabel, Histogram>,
     pub(crate) repeats: Family<NameLabel, Counter>,
+    pub(crate) withheld_repeats: Family<NameLabel, Counter>,
+    pub(crate) budget_hosts: Gauge,
     pub(crate) calls: Family<NameLabel, Counter>,
     pub(crate) call_pieces: Family<NameLabel, Counter>,
     pub(crate) limited_sends: Family<NameLabel, Counter>,
@@ -63,6 +65,8 @@
             first_seconds: Family::new_with_constructor(latency_histogram),
             stage_seconds: Family::new_with_constructor(latency_histogram),
             repeats: Family::default(),
+            withheld_repeats: Family::default(),
+            budget_hosts: Gauge::default(),
             calls: Family::default(),
             call_pieces: Family::default(),
             limited_sends: Family::default(),
@@ -106,6 +110,16 @@
             "Repeated sends by pool",
             self.repeats.clone(),
         );
+        registry.register(
+            "hollywheel_withheld_repeats",
+            "Repeated sends for which the retry budget had nothing left, by pool",
+            self.withheld_repeats.clone(),
+        );
+        registry.register(
+            "hollywheel_budget_hosts",
+            "Hosts among which the slack of the retry budgets is divided; 0 while this host has no share",
+            self.budget_hosts.clone(),
+        );
         registry.register(
             "hollywheel_piece_calls",
             "Calls for pieces by pool",
