Divide the retry slack among all hosts that may have spent it in a window

What callers and servers saw: more repeats to a service than all hosts together may send, after stops, starts and joins of hosts; the engines got them while they could take the least.

Cause: a host's share of the slack was the slack divided by the hosts known at the moment, from its first moment on. What was spent counts for a whole window, though: a new process spent the share of its predecessor again, hosts that stayed took over the share of those that stopped, and hosts that joined added theirs to what the others had spent.

A process now has no share until a window and a quarter have passed since its start, and divides by the most hosts known within the last window.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,9 +9,9 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitTable,
-    LoadTable, PackedDocument, PermitLedger, RetryBudget, RetryDetector, RowChange, ServerRecord,
-    ServerRegistry, ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
+    BudgetShare, FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice,
+    LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget, RetryDetector, RowChange,
+    ServerRecord, ServerRegistry, ServingSet, ShardWaits, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -58,6 +58,8 @@
     pub(crate) permits: RefCell<PermitLedger>,
     /// Retry budgets of the pools.
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
+    /// This host's share in the slack of the retry budgets.
+    budget_share: RefCell<BudgetShare>,
     /// Learned times of stages and final calls.
     pub(crate) forecast: RefCell<LatencyForecast>,
     /// Waits of recent callers, by which retries of refused requests are recognised.
@@ -126,6 +128,7 @@
             limits: RefCell::default(),
             permits: RefCell::default(),
             budgets: RefCell::default(),
+            budget_share: RefCell::new(BudgetShare::new(clock.now(), settings.bounds.retry_window)),
             forecast: RefCell::default(),
             patience: RefCell::default(),
             pool_waits: RefCell::default(),
@@ -509,7 +512,8 @@
         act: impl FnOnce(&mut RetryBudget, MonoTime, Option<usize>) -> T,
     ) -> T {
         let now = self.now();
-        let hosts = self.hosts.borrow().sharing_count();
+        let known = self.hosts.borrow().sharing_count();
+        let hosts = self.budget_share.borrow_mut().hosts(now, known);
         let gauge = i64::try_from(hosts.unwrap_or(0)).unwrap_or(i64::MAX);
         self.metrics.budget_hosts.set(gauge);
         let settings = self.settings();
--- a/crates/hollywheel-serving/src/budget.rs
+++ b/crates/hollywheel-serving/src/budget.rs
@@ -19,8 +19,9 @@
 /// Limits the repeated sends (retries and hedges) to one pool over a sliding window.
 ///
 /// Every host may repeat a fixed ratio of its own requests plus an equal share of the slack, so
-/// the sum over all hosts stays within the common bound without any messages between them. A host
-/// that does not know yet how many share the slack takes none of it.
+/// the sum over all hosts stays within the common bound without any messages between them. Among how
+/// many hosts the slack is divided is determined by [`BudgetShare`](crate::BudgetShare); a host that
+/// has no share takes none of it.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod budget;
+mod budget_share;
 mod call_time;
 mod events;
 mod feed_plan;
@@ -30,6 +31,7 @@
     PieceResult, PoolBatcher, WorkPiece,
 };
 pub use budget::RetryBudget;
+pub use budget_share::BudgetShare;
 pub use call_time::CallTimes;
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
