Take a view for fresh only if its configuration is fresh too

What callers would see: a host whose feed of the configuration hangs serves an old version for as long as the servers' feed is answered, and so do its followers, because it tells them that its view is fresh.

Cause: the age of the view came from the servers' feed alone, and each of its answers also ended the loss that the configuration's feed had recorded. Class of fault: one part of the state stands for the whole of it.

Configuration and servers are now confirmed and lost each for itself, and the view is as old as its oldest part. A follower that knows of a version and has not fetched it yet does not confirm its configuration.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{
-    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, StoreEra, StorePlace,
+    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, StoreEra, StorePlace, ViewPart,
     reader_count,
 };
 use hollywheel_types::{ConfigVersion, MonoTime};
@@ -269,7 +269,12 @@
     let in_era = reply.store_era.map(StoreEra) == host.store_era();
     if let Some(age) = reply.age_us.filter(|_| in_era) {
         let confirmed_at = asked_at - Duration::from_micros(age);
-        host.view.borrow_mut().confirm(confirmed_at);
+        let mut view = host.view.borrow_mut();
+        view.confirm(ViewPart::Servers, confirmed_at);
+        // A version that is known and not yet fetched leaves the configuration out of date.
+        if reply.config_version <= host.config_version().0 {
+            view.confirm(ViewPart::Config, confirmed_at);
+        }
     }
     *cursor = FollowCursor {
         incarnation: reply.incarnation,
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -5,7 +5,7 @@
 use prost::Message;
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
-use hollywheel_serving::{HostRecord, RowChange, StoreEra, StorePlace};
+use hollywheel_serving::{HostRecord, RowChange, StoreEra, StorePlace, ViewPart};
 use hollywheel_types::{HostId, MonoTime, ServerId};
 use hollywheel_wire::serving::HostEntry;
 
@@ -112,8 +112,8 @@
         self.newest = self.newest.max(place);
         if self.table == StoreTable::Servers {
             self.host.registry.borrow_mut().note_place(place);
-            self.host.view.borrow_mut().confirm(answered_at);
         }
+        self.confirm_view(answered_at);
         Ok(match self.table {
             StoreTable::Servers if changed => COALESCE_TIME,
             StoreTable::Hosts if changed => HOSTS_COALESCE_TIME,
@@ -121,6 +121,13 @@
         })
     }
 
+    /// Records that the table is known as of a time.
+    fn confirm_view(&self, at: MonoTime) {
+        if let Some(part) = view_part(self.table) {
+            self.host.view.borrow_mut().confirm(part, at);
+        }
+    }
+
     /// Reads and applies the whole table; returns how long to wait before the next call.
     async fn list_table(&mut self) -> Result<Duration, StoreFailure> {
         let mut rows: Vec<StoreRow> = Vec::new();
@@ -164,9 +171,7 @@
         self.apply_listing(place, rows);
         self.newest = place;
         self.cursor = Some(place);
-        if self.table == StoreTable::Servers {
-            self.host.view.borrow_mut().confirm(asked_at);
-        }
+        self.confirm_view(asked_at);
         Ok(FIRST_FEED_PAUSE)
     }
 
@@ -254,8 +259,8 @@
 
     /// Records a failed call, and logs the first one of an outage.
     fn record_outage(&mut self, failure: &StoreFailure) {
-        if self.table != StoreTable::Hosts {
-            self.host.view.borrow_mut().set_lost(true);
+        if let Some(part) = view_part(self.table) {
+            self.host.view.borrow_mut().set_lost(part);
             self.host.view_changed.notify_waiters();
         }
         if self.lost_at.is_some() {
@@ -293,6 +298,16 @@
     }
 }
 
+/// Returns the part of the view that a table holds. Hosts are not part of it: a host that has gone is
+/// detected by the first call to it.
+const fn view_part(table: StoreTable) -> Option<ViewPart> {
+    match table {
+        StoreTable::Operator => Some(ViewPart::Config),
+        StoreTable::Servers => Some(ViewPart::Servers),
+        StoreTable::Hosts => None,
+    }
+}
+
 /// Returns the key that sorts directly after a key.
 fn next_key(key: &str) -> String {
     format!("{key}\0")
--- a/crates/hollywheel-gateway/tests/support/peer_host.rs
+++ b/crates/hollywheel-gateway/tests/support/peer_host.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http2 as client;
 use hyper::server::conn::http2 as server;
@@ -16,14 +16,26 @@
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 
-use hollywheel_wire::serving::{HostEntry, PieceOrder};
+use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, PieceOrder};
 
-/// Orders one piece from a host; returns the HTTP status of the response.
-pub async fn order_pieces(address: SocketAddr) -> u16 {
+/// Calls a host as another host does; returns the status and the body of the response.
+async fn call(address: SocketAddr, path: &str, body: Vec<u8>) -> (u16, Bytes) {
     let stream = TcpStream::connect(address).await.unwrap();
     let handshake = client::handshake(TokioExecutor::new(), TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.unwrap();
     tokio::spawn(connection);
+    let body = Full::new(Bytes::from(body));
+    let request = Request::post(format!("http://{address}{path}")).body(body);
+    let response = sender.send_request(request.unwrap()).await.unwrap();
+    let status = response.status().as_u16();
+    (
+        status,
+        response.into_body().collect().await.unwrap().to_bytes(),
+    )
+}
+
+/// Orders one piece from a host; returns the HTTP status of the response.
+pub async fn order_pieces(address: SocketAddr) -> u16 {
     let order = PieceOrder {
         pool: "stage".to_owned(),
         kind: "draft/0".to_owned(),
@@ -36,10 +48,14 @@
         goal_us: 1_000_000,
         ..PieceOrder::default()
     };
-    let body = Full::new(Bytes::from(order.encode_to_vec()));
-    let request = Request::post(format!("http://{address}/pieces")).body(body);
-    let response = sender.send_request(request.unwrap()).await.unwrap();
-    response.status().as_u16()
+    call(address, "/pieces", order.encode_to_vec()).await.0
+}
+
+/// Asks a host for all that it knows, without waiting for changes.
+pub async fn follow(address: SocketAddr) -> FollowReply {
+    let request = FollowRequest::default();
+    let (_, body) = call(address, "/follow", request.encode_to_vec()).await;
+    FollowReply::decode(body).unwrap()
 }
 
 /// Serves a host that answers every call with the same status and body; returns its address and the
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -39,6 +39,8 @@
     changed: Notify,
     /// Whether every call gets status 503.
     down: Mutex<bool>,
+    /// Table whose calls are never answered.
+    silent_table: Mutex<Option<&'static str>>,
     /// Whether hosts' writes of their rows are confirmed and have no effect.
     ignores_hosts: AtomicBool,
 }
@@ -108,6 +110,11 @@
         self.set_row("hosts", host, Some(encode_base64(entry)));
     }
 
+    /// Leaves all calls for a table without an answer; other calls are answered.
+    pub fn silence_table(&self, table: &'static str) {
+        *self.silent_table.lock().unwrap() = Some(table);
+    }
+
     /// Confirms hosts' writes of their rows without applying them, so that only the rows written by
     /// [`Self::set_host`] count.
     pub fn ignore_host_writes(&self) {
@@ -233,6 +240,9 @@
     let (head, body) = request.into_parts();
     let query = head.uri.query().unwrap_or("");
     let table = query_parameter(query, "table").unwrap_or_default();
+    if *store.silent_table.lock().unwrap() == Some(table.as_str()) {
+        std::future::pending::<()>().await;
+    }
     let (rows, newest) = match head.uri.path() {
         "/rows-tx" => {
             let body = body.collect().await.map(|body| body.to_bytes());
@@ -245,6 +255,9 @@
             let wait: u64 = query_parameter(query, "wait-ms").unwrap().parse().unwrap();
             let wait = Duration::from_millis(wait);
             let _ = tokio::time::timeout(wait, store.wait_for_changes(&table, after)).await;
+            if *store.silent_table.lock().unwrap() == Some(table.as_str()) {
+                std::future::pending::<()>().await;
+            }
             if *store.down.lock().unwrap() {
                 return (503, "{}".into());
             }
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -58,4 +58,4 @@
 pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput};
 pub use stage_plan::{StagePlan, StageTimes};
 pub use store_place::{PlaceError, StoreEra, StorePlace};
-pub use store_view::{FeedHealth, StoreView};
+pub use store_view::{FeedHealth, StoreView, ViewPart};
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -4,7 +4,7 @@
 
 use hollywheel_serving::{
     FeedHealth, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreEra, StorePlace,
-    StoreView,
+    StoreView, ViewPart,
 };
 use hollywheel_types::{MonoTime, PoolId, ServerId};
 
@@ -131,8 +131,10 @@
     let mut view = StoreView::default();
     let bound = Duration::from_millis(1800);
     assert_eq!(view.health(at(0), bound), FeedHealth::Stale);
-    view.confirm(at(1000));
-    view.confirm(at(500));
+    for part in [ViewPart::Config, ViewPart::Servers] {
+        view.confirm(part, at(1000));
+        view.confirm(part, at(500));
+    }
     assert_eq!(view.health(at(2800), bound), FeedHealth::Following);
     assert_eq!(view.health(at(2801), bound), FeedHealth::Stale);
 }
@@ -140,14 +142,27 @@
 /// A reader that the store rejects knows that its view is stale long before the view is old.
 #[test]
 fn a_view_whose_store_is_lost_is_stale_at_once() {
+    for lost in [ViewPart::Config, ViewPart::Servers] {
+        let mut view = StoreView::default();
+        let bound = Duration::from_millis(1200);
+        view.confirm(ViewPart::Config, at(1000));
+        view.confirm(ViewPart::Servers, at(1000));
+        view.set_lost(lost);
+        assert_eq!(view.health(at(1001), bound), FeedHealth::Stale);
+        assert_eq!(view.age(at(1001)), None);
+        view.confirm(lost, at(1500));
+        assert_eq!(view.health(at(1501), bound), FeedHealth::Following);
+    }
+}
+
+#[test]
+fn a_view_is_as_old_as_its_oldest_part() {
     let mut view = StoreView::default();
-    let bound = Duration::from_millis(1200);
-    view.confirm(at(1000));
-    view.set_lost(true);
-    assert_eq!(view.health(at(1001), bound), FeedHealth::Stale);
-    assert_eq!(view.age(at(1001)), None);
-    view.confirm(at(1500));
-    assert_eq!(view.health(at(1501), bound), FeedHealth::Following);
+    view.confirm(ViewPart::Servers, at(1000));
+    assert_eq!(view.age(at(1000)), None, "the configuration was never read");
+    view.confirm(ViewPart::Config, at(1000));
+    view.confirm(ViewPart::Servers, at(3000));
+    assert_eq!(view.age(at(3000)), Some(Duration::from_secs(2)));
 }
 
 /// A server that leaves says so in its responses, even while its row can't be written.
