Log the shared prompt parts of failed attempts

Which prompt parts the requests have in common that end with the crash of an engine can't be told from the logs. No decision changes.

--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use hollywheel_adapter::{ResponseHead, ServerRequest};
-use hollywheel_serving::ServerRecord;
+use hollywheel_serving::{PromptPart, ServerRecord};
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::connection_pool::{ActiveConnection, SendFailure};
@@ -219,6 +219,13 @@
     Some(request)
 }
 
+/// Returns the ids of the prompt parts that a request may share with others, as callers name them.
+fn shared_part_names(parts: &[PromptPart]) -> String {
+    let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
+    let names: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+    names.join(",")
+}
+
 /// Logs a failed attempt, and counts it towards the ejection of its server unless the server
 /// refused the request.
 pub(crate) fn record_attempt_failure(
@@ -241,7 +248,8 @@
         verdict = failure.verdict.name(),
         reason = failure.reason,
         took_ms = millis(now.since(sent_at)),
-        in_flight
+        in_flight,
+        parts = shared_part_names(&context.head.parts)
     );
     // A refusal, such as that of a full server, is no sign of a fault.
     if !failure.received || failure.verdict != ExecutionVerdict::NotRun {
