Let a host that has just started spend a fifth of its share

What callers saw: for twelve seconds after the start of a host a request that a server refused or failed was sent to another one only in proportion to the requests since, the first ones not at all.

Cause: a starting process had no share of the retry slack, since its predecessor may have spent it. A settled process now leaves a fifth of its share to its successor, so that both together stay within it.

--- a/crates/hollywheel-serving/src/budget.rs
+++ b/crates/hollywheel-serving/src/budget.rs
@@ -66,21 +66,15 @@
     /// next process, against the same requests once more.
     pub fn has_repeat(&mut self, now: MonoTime, share: SlackShare) -> bool {
         self.current_part(now);
-        let slack = share.hosts().map(|hosts| self.slack / hosts.max(1) as f64);
+        let slack = share.of(self.slack);
         let (mut requests, mut repeats) = (0, 1);
-        for part in self.parts.iter().rev() {
+        self.parts.iter().rev().all(|part| {
             // A period may begin within a part: all of its repeats count, none of its requests.
             repeats += part.repeats;
-            let bound = slack.map(|slack| self.ratio * f64::from(requests) + slack);
-            if bound.is_some_and(|bound| f64::from(repeats) > bound) {
-                return false;
-            }
+            let bound = self.ratio * f64::from(requests) + slack;
             requests += part.requests;
-        }
-        match share {
-            SlackShare::Starting { .. } => f64::from(repeats) <= self.ratio * f64::from(requests),
-            SlackShare::Settled { .. } => true,
-        }
+            f64::from(repeats) <= bound
+        })
     }
 
     /// Returns the part of the window that contains `now`, and removes parts that have passed.
--- /dev/null
+++ b/crates/hollywheel-serving/tests/crashing_parts.rs
@@ -0,0 +1,179 @@
+//! Tests of the detection of prompt parts that crash servers.
+
+use std::time::Duration;
+
+use hollywheel_serving::{CrashEvidence, PartTable, PartVerdict, ServerStart};
+use hollywheel_types::MonoTime;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+
+/// Parts: one that crashes servers, one that comes with it, and others.
+const CRASHING: u64 = 0xdead;
+const PARENT: u64 = 0xaa;
+const OTHER: u64 = 0xbb;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn server(number: u64) -> ServerStart {
+    ServerStart {
+        server: format!("m{number}").parse().unwrap(),
+        born: Some(1),
+    }
+}
+
+/// Returns a table with crashes of different servers, a second apart, under the given parts.
+fn crashed(crashes: u64, parts: &[u64]) -> PartTable {
+    let mut table = PartTable::new();
+    for number in 0..crashes {
+        table.note_crash(at(1000 * number), &server(number), parts.iter().copied());
+    }
+    table
+}
+
+fn is_blocked(table: &PartTable, now: MonoTime, parts: &[u64]) -> bool {
+    matches!(table.verdict(now, parts), PartVerdict::Blocked { .. })
+}
+
+#[test]
+fn third_crash_blocks_a_part() {
+    assert!(!is_blocked(&crashed(2, &[CRASHING]), at(3000), &[CRASHING]));
+    let table = crashed(3, &[CRASHING]);
+    assert!(is_blocked(&table, at(3000), &[OTHER, CRASHING]));
+    assert!(!is_blocked(&table, at(3000), &[OTHER]));
+    assert_eq!(table.crashing_parts(), [CRASHING]);
+}
+
+/// A failure domain or a switch takes many servers with it.
+#[test]
+fn servers_lost_at_once_block_no_part() {
+    let mut table = PartTable::new();
+    for number in 0..20 {
+        table.note_crash(at(1000 + number * 20), &server(number), [OTHER]);
+    }
+    assert!(!is_blocked(&table, at(2000), &[OTHER]));
+}
+
+#[test]
+fn part_that_begins_to_be_answered_is_sound() {
+    let mut table = crashed(3, &[CRASHING]);
+    let withdrawn = table.note_begun(at(3000), [CRASHING]);
+    assert_eq!(withdrawn.len(), 3);
+    assert!(withdrawn.iter().all(|evidence| evidence.withdrawn));
+    assert!(!is_blocked(&table, at(3000), &[CRASHING]));
+}
+
+#[test]
+fn server_that_answers_later_did_not_crash() {
+    let mut table = crashed(3, &[CRASHING]);
+    assert!(
+        table.note_answer(&server(1), at(900)).is_empty(),
+        "sent before"
+    );
+    let restarted = ServerStart {
+        born: Some(2),
+        ..server(1)
+    };
+    assert!(
+        table.note_answer(&restarted, at(9000)).is_empty(),
+        "restarted"
+    );
+    assert_eq!(table.note_answer(&server(1), at(1001)).len(), 1);
+    assert!(!is_blocked(&table, at(9000), &[CRASHING]));
+}
+
+/// Parts of a prompt come in chains: a part seldom comes without the one before it.
+#[test]
+fn parent_of_a_crashing_part_blocks_sound_requests() {
+    let mut table = crashed(3, &[PARENT, CRASHING]);
+    assert!(is_blocked(&table, at(3000), &[PARENT, CRASHING]));
+    assert!(
+        !is_blocked(&table, at(3000), &[PARENT, OTHER]),
+        "either may be the cause"
+    );
+    let mut sound = table.clone();
+    sound.note_begun(at(3000), [PARENT, OTHER]);
+    assert!(is_blocked(&sound, at(3000), &[PARENT, CRASHING]));
+    assert_eq!(sound.crashing_parts(), [CRASHING]);
+    table.note_crash(at(3000), &server(9), [PARENT, OTHER]);
+    assert!(
+        is_blocked(&table, at(3000), &[PARENT, OTHER]),
+        "the parent is the cause"
+    );
+}
+
+#[test]
+fn one_request_is_let_through_after_the_block() {
+    let mut table = crashed(3, &[CRASHING]);
+    let Some(PartVerdict::Blocked { wait }) = Some(table.verdict(at(3000), &[CRASHING])) else {
+        panic!("not blocked");
+    };
+    let ends_at = at(3000) + wait;
+    let probe = PartVerdict::Probe { part: CRASHING };
+    assert_eq!(table.verdict(ends_at, &[CRASHING]), probe);
+    table.note_probe(ends_at, CRASHING);
+    assert!(
+        is_blocked(&table, ends_at, &[CRASHING]),
+        "the probe is under way"
+    );
+    table.note_crash(ends_at + Duration::from_secs(1), &server(9), [CRASHING]);
+    assert!(is_blocked(&table, ends_at + wait, &[CRASHING]));
+}
+
+/// A host learns of a crash after it has seen the part begin.
+#[test]
+fn host_that_saw_a_part_begin_answers_evidence_with_its_withdrawal() {
+    let mut table = PartTable::new();
+    table.note_begun(at(1500), [OTHER]);
+    let evidence = CrashEvidence {
+        part: OTHER,
+        server: server(1),
+        at: at(1000),
+        withdrawn: false,
+    };
+    let withdrawn = table.apply(&evidence).unwrap();
+    assert!(withdrawn.withdrawn);
+    assert_eq!(table.apply(&evidence), None, "told once");
+    let later = CrashEvidence {
+        at: at(2000),
+        server: server(2),
+        ..evidence
+    };
+    assert_eq!(table.apply(&later), None);
+    assert_eq!(
+        table
+            .changes_after(0)
+            .filter(|known| !known.withdrawn)
+            .count(),
+        1
+    );
+}
+
+/// Evidence and its withdrawal reach hosts in any order, and more than once.
+#[test]
+fn hosts_agree_whatever_the_order_of_the_news() {
+    let mut random = StdRng::seed_from_u64(7);
+    for _ in 0..200 {
+        let mut news: Vec<CrashEvidence> = (0..random.random_range(1..12))
+            .map(|_| CrashEvidence {
+                part: random.random_range(0..3),
+                server: server(random.random_range(0..4)),
+                at: at(1000),
+                withdrawn: random.random_bool(0.4),
+            })
+            .collect();
+        let mut first = PartTable::new();
+        news.iter().for_each(|evidence| {
+            first.apply(evidence);
+        });
+        news.shuffle(&mut random);
+        let mut second = PartTable::new();
+        for evidence in news.iter().chain(&news) {
+            second.apply(evidence);
+        }
+        let known = |table: &PartTable| table.changes_after(0).collect::<Vec<_>>();
+        assert_eq!(known(&first), known(&second));
+    }
+}
