Refuse requests with a prompt part that crashes servers

What callers saw: while a part of some prompts crashes each engine that begins to answer it, one engine after the other crashed (20 to 34 in 22 seconds), and all streams on it broke off.

Cause: each failure counted against the server, none against what the failed requests had in common, and no host knew of the failures of the others.

A request that ends with its server before its first event is now evidence against each part that it may share with others. Hosts tell it to the readers of the store, followers get it with their long poll. Three crashes at least half a second apart block a part; a request that holds it is refused at once as not run, with the time of the block. Why this does not hit sound requests: evidence is withdrawn as soon as a request with the part begins to be answered on any host, or the server answers a later request in the same start; servers lost at once count as one crash; and as long as another part was present in all crashes of a part, a request without that other part is let through. After 60 s one host lets one request through.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -23,6 +23,7 @@
 use crate::config_fetch::ConfigNotice;
 use crate::host::Host;
 use crate::log::{log_line, millis};
+use crate::part_evidence::{self, apply_entries};
 use crate::peer_client::{FOLLOW_PATH, PeerFailure};
 use crate::peer_server::micros;
 use crate::server_limits::{apply_entry, encode_limit};
@@ -93,6 +94,7 @@
     server_change: u64,
     host_change: u64,
     limit_change: u64,
+    evidence_change: u64,
 }
 
 /// Decides whether this host reads the store. Follows another host if it does not, or if its own
@@ -206,6 +208,7 @@
         fetches_config: true,
         wait_ms: u32::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u32::MAX),
         limit_change: Some(cursor.limit_change),
+        evidence_change: Some(cursor.evidence_change),
     };
     let limit = FOLLOW_WAIT + ANSWER_SLACK;
     let body = message.encode_to_vec();
@@ -266,6 +269,7 @@
     for entry in &reply.limits {
         apply_entry(host, entry, name);
     }
+    apply_entries(host, &reply.evidence, name);
     let in_era = reply.store_era.map(StoreEra) == host.store_era();
     if let Some(age) = reply.age_us.filter(|_| in_era) {
         let confirmed_at = asked_at - Duration::from_micros(age);
@@ -281,6 +285,7 @@
         server_change: reply.server_change,
         host_change: reply.host_change,
         limit_change: reply.limit_change,
+        evidence_change: reply.evidence_change,
     };
 }
 
@@ -315,6 +320,9 @@
         || request
             .limit_change
             .is_some_and(|change| change != host.limits.borrow().change())
+        || request
+            .evidence_change
+            .is_some_and(|change| change != host.parts.borrow().change())
 }
 
 /// Builds the answer to a follower: all rows if its cursor belongs to another incarnation of this
@@ -331,6 +339,8 @@
     let newer = installed.filter(|known| known.set.version.0 > request.config_version);
     let limits = host.limits.borrow();
     let limits_after = request.limit_change.filter(|_| same).unwrap_or(0);
+    let parts = host.parts.borrow();
+    let evidence_after = request.evidence_change.filter(|_| same).unwrap_or(0);
     FollowReply {
         incarnation: host.incarnation,
         server_change: registry.change(),
@@ -367,6 +377,11 @@
             .map(|(server, notice)| encode_limit(now, server, notice))
             .collect(),
         limit_change: limits.change(),
+        evidence: parts
+            .changes_after(evidence_after)
+            .map(|evidence| part_evidence::encode(now, &evidence))
+            .collect(),
+        evidence_change: parts.change(),
     }
 }
 
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod limited_body;
 mod log;
 mod metrics;
+mod part_evidence;
 mod peer_client;
 mod peer_server;
 mod plain_call;
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     pub(crate) limited_sends: Family<NameLabel, Counter>,
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
+    pub(crate) blocked_parts: Gauge,
+    pub(crate) blocked_requests: Family<NameLabel, Counter>,
     pub(crate) store_calls: Counter,
     pub(crate) discarded_bytes: Counter,
     pub(crate) config_bytes: Gauge,
@@ -72,6 +74,8 @@
             limited_sends: Family::default(),
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
+            blocked_parts: Gauge::default(),
+            blocked_requests: Family::default(),
             store_calls: Counter::default(),
             discarded_bytes: Counter::default(),
             config_bytes: Gauge::default(),
@@ -145,6 +149,16 @@
             "Servers that have named a limit on their requests",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "hollywheel_blocked_parts",
+            "Prompt parts that count as the cause of crashes of servers",
+            self.blocked_parts.clone(),
+        );
+        registry.register(
+            "hollywheel_blocked_requests",
+            "Requests refused since a part of their prompt crashes servers, by pool",
+            self.blocked_requests.clone(),
+        );
         registry.register(
             "hollywheel_store_calls",
             "Calls of the platform's store",
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -30,6 +30,8 @@
 pub(crate) const PERMIT_PATH: &str = "/permit";
 /// Path for limits that were just named or have ended.
 pub(crate) const LIMITS_PATH: &str = "/limits";
+/// Path for evidence about prompt parts that crash servers.
+pub(crate) const EVIDENCE_PATH: &str = "/evidence";
 /// Path for a part of the active configuration.
 pub(crate) const CONFIG_PATH: &str = "/config";
 /// Path for the long poll of a follower for store changes.
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -24,8 +24,10 @@
 use crate::follow::answer_follow;
 use crate::host::Host;
 use crate::limited_body::collect_body;
+use crate::part_evidence::receive_evidence;
 use crate::peer_client::{
-    CONFIG_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH, PIECES_PATH,
+    CONFIG_PATH, EVIDENCE_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH,
+    PIECES_PATH,
 };
 use crate::server_limits::{answer_permit, receive_news};
 
@@ -70,6 +72,7 @@
         FREE_PATH => release_results(&host, &body),
         PERMIT_PATH => answer_permit(&host, &body).await,
         LIMITS_PATH => receive_news(&host, &body),
+        EVIDENCE_PATH => receive_evidence(&host, &body),
         CONFIG_PATH => answer_part(&host, &body),
         FOLLOW_PATH => answer_follow(&host, &body).await,
         _ => None,
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -95,6 +95,7 @@
         let ended = timeout(limit, attempt).await.unwrap_or(Err(AttemptFailure {
             verdict: ExecutionVerdict::MayHaveRun,
             received: true,
+            lost_server: false,
             reason: "the attempt timed out",
         }));
         state.sending = false;
@@ -206,6 +207,7 @@
     let body = body.await.map_err(|failure| AttemptFailure {
         verdict: ExecutionVerdict::MayHaveRun,
         received: true,
+        lost_server: false,
         reason: failure.name(),
     })?;
     let whole = WholeAnswer {
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -8,13 +8,14 @@
 use hyper::body::Incoming;
 
 use hollywheel_adapter::{ResponseHead, ServerRequest};
-use hollywheel_serving::{PromptPart, ServerRecord};
+use hollywheel_serving::ServerRecord;
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::connection_pool::{ActiveConnection, SendFailure};
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_body};
 use crate::log::{log_line, millis};
+use crate::part_evidence::{record_answer, shared_parts};
 use crate::request::RequestContext;
 use crate::server_limits::note_response_limit;
 
@@ -29,6 +30,9 @@
     pub(crate) verdict: ExecutionVerdict,
     /// Whether the request may have reached a server.
     pub(crate) received: bool,
+    /// Whether the server ended the connection before its answer began, as a server does that
+    /// crashes.
+    pub(crate) lost_server: bool,
     /// Description of the failure for the log.
     pub(crate) reason: &'static str,
 }
@@ -103,6 +107,7 @@
     let request = build_request(context, server, sent_at, extras).ok_or(AttemptFailure {
         verdict: ExecutionVerdict::NotRun,
         received: false,
+        lost_server: false,
         reason: "the request could not be encoded",
     })?;
     host.count_limited_send(server, &record.pool);
@@ -111,9 +116,13 @@
         SendFailure::NotSent => AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
             received: false,
+            lost_server: false,
             reason: "could not connect",
         },
-        SendFailure::Broken => may_have_run("the connection closed before an answer"),
+        SendFailure::Broken => AttemptFailure {
+            lost_server: true,
+            ..may_have_run("the connection closed before an answer")
+        },
     })?;
     let facts = hollywheel_adapter::decode_response_head(&answer, &context.head.attempt);
     if !facts.matches_attempt {
@@ -129,6 +138,7 @@
         return Err(AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
             received: true,
+            lost_server: false,
             reason,
         });
     }
@@ -137,6 +147,9 @@
             "the answer does not come from the server itself",
         ));
     }
+    if answer.status().is_success() {
+        record_answer(host, server, record, sent_at);
+    }
     let (parts, body) = answer.into_parts();
     Ok(OpenAnswer {
         status: parts.status,
@@ -155,6 +168,7 @@
     AttemptFailure {
         verdict: ExecutionVerdict::MayHaveRun,
         received: true,
+        lost_server: false,
         reason,
     }
 }
@@ -219,10 +233,9 @@
     Some(request)
 }
 
-/// Returns the ids of the prompt parts that a request may share with others, as callers name them.
-fn shared_part_names(parts: &[PromptPart]) -> String {
-    let shared = parts.split_last().map_or(parts, |(_, shared)| shared);
-    let names: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+/// Returns the ids of prompt parts, as callers name them.
+fn part_names(parts: impl Iterator<Item = u64>) -> String {
+    let names: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
     names.join(",")
 }
 
@@ -249,7 +262,7 @@
         reason = failure.reason,
         took_ms = millis(now.since(sent_at)),
         in_flight,
-        parts = shared_part_names(&context.head.parts)
+        parts = part_names(shared_parts(&context.head.parts))
     );
     // A refusal, such as that of a full server, is no sign of a fault.
     if !failure.received || failure.verdict != ExecutionVerdict::NotRun {
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -18,6 +18,7 @@
 use crate::host::Host;
 use crate::limited_body::{ANSWER_LIMIT, collect_body};
 use crate::log::log_line;
+use crate::part_evidence::{blocked_wait, record_begun, record_crash};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::results::HeldResults;
@@ -195,8 +196,11 @@
     pub(crate) async fn open(&mut self) -> Result<OpenStream, OpenFailure> {
         loop {
             self.check_pool_pause()?;
+            self.check_parts()?;
             self.reserve_engine().await?;
             self.produce_inputs().await?;
+            // A part may have become known while the stages ran.
+            self.check_parts()?;
             let (server, record) = self.choose_server().await?;
             self.tries += 1;
             let load = self.host.server_load(&server, &record);
@@ -208,6 +212,7 @@
             let failure = match attempted {
                 Ok(open) if open.answer.status.is_success() => {
                     self.record_first_event(sent_at);
+                    record_begun(&self.host, &self.context);
                     return Ok(open);
                 }
                 Ok(open) => return Err(self.read_whole(open.answer).await),
@@ -221,6 +226,9 @@
                 &failure,
                 sent_at,
             );
+            if failure.lost_server {
+                record_crash(&self.host, &self.context, &server, &record);
+            }
             self.received_attempts += u32::from(failure.received);
             self.verdict = self.verdict.join(failure.verdict);
             self.reason = failure.reason;
@@ -246,6 +254,18 @@
         Err(self.give_up())
     }
 
+    /// Refuses the request if a part of its prompt crashes the engines that begin to answer it.
+    fn check_parts(&mut self) -> Result<(), OpenFailure> {
+        let Some(retry_after) = blocked_wait(&self.host, &self.context) else {
+            return Ok(());
+        };
+        self.reason = "a part of the prompt crashes engines";
+        Err(match self.verdict {
+            ExecutionVerdict::NotRun => OpenFailure::Refused { retry_after },
+            ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
+        })
+    }
+
     /// Takes a permit for an engine before the stages run if every engine has named a limit;
     /// refuses the request if none is granted, since its stages would be run in vain.
     async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
@@ -459,6 +479,7 @@
             open.chunk = open.read_events().await.map_err(|failure| AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
                 received: true,
+                lost_server: failure == StreamFailure::Broken,
                 reason: match failure {
                     StreamFailure::Broken => "the stream ended before its first event",
                     StreamFailure::Overlong => failure.name(),
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -198,6 +198,7 @@
             let failure = AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
                 received: true,
+                lost_server: false,
                 reason: job.reason,
             };
             let server = broken.answer.server.clone();
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod budget_share;
 mod call_time;
+mod crashing_parts;
 mod events;
 mod feed_plan;
 mod hosts;
@@ -33,6 +34,7 @@
 pub use budget::RetryBudget;
 pub use budget_share::{BudgetShare, SlackShare};
 pub use call_time::CallTimes;
+pub use crashing_parts::{CrashEvidence, PartTable, PartVerdict, ServerStart};
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
 pub use hosts::{HostChange, HostRecord, HostTable};
