Test odd entries among those of the servers

Another operator reported that one entry of another writer (deeply nested, with a number too large, or a port out of range) ended machines again and again, or that these stopped following the list. Entries are decoded one by one, an invalid one is logged (HW7106) and names no server, and the decoder refuses nesting beyond 128 levels.

--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -105,6 +105,11 @@
         self.set_row("servers", server, Some(encode_base64(entry.as_bytes())));
     }
 
+    /// Writes an entry of arbitrary bytes among those of the backend servers.
+    pub fn set_odd_server(&self, server: &str, entry: &[u8]) {
+        self.set_row("servers", server, Some(encode_base64(entry)));
+    }
+
     /// Writes the encoded entry of a host.
     pub fn set_host(&self, host: &str, entry: &[u8]) {
         self.set_row("hosts", host, Some(encode_base64(entry)));
