Close the connection of a rejected release of results

What callers would see: 503, not run, for a request that the server ran.

Cause: the answer to a release of results names no request. After a rejected release the connection was kept, and a duplicate of the rejection was taken for that of the next request on it, if the servers of a pool both run pieces and answer requests. Connections of other rejections without an id were closed already; class of fault: an answer that names no request must not leave a connection behind on which its duplicate could mean something.

Evidence: repeated_rejection_of_a_release_is_taken_for_that_of_a_request failed before (503 with Retry-After for a request that ran) and passes. Requests with an id were safe (rejection_of_another_attempt_is_ignored), stage calls close the connection.

--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -192,7 +192,13 @@
         let is_genuine = answer.status() == StatusCode::OK;
         let said = facts.limit.trusted_if(is_genuine);
         note_response_limit(host, server, said, sent_at);
+        let status = answer.status();
         collect_body(answer.into_body(), SMALL_LIMIT).await.ok()?;
+        if status != StatusCode::OK {
+            // A late duplicate of this rejection names no request, so it would look like the rejection
+            // of the next one on the connection.
+            return None;
+        }
         host.connections.give_back(connection, facts.idle_time);
         Some(())
     };
--- a/crates/hollywheel-gateway/tests/faulty_servers.rs
+++ b/crates/hollywheel-gateway/tests/faulty_servers.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use support::{
-    Fixture, HostAddresses, RawRequest, RawStep, free_address, request, send, serve_raw, servers,
-    start_gateway,
+    Fixture, HostAddresses, RawRequest, RawStep, config, free_address, request, send, serve_raw,
+    servers, start_gateway,
 };
 use tokio::time::sleep;
 
@@ -92,6 +92,47 @@
     assert_eq!(log.paths().len(), 2);
 }
 
+/// Releases of results carry no attempt id, nor do their rejections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_rejection_of_a_release_is_taken_for_that_of_a_request() {
+    let fixture = Fixture::start("crossed-release").await;
+    let direct = r#""routes":[{"name":"direct","host":"h","path-prefix":"/direct/","kind":"non_idempotent","timeout-ms":1500,"latency-target-ms":300,"service":"stage","max-attempts":1},"#;
+    let text = config(2, "k1").replacen(r#""routes":["#, direct, 1);
+    fixture.store.set_config(&text);
+    let log = fixture
+        .replace_pool("stage", |request| {
+            let rejection =
+                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            match request.path.as_str() {
+                "/stage-run" => {
+                    let pieces = request.body.matches("\"stage\":").count();
+                    let handles: Vec<String> = (0..pieces)
+                        .map(|piece| format!(r#"{{"handle":"{}/r{piece}"}}"#, request.authority))
+                        .collect();
+                    let body = format!(r#"{{"items":[{}]}}"#, handles.join(","));
+                    vec![RawStep::Send(request.response("200 OK", "", &body))]
+                }
+                "/stage-free" => vec![RawStep::Send(rejection.into())],
+                // The rejection of the release comes once more before the response.
+                _ if request.index > 0 => vec![
+                    RawStep::Send(rejection.into()),
+                    RawStep::Send(request.response("200 OK", "", "ran")),
+                ],
+                _ => vec![RawStep::Send(request.response("200 OK", "", "ran"))],
+            }
+        })
+        .await;
+    assert_eq!(fixture.call("POST", "/brief/ok", "b1").await.status, 200);
+    sleep(Duration::from_millis(600)).await;
+    let released = log.paths().iter().any(|path| path == "/stage-free");
+    assert!(released, "{:?}", log.paths());
+    let response = fixture.call("POST", "/direct/x", "b2").await;
+    assert_eq!(response.status, 200, "the server ran it: {response:?}");
+    let runs = log.paths();
+    let runs = runs.iter().filter(|path| path.starts_with("/direct/"));
+    assert_eq!(runs.count(), 1);
+}
+
 /// Responses to stage calls carry no attempt id. A duplicate is detected by handles of results that
 /// the connection has returned before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
