Take a stream that ends inside an event for broken off

What callers would see: the text of an error in the middle of their stream, which then ends as if it were complete.

Cause: if the headers of an answer mark its end, the bytes after its last complete event were forwarded, also when the answer continued a stream that had begun at another engine. Errors with a status of their own were never forwarded into a stream; an error under a success status was.

--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -34,6 +34,8 @@
     /// Events that were read and not yet forwarded.
     pub(crate) chunk: Option<Bytes>,
     ended: bool,
+    /// Whether the answer has contained a complete event.
+    has_event: bool,
     /// Whether the close of the connection is the only mark of the end of the stream.
     ends_at_close: bool,
 }
@@ -69,13 +71,15 @@
             repeated: 0,
             chunk: None,
             ended: false,
+            has_event: false,
         }
     }
 
     /// Reads until at least one new event is complete; `None` if the stream has ended.
     ///
-    /// If the answer's headers mark its end, bytes after the last complete event are forwarded;
-    /// otherwise they mean that the stream was cut within an event.
+    /// Bytes after the last complete event mean that the stream was cut within an event. They are
+    /// forwarded only if the answer is no stream at all: it holds no event, continues none, and its
+    /// headers mark its end.
     ///
     /// # Errors
     ///
@@ -84,7 +88,8 @@
         loop {
             let Some(frame) = self.answer.body.frame().await else {
                 let rest = Bytes::copy_from_slice(self.cutter.rest());
-                if self.ends_at_close && !rest.is_empty() {
+                let is_stream = self.ends_at_close || self.has_event || self.after.is_some();
+                if is_stream && !rest.is_empty() {
                     return Err(StreamFailure::Broken);
                 }
                 self.ended = true;
@@ -95,6 +100,7 @@
                 continue;
             };
             let mut events = self.cutter.take(&data);
+            self.has_event |= !events.is_empty();
             if self.cutter.is_overlong() {
                 return Err(StreamFailure::Overlong);
             }
