Count the queue of the engine stand-in before its cache is locked

Traced with a debugger on the hanging process: one thread in EngineServer::load held the cache and waited for the queue, the other in EngineServer::fill held the queue and waited for the cache. Only the stand-in is concerned, which all tests of the daemon with engines use. The report of the load now counts the queue before it locks the cache, so that both are always taken in one order.

Seen after the change: hollywheel-standins builds, and drain passes; a hang that showed once in three runs is not shown to be gone by that.

--- a/crates/hollywheel-standins/src/engine/server.rs
+++ b/crates/hollywheel-standins/src/engine/server.rs
@@ -43,10 +43,12 @@
 
 impl EngineServer {
     pub(super) fn load(&self) -> LoadReport {
+        // Before the cache is locked: a batch locks the queue first.
+        let queued = self.queued();
         let cache = self.cache.lock().expect("no holder panics");
         LoadReport {
             running: self.running.load(Ordering::SeqCst),
-            queued: self.queued(),
+            queued,
             slots: self.settings.slots,
             models: self.shelf.models(),
             cache_used: cache.used(),
