Log how long a host was without news of the store

HW7109 names each host that did not answer, and HW7111 tells the age of the view when a host starts to read the store itself. A host that found another source logged nothing, so the length of its gap could only be put together from the lines of several hosts. HW7122 names the source, the length of the gap and the number of hosts that failed in it.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -57,6 +57,7 @@
     AnswerDiscarded, "HW7119", "An answer of the store or of another host was discarded before it had arrived completely.", "source, bytes, waited_ms";
     PartBlocked, "HW7120", "A prompt part was present in several crashes of backend servers; requests with it are refused, unless another part explains the crashes as well.", "part, source";
     PartUnblocked, "HW7121", "A prompt part no longer counts as the cause of crashes.", "part, source";
+    NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -179,7 +179,8 @@
 /// does not count as fresh if it reports no store era, as hosts of an earlier software version do,
 /// or an era before the latest known one.
 async fn follow_any(host: &Host, sources: &[HostRecord], cursor: &mut FollowCursor) -> bool {
-    for source in sources {
+    let started = host.now();
+    for (failed, source) in sources.iter().enumerate() {
         let asked_at = host.now();
         if let Some(reply) = request_changes(host, source, *cursor).await {
             let age = reply.age_us.map(Duration::from_micros);
@@ -187,6 +188,9 @@
             apply_reply(host, source, reply, cursor, asked_at);
             let in_era = era.is_some() && era == host.store_era();
             if in_era && age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
+                if failed > 0 {
+                    log_resumed(host, source.name.as_str(), started, failed);
+                }
                 return true;
             }
         }
@@ -194,6 +198,12 @@
     false
 }
 
+/// Logs the end of a time without news, and how many hosts had no fresh view in it.
+fn log_resumed(host: &Host, source: &str, started: MonoTime, failed_sources: usize) {
+    let silent_ms = millis(host.now().since(started));
+    log_line!(host, info, NewsResumed, source, silent_ms, failed_sources);
+}
+
 /// Requests the changes after a cursor from another host; `None` if the call fails.
 async fn request_changes(
     host: &Host,
