Show that a host is without news while the hosts that it follows are silent

Callers' requests reach a server that has announced its leaving when all hosts that a follower tries fall silent at that moment: 51 requests later than 2 s after the announcement, the last after 5.16 s.

A second test sets a server to draining one second after a large configuration was published, as in the users' record.

--- a/crates/hollywheel-gateway/tests/large_config.rs
+++ b/crates/hollywheel-gateway/tests/large_config.rs
@@ -14,7 +14,10 @@
 use prost::Message;
 use slow_link::{SlowLink, serve_slow};
 use support::store::StoreStandin;
-use support::{HostAddresses, config, free_address, request, send, start_gateway_with, store};
+use support::{
+    HostAddresses, ServerLog, config, free_address, request, send, servers, start_gateway_with,
+    store,
+};
 use tokio::time::sleep;
 
 /// Time within which a configuration takes effect on every host (`config-apply-ms` of the grown
@@ -180,3 +183,42 @@
     let times = publish(&store, &hosts).await;
     check_times(&hosts, &times);
 }
+
+/// The server leaves one second after the configuration was published.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_reach_a_leaving_server_while_a_large_configuration_arrives() {
+    /// Time after which a leaving server gets no requests (`drain-ms` in the settings of the hosts).
+    const DRAIN_BOUND: Duration = Duration::from_secs(3);
+    let links = [
+        LARGE_LINK, LARGE_LINK, LARGE_LINK, SMALL_LINK, SMALL_LINK, SMALL_LINK, SMALL_LINK,
+        SMALL_LINK, SMALL_LINK,
+    ];
+    let (store, hosts) = start_hosts("large-leaving", &links).await;
+    let log = Arc::new(ServerLog::default());
+    let mut addresses = Vec::new();
+    for server in ["p1", "p2"] {
+        let address = servers::serve(server, Arc::clone(&log)).await;
+        store.set_server(server, "plain", address, "ready", 1);
+        addresses.push(address);
+    }
+    sleep(Duration::from_millis(1500)).await;
+    store.set_config(&large_config(2));
+    sleep(Duration::from_secs(1)).await;
+    store.set_server("p1", "plain", addresses[0], "draining", 1);
+    let left_at = Instant::now();
+    let mut number = 0;
+    while left_at.elapsed() < DRAIN_BOUND + Duration::from_secs(3) {
+        for host in &hosts {
+            number += 1;
+            let attempt = format!("a{number:x}");
+            let call = request("POST", "/look/ok", &attempt, "k1");
+            tokio::spawn(send(host.addresses.caller_address, call));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    let late = log.arrivals_since("p1", left_at + DRAIN_BOUND);
+    let last = log.arrivals_since("p1", left_at).last().copied();
+    println!("last request {:?}", last.map(|at| at - left_at));
+    assert_eq!(late.len(), 0, "requests after {DRAIN_BOUND:?}");
+    assert!(!log.arrivals_since("p2", left_at + DRAIN_BOUND).is_empty());
+}
--- a/crates/hollywheel-gateway/tests/support/peer_host.rs
+++ b/crates/hollywheel-gateway/tests/support/peer_host.rs
@@ -3,7 +3,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -98,3 +99,38 @@
     };
     entry.encode_to_vec()
 }
+
+/// Serves a host that has a fresh view of the store and reports no changes. Once `silent` is set it
+/// accepts calls and answers none.
+pub async fn serve_source(silent: Arc<AtomicBool>) -> SocketAddr {
+    /// Time for which a long poll without changes is held.
+    const FOLLOW_WAIT: Duration = Duration::from_millis(300);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let silent = Arc::clone(&silent);
+            let service = service_fn(move |_: Request<Incoming>| {
+                let silent = Arc::clone(&silent);
+                async move {
+                    tokio::time::sleep(FOLLOW_WAIT).await;
+                    if silent.load(Ordering::SeqCst) {
+                        std::future::pending::<()>().await;
+                    }
+                    let reply = FollowReply {
+                        incarnation: 1,
+                        age_us: Some(0),
+                        store_era: Some(0),
+                        ..FollowReply::default()
+                    };
+                    let body = Full::new(Bytes::from(reply.encode_to_vec()));
+                    Ok::<_, Infallible>(Response::new(body))
+                }
+            });
+            let connection = server::Builder::new(TokioExecutor::new());
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    address
+}
