Read the store while the hosts that are followed are silent

Callers' requests reached a server later than drain-ms after it had announced its leaving, when the hosts that a follower tries were silent.

Cause: each silent source takes a time-out of 0.9 s, up to six were tried in turn, and only then did the host read the store itself. Evidence: the test silent_sources, where the last request came 5.16 s after the announcement (2 s allowed), and the users' record, in which the followers read the store four time-outs after the change that kept their sources from answering.

Now a host without an answer for as long as a view may be old (0.6 of the bound) reads the store beside its attempts to follow, and stops when a source answers. A single silent source costs less than that and no call of the store.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! long-poll a reader for changes, which also reaches hosts that the store refuses to serve. A
 //! follower that finds no host with a fresh view reads the store itself.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -119,7 +120,7 @@
             continue;
         }
         let sources = list_sources(&host, &readers);
-        if follow_any(&host, &sources, &mut cursor).await {
+        if follow_in_time(&host, &sources, &mut cursor).await {
             reads_until = MonoTime::default();
         } else {
             reads_until = host.now() + FALLBACK_READING_TIME;
@@ -175,6 +176,19 @@
     sources
 }
 
+/// Polls the sources as [`follow_any`] does. If none of them has answered for as long as a view may
+/// be old, this host reads the store itself meanwhile: each silent source takes a time-out, and
+/// several of them would take longer than a change may.
+async fn follow_in_time(host: &Host, sources: &[HostRecord], cursor: &mut FollowCursor) -> bool {
+    let mut followed = pin!(follow_any(host, sources, cursor));
+    let patience = host.feed_plan().fresh_view;
+    if let Ok(is_fresh) = timeout(patience, followed.as_mut()).await {
+        return is_fresh;
+    }
+    set_reading(host, true, "sources are silent");
+    followed.await
+}
+
 /// Polls the sources in order until one has a fresh view; returns whether there was one. A source
 /// does not count as fresh if it reports no store era, as hosts of an earlier software version do,
 /// or an era before the latest known one.
