Log which failed attempts belong to one request

Attempts of a caller at one request have different ids, so the log could not tell one request that crashes many servers from many requests that crash one each. HW7202 has a digest of all that its repetitions have in common: host, path, workspace, prompt parts and body.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -59,7 +59,7 @@
     PartUnblocked, "HW7121", "A prompt part no longer counts as the cause of crashes.", "part, source";
     NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
-    AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts";
+    AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A batched stage call has ended without results for all of its pieces.", "pool, server, pieces, outcome, took_ms, timeout_ms";
     PiecesRefused, "HW7205", "The host that coordinates a pool has refused the pieces of a stage.", "request, pool, stage, pieces, workspace_rank, pipeline_rank, returned, waiting, running, late_ms, remaining_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -12,7 +12,7 @@
 
 use hollywheel_adapter::RequestHead;
 use hollywheel_serving::{
-    CallerAttempt, KeyHolder, PipelineRoute, RequestKind, RequestRank, ServingSet,
+    CallerAttempt, KeyHolder, PipelineRoute, RequestIdentity, RequestKind, RequestRank, ServingSet,
 };
 use hollywheel_types::{MonoTime, PoolId, WorkspaceId};
 
@@ -38,6 +38,8 @@
     /// Pool that gets the final call.
     pub(crate) pool: PoolId,
     pub(crate) head: RequestHead,
+    /// Host name in lower case, without a port.
+    pub(crate) host_name: String,
     pub(crate) method: Method,
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
@@ -56,6 +58,24 @@
     pub(crate) tie_breaker: u64,
 }
 
+impl RequestContext {
+    /// Returns a digest that is equal for all attempts of a caller at the same request.
+    pub(crate) fn identity(&self) -> u64 {
+        let parts: Vec<u64> = self.head.parts.iter().map(|part| part.id).collect();
+        let identity = RequestIdentity {
+            host: &self.host_name,
+            target: self
+                .target
+                .path_and_query()
+                .map_or("", |path| path.as_str()),
+            workspace: self.workspace.as_ref().map_or("", |name| name.as_str()),
+            parts: &parts,
+            body: &self.body,
+        };
+        identity.digest()
+    }
+}
+
 /// Counts a request as open until dropped, and logs its end once: as cancelled if it is dropped
 /// before an end was recorded.
 pub(crate) struct RequestGuard {
@@ -228,6 +248,7 @@
         pipeline,
         pool,
         head,
+        host_name: name,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -262,7 +262,8 @@
         reason = failure.reason,
         took_ms = millis(now.since(sent_at)),
         in_flight,
-        parts = part_names(shared_parts(&context.head.parts))
+        parts = part_names(shared_parts(&context.head.parts)),
+        identity = format!("{:016x}", context.identity())
     );
     // A refusal, such as that of a full server, is no sign of a fault.
     if !failure.received || failure.verdict != ExecutionVerdict::NotRun {
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod rank;
 mod registry;
+mod request_identity;
 mod retry_detector;
 mod server_limit;
 mod serving_set;
@@ -48,6 +49,7 @@
 };
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
+pub use request_identity::RequestIdentity;
 pub use retry_detector::{CallerAttempt, RetryDetector};
 pub use server_limit::{
     LimitChange, LimitNotice, LimitStatement, LimitTable, PermitLedger, PermitVerdict,
