Refuse requests that crash servers, also without a shared prompt part

Cause: evidence of crashes was kept for prompt parts that requests share. What has none was a new request with each attempt.

Now a crash is evidence against three kinds of causes: each shared prompt part, as before; the request as a whole (host, path, workspace, prompt and body); and the pieces of a stage with the same key, for all that were in the call. A request that ran beside a crashing one is not refused: the other explains its crashes. For the same reason a prompt part is no longer refused if a single request explains the crashes under it.

HW7120, HW7121 have the field cause in place of part.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -13,10 +13,12 @@
 use hollywheel_adapter::StagePiece;
 use hollywheel_serving::{
     BatchPolicy, CallOutcome, CallPlan, CallerAttempt, GroupRequest, GroupTicket, GroupVerdict,
-    PieceDelivery, PieceHandle, PieceResult, PoolBatcher, PoolShard, RequestRank, StageInput,
+    PieceDelivery, PieceHandle, PieceResult, PoolBatcher, PoolShard, RequestRank, ServerRecord,
+    StageInput, WorkPiece,
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
+use crate::crash_evidence::{record_call_crash, record_pieces_made};
 use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::stage_client::{FreeOutcome, free_at_servers, free_results, send_call, usable_server};
@@ -303,6 +305,35 @@
         }
     }
 
+    /// Records what the outcome of a call says about pieces that crash servers.
+    fn record_evidence(
+        &self,
+        host: &Host,
+        key: &ShardKey,
+        plan: &CallPlan,
+        record: &ServerRecord,
+        outcome: &CallOutcome,
+    ) {
+        let queues = self.queues.borrow();
+        let groups = queues.get(key).map(|queue| &queue.groups);
+        let stage_key = |piece: &WorkPiece| {
+            let group = &groups?.get(&piece.ticket)?.group;
+            Some((group.kind.as_str(), group.piece_key.as_str()))
+        };
+        match outcome {
+            CallOutcome::ServerLost => {
+                let pieces = plan.pieces.iter().filter_map(stage_key);
+                record_call_crash(host, &plan.server, record, pieces);
+            }
+            CallOutcome::Answered(results) => {
+                let made = plan.pieces.iter().zip(results);
+                let made = made.filter(|(_, result)| matches!(result, PieceResult::Made(_)));
+                record_pieces_made(host, made.filter_map(|(piece, _)| stage_key(piece)));
+            }
+            CallOutcome::AtLimit { .. } | CallOutcome::Failed | CallOutcome::Refused { .. } => {}
+        }
+    }
+
     /// Reports the outcome of a call to its batcher and sends the calls that it makes possible.
     fn finish(&self, host: &Host, key: &ShardKey, call: u64, outcome: CallOutcome) {
         if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
@@ -405,7 +436,7 @@
 async fn run_call(host: Host, key: ShardKey, plan: CallPlan, pieces: Vec<StagePiece>) {
     let started = host.now();
     let record = usable_server(&host, &plan.server);
-    let call = send_call(&host, &plan.server, record, &pieces);
+    let call = send_call(&host, &plan.server, record.clone(), &pieces);
     let outcome = timeout(plan.timeout, call)
         .await
         .unwrap_or(CallOutcome::Failed);
@@ -426,6 +457,10 @@
             timeout_ms = millis(plan.timeout)
         );
     }
+    if let Some(record) = record {
+        host.coordinator
+            .record_evidence(&host, &key, &plan, &record, &outcome);
+    }
     host.coordinator.finish(&host, &key, plan.call, outcome);
 }
 
@@ -436,6 +471,7 @@
         CallOutcome::Refused { .. } => "refused",
         CallOutcome::AtLimit { .. } => "at limit",
         CallOutcome::Failed => "failed",
+        CallOutcome::ServerLost => "server lost",
         CallOutcome::Answered(results) => results
             .iter()
             .find_map(|result| match result {
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -55,8 +55,8 @@
     ServerLimited, "HW7117", "A backend server named a limit on the requests that it accepts from all hosts together.", "server, limit, before, source";
     ServerLimitEnded, "HW7118", "A backend server no longer names a limit on its requests.", "server, before, lasted_ms, source";
     AnswerDiscarded, "HW7119", "An answer of the store or of another host was discarded before it had arrived completely.", "source, bytes, waited_ms";
-    PartBlocked, "HW7120", "A prompt part was present in several crashes of backend servers; requests with it are refused, unless another part explains the crashes as well.", "part, source";
-    PartUnblocked, "HW7121", "A prompt part no longer counts as the cause of crashes.", "part, source";
+    CauseBlocked, "HW7120", "A prompt part, the pieces of a stage or a request were present in several crashes of backend servers; such requests are refused, unless another cause explains the crashes as well.", "cause, source";
+    CauseUnblocked, "HW7121", "A prompt part, the pieces of a stage or a request no longer count as the cause of crashes.", "cause, source";
     NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
@@ -65,7 +65,7 @@
     PiecesRefused, "HW7205", "The host that coordinates a pool has refused the pieces of a stage.", "request, pool, stage, pieces, workspace_rank, pipeline_rank, returned, waiting, running, late_ms, remaining_ms, retry_after_ms";
     DuplicateEvents, "HW7206", "A backend server that resumed a stream sent events again that the caller already has; they were dropped.", "request, server, events, after";
     DuplicateAnswer, "HW7207", "A backend server sent the results of an earlier call again; the duplicate answer was dropped and its connection closed.", "server, results";
-    PartRefused, "HW7208", "A request was refused since a part of its prompt crashes backend servers.", "request, wait_ms";
+    CrashingRefused, "HW7208", "A request was refused since it crashes backend servers.", "request, wait_ms";
     LinesSuppressed, "HW7901", "Log lines were suppressed by the rate limit.", "count, event";
 }
 
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -22,9 +22,9 @@
 };
 
 use crate::config_fetch::ConfigNotice;
+use crate::crash_evidence::{self, apply_entries};
 use crate::host::Host;
 use crate::log::{log_line, millis};
-use crate::part_evidence::{self, apply_entries};
 use crate::peer_client::{FOLLOW_PATH, PeerFailure};
 use crate::peer_server::micros;
 use crate::server_limits::{apply_entry, encode_limit};
@@ -346,7 +346,7 @@
             .is_some_and(|change| change != host.limits.borrow().change())
         || request
             .evidence_change
-            .is_some_and(|change| change != host.parts.borrow().change())
+            .is_some_and(|change| change != host.crashes.borrow().change())
 }
 
 /// Builds the answer to a follower: all rows if its cursor belongs to another incarnation of this
@@ -363,7 +363,7 @@
     let newer = installed.filter(|known| known.set.version.0 > request.config_version);
     let limits = host.limits.borrow();
     let limits_after = request.limit_change.filter(|_| same).unwrap_or(0);
-    let parts = host.parts.borrow();
+    let crashes = host.crashes.borrow();
     let evidence_after = request.evidence_change.filter(|_| same).unwrap_or(0);
     FollowReply {
         incarnation: host.incarnation,
@@ -401,11 +401,11 @@
             .map(|(server, notice)| encode_limit(now, server, notice))
             .collect(),
         limit_change: limits.change(),
-        evidence: parts
+        evidence: crashes
             .changes_after(evidence_after)
-            .map(|evidence| part_evidence::encode(now, &evidence))
+            .map(|evidence| crash_evidence::encode(now, &evidence))
             .collect(),
-        evidence_change: parts.change(),
+        evidence_change: crashes.change(),
     }
 }
 
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,10 +9,10 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    BudgetShare, FeedPlan, HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice,
-    LimitTable, LoadTable, PackedDocument, PartTable, PermitLedger, RetryBudget, RetryDetector,
-    RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, SlackShare, StoreEra,
-    StorePlace, StoreView,
+    BudgetShare, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable, LatencyForecast,
+    LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget,
+    RetryDetector, RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, SlackShare,
+    StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -57,10 +57,10 @@
     pub(crate) limits: RefCell<LimitTable>,
     /// Permits that this host has granted for servers with a limit.
     pub(crate) permits: RefCell<PermitLedger>,
-    /// Prompt parts that crash servers.
-    pub(crate) parts: RefCell<PartTable>,
-    /// Prompt parts that were blocked when the evidence last changed.
-    pub(crate) blocked_parts: RefCell<Vec<u64>>,
+    /// Causes of crashes of servers.
+    pub(crate) crashes: RefCell<CrashTable>,
+    /// Causes that were blocked when the evidence last changed.
+    pub(crate) blocked_causes: RefCell<Vec<CrashCause>>,
     /// Retry budgets of the pools.
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     /// This host's share in the slack of the retry budgets.
@@ -132,8 +132,8 @@
             loads: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
-            parts: RefCell::default(),
-            blocked_parts: RefCell::default(),
+            crashes: RefCell::default(),
+            blocked_causes: RefCell::default(),
             budgets: RefCell::default(),
             budget_share: RefCell::new(BudgetShare::new(clock.now(), settings.bounds.retry_window)),
             forecast: RefCell::default(),
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
     pub(crate) blocked_parts: Gauge,
+    pub(crate) blocked_repetitions: Gauge,
     pub(crate) blocked_requests: Family<NameLabel, Counter>,
     pub(crate) store_calls: Counter,
     pub(crate) discarded_bytes: Counter,
@@ -75,6 +76,7 @@
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
             blocked_parts: Gauge::default(),
+            blocked_repetitions: Gauge::default(),
             blocked_requests: Family::default(),
             store_calls: Counter::default(),
             discarded_bytes: Counter::default(),
@@ -154,9 +156,14 @@
             "Prompt parts that count as the cause of crashes of servers",
             self.blocked_parts.clone(),
         );
+        registry.register(
+            "hollywheel_blocked_repetitions",
+            "Requests and pieces of stages that count as the cause of crashes of servers",
+            self.blocked_repetitions.clone(),
+        );
         registry.register(
             "hollywheel_blocked_requests",
-            "Requests refused since a part of their prompt crashes servers, by pool",
+            "Requests refused since they crash servers, by pool",
             self.blocked_requests.clone(),
         );
         registry.register(
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -30,7 +30,7 @@
 pub(crate) const PERMIT_PATH: &str = "/permit";
 /// Path for limits that were just named or have ended.
 pub(crate) const LIMITS_PATH: &str = "/limits";
-/// Path for evidence about prompt parts that crash servers.
+/// Path for evidence about requests that crash servers.
 pub(crate) const EVIDENCE_PATH: &str = "/evidence";
 /// Path for a part of the active configuration.
 pub(crate) const CONFIG_PATH: &str = "/config";
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -21,10 +21,10 @@
 use crate::batch_coordinator::{GroupOutcome, PieceGroup};
 use crate::config_fetch::answer_part;
 use crate::connect::accept;
+use crate::crash_evidence::receive_evidence;
 use crate::follow::answer_follow;
 use crate::host::Host;
 use crate::limited_body::collect_body;
-use crate::part_evidence::receive_evidence;
 use crate::peer_client::{
     CONFIG_PATH, EVIDENCE_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH,
     PIECES_PATH,
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -10,8 +10,9 @@
 use hollywheel_types::{ExecutionVerdict, ServerId};
 
 use crate::body::AnswerBody;
+use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
 use crate::host::Host;
-use crate::limited_body::{ANSWER_LIMIT, collect_body};
+use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_body};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::server_attempt::{AttemptExtras, AttemptFailure, record_attempt_failure, send_attempt};
@@ -49,6 +50,8 @@
     /// Whether an attempt is in flight, so that the request may run if it is cancelled now.
     sending: bool,
     reason: &'static str,
+    /// Time after which the request may be retried, if it is refused since it crashes servers.
+    blocked_wait: Option<Duration>,
     /// Answer of the last attempt that had one; forwarded if no later attempt replaces it.
     last_answer: Option<WholeAnswer>,
 }
@@ -67,6 +70,7 @@
         verdict: ExecutionVerdict::NotRun,
         sending: false,
         reason: "",
+        blocked_wait: None,
         last_answer: None,
     };
     let time_left = context.deadline.since(host.now());
@@ -83,6 +87,11 @@
 /// Sends the request to one server after another until it has an answer or may not be retried.
 async fn try_servers(host: &Host, context: &RequestContext, state: &mut CallState) {
     loop {
+        if let Some(wait) = blocked_wait(host, context) {
+            state.blocked_wait = Some(wait);
+            state.reason = "the request crashes servers";
+            return;
+        }
         let Some((server, record)) = choose_server(host, context, state).await else {
             return;
         };
@@ -103,6 +112,7 @@
             Ok(answer) => {
                 state.received_attempts += 1;
                 state.verdict = ExecutionVerdict::Ran;
+                record_begun(host, context);
                 let failed = answer.status.is_server_error();
                 let elapsed = host.now().since(sent_at);
                 host.loads.borrow_mut().note_success(&server, elapsed);
@@ -113,6 +123,9 @@
             }
             Err(failure) => {
                 record_attempt_failure(host, context, &server, state.tries, &failure, sent_at);
+                if failure.lost_server {
+                    record_crash(host, context, &server, &record);
+                }
                 state.received_attempts += u32::from(failure.received);
                 state.verdict = state.verdict.join(failure.verdict);
                 state.reason = failure.reason;
@@ -207,7 +220,7 @@
     let body = body.await.map_err(|failure| AttemptFailure {
         verdict: ExecutionVerdict::MayHaveRun,
         received: true,
-        lost_server: false,
+        lost_server: failure == BodyFailure::Broken,
         reason: failure.name(),
     })?;
     let whole = WholeAnswer {
@@ -252,11 +265,10 @@
         ExecutionVerdict::NotRun => (
             RequestOutcome::Refused,
             StatusCode::SERVICE_UNAVAILABLE,
-            Some(
-                host.retry_wait(&context.pool)
-                    .unwrap_or_default()
-                    .max(FULL_BACKOFF),
-            ),
+            Some(state.blocked_wait.unwrap_or_else(|| {
+                let wait = host.retry_wait(&context.pool);
+                wait.unwrap_or_default().max(FULL_BACKOFF)
+            })),
         ),
         ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => {
             let timed_out = host.now() >= context.deadline;
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -162,7 +162,7 @@
         limits.retain(now, |server| registry.usable(now, server).is_some());
         let mut permits = host.permits.borrow_mut();
         permits.retain(now, |server| registry.usable(now, server).is_some());
-        host.parts.borrow_mut().expire(now);
+        host.crashes.borrow_mut().expire(now);
     }
 }
 
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -12,10 +12,10 @@
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::connection_pool::{ActiveConnection, SendFailure};
+use crate::crash_evidence::{record_answer, shared_parts};
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_body};
 use crate::log::{log_line, millis};
-use crate::part_evidence::{record_answer, shared_parts};
 use crate::request::RequestContext;
 use crate::server_limits::note_response_limit;
 
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -11,8 +11,10 @@
 use hollywheel_serving::{CallOutcome, PermitVerdict, PieceHandle, PieceResult, ServerRecord};
 use hollywheel_types::{ServerId, SortedMap};
 
+use crate::connection_pool::SendFailure;
+use crate::crash_evidence::record_answer;
 use crate::host::Host;
-use crate::limited_body::{PIECES_LIMIT, SMALL_LIMIT, collect_body};
+use crate::limited_body::{BodyFailure, PIECES_LIMIT, SMALL_LIMIT, collect_body};
 use crate::log::log_line;
 use crate::server_limits::{note_response_limit, take_permit};
 
@@ -61,8 +63,10 @@
     let sent = host
         .connections
         .send_idempotent(server, record.address, request);
-    let Ok((answer, mut connection)) = sent.await else {
-        return CallOutcome::Failed;
+    let (answer, mut connection) = match sent.await {
+        Ok(answered) => answered,
+        Err(SendFailure::NotSent) => return CallOutcome::Failed,
+        Err(SendFailure::Broken) => return CallOutcome::ServerLost,
     };
     let facts = hollywheel_adapter::decode_response_head(&answer, "");
     host.apply_answer_facts(server, &facts);
@@ -77,9 +81,12 @@
     if answer.status() != StatusCode::OK {
         return CallOutcome::Failed;
     }
-    let Ok(body) = collect_body(answer.into_body(), PIECES_LIMIT).await else {
-        return CallOutcome::Failed;
+    let body = match collect_body(answer.into_body(), PIECES_LIMIT).await {
+        Ok(body) => body,
+        Err(BodyFailure::Broken) => return CallOutcome::ServerLost,
+        Err(BodyFailure::Stalled | BodyFailure::TooLarge) => return CallOutcome::Failed,
     };
+    record_answer(host, server, &record, sent_at);
     let results = match hollywheel_adapter::decode_stage_results(&body) {
         Ok(results) if results.len() == pieces.len() => results,
         Ok(_) | Err(_) => return CallOutcome::Failed,
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -11,7 +11,7 @@
     CallerAttempt, HostRecord, PieceHandle, PipelineRoute, PoolShard, RequestRank, ServerRecord,
     ServingSet, StageGraph, StageInput, StagePlan, StageTimes, choose_shard, least_wait,
 };
-use hollywheel_types::{DomainId, HostId, MonoTime, PoolId, ServerId, SortedMap};
+use hollywheel_types::{DomainId, HostId, MonoTime, PipelineId, PoolId, ServerId, SortedMap};
 use hollywheel_wire::serving::{PieceAnswer, PieceEnd, PieceOrder};
 
 use crate::batch_coordinator::{GroupOutcome, PieceGroup};
@@ -198,6 +198,11 @@
     .collect()
 }
 
+/// Returns the name of a stage of a pipeline, which separates its pieces from those of other stages.
+pub(crate) fn stage_name(pipeline: &PipelineId, stage: usize) -> String {
+    format!("{pipeline}/{stage}")
+}
+
 /// Returns a future that runs one stage; its deadlines and its shard are chosen at once.
 fn run_stage<'a>(
     host: &'a Host,
@@ -233,7 +238,7 @@
     let group = PieceGroup {
         pool: step.pool.clone(),
         shard: shard.clone(),
-        kind: format!("{}/{stage}", context.pipeline.name),
+        kind: stage_name(&context.pipeline.name, stage),
         attempt_id: context.attempt_id.clone(),
         stage,
         piece_count: graph.pieces(stage),
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -15,10 +15,10 @@
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
+use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
 use crate::host::Host;
 use crate::limited_body::{ANSWER_LIMIT, collect_body};
 use crate::log::log_line;
-use crate::part_evidence::{blocked_wait, record_begun, record_crash};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::results::HeldResults;
@@ -196,11 +196,11 @@
     pub(crate) async fn open(&mut self) -> Result<OpenStream, OpenFailure> {
         loop {
             self.check_pool_pause()?;
-            self.check_parts()?;
+            self.check_crashes()?;
             self.reserve_engine().await?;
             self.produce_inputs().await?;
-            // A part may have become known while the stages ran.
-            self.check_parts()?;
+            // The cause of crashes may have become known while the stages ran.
+            self.check_crashes()?;
             let (server, record) = self.choose_server().await?;
             self.tries += 1;
             let load = self.host.server_load(&server, &record);
@@ -254,12 +254,12 @@
         Err(self.give_up())
     }
 
-    /// Refuses the request if a part of its prompt crashes the engines that begin to answer it.
-    fn check_parts(&mut self) -> Result<(), OpenFailure> {
+    /// Refuses the request if it crashes the servers that begin to run it.
+    fn check_crashes(&mut self) -> Result<(), OpenFailure> {
         let Some(retry_after) = blocked_wait(&self.host, &self.context) else {
             return Ok(());
         };
-        self.reason = "a part of the prompt crashes engines";
+        self.reason = "the request crashes servers";
         Err(match self.verdict {
             ExecutionVerdict::NotRun => OpenFailure::Refused { retry_after },
             ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -108,8 +108,10 @@
         /// The time until the server may have a free place.
         wait: Duration,
     },
-    /// The connection broke, or no complete response arrived before the time-out.
+    /// No complete response arrived before the time-out.
     Failed,
+    /// The server ended the connection before a complete response, as a server does that crashes.
+    ServerLost,
 }
 
 /// Reports the final outcome of one piece to its group.
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -316,7 +316,7 @@
                 CallOutcome::Answered(_) => state.note_answer(taken, running.expected),
                 CallOutcome::Refused { pause } => state.note_refused(now, *pause),
                 CallOutcome::AtLimit { wait } => state.note_at_limit(now, *wait),
-                CallOutcome::Failed => {
+                CallOutcome::Failed | CallOutcome::ServerLost => {
                     state.note_answer(taken.max(running.expected), running.expected);
                     state.note_failed(now);
                 }
@@ -334,7 +334,7 @@
                 }
                 Vec::new()
             }
-            CallOutcome::Refused { .. } | CallOutcome::Failed => {
+            CallOutcome::Refused { .. } | CallOutcome::Failed | CallOutcome::ServerLost => {
                 let pieces = running.pieces.iter();
                 pieces
                     .filter_map(|piece| self.retry_piece(*piece))
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -8,7 +8,7 @@
 mod budget;
 mod budget_share;
 mod call_time;
-mod crashing_parts;
+mod crash_table;
 mod events;
 mod feed_plan;
 mod hosts;
@@ -35,7 +35,9 @@
 pub use budget::RetryBudget;
 pub use budget_share::{BudgetShare, SlackShare};
 pub use call_time::CallTimes;
-pub use crashing_parts::{CrashEvidence, PartTable, PartVerdict, ServerStart};
+pub use crash_table::{
+    CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
+};
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
 pub use hosts::{HostChange, HostRecord, HostTable};
--- a/crates/hollywheel-serving/tests/crashing_parts.rs
+++ b/crates/hollywheel-serving/tests/crashing_parts.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-use hollywheel_serving::{CrashEvidence, PartTable, PartVerdict, ServerStart};
+use hollywheel_serving::{CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart};
 use hollywheel_types::MonoTime;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 
 /// Parts: one that crashes servers, one that comes with it, and others.
-const CRASHING: u64 = 0xdead;
-const PARENT: u64 = 0xaa;
-const OTHER: u64 = 0xbb;
+const CRASHING: CrashCause = CrashCause::Part(0xdead);
+const PARENT: CrashCause = CrashCause::Part(0xaa);
+const OTHER: CrashCause = CrashCause::Part(0xbb);
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
@@ -25,16 +25,16 @@
 }
 
 /// Returns a table with crashes of different servers, a second apart, under the given parts.
-fn crashed(crashes: u64, parts: &[u64]) -> PartTable {
-    let mut table = PartTable::new();
+fn crashed(crashes: u64, parts: &[CrashCause]) -> CrashTable {
+    let mut table = CrashTable::new();
     for number in 0..crashes {
         table.note_crash(at(1000 * number), &server(number), parts.iter().copied());
     }
     table
 }
 
-fn is_blocked(table: &PartTable, now: MonoTime, parts: &[u64]) -> bool {
-    matches!(table.verdict(now, parts), PartVerdict::Blocked { .. })
+fn is_blocked(table: &CrashTable, now: MonoTime, parts: &[CrashCause]) -> bool {
+    matches!(table.verdict(now, parts), CrashVerdict::Blocked { .. })
 }
 
 #[test]
@@ -43,13 +43,13 @@
     let table = crashed(3, &[CRASHING]);
     assert!(is_blocked(&table, at(3000), &[OTHER, CRASHING]));
     assert!(!is_blocked(&table, at(3000), &[OTHER]));
-    assert_eq!(table.crashing_parts(), [CRASHING]);
+    assert_eq!(table.crashing_causes(), [CRASHING]);
 }
 
 /// A failure domain or a switch takes many servers with it.
 #[test]
 fn servers_lost_at_once_block_no_part() {
-    let mut table = PartTable::new();
+    let mut table = CrashTable::new();
     for number in 0..20 {
         table.note_crash(at(1000 + number * 20), &server(number), [OTHER]);
     }
@@ -96,7 +96,7 @@
     let mut sound = table.clone();
     sound.note_begun(at(3000), [PARENT, OTHER]);
     assert!(is_blocked(&sound, at(3000), &[PARENT, CRASHING]));
-    assert_eq!(sound.crashing_parts(), [CRASHING]);
+    assert_eq!(sound.crashing_causes(), [CRASHING]);
     table.note_crash(at(3000), &server(9), [PARENT, OTHER]);
     assert!(
         is_blocked(&table, at(3000), &[PARENT, OTHER]),
@@ -107,11 +107,11 @@
 #[test]
 fn one_request_is_let_through_after_the_block() {
     let mut table = crashed(3, &[CRASHING]);
-    let Some(PartVerdict::Blocked { wait }) = Some(table.verdict(at(3000), &[CRASHING])) else {
+    let Some(CrashVerdict::Blocked { wait }) = Some(table.verdict(at(3000), &[CRASHING])) else {
         panic!("not blocked");
     };
     let ends_at = at(3000) + wait;
-    let probe = PartVerdict::Probe { part: CRASHING };
+    let probe = CrashVerdict::Probe { cause: CRASHING };
     assert_eq!(table.verdict(ends_at, &[CRASHING]), probe);
     table.note_probe(ends_at, CRASHING);
     assert!(
@@ -125,10 +125,10 @@
 /// A host learns of a crash after it has seen the part begin.
 #[test]
 fn host_that_saw_a_part_begin_answers_evidence_with_its_withdrawal() {
-    let mut table = PartTable::new();
+    let mut table = CrashTable::new();
     table.note_begun(at(1500), [OTHER]);
     let evidence = CrashEvidence {
-        part: OTHER,
+        cause: OTHER,
         server: server(1),
         at: at(1000),
         withdrawn: false,
@@ -158,22 +158,22 @@
     for _ in 0..200 {
         let mut news: Vec<CrashEvidence> = (0..random.random_range(1..12))
             .map(|_| CrashEvidence {
-                part: random.random_range(0..3),
+                cause: CrashCause::Part(random.random_range(0..3)),
                 server: server(random.random_range(0..4)),
                 at: at(1000),
                 withdrawn: random.random_bool(0.4),
             })
             .collect();
-        let mut first = PartTable::new();
+        let mut first = CrashTable::new();
         news.iter().for_each(|evidence| {
             first.apply(evidence);
         });
         news.shuffle(&mut random);
-        let mut second = PartTable::new();
+        let mut second = CrashTable::new();
         for evidence in news.iter().chain(&news) {
             second.apply(evidence);
         }
-        let known = |table: &PartTable| table.changes_after(0).collect::<Vec<_>>();
+        let known = |table: &CrashTable| table.changes_after(0).collect::<Vec<_>>();
         assert_eq!(known(&first), known(&second));
     }
 }
