Take a stream that ends with its connection before any event for broken off

What did happen: after a whole head without a length, a stream that closed before its first event was passed on as a complete, empty one. It has no other mark of its end, so it is now a failed attempt.

--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -89,7 +89,9 @@
             let Some(frame) = self.answer.body.frame().await else {
                 let rest = Bytes::copy_from_slice(self.cutter.rest());
                 let is_stream = self.ends_at_close || self.has_event || self.after.is_some();
-                if is_stream && !rest.is_empty() {
+                // A stream that ends with its connection has at least one event.
+                let is_empty = self.ends_at_close && !self.has_event && self.after.is_none();
+                if is_stream && !rest.is_empty() || is_empty {
                     return Err(StreamFailure::Broken);
                 }
                 self.ended = true;
