Take a resumed stream that ends without an event for broken off

A stream had begun and broke off; the next engine sent the head of a success without a length and closed. The caller got the first events and a clean end, as if the stream were complete.

The case is now one of stream_goes_on_with_the_error_of_the_next_engine, which failed with it (200, whole) and passes now.

--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -89,8 +89,8 @@
             let Some(frame) = self.answer.body.frame().await else {
                 let rest = Bytes::copy_from_slice(self.cutter.rest());
                 let is_stream = self.ends_at_close || self.has_event || self.after.is_some();
-                // A stream that ends with its connection has at least one event.
-                let is_empty = self.ends_at_close && !self.has_event && self.after.is_none();
+                // A stream that ends with its connection has at least one event, also one that is resumed.
+                let is_empty = self.ends_at_close && !self.has_event;
                 if is_stream && !rest.is_empty() || is_empty {
                     return Err(StreamFailure::Broken);
                 }
--- a/crates/hollywheel-gateway/tests/resumed_streams.rs
+++ b/crates/hollywheel-gateway/tests/resumed_streams.rs
@@ -27,6 +27,11 @@
         "missing" => request.response("404 Not Found", "", "boom"),
         // An error under a success status, complete by its length.
         "text" => request.response("200 OK", "", "boom"),
+        "empty" => format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {}\r\nresponse-seal: seal\r\n\r\n",
+            request.header("attempt-id")
+        )
+        .into_bytes(),
         "event" => request.response("200 OK", "", "id: 2\ndata: b\n\nboom"),
         _ => format!(
             "HTTP/1.1 500 Internal Server Error\r\nattempt-id: {}\r\nresponse-seal: seal\r\nconnection: close\r\n\r\nboom",
@@ -35,7 +40,7 @@
         .into_bytes(),
     };
     let mut steps = vec![RawStep::Send(response)];
-    if mode == "unframed" {
+    if matches!(mode, "empty" | "unframed") {
         steps.push(RawStep::Close);
     }
     steps
@@ -59,6 +64,7 @@
         "rejection",
         "missing",
         "text",
+        "empty",
         "event",
         "unframed",
     ] {
