Answer every request before the process ends, and refuse those that cannot end in time

It happened here: with servers that need 7 s, requests taken from 0.8 s after the signal on were cut when the process ended, 7.6 s after it.

0.3 s before the end of the process each request without an answer now gets its final one: 502 if it was passed on, 503 if not. A request whose pipeline takes longer than is left, by the mean of its latest requests, is refused as not run as soon as it was read, so that its caller goes to another host at once. Streams that have begun are still cut at the end of the process.

stop_late: requests_taken_late_in_a_stop_are_cut_without_an_answer failed before (cut) and passes now: four refused that never reached a server, twelve answered with 502, three that began before the signal served. Tests of the stop and end_to_end pass.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -80,6 +80,8 @@
     /// Notified when the configuration, a server or a host changes, or the store is lost.
     pub(crate) view_changed: Notify,
     pub(crate) stopping: watch::Sender<StopPhase>,
+    /// Time by which requests must have an answer during the graceful stop.
+    pub(crate) answers_until: Cell<Option<MonoTime>>,
     /// Number of requests being served.
     pub(crate) open_requests: Cell<u64>,
     /// Number of open connections from callers.
@@ -105,6 +107,8 @@
     Leaving,
     /// Idle connections are closed, and new ones are closed at once.
     Closing,
+    /// Requests without an answer get their final one, since the process is about to end.
+    Ending,
 }
 
 /// Shared handle of the process state.
@@ -146,6 +150,7 @@
             reader_role: ReaderRole::default(),
             view_changed: Notify::new(),
             stopping: watch::Sender::new(StopPhase::Serving),
+            answers_until: Cell::new(None),
             open_requests: Cell::new(0),
             caller_connections: Cell::new(0),
             tie_breaker_state: Cell::new(incarnation),
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -11,7 +11,7 @@
 
 use crate::body::AnswerBody;
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
-use crate::host::Host;
+use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_body};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
@@ -74,12 +74,18 @@
         last_answer: None,
     };
     let time_left = context.deadline.since(host.now());
-    let answered = timeout(time_left, try_servers(host, context, &mut state)).await;
-    if answered.is_err() {
+    let unanswered = tokio::select! {
+        answered = timeout(time_left, try_servers(host, context, &mut state)) => match answered {
+            Ok(()) => None,
+            Err(_) => Some("no complete answer before the deadline"),
+        },
+        () = host.wait_for_stop(StopPhase::Ending) => Some("the host stops"),
+    };
+    if let Some(reason) = unanswered {
         if state.sending {
             state.verdict = state.verdict.join(ExecutionVerdict::MayHaveRun);
         }
-        state.reason = "no complete answer before the deadline";
+        state.reason = reason;
     }
     finish(host, context, guard, state)
 }
@@ -116,6 +122,9 @@
                 let failed = answer.status.is_server_error();
                 let elapsed = host.now().since(sent_at);
                 host.loads.borrow_mut().note_success(&server, elapsed);
+                let taken = host.now().since(context.arrived);
+                let name = &context.pipeline.name;
+                host.forecast.borrow_mut().learn_whole(name, taken);
                 state.last_answer = Some(answer);
                 if !failed || !may_retry(host, context, state) {
                     return;
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -26,6 +26,8 @@
 /// `Retry-After` while the host has no configuration; the first one is usually read within this
 /// time.
 const NO_CONFIG_BACKOFF: Duration = Duration::from_millis(500);
+/// `Retry-After` of a request that this host cannot end before it stops; other hosts serve it.
+const STOP_BACKOFF: Duration = Duration::from_millis(100);
 /// Part of the caller's time reserved for the answer's way back: the one-way network delay to
 /// callers and the transfer of the answer itself.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -124,6 +126,7 @@
 /// Reason why a request is rejected before it is served.
 enum Rejection {
     NoConfig,
+    Stopping,
     BadHead,
     NoRoute,
     BadKey,
@@ -135,7 +138,7 @@
 impl Rejection {
     const fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadKey => StatusCode::UNAUTHORIZED,
@@ -147,6 +150,7 @@
     const fn reason(&self) -> &'static str {
         match self {
             Self::NoConfig => "no configuration has been read yet",
+            Self::Stopping => "the host stops before the request would end",
             Self::BadHead => "a header is missing or invalid",
             Self::NoRoute => "no pipeline matches the host name and path",
             Self::BadKey => "the API key is missing or unknown",
@@ -196,7 +200,11 @@
 ) -> Response<AnswerBody> {
     let status = rejection.status();
     guard.end(&RequestEnd::rejected(status, rejection.reason()));
-    let retry_after = matches!(rejection, Rejection::NoConfig).then_some(NO_CONFIG_BACKOFF);
+    let retry_after = match rejection {
+        Rejection::NoConfig => Some(NO_CONFIG_BACKOFF),
+        Rejection::Stopping => Some(STOP_BACKOFF),
+        _ => None,
+    };
     answer_locally(host, attempt_id, status, retry_after)
 }
 
@@ -230,6 +238,7 @@
         .min(pipeline.timeout);
     let body = timeout(time_budget, read_body(body, set.limits.body_bytes)).await;
     let body = body.map_err(|_| Rejection::SlowBody)??;
+    check_stop(host, &pipeline, host.now())?;
     let tie_breaker = host.next_tie_breaker();
     let pool = pipeline
         .pool_for(tie_breaker >> 32)
@@ -260,6 +269,22 @@
     })
 }
 
+/// Rejects a request that is not expected to end before this host does.
+///
+/// # Errors
+///
+/// Returns [`Rejection::Stopping`] if the host stops too soon.
+fn check_stop(host: &HostState, pipeline: &PipelineRoute, now: MonoTime) -> Result<(), Rejection> {
+    let Some(until) = host.answers_until.get() else {
+        return Ok(());
+    };
+    let expected = host.forecast.borrow().whole(&pipeline.name);
+    match expected {
+        Some(expected) if now + expected > until => Err(Rejection::Stopping),
+        Some(_) | None => Ok(()),
+    }
+}
+
 /// Returns whether a streaming request is probably a retry of a refused one. Non-streaming
 /// requests are too short for the difference to matter and count as first attempts.
 fn classify_attempt(
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -37,6 +37,9 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2600);
 /// Margin by which the process ends before the platform would kill it.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the process at which requests without an answer get their final one, so
+/// that it reaches their callers also if a packet is lost and sent again.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which the graceful stop checks whether all caller connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -211,11 +214,14 @@
     std::fs::read_to_string(&options.settings_path)
 }
 
-/// Stops gracefully: coordinates no new work, stops accepting callers after a delay, and waits for
-/// open requests to end, all within the grace period of the platform.
+/// Stops gracefully: coordinates no new work, stops accepting callers after a delay, waits for open
+/// requests to end, and has the remaining ones answered, all within the grace period of the platform.
 async fn stop_gracefully(host: &Host) {
     let started = Instant::now();
     let grace = host.settings().bounds.grace;
+    let process_time = grace.saturating_sub(KILL_MARGIN);
+    let answer_time = process_time.saturating_sub(ANSWER_MARGIN);
+    host.answers_until.set(Some(host.now() + answer_time));
     host.stopping.send_replace(StopPhase::Leaving);
     let own = host.hosts.borrow().own().clone();
     host.hosts.borrow_mut().note_leaving(&own);
@@ -226,12 +232,15 @@
         grace_ms = millis(grace),
         requests = host.open_requests.get()
     );
-    tokio::time::sleep(STOP_ACCEPT_TIME.min(grace)).await;
+    tokio::time::sleep(STOP_ACCEPT_TIME.min(answer_time)).await;
     host.stopping.send_replace(StopPhase::Closing);
     // By the end of this pause a request that was read just before is being served.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     // A connection stays open while a response is written on it.
-    while host.caller_connections.get() > 0 && started.elapsed() + KILL_MARGIN < grace {
+    while host.caller_connections.get() > 0 && started.elapsed() < process_time {
+        if started.elapsed() >= answer_time {
+            host.stopping.send_replace(StopPhase::Ending);
+        }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     log_line!(
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -16,7 +16,7 @@
 
 use crate::body::AnswerBody;
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
-use crate::host::Host;
+use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, collect_body};
 use crate::log::log_line;
 use crate::request::{RequestContext, RequestGuard};
@@ -101,9 +101,14 @@
 ) -> Response<AnswerBody> {
     let mut job = StreamJob::new(host, context, guard);
     let time_left = job.context.start_deadline.since(host.now());
-    let opened = timeout(time_left, job.open()).await;
-    let opened = opened.unwrap_or_else(|_| {
-        job.reason = "the answer did not start before the deadline";
+    let opened = tokio::select! {
+        opened = timeout(time_left, job.open()) => {
+            opened.map_err(|_| "the answer did not start before the deadline")
+        }
+        () = host.wait_for_stop(StopPhase::Ending) => Err("the host stops"),
+    };
+    let opened = opened.unwrap_or_else(|reason| {
+        job.reason = reason;
         if job.sending {
             job.verdict = job.verdict.join(ExecutionVerdict::MayHaveRun);
         }
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -240,6 +240,10 @@
             let elapsed = host.now().since(stream.answer.sent_at);
             let server = stream.answer.server.clone();
             host.loads.borrow_mut().note_success(&server, elapsed);
+            let context = &self.job.context;
+            let taken = host.now().since(context.arrived);
+            let name = &context.pipeline.name;
+            host.forecast.borrow_mut().learn_whole(name, taken);
             stream.answer.complete(host);
         }
         self.job.end(RequestOutcome::Answered, StatusCode::OK);
--- a/crates/hollywheel-serving/src/latency_forecast.rs
+++ b/crates/hollywheel-serving/src/latency_forecast.rs
@@ -16,6 +16,8 @@
 enum PipelineStep {
     Stage(PipelineId, usize),
     Final(PipelineId),
+    /// All steps, from the arrival of a request to the end of its answer.
+    Whole(PipelineId),
 }
 
 /// Holds the mean time of each step of each pipeline, including queueing.
@@ -56,10 +58,24 @@
         self.learn(PipelineStep::Final(pipeline.clone()), taken);
     }
 
+    /// Returns the expected time from the arrival of a request to the end of its answer; `None` if none
+    /// was observed.
+    pub fn whole(&self, pipeline: &PipelineId) -> Option<Duration> {
+        let mean = self.steps.get(&PipelineStep::Whole(pipeline.clone()))?;
+        Some(Duration::from_secs_f64(*mean))
+    }
+
+    /// Adds an observed time from the arrival of a request to the end of its answer.
+    pub fn learn_whole(&mut self, pipeline: &PipelineId, taken: Duration) {
+        self.learn(PipelineStep::Whole(pipeline.clone()), taken);
+    }
+
     /// Removes the pipelines for which the predicate is false.
     pub fn retain(&mut self, mut predicate: impl FnMut(&PipelineId) -> bool) {
         self.steps.retain(|step, _| match step {
-            PipelineStep::Stage(pipeline, _) | PipelineStep::Final(pipeline) => predicate(pipeline),
+            PipelineStep::Stage(pipeline, _)
+            | PipelineStep::Final(pipeline)
+            | PipelineStep::Whole(pipeline) => predicate(pipeline),
         });
     }
 
