Leave the first calls after an outage of the store to the selected readers

After a restore of the store, hosts made more calls than after a start. Cause, as traced earlier: a follower that begins to read late in the outage stands in for the readers, retries after 0.1 s while they wait 0.5 s, and lists all tables in the new era before them.

A host that only stands in for the selected readers now waits 0.7 s after a failed call, or until it follows one again, and leaves the listing of a restored store to them for as long.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -64,6 +64,12 @@
         let _ = self.reads.subscribe().wait_for(|reads| *reads).await;
     }
 
+    /// Waits until this host follows another one.
+    pub(crate) async fn wait_for_following(&self) {
+        // The sender lives as long as this value.
+        let _ = self.reads.subscribe().wait_for(|reads| !*reads).await;
+    }
+
     /// Returns whether this host reads the store.
     pub(crate) fn is_reading(&self) -> bool {
         *self.reads.borrow()
@@ -87,6 +93,13 @@
     order
 }
 
+/// Returns whether this host is one of those that are selected to read the store, rather than one
+/// that reads it since it has no fresh view.
+pub(crate) fn is_selected_reader(host: &Host) -> bool {
+    let own = host.hosts.borrow().own().clone();
+    list_readers(host).iter().any(|reader| reader.name == own)
+}
+
 /// Position of a follower in the changes of the host that it follows. It is valid for one
 /// incarnation of that host.
 #[derive(Clone, Copy, Default)]
@@ -105,9 +118,8 @@
     let mut reads_until = MonoTime::default();
     loop {
         let readers = list_readers(&host);
-        let own = host.hosts.borrow().own().clone();
         let now = host.now();
-        let is_reader = readers.iter().any(|reader| reader.name == own);
+        let is_reader = is_selected_reader(&host);
         let reason = if is_reader { "reader" } else { "no fresh view" };
         set_reading(&host, is_reader || now < reads_until, reason);
         let fresh_view = host.feed_plan().fresh_view;
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use prost::Message;
+use tokio::time::timeout;
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
 use hollywheel_serving::{HostRecord, RowChange, StoreEra, StorePlace, ViewPart};
 use hollywheel_types::{HostId, MonoTime, ServerId};
 use hollywheel_wire::serving::HostEntry;
 
+use crate::follow::is_selected_reader;
 use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::store_client::{StoreConnection, StoreFailure};
@@ -35,6 +37,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time within which the selected readers have listed a table after the store has returned: the
+/// longest pause between their calls, and a slow call.
+const READERS_TIME: Duration = Duration::from_millis(700);
+
 /// Client of the change feed of one table.
 struct TableFeed {
     host: Host,
@@ -72,7 +78,7 @@
             }
             Err(failure) => {
                 feed.record_outage(&failure);
-                tokio::time::sleep(pause).await;
+                feed.wait_to_retry(pause).await;
                 pause = (pause * 2).min(MAX_RETRY_PAUSE);
             }
         }
@@ -83,7 +89,10 @@
     /// Reads and applies the next changes; returns how long to wait before the next call.
     async fn advance(&mut self) -> Result<Duration, StoreFailure> {
         let Some(after) = self.cursor else {
-            return self.list_table().await;
+            return match self.leave_to_readers().await {
+                true => Ok(Duration::ZERO),
+                false => self.list_table().await,
+            };
         };
         let wait = match self.table {
             StoreTable::Operator | StoreTable::Servers => self.host.feed_plan().wait,
@@ -121,6 +130,31 @@
         })
     }
 
+    /// Waits after a failed call. A host that only stands in for the selected readers waits until they
+    /// had the time to find the store again.
+    async fn wait_to_retry(&self, pause: Duration) {
+        if is_selected_reader(&self.host) {
+            tokio::time::sleep(pause).await;
+        } else {
+            let followed = self.host.reader_role.wait_for_following();
+            // Whether it ended in time shows in the role, which the caller waits for.
+            let _ = timeout(READERS_TIME, followed).await;
+        }
+    }
+
+    /// After a restore of the store, gives the selected readers the time to list the table first if
+    /// this host only stands in for them; returns whether it no longer does. Otherwise every host
+    /// that lost its source in the outage would list all tables.
+    async fn leave_to_readers(&self) -> bool {
+        let is_restored = self.host.store_era() > Some(self.newest.era);
+        let is_first = self.newest == StorePlace::default();
+        if !is_restored || is_first || is_selected_reader(&self.host) {
+            return false;
+        }
+        let followed = self.host.reader_role.wait_for_following();
+        timeout(READERS_TIME, followed).await.is_ok()
+    }
+
     /// Records that the table is known as of a time.
     fn confirm_view(&self, at: MonoTime) {
         if let Some(part) = view_part(self.table) {
