--- a/crates/hollywheel-gateway/tests/crashing_request.rs
+++ b/crates/hollywheel-gateway/tests/crashing_request.rs
@@ -32,7 +32,7 @@
 
 const PLAIN: CrashingServer = CrashingServer {
     pool: "plain",
-    is_crashing: |request| request.body == "dead",
+    is_crashing: |request| request.body == "dead" || request.path.ends_with("/dead"),
     answer: |request| request.response("200 OK", "", "ran"),
 };
 const MODEL: CrashingServer = CrashingServer {
@@ -139,6 +139,18 @@
     .await;
 }
 
+/// The requests have no body and differ in their paths only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lookup_without_body_crashes_one_server_after_the_other() {
+    check_crashing(
+        "crashing-bodiless",
+        &[PLAIN],
+        |number| build("/look/x", number, "a", "7c1e", ""),
+        |number| build("/look/dead", 100_000 + number, "a", "7c1e", ""),
+    )
+    .await;
+}
+
 /// The only part of the prompt belongs to the request, so no other request shares it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn prompt_without_shared_parts_crashes_one_engine_after_the_other() {
