Forget the latency of a server that no longer answers

Callers saw: in calm, one slow answer kept a server from any further request of that host, so the rest of the pool carried its load.

Cause: placement scales up the load of a server whose mean latency is over twice the median. The mean changed only with an answer, and a server that is avoided gives none.

Fix: the confidence in a mean halves every 4 s without an answer. A server that was ten times as slow as the others gets its next request after 13 s, and the answer then replaces most of the old mean.

--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -120,9 +120,10 @@
                 state.verdict = ExecutionVerdict::Ran;
                 record_begun(host, context);
                 let failed = answer.status.is_server_error();
-                let elapsed = host.now().since(sent_at);
-                host.loads.borrow_mut().note_success(&server, elapsed);
-                let taken = host.now().since(context.arrived);
+                let now = host.now();
+                let elapsed = now.since(sent_at);
+                host.loads.borrow_mut().note_success(now, &server, elapsed);
+                let taken = now.since(context.arrived);
                 let name = &context.pipeline.name;
                 host.forecast.borrow_mut().learn_whole(name, taken);
                 state.last_answer = Some(answer);
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -237,11 +237,12 @@
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
             let host = &self.job.host;
-            let elapsed = host.now().since(stream.answer.sent_at);
+            let now = host.now();
+            let elapsed = now.since(stream.answer.sent_at);
             let server = stream.answer.server.clone();
-            host.loads.borrow_mut().note_success(&server, elapsed);
+            host.loads.borrow_mut().note_success(now, &server, elapsed);
             let context = &self.job.context;
-            let taken = host.now().since(context.arrived);
+            let taken = now.since(context.arrived);
             let name = &context.pipeline.name;
             host.forecast.borrow_mut().learn_whole(name, taken);
             stream.answer.complete(host);
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -42,7 +42,7 @@
 pub use feed_plan::{FeedPlan, reader_count};
 pub use hosts::{HostChange, HostRecord, HostTable};
 pub use latency_forecast::LatencyForecast;
-pub use load::{LoadReport, LoadTable};
+pub use load::{LoadReport, LoadTable, MeanLatency};
 pub use packed_document::{
     DocumentAssembly, DocumentError, DocumentId, DocumentPart, PART_BYTES, PackedDocument,
 };
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -13,8 +13,10 @@
 const EJECT_TIME: Duration = Duration::from_millis(500);
 /// Upper limit of the duration of an ejection.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(4);
-/// Weight of the most recent latency in the moving average.
+/// Weight of the most recent latency in the moving average if it directly follows another one.
 const LATENCY_WEIGHT: f64 = 0.15;
+/// The half-life of a mean latency without further responses.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Holds the load that a server reported.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +29,42 @@
     pub slots: u32,
 }
 
+/// Holds the mean latency of a server's responses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeanLatency {
+    /// The mean, in seconds.
+    pub seconds: f64,
+    /// The time of the last response.
+    updated_at: MonoTime,
+}
+
+impl MeanLatency {
+    /// Creates the mean of one response.
+    const fn new(now: MonoTime, seconds: f64) -> Self {
+        Self {
+            seconds,
+            updated_at: now,
+        }
+    }
+
+    /// Returns how far the mean still describes the server: 1 directly after a response, halved
+    /// with each half-life since.
+    ///
+    /// A server that is avoided for its latency gets no requests whose responses would show that it
+    /// has recovered.
+    pub fn confidence(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.updated_at).as_secs_f64();
+        0.5f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Adds a response. The longer the last one was ago, the more this one counts.
+    fn add(&mut self, now: MonoTime, seconds: f64) {
+        let weight = 1.0 - (1.0 - LATENCY_WEIGHT) * self.confidence(now);
+        self.seconds += weight * (seconds - self.seconds);
+        self.updated_at = now;
+    }
+}
+
 /// Tracks the load and health of one server.
 #[derive(Clone, Debug, Default)]
 struct ServerLoad {
@@ -40,8 +78,7 @@
     ejected_until: Option<MonoTime>,
     /// The end of the pause that the server asked for.
     paused_until: Option<MonoTime>,
-    /// The mean latency of responses, in seconds.
-    latency: Option<f64>,
+    latency: Option<MeanLatency>,
 }
 
 /// Tracks the load and health of the servers to which this host sends requests.
@@ -81,13 +118,15 @@
     }
 
     /// Records a successful response and its latency.
-    pub fn note_success(&mut self, server: &ServerId, taken: Duration) {
+    pub fn note_success(&mut self, now: MonoTime, server: &ServerId, taken: Duration) {
         let load = self.load(server);
         load.failures = 0;
         load.ejected_until = None;
         let taken = taken.as_secs_f64();
-        let mean = load.latency.unwrap_or(taken);
-        load.latency = Some(mean + LATENCY_WEIGHT * (taken - mean));
+        match &mut load.latency {
+            Some(mean) => mean.add(now, taken),
+            None => load.latency = Some(MeanLatency::new(now, taken)),
+        }
     }
 
     /// Records a failure that the server is responsible for; returns the number of consecutive
@@ -154,8 +193,8 @@
         least
     }
 
-    /// Returns the mean latency of a server's responses, in seconds.
-    pub fn latency(&self, server: &ServerId) -> Option<f64> {
+    /// Returns the mean latency of a server's responses; none before the first response.
+    pub fn latency(&self, server: &ServerId) -> Option<MeanLatency> {
         self.servers.get(server)?.latency
     }
 
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -82,15 +82,17 @@
     let (healthy, ejected): (Vec<_>, Vec<_>) =
         available.partition(|candidate| !loads.is_ejected(query.now, candidate.server));
     let mut chosen = if healthy.is_empty() { ejected } else { healthy };
-    weigh_latency(&mut chosen, loads);
+    weigh_latency(query.now, &mut chosen, loads);
     chosen
 }
 
-/// Scales up the load of servers whose mean latency is far above the median of the candidates.
-fn weigh_latency(candidates: &mut [Candidate<'_>], loads: &LoadTable) {
+/// Scales up the load of servers whose mean latency is far above the median of the candidates, by
+/// less the longer they have not responded.
+fn weigh_latency(now: MonoTime, candidates: &mut [Candidate<'_>], loads: &LoadTable) {
     let mut times: Vec<f64> = candidates
         .iter()
         .filter_map(|candidate| loads.latency(candidate.server))
+        .map(|latency| latency.seconds)
         .collect();
     if times.len() < 2 {
         return;
@@ -98,7 +100,11 @@
     times.sort_by(f64::total_cmp);
     let median = times[(times.len() - 1) / 2].max(f64::MIN_POSITIVE);
     for candidate in candidates {
-        let ratio = loads.latency(candidate.server).unwrap_or(median) / median;
+        let Some(latency) = loads.latency(candidate.server) else {
+            continue;
+        };
+        let excess = latency.seconds / median - 1.0;
+        let ratio = 1.0 + excess * latency.confidence(now);
         if ratio > SLOW_RATIO {
             candidate.load *= ratio;
         }
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -332,8 +332,8 @@
     for _ in 0..3 {
         loads.note_failure(at(0), &names[0]);
     }
-    loads.note_success(&names[1], Duration::from_millis(600));
-    loads.note_success(&names[2], Duration::from_millis(60));
+    loads.note_success(at(0), &names[1], Duration::from_millis(600));
+    loads.note_success(at(0), &names[2], Duration::from_millis(60));
     let least = choose_least_loaded(&placement_query(&servers, at(1), 0), &loads, 4.5);
     assert_eq!(least, PlacementVerdict::Server(names[2].clone()));
     for name in &names {
