Compare the latency of servers above the noise of a network

Callers saw: a server that had once answered some milliseconds later than the others got a fraction of the requests of that host.

Cause: a server counted as slow from twice the median on, also if that is 3 ms instead of 1 ms.

Evidence: server_is_avoided_for_a_delay_of_milliseconds counted 0 of 100 requests before, 30 are required.

Fix: differences below 25 ms are left out.

--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -14,6 +14,9 @@
 const MIN_SHARED_TOKENS: u32 = 1000;
 /// A server counts as slow if its mean latency exceeds the median of the candidates by this factor.
 const SLOW_RATIO: f64 = 2.0;
+/// Smaller differences in mean latency, in seconds, are those of connections and scheduling, and
+/// callers do not notice them.
+const MIN_SLOW_EXCESS: f64 = 0.025;
 
 /// Describes one part of a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -103,9 +106,9 @@
         let Some(latency) = loads.latency(candidate.server) else {
             continue;
         };
-        let excess = latency.seconds / median - 1.0;
-        let ratio = 1.0 + excess * latency.confidence(now);
-        if ratio > SLOW_RATIO {
+        let excess = latency.seconds - median;
+        let ratio = 1.0 + excess / median * latency.confidence(now);
+        if excess > MIN_SLOW_EXCESS && ratio > SLOW_RATIO {
             candidate.load *= ratio;
         }
     }
--- a/crates/hollywheel-serving/tests/slow_servers.rs
+++ b/crates/hollywheel-serving/tests/slow_servers.rs
@@ -87,3 +87,28 @@
     );
     assert!(share <= 0.05, "a share of {share:.3}");
 }
+
+/// Servers that answer within a millisecond or two, and one response delayed by the network.
+#[test]
+fn server_is_avoided_for_a_delay_of_milliseconds() {
+    let mut loads = LoadTable::new();
+    for (name, millis) in [("p1", 17), ("p2", 2)] {
+        let (name, _) = server(name);
+        loads.note_success(at(Duration::ZERO), &name, Duration::from_millis(millis));
+    }
+    let servers = [server("p1"), server("p2")];
+    let chosen_count = (0..100_u64)
+        .filter(|tie| {
+            let query = PlacementQuery {
+                now: at(Duration::ZERO),
+                servers: &servers,
+                exclude: &[],
+                tie: *tie,
+                domain: None,
+            };
+            choose_least_loaded(&query, &loads, 9.0)
+                == PlacementVerdict::Server(servers[0].0.clone())
+        })
+        .count();
+    assert!(chosen_count >= 30, "{chosen_count} of 100 requests");
+}
