Reject the first request in every run of the test of freed inputs

The test itself was wrong, not the gateway.

The rejecting engine is now alone when the first request arrives, and the other engine joins while it holds the request, so that the rejection happens in every run.

--- a/crates/hollywheel-gateway/tests/stage_inputs.rs
+++ b/crates/hollywheel-gateway/tests/stage_inputs.rs
@@ -45,15 +45,23 @@
         .replace_pool("model", |request| {
             let extra = "not-executed: 1\r\n";
             vec![
-                RawStep::Pause(Duration::from_millis(400)),
+                RawStep::Pause(Duration::from_millis(1000)),
                 RawStep::Send(request.response("503 Service Unavailable", extra, "")),
             ]
         })
         .await;
-    let address = servers::serve("m2", Arc::clone(&fixture.log)).await;
-    fixture.store.set_server("m2", "model", address, "ready", 2);
-    sleep(Duration::from_millis(700)).await;
-    for number in 0..6 {
+    // The other engine joins while the rejecting one holds the first request, which therefore is
+    // rejected in every run; further requests go to either.
+    let join_engine = async {
+        while engine.paths().is_empty() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        let address = servers::serve("m2", Arc::clone(&fixture.log)).await;
+        fixture.store.set_server("m2", "model", address, "ready", 2);
+    };
+    let (first, ()) = tokio::join!(fixture.call("POST", "/brief/ok", "b0"), join_engine);
+    assert_eq!(first.status, 200, "{first:?}");
+    for number in 1..6 {
         let attempt = format!("b{number}");
         let response = fixture.call("POST", "/brief/ok", &attempt).await;
         assert_eq!(response.status, 200, "{attempt}: {response:?}");
