--- a/crates/hollywheel-standins/src/attempt.rs
+++ b/crates/hollywheel-standins/src/attempt.rs
@@ -1,4 +1,4 @@
-//! Attempts that can be cancelled.
+//! Table of the attempts in execution, which can be cancelled.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -6,7 +6,7 @@
 use hollywheel_types::SortedMap;
 use tokio_util::sync::CancellationToken;
 
-/// Bounds the ended attempts that are remembered; the oldest is forgotten.
+/// Maximum number of ended attempts that are remembered; the oldest one is dropped.
 const ENDED_ATTEMPTS: usize = 4096;
 
 #[derive(Debug)]
@@ -21,7 +21,7 @@
     ended: VecDeque<String>,
 }
 
-/// Knows the open attempts; their number is bounded by queue and slots.
+/// Tracks the open attempts. Their number is limited by the queue and the slots.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptTable {
     list: Mutex<AttemptList>,
@@ -40,7 +40,7 @@
         token
     }
 
-    /// Moves an attempt from queued to running unless it was cancelled.
+    /// Marks a queued attempt as running; returns false if it was cancelled.
     pub(crate) fn begin(&self, attempt: &str) -> bool {
         let mut list = self.list.lock().expect("no holder panics");
         match list.open.get_mut(attempt) {
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Removes an attempt.
+    /// Moves an attempt from the open to the ended ones.
     pub(crate) fn end(&self, attempt: &str) {
         let mut list = self.list.lock().expect("no holder panics");
         if list.open.remove(attempt).is_none() {
@@ -64,8 +64,8 @@
         list.ended.push_back(attempt.to_owned());
     }
 
-    /// Cancels an attempt and returns the state to be reported. Running work that cannot be
-    /// stopped stays, and its state is `unknown`.
+    /// Cancels an attempt and returns the state to report. Running work that cannot be stopped
+    /// continues, and its state is `unknown`.
     pub(crate) fn cancel(&self, attempt: &str, stops_running: bool) -> &'static str {
         let list = self.list.lock().expect("no holder panics");
         match list.open.get(attempt) {
--- a/crates/hollywheel-standins/src/backend.rs
+++ b/crates/hollywheel-standins/src/backend.rs
@@ -1,4 +1,4 @@
-//! What every backend server has in common.
+//! State and calls that all backend servers share.
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -18,7 +18,7 @@
     CutConnection, Reply, ReplyResult, json_reply, not_run_reply, read_json, text_reply,
 };
 
-/// Holds the state that does not depend on the work.
+/// Holds the state that is independent of the kind of work.
 #[derive(Debug)]
 pub(crate) struct BackendCore {
     pub(crate) name: String,
@@ -60,7 +60,7 @@
         self.leaving.load(Ordering::SeqCst)
     }
 
-    /// Returns a report without load, to be completed by the server.
+    /// Returns a report without load; the server fills in its load.
     pub(crate) fn report(&self) -> LoadReport {
         LoadReport {
             server: self.name.clone(),
@@ -94,7 +94,7 @@
         });
     }
 
-    /// Applies the faults that come before any processing.
+    /// Applies the faults that take effect before a call is processed.
     pub(crate) async fn before_call(&self) -> Result<(), CutConnection> {
         self.faults.wait_unfrozen().await;
         if self.faults.take(|order| &mut order.cut_before) {
@@ -103,7 +103,7 @@
         Ok(())
     }
 
-    /// Returns why a call is refused now, apart from a full queue.
+    /// Returns the reason to refuse a call, apart from a full queue.
     pub(crate) fn refusal_reason(&self) -> Option<&'static str> {
         if self.leaving() {
             return Some("leaving");
@@ -128,7 +128,8 @@
         not_run_reply(status, &body)
     }
 
-    /// Applies the faults that come after processing, before any byte of an answer.
+    /// Applies the faults that take effect after a call was processed, before any byte of its
+    /// answer is sent.
     ///
     /// Returns the status that replaces the answer, if there is one.
     pub(crate) fn after_call(&self) -> Result<Option<StatusCode>, CutConnection> {
@@ -139,8 +140,8 @@
         Ok(status.map(|code| StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY)))
     }
 
-    /// Returns the answer, or that of another call if a fault crosses them.
-    pub(crate) fn cross(&self, answer: RunAnswer) -> RunAnswer {
+    /// Returns the answer, or that of another call if the fault order says so.
+    pub(crate) fn replace_answer(&self, answer: RunAnswer) -> RunAnswer {
         let crossed = self.faults.take(|order| &mut order.crossed);
         let mut answered = self.answered.lock().expect("no holder panics");
         let earlier = answered.replace(answer.clone());
@@ -154,7 +155,7 @@
         }
     }
 
-    /// Answers the calls that do not depend on the work; others come back.
+    /// Answers the calls that are independent of the kind of work; returns the request of any other.
     pub(crate) async fn call(
         &self,
         request: Request<Incoming>,
@@ -216,7 +217,7 @@
     }
 }
 
-/// Returns an attempt that differs from the given one in its last digit.
+/// Returns an attempt id that differs from the given one in its last digit.
 pub(crate) fn crossed_attempt(attempt: &str) -> String {
     let mut other = attempt.to_owned();
     let last = other.pop();
@@ -224,7 +225,7 @@
     other
 }
 
-/// Reads a number from the query of a call.
+/// Returns a number from the query string of a call.
 pub(crate) fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
     let query = request.uri().query()?;
     let fields = query.split('&').filter_map(|field| field.split_once('='));
--- a/crates/hollywheel-standins/src/command/engine.rs
+++ b/crates/hollywheel-standins/src/command/engine.rs
@@ -6,14 +6,14 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use hollywheel_standins::{EngineSettings, StandinHandle, start_engine};
 
-use super::flag::{flag, get, get_micros, get_millis, listen, optional, place_flags};
+use super::flag::{capacity_flags, flag, get, get_micros, get_millis, listen, optional};
 
 pub(crate) fn command() -> Command {
     let settings = EngineSettings::default();
     Command::new("engine")
         .about("Stands in for a model engine")
         .arg(listen())
-        .args(place_flags(
+        .args(capacity_flags(
             "Streams",
             settings.name,
             settings.slots,
@@ -59,7 +59,7 @@
             "cache-gap-every",
             value_parser!(u64),
             settings.cache_gap_every,
-            "Loses each so many-th cache event; 0 loses none",
+            "Interval of lost cache events, 1 for every event; 0 loses none",
         ))
         .arg(flag(
             "load-lag-ms",
--- a/crates/hollywheel-standins/src/command/flag.rs
+++ b/crates/hollywheel-standins/src/command/flag.rs
@@ -1,4 +1,4 @@
-//! Flags that are also read from the environment.
+//! Command-line flags that can also be set by environment variables.
 
 use std::any::Any;
 use std::fmt::Display;
@@ -8,7 +8,8 @@
 use clap::builder::{StyledStr, ValueParser};
 use clap::{Arg, ArgMatches, value_parser};
 
-/// Returns a flag with a default; its variable is `HOLLYWHEEL_STANDIN_` and the name.
+/// Returns a flag with a default. Its environment variable is `HOLLYWHEEL_STANDIN_` followed by the
+/// name.
 pub(crate) fn flag(
     name: &'static str,
     parser: impl Into<ValueParser>,
@@ -32,7 +33,7 @@
         .help(help.into())
 }
 
-/// Returns the flag for the address.
+/// Returns the flag of the address to listen on.
 pub(crate) fn listen() -> Arg {
     flag(
         "listen",
@@ -42,8 +43,8 @@
     )
 }
 
-/// Returns the flags for the name of a server and for what it runs and holds at once.
-pub(crate) fn place_flags(work: &str, name: String, slots: u32, queue_limit: u32) -> [Arg; 3] {
+/// Returns the flags of a server's name, slots and queue limit.
+pub(crate) fn capacity_flags(work: &str, name: String, slots: u32, queue_limit: u32) -> [Arg; 3] {
     [
         flag("name", value_parser!(String), name, "Name of the server"),
         flag(
@@ -61,7 +62,7 @@
     ]
 }
 
-/// Returns the flags for service times that are drawn, and for the lag of load reports.
+/// Returns the flags of random service times and of the lag of load reports.
 pub(crate) fn time_flags(median: Duration, sigma: f64, load_lag: Duration, seed: u64) -> [Arg; 4] {
     [
         flag(
@@ -97,12 +98,12 @@
     value.cloned().expect("the flag has a default")
 }
 
-/// Returns a span that is given in milliseconds.
+/// Returns the value of a flag in milliseconds.
 pub(crate) fn get_millis(matches: &ArgMatches, name: &str) -> Duration {
     Duration::from_millis(get(matches, name))
 }
 
-/// Returns a span that is given in microseconds.
+/// Returns the value of a flag in microseconds.
 pub(crate) fn get_micros(matches: &ArgMatches, name: &str) -> Duration {
     Duration::from_micros(get(matches, name))
 }
--- a/crates/hollywheel-standins/src/command/pool.rs
+++ b/crates/hollywheel-standins/src/command/pool.rs
@@ -5,7 +5,7 @@
 use clap::{ArgMatches, Command, value_parser};
 use hollywheel_standins::{PoolSettings, PoolWork, StandinHandle, start_pool};
 
-use super::flag::{flag, get, get_micros, get_millis, listen, place_flags, time_flags};
+use super::flag::{capacity_flags, flag, get, get_micros, get_millis, listen, time_flags};
 
 fn parse_work(text: &str) -> Result<PoolWork, String> {
     text.parse()
@@ -16,7 +16,7 @@
     Command::new("pool")
         .about("Stands in for an encoder, retriever or reranker")
         .arg(listen())
-        .args(place_flags(
+        .args(capacity_flags(
             "Calls",
             settings.name,
             settings.slots,
--- a/crates/hollywheel-standins/src/command/run.rs
+++ b/crates/hollywheel-standins/src/command/run.rs
@@ -1,4 +1,4 @@
-//! Starting the chosen stand-in and ending it on a signal.
+//! Starts the selected stand-in and stops it on a signal.
 
 use std::fs::File;
 use std::io::{self, Write};
--- a/crates/hollywheel-standins/src/command/service.rs
+++ b/crates/hollywheel-standins/src/command/service.rs
@@ -5,14 +5,14 @@
 use clap::{ArgMatches, Command};
 use hollywheel_standins::{ServiceSettings, StandinHandle, start_service};
 
-use super::flag::{get, get_micros, get_millis, listen, place_flags, time_flags};
+use super::flag::{capacity_flags, get, get_micros, get_millis, listen, time_flags};
 
 pub(crate) fn command() -> Command {
     let settings = ServiceSettings::default();
     Command::new("service")
         .about("Stands in for a plain service, which does not deduplicate")
         .arg(listen())
-        .args(place_flags(
+        .args(capacity_flags(
             "Calls",
             settings.name,
             settings.slots,
--- a/crates/hollywheel-standins/src/digest.rs
+++ b/crates/hollywheel-standins/src/digest.rs
@@ -1,11 +1,11 @@
-//! Outputs as a function of the call.
+//! Deterministic outputs of calls.
 
 use sha2::{Digest, Sha256};
 
 const UNARY_DIGITS: usize = 16;
 const TOKEN_DIGITS: usize = 8;
 
-/// Returns the SHA-256 of the parts, each followed by a zero byte, in hexadecimal.
+/// Returns the SHA-256 digest of the parts, each followed by a zero byte, in hexadecimal.
 pub fn output_digest(parts: &[&str]) -> String {
     let mut hasher = Sha256::new();
     for part in parts {
@@ -16,13 +16,13 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// Returns the output of a stage that does not stream.
+/// Returns the output of a stage that does not generate a stream.
 pub fn unary_output(stage: &str, work: &str, input: &str, previous: &str) -> String {
     let digest = output_digest(&[stage, work, input, previous]);
     format!("{}:{}", work.to_uppercase(), &digest[..UNARY_DIGITS])
 }
 
-/// Returns the token at a position.
+/// Returns the text of the token at a position.
 pub fn token_text(stage: &str, model: &str, input: &str, previous: &str, index: u32) -> String {
     let digest = output_digest(&[stage, model, input, previous, &index.to_string()]);
     format!("{} ", &digest[..TOKEN_DIGITS])
--- a/crates/hollywheel-standins/src/engine/batch.rs
+++ b/crates/hollywheel-standins/src/engine/batch.rs
@@ -1,4 +1,4 @@
-//! Continuous batching: every running stream advances by one step at a time.
+//! Continuous batching: each step generates one token of every running stream.
 
 use std::time::Duration;
 
@@ -8,14 +8,14 @@
 use crate::digest::token_text;
 use crate::message::GenerateCall;
 
-/// Holds one part of a stream on its way to the caller.
+/// One part of a stream to be sent to the caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum StreamPart {
     Token { index: u32, text: String },
     End { tokens: u32 },
 }
 
-/// Says what one step did to a stream.
+/// State of a stream after a step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StepEnd {
     Continues,
@@ -23,7 +23,7 @@
     Cancelled,
 }
 
-/// Holds one stream.
+/// A stream that is generated or queued.
 #[derive(Debug)]
 pub(crate) struct StreamJob {
     pub(crate) call: GenerateCall,
@@ -49,19 +49,19 @@
         }
     }
 
-    /// Sets the time that processing the prompt takes.
+    /// Sets the processing time of the prompt.
     pub(crate) fn set_prompt_time(&mut self, time: Duration) {
         self.prompt_left = time;
     }
 
-    /// Says whether the caller has cancelled the stream or closed its connection.
-    pub(crate) fn abandoned(&self) -> bool {
+    /// Returns whether the caller has cancelled the stream or closed its connection.
+    pub(crate) fn is_abandoned(&self) -> bool {
         self.token.is_cancelled() || self.parts.is_closed()
     }
 
     /// Advances the stream by one step of the given length.
     pub(crate) fn step(&mut self, length: Duration) -> StepEnd {
-        if self.abandoned() {
+        if self.is_abandoned() {
             return StepEnd::Cancelled;
         }
         if self.prompt_left >= length {
@@ -90,13 +90,13 @@
             &run.previous,
             index,
         );
-        // The channel holds every part of the stream, so only a closed one refuses.
+        // The channel has room for all parts of the stream, so sending fails only if it is closed.
         let _ = self.parts.try_send(StreamPart::Token { index, text });
         self.next_index += 1;
     }
 }
 
-/// Holds the streams that wait, by priority and then by arrival.
+/// Queued streams, sorted by priority and then by arrival.
 #[derive(Debug, Default)]
 pub(crate) struct StreamQueue {
     jobs: Vec<StreamJob>,
@@ -115,10 +115,10 @@
         self.jobs.insert(at, job);
     }
 
-    /// Removes the streams whose callers are gone.
+    /// Removes the streams that their callers have abandoned.
     pub(crate) fn take_abandoned(&mut self) -> Vec<StreamJob> {
         let jobs = std::mem::take(&mut self.jobs);
-        let (gone, kept) = jobs.into_iter().partition(StreamJob::abandoned);
+        let (gone, kept) = jobs.into_iter().partition(StreamJob::is_abandoned);
         self.jobs = kept;
         gone
     }
--- a/crates/hollywheel-standins/src/engine/cache.rs
+++ b/crates/hollywheel-standins/src/engine/cache.rs
@@ -6,20 +6,20 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Gives the length of a prompt prefix.
+/// Length of a prompt prefix, in bytes.
 const PREFIX_BYTES: usize = 64;
 
-/// Bounds the kept events; the oldest is dropped, which readers see as a gap.
+/// Maximum number of stored events. The oldest one is dropped, which readers see as a gap.
 const CACHE_EVENTS: usize = 4096;
 
-/// Returns the hash of a prompt's prefix, 16 hexadecimal digits.
+/// Returns the hash of a prompt's prefix, as 16 hexadecimal digits.
 pub(crate) fn prefix_hash(input: &str) -> String {
     let bytes = input.as_bytes();
     let prefix = &bytes[..bytes.len().min(PREFIX_BYTES)];
     format!("{:016x}", xxh3_64(prefix))
 }
 
-/// Holds one published event.
+/// A published cache event.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct CacheEvent {
     pub(crate) seq: u64,
@@ -29,22 +29,22 @@
     at: Instant,
 }
 
-/// Holds the events after a position.
+/// The cache events after a position.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct CacheEventPage {
     pub(crate) next: u64,
     pub(crate) events: Vec<CacheEvent>,
 }
 
-/// Bounds the prefixes that a report names, so that a report stays below one packet.
+/// Maximum number of prefixes in a load report, so that a report fits into one packet.
 const REPORTED_PREFIXES: usize = 16;
 
-/// Keeps the most recently used prefixes.
+/// Cache of prompt prefixes that evicts the least recently used one.
 #[derive(Debug)]
 pub(crate) struct PrefixCache {
     size: usize,
     gap_every: u64,
-    /// The least recently used comes first.
+    /// The prefixes, least recently used first.
     prefixes: VecDeque<String>,
     events: VecDeque<CacheEvent>,
     seq: u64,
@@ -61,18 +61,18 @@
         }
     }
 
-    /// Returns the prefixes used last, as many as a report names.
+    /// Returns the most recently used prefixes for a load report.
     pub(crate) fn recent_prefixes(&self) -> Vec<String> {
         let recent = self.prefixes.iter().rev().take(REPORTED_PREFIXES);
         recent.cloned().collect()
     }
 
-    /// Returns the number of prefixes.
+    /// Returns the number of cached prefixes.
     pub(crate) fn used(&self) -> u32 {
         u32::try_from(self.prefixes.len()).unwrap_or(u32::MAX)
     }
 
-    /// Uses a prefix; says whether it was cached.
+    /// Marks a prefix as used and caches it; returns whether it was cached before.
     pub(crate) fn touch(&mut self, prefix: &str) -> bool {
         let found = self.prefixes.iter().position(|known| known == prefix);
         if let Some(at) = found {
@@ -108,7 +108,7 @@
         });
     }
 
-    /// Returns the events after a position that are old enough to be seen.
+    /// Returns the events after a position that are at least as old as the lag.
     pub(crate) fn events(&self, after: u64, lag: Duration) -> CacheEventPage {
         let now = Instant::now();
         let seen = |event: &&CacheEvent| now.duration_since(event.at) >= lag;
--- a/crates/hollywheel-standins/src/engine/mod.rs
+++ b/crates/hollywheel-standins/src/engine/mod.rs
@@ -1,4 +1,4 @@
-//! The model engine.
+//! Stand-in for a model engine.
 
 mod batch;
 mod cache;
--- a/crates/hollywheel-standins/src/engine/order.rs
+++ b/crates/hollywheel-standins/src/engine/order.rs
@@ -1,4 +1,4 @@
-//! Orders to a model engine and the loading of models.
+//! Orders to a model engine, and loading of models.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -11,15 +11,15 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
-/// Bounds the reads of the weight store for one order.
+/// Maximum number of reads of the weight store for one order.
 const LOAD_ATTEMPTS: u32 = 100;
 
 const LOAD_RETRY: Duration = Duration::from_millis(100);
 
-/// Bounds the models and adapters that one engine holds.
+/// Maximum number of models and adapters that an engine holds.
 const MAX_MODELS: usize = 64;
 
-/// Names what an order asks for.
+/// Action that an order requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum OrderAction {
@@ -42,7 +42,7 @@
     }
 }
 
-/// Holds one order.
+/// An order to a model engine.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct EngineOrder {
     pub(crate) order: String,
@@ -52,25 +52,25 @@
     pub(crate) model: String,
 }
 
-/// Knows the highest fencing number and the models that are loaded.
+/// Tracks the loaded models and the highest fencing number.
 #[derive(Debug, Default)]
-pub(crate) struct ModelShelf {
-    state: Mutex<ShelfState>,
+pub(crate) struct ModelRegistry {
+    state: Mutex<RegistryState>,
 }
 
 #[derive(Debug, Default)]
-struct ShelfState {
+struct RegistryState {
     highest: u64,
     models: Vec<String>,
 }
 
-impl ModelShelf {
+impl ModelRegistry {
     pub(crate) fn new(models: Vec<String>) -> Self {
         let mut models = models;
         models.sort();
         models.dedup();
         Self {
-            state: Mutex::new(ShelfState { highest: 0, models }),
+            state: Mutex::new(RegistryState { highest: 0, models }),
         }
     }
 
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the highest number seen if the given one is lower and the engine checks.
+    /// Returns the highest number seen if the given one is lower and fencing numbers are checked.
     pub(crate) fn fence(&self, fencing: u64, checks: bool) -> Result<(), u64> {
         let mut state = self.state.lock().expect("no holder panics");
         if checks && fencing < state.highest {
@@ -93,7 +93,7 @@
         state.models.clone()
     }
 
-    pub(crate) fn holds(&self, model: &str) -> bool {
+    pub(crate) fn contains(&self, model: &str) -> bool {
         let state = self.state.lock().expect("no holder panics");
         let found = state
             .models
@@ -104,7 +104,10 @@
     pub(crate) fn add(&self, model: &str) {
         let mut state = self.state.lock().expect("no holder panics");
         if state.models.len() >= MAX_MODELS {
-            tracing::warn!(model, "the engine holds no further model");
+            tracing::warn!(
+                model,
+                "model not loaded: the engine holds its maximum number of models"
+            );
             return;
         }
         let found = state
@@ -121,8 +124,8 @@
     }
 }
 
-/// Reads a model from the weight store, again while that is above its rate. Says whether
-/// the model came.
+/// Reads a model from the weight store, with retries while the store refuses reads above its rate.
+/// Returns whether the model was read.
 pub(crate) async fn fetch_weights(store: SocketAddr, token: Option<&str>, model: &str) -> bool {
     let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     for _ in 0..LOAD_ATTEMPTS {
--- a/crates/hollywheel-standins/src/engine/server.rs
+++ b/crates/hollywheel-standins/src/engine/server.rs
@@ -1,4 +1,4 @@
-//! The calls of a model engine.
+//! Server of a model engine.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,14 +23,14 @@
 
 use super::batch::{StepEnd, StreamJob, StreamPart, StreamQueue};
 use super::cache::{PrefixCache, prefix_hash};
-use super::order::{EngineOrder, ModelShelf, OrderAction, fetch_weights};
+use super::order::{EngineOrder, ModelRegistry, OrderAction, fetch_weights};
 use super::settings::EngineSettings;
 use super::stream::StreamWriter;
 
-/// Bounds the tokens of one call.
+/// Maximum number of tokens of one call.
 const MAX_TOKENS: u32 = 4096;
 
-/// Holds one engine.
+/// A model engine.
 pub(super) struct EngineServer {
     pub(super) core: BackendCore,
     settings: EngineSettings,
@@ -38,19 +38,19 @@
     wake: Notify,
     running: AtomicU32,
     cache: Mutex<PrefixCache>,
-    shelf: ModelShelf,
+    registry: ModelRegistry,
 }
 
 impl EngineServer {
     pub(super) fn load(&self) -> LoadReport {
-        // Before the cache is locked: a batch locks the queue first.
+        // Read before the cache is locked, because a batch locks the queue first.
         let queued = self.queued();
         let cache = self.cache.lock().expect("no holder panics");
         LoadReport {
             running: self.running.load(Ordering::SeqCst),
             queued,
             slots: self.settings.slots,
-            models: self.shelf.models(),
+            models: self.registry.models(),
             cache_used: cache.used(),
             cache_size: self.settings.cache_size,
             prefixes: cache.recent_prefixes(),
@@ -63,7 +63,7 @@
         u32::try_from(queue.len()).unwrap_or(u32::MAX)
     }
 
-    async fn keep_samples(self: Arc<Self>) {
+    async fn sample_loads(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(SAMPLE_EVERY);
         loop {
             ticks.tick().await;
@@ -71,12 +71,12 @@
         }
     }
 
-    /// Advances every running stream, step by step.
+    /// Executes the steps of all running streams.
     async fn run_batch(self: Arc<Self>) {
         let mut batch: Vec<StreamJob> = Vec::new();
         let mut next_step = Instant::now();
         loop {
-            self.fill(&mut batch);
+            self.start_queued(&mut batch);
             if batch.is_empty() {
                 self.wake.notified().await;
                 next_step = Instant::now();
@@ -104,8 +104,8 @@
         self.settings.token_time.mul_f64(growth * slow)
     }
 
-    /// Moves waiting streams to free slots.
-    fn fill(&self, batch: &mut Vec<StreamJob>) {
+    /// Starts queued streams in free slots.
+    fn start_queued(&self, batch: &mut Vec<StreamJob>) {
         let mut queue = self.queue.lock().expect("no holder panics");
         for job in queue.take_abandoned() {
             self.end(&job, LedgerEvent::Cancelled);
@@ -137,7 +137,7 @@
         self.settings.prompt_byte_time.mul_f64(bytes as f64 * share)
     }
 
-    /// Advances one stream; says whether it goes on.
+    /// Executes a step of one stream; returns whether the stream continues.
     fn step(&self, job: &mut StreamJob, length: Duration) -> bool {
         match job.step(length) {
             StepEnd::Continues => return true,
@@ -175,7 +175,7 @@
         if let Some(reason) = self.core.refusal_reason() {
             return Some(reason);
         }
-        if !self.shelf.holds(model) {
+        if !self.registry.contains(model) {
             return Some("model-not-loaded");
         }
         (self.queued() >= self.settings.queue_limit).then_some("queue-full")
@@ -234,14 +234,14 @@
         };
         self.core.before_call().await?;
         let checks = self.settings.fencing && !self.core.faults.get().ignore_fencing;
-        let fenced = self.shelf.fence(order.fencing, checks);
+        let fenced = self.registry.fence(order.fencing, checks);
         self.record_order(&order, fenced.is_ok());
         let (status, state, highest) = match fenced {
             Ok(()) => (StatusCode::OK, "accepted", None),
             Err(highest) => (StatusCode::CONFLICT, "stale", Some(highest)),
         };
         if fenced.is_ok() {
-            Arc::clone(&self).obey(order);
+            Arc::clone(&self).execute_order(order);
         }
         if self.core.faults.take(|order| &mut order.cut_after) {
             return Err(CutConnection);
@@ -264,7 +264,7 @@
         });
     }
 
-    fn obey(self: Arc<Self>, order: EngineOrder) {
+    fn execute_order(self: Arc<Self>, order: EngineOrder) {
         match order.action {
             OrderAction::LoadModel | OrderAction::LoadAdapter => {
                 let stop = self.core.stop.clone();
@@ -276,25 +276,28 @@
                 });
             }
             OrderAction::UnloadModel | OrderAction::UnloadAdapter => {
-                self.shelf.remove(&order.model);
+                self.registry.remove(&order.model);
             }
             OrderAction::SetRole => {}
         }
     }
 
     async fn load_model(&self, model: &str) {
-        if self.shelf.holds(model) {
+        if self.registry.contains(model) {
             return;
         }
         if let Some(store) = self.settings.weights {
             let token = self.settings.platform_token.as_deref();
             if !fetch_weights(store, token, model).await {
-                tracing::warn!(model, "the weight store did not give the model");
+                tracing::warn!(
+                    model,
+                    "model not loaded: the weight store did not return it"
+                );
                 return;
             }
         }
         tokio::time::sleep(self.settings.load_time).await;
-        self.shelf.add(model);
+        self.registry.add(model);
     }
 
     async fn cache_events(&self, request: &Request<Incoming>) -> ReplyResult {
@@ -355,10 +358,10 @@
             settings.cache_size,
             settings.cache_gap_every,
         )),
-        shelf: ModelShelf::new(settings.models.clone()),
+        registry: ModelRegistry::new(settings.models.clone()),
         settings,
     });
-    // A lagged report must not show calls that came before the first tick of the sampler.
+    // Without this sample a lagged report would include calls received before the first tick.
     engine.core.sample(engine.load());
     let stop = engine.core.stop.clone();
     let handle = serve::start(engine.settings.listen, stop.clone(), Arc::clone(&engine)).await?;
@@ -366,7 +369,7 @@
         tokio::select! {
             () = stop.cancelled() => {}
             () = Arc::clone(&engine).run_batch() => {}
-            () = Arc::clone(&engine).keep_samples() => {}
+            () = Arc::clone(&engine).sample_loads() => {}
         }
     });
     Ok(handle)
--- a/crates/hollywheel-standins/src/engine/settings.rs
+++ b/crates/hollywheel-standins/src/engine/settings.rs
@@ -1,42 +1,42 @@
-//! Settings of a model engine.
+//! Settings of the stand-in for a model engine.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Sets up one model engine.
+/// Settings of a model engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSettings {
-    /// The address; port 0 lets the system choose.
+    /// The address to listen on; with port 0 the system chooses the port.
     pub listen: SocketAddr,
     /// The name of the server.
     pub name: String,
-    /// Streams that run at once.
+    /// The number of streams that are generated at once.
     pub slots: u32,
-    /// Streams that wait; further ones are refused as not run.
+    /// The number of streams that may be queued; further ones are refused as not run.
     pub queue_limit: u32,
-    /// The models that are loaded at the start.
+    /// The initially loaded models.
     pub models: Vec<String>,
-    /// The time of one step with one stream.
+    /// The time of a step with one stream.
     pub token_time: Duration,
-    /// The share by which each further stream lengthens a step.
+    /// The fraction of that time by which each further stream lengthens a step.
     pub batch_growth: f64,
-    /// The time of processing one byte of prompt.
+    /// The processing time per byte of the prompt.
     pub prompt_byte_time: Duration,
-    /// The share of that time that remains when the prefix is cached.
+    /// The fraction of the prompt's processing time that remains if its prefix is cached.
     pub cached_share: f64,
-    /// The prompt prefixes that the cache holds.
+    /// The capacity of the cache, in prompt prefixes.
     pub cache_size: u32,
-    /// Loses each so many-th cache event; zero loses none.
+    /// The interval of lost cache events: with 10, every tenth is lost; with zero, none.
     pub cache_gap_every: u64,
-    /// The lag of load reports and cache events.
+    /// The age of load reports and cache events when they are returned.
     pub load_lag: Duration,
     /// Whether orders with old fencing numbers are refused.
     pub fencing: bool,
-    /// The weight store that models are read from.
+    /// The address of the weight store; none if models are loaded without reading.
     pub weights: Option<SocketAddr>,
-    /// The token that the platform asks for.
+    /// The token that the platform requires.
     pub platform_token: Option<String>,
-    /// The time of loading a model after it has been read.
+    /// The time to load a model after it was read.
     pub load_time: Duration,
 }
 
--- a/crates/hollywheel-standins/src/engine/stream.rs
+++ b/crates/hollywheel-standins/src/engine/stream.rs
@@ -1,4 +1,4 @@
-//! Writing the parts of a stream as lines.
+//! Encodes the parts of a stream as lines.
 
 use std::sync::Arc;
 
@@ -19,7 +19,7 @@
     Cut,
 }
 
-/// Writes the parts of one stream as lines.
+/// Encodes the parts of one stream as lines.
 pub(super) struct StreamWriter {
     engine: Arc<EngineServer>,
     call: GenerateCall,
@@ -33,7 +33,7 @@
 pub(super) type StreamFrame = Result<Frame<Bytes>, CutConnection>;
 
 impl StreamWriter {
-    /// Creates a writer that cuts the stream after so many tokens, if any.
+    /// Creates a writer that cuts the stream after `cut_after` tokens, if given.
     pub(super) fn new(
         engine: Arc<EngineServer>,
         call: GenerateCall,
@@ -60,7 +60,7 @@
         if self.cut_after.is_some_and(|after| self.sent >= after) {
             return Some(self.cut());
         }
-        // A stream that is cancelled closes its channel before the end.
+        // The channel of a cancelled stream closes before the last part.
         let Some(part) = self.parts.recv().await else {
             return Some(self.cut());
         };
--- a/crates/hollywheel-standins/src/fault.rs
+++ b/crates/hollywheel-standins/src/fault.rs
@@ -1,49 +1,49 @@
-//! Faults that are switched on by order.
+//! Fault injection.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-/// Lists the faults that are on. Each order replaces the one before.
+/// Faults to inject. Each order replaces the previous one.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FaultOrder {
-    /// Multiplies service times.
+    /// The factor by which service times are multiplied.
     pub slow_factor: f64,
-    /// Delays every answer, in milliseconds.
+    /// The delay of each answer, in milliseconds.
     pub latency_ms: u64,
-    /// Cuts the next calls before processing.
+    /// The number of next calls whose connection is closed before processing.
     pub cut_before: u32,
-    /// Cuts the next calls after processing, without an answer.
+    /// The number of next calls whose connection is closed after processing, without an answer.
     pub cut_after: u32,
-    /// Cuts the next stream after so many tokens.
+    /// The number of tokens after which the next streams are cut.
     pub cut_stream_after: Option<u32>,
-    /// Counts the streams that are cut.
+    /// The number of next streams that are cut.
     pub cut_stream_count: u32,
-    /// Refuses calls as not run.
+    /// Whether calls are refused as not run.
     pub refuse: bool,
-    /// Goes with every refusal, in milliseconds.
+    /// The retry time in each refusal, in milliseconds.
     pub retry_after_ms: u64,
-    /// Replaces the answer to a processed call by this HTTP status.
+    /// The HTTP status that replaces the answer to a processed call.
     pub fail_status: Option<u16>,
-    /// Crosses the next answers with that of another call.
+    /// The number of next answers that are replaced by the answer to another call.
     pub crossed: u32,
-    /// Sends every token line twice.
+    /// Whether each token line is sent twice.
     pub duplicate: bool,
-    /// Makes the server leave; it stays so until it restarts.
+    /// Whether the server is leaving. It accepts new work again only after a restart.
     pub leaving: bool,
-    /// Stops calls and answers until cleared.
+    /// Whether calls and answers are suspended until the fault is cleared.
     pub freeze: bool,
-    /// Refuses calls of the platform with 503.
+    /// Whether the platform refuses calls with status 503.
     pub outage: bool,
-    /// Cuts the next writes of the platform after they took effect.
+    /// The number of next writes of the platform that take effect and are not answered.
     pub lose_answer: u32,
-    /// Cuts writes of the platform at once; they take effect so many milliseconds later.
+    /// The time after which unanswered writes of the platform take effect, in milliseconds.
     pub late_effect_ms: Option<u64>,
-    /// Replaces the lag of reports, in milliseconds.
+    /// The lag of reports that replaces the configured one, in milliseconds.
     pub lag_ms: Option<u64>,
-    /// Accepts orders with old fencing numbers.
+    /// Whether orders with old fencing numbers are accepted.
     pub ignore_fencing: bool,
 }
 
@@ -72,7 +72,7 @@
     }
 }
 
-/// Holds the order in force and counts down its limited faults.
+/// Holds the fault order in force and counts down faults that apply a limited number of times.
 #[derive(Debug)]
 pub(crate) struct FaultSwitch {
     order: watch::Sender<FaultOrder>,
@@ -94,7 +94,7 @@
         self.order.borrow().clone()
     }
 
-    /// Uses up one of a counted fault; says whether there was one left.
+    /// Decrements a counted fault; returns whether it applies.
     pub(crate) fn take(&self, field: impl Fn(&mut FaultOrder) -> &mut u32) -> bool {
         let mut taken = false;
         self.order.send_if_modified(|order| {
@@ -106,7 +106,8 @@
         taken
     }
 
-    /// Uses up one cut of a stream; returns the tokens after which it is cut.
+    /// Decrements the cuts of streams; returns the number of tokens after which a stream is cut, if
+    /// any.
     pub(crate) fn take_stream_cut(&self) -> Option<u32> {
         let after = self.order.borrow().cut_stream_after?;
         self.take(|order| &mut order.cut_stream_count)
@@ -115,11 +116,11 @@
 
     pub(crate) async fn wait_unfrozen(&self) {
         let mut order = self.order.subscribe();
-        // The sender lives in `self`, so the wait cannot fail.
+        // The sender is a field of `self`, so the wait cannot fail.
         let _ = order.wait_for(|order| !order.freeze).await;
     }
 
-    /// Delays an answer as the order asks.
+    /// Waits for the delay of answers in the fault order.
     pub(crate) async fn delay_answer(&self) {
         let latency = Duration::from_millis(self.order.borrow().latency_ms);
         if !latency.is_zero() {
--- a/crates/hollywheel-standins/src/handle.rs
+++ b/crates/hollywheel-standins/src/handle.rs
@@ -1,4 +1,4 @@
-//! The owner's side of a running stand-in.
+//! Handle of a running stand-in.
 
 use std::fmt;
 use std::fs::File;
@@ -11,19 +11,19 @@
 use crate::fault::FaultOrder;
 use crate::ledger::LedgerEntry;
 
-/// Lets an owner in the same process read and steer a stand-in.
+/// Access to a stand-in from the same process.
 pub(crate) trait HandleControl: Send + Sync + 'static {
     /// Returns the ledger.
     fn ledger(&self) -> Vec<LedgerEntry>;
 
-    /// Writes later entries of the ledger to a file too.
+    /// Also writes later entries of the ledger to a file.
     fn copy_ledger(&self, file: File);
 
-    /// Replaces the faults.
+    /// Replaces the faults in force.
     fn set_faults(&self, order: FaultOrder);
 }
 
-/// Owns a running stand-in, which ends when the handle is dropped.
+/// Owns a running stand-in, which is stopped when the handle is dropped.
 pub struct StandinHandle {
     address: SocketAddr,
     stop: CancellationToken,
@@ -56,7 +56,7 @@
         self.control.ledger()
     }
 
-    /// Writes later entries of the ledger to a file too, so that they outlive the process.
+    /// Also writes later entries of the ledger to a file, so that they survive the process.
     pub fn copy_ledger(&self, file: File) {
         self.control.copy_ledger(file);
     }
@@ -66,7 +66,7 @@
         self.control.set_faults(order);
     }
 
-    /// Closes the listener and every connection, as when the process is killed.
+    /// Closes the listener and all connections, as if the process was killed.
     pub async fn stop(mut self) {
         self.stop.cancel();
         if let Some(task) = self.task.take() {
--- a/crates/hollywheel-standins/src/ledger.rs
+++ b/crates/hollywheel-standins/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The bounded record of what ran.
+//! Bounded record of executed calls.
 
 use std::fs::File;
 use std::io::Write;
@@ -7,11 +7,11 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Bounds the entries of one ledger. Later events are counted, and the ledger then ends
+/// Maximum number of entries of a ledger. Further events are only counted, and the ledger then ends
 /// with a `truncated` entry.
 pub const LEDGER_ENTRIES: usize = 500_000;
 
-/// Names what happened.
+/// Kind of a ledger entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LedgerEvent {
@@ -19,37 +19,37 @@
     Started,
     /// Work ended.
     Finished,
-    /// Work was given up, before or after its start.
+    /// Work was cancelled, before or after it began.
     Cancelled,
-    /// A call was refused before any work.
+    /// A call was refused before any work began.
     Refused,
     /// An order was accepted.
     OrderAccepted,
     /// An order was refused for its fencing number.
     OrderStale,
-    /// Events after the bound are missing.
+    /// Further events were not recorded.
     Truncated,
 }
 
-/// Holds one event.
+/// An entry of a ledger.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LedgerEntry {
-    /// The position in the ledger, from one.
+    /// The position in the ledger, starting at one.
     pub seq: u64,
-    /// What happened.
+    /// The kind of the event.
     pub event: LedgerEvent,
     /// The wall-clock time in microseconds since the Unix epoch.
     pub at_us: u64,
-    /// The request.
+    /// The request id.
     #[serde(default)]
     pub request: String,
-    /// The attempt.
+    /// The attempt id.
     #[serde(default)]
     pub attempt: String,
     /// The stage; the model for orders.
     #[serde(default)]
     pub stage: String,
-    /// The work; the action for orders.
+    /// The kind of work; the action for orders.
     #[serde(default)]
     pub work: String,
     /// The workspace.
@@ -61,7 +61,7 @@
     /// The fencing number of an order.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fencing: Option<u64>,
-    /// The events that are missing.
+    /// The number of events that were not recorded.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub dropped: Option<u64>,
 }
@@ -85,7 +85,7 @@
 }
 
 #[derive(Debug, Default)]
-struct LedgerPages {
+struct LedgerRecords {
     entries: Vec<LedgerEntry>,
     dropped: u64,
     copy: Option<File>,
@@ -94,7 +94,7 @@
 /// Records events in memory.
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
-    pages: Mutex<LedgerPages>,
+    pages: Mutex<LedgerRecords>,
 }
 
 impl Ledger {
@@ -104,7 +104,7 @@
         entry.at_us = wall_micros();
         if pages.entries.len() >= LEDGER_ENTRIES {
             pages.dropped += 1;
-            // The copy ends here, so it says so whatever the number of events that follow.
+            // No further entry is copied, so this one ends the copy.
             if let Some(mut file) = pages.copy.take() {
                 entry.event = LedgerEvent::Truncated;
                 let _ = writeln!(file, "{}", entry_line(&entry));
@@ -112,13 +112,13 @@
             return;
         }
         if let Some(file) = &mut pages.copy {
-            // A copy that ends early shows as a missing event, which the checker reports.
+            // After a failed write an entry is missing, which the checker reports.
             let _ = writeln!(file, "{}", entry_line(&entry));
         }
         pages.entries.push(entry);
     }
 
-    /// Writes every later entry to a file too, before the call that it belongs to goes on.
+    /// Also writes each later entry to a file, before its call continues.
     pub(crate) fn copy_to(&self, file: File) {
         self.pages.lock().expect("no holder panics").copy = Some(file);
     }
@@ -139,7 +139,7 @@
         entries
     }
 
-    /// Returns the entries after a position, one JSON object a line.
+    /// Returns the entries after a position, one JSON object per line.
     pub(crate) fn lines(&self, after: u64) -> String {
         let mut text = String::new();
         for entry in self.entries(after) {
--- a/crates/hollywheel-standins/src/lib.rs
+++ b/crates/hollywheel-standins/src/lib.rs
@@ -1,7 +1,7 @@
-//! Small stand-ins of the systems that are served or used.
+//! Stand-ins for backend servers and for the platform, for tests and experiments.
 //!
-//! Each stand-in speaks the protocol of `docs/PLATFORM.md` on one address, keeps a ledger of
-//! what ran and switches faults on and off. Tests start them in their own process.
+//! Each stand-in implements the protocol of `docs/PLATFORM.md` on one address, records executed
+//! calls in a ledger and injects faults on demand. Tests start them in their own process.
 
 mod attempt;
 mod backend;
--- a/crates/hollywheel-standins/src/limit.rs
+++ b/crates/hollywheel-standins/src/limit.rs
@@ -1,9 +1,9 @@
-//! Rates of the platform.
+//! Rate limits of the platform.
 
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// Gives the share of one second's calls that may come at once.
+/// Length of the burst that is allowed at once, in seconds of the rate.
 const BURST_SECONDS: f64 = 0.1;
 
 #[derive(Debug)]
@@ -12,7 +12,7 @@
     at: Instant,
 }
 
-/// Lets so many calls a second pass.
+/// Token bucket that limits calls per second.
 #[derive(Debug)]
 pub(crate) struct RateLimit {
     per_second: f64,
@@ -35,7 +35,7 @@
         (per_second * BURST_SECONDS).max(1.0)
     }
 
-    /// Takes one call if the rate allows it.
+    /// Takes a token for one call; returns whether there was one.
     pub(crate) fn take(&self) -> bool {
         let now = Instant::now();
         let mut level = self.level.lock().expect("no holder panics");
--- a/crates/hollywheel-standins/src/load.rs
+++ b/crates/hollywheel-standins/src/load.rs
@@ -6,38 +6,38 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Gives the time between two kept reports.
+/// Interval between two stored reports.
 pub(crate) const SAMPLE_EVERY: Duration = Duration::from_millis(50);
 
-/// Bounds the kept reports; the oldest is dropped.
+/// Maximum number of stored reports; the oldest one is dropped.
 const SAMPLES: usize = 1200;
 
-/// Holds what a backend server says of its load.
+/// Load report of a backend server.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReport {
     /// The name of the server.
     pub server: String,
-    /// The start of its process.
+    /// The incarnation: the start time of its process.
     pub incarnation: u64,
-    /// Calls running.
+    /// The number of running calls.
     pub running: u32,
-    /// Calls queued.
+    /// The number of queued calls.
     pub queued: u32,
-    /// Calls that run at once.
+    /// The number of calls that are executed at once.
     pub slots: u32,
-    /// Whether it takes no new work.
+    /// Whether the server is leaving and accepts no new work.
     pub leaving: bool,
-    /// The models that it holds.
+    /// The loaded models.
     pub models: Vec<String>,
-    /// Prompt prefixes that are cached.
+    /// The number of cached prompt prefixes.
     pub cache_used: u32,
-    /// Prompt prefixes that the cache can hold.
+    /// The capacity of the cache, in prompt prefixes.
     pub cache_size: u32,
-    /// The cached prompt prefixes, 16 hexadecimal digits each.
+    /// The most recently used prompt prefixes, as 16 hexadecimal digits each.
     pub prefixes: Vec<String>,
 }
 
-/// Keeps reports so that old ones can be served.
+/// Stores recent reports, so that reports with a lag can be returned.
 #[derive(Debug, Default)]
 pub(crate) struct LoadHistory {
     samples: Mutex<VecDeque<(Instant, LoadReport)>>,
@@ -52,7 +52,7 @@
         samples.push_back((now, report));
     }
 
-    /// Returns the newest report that is at least so old, or the oldest one.
+    /// Returns the newest report that is at least as old as the lag, or else the oldest one.
     pub(crate) fn lagged(&self, now: Instant, lag: Duration) -> Option<LoadReport> {
         let samples = self.samples.lock().expect("no holder panics");
         let old_enough = |sample: &&(Instant, LoadReport)| now.duration_since(sample.0) >= lag;
--- a/crates/hollywheel-standins/src/main.rs
+++ b/crates/hollywheel-standins/src/main.rs
@@ -1,4 +1,4 @@
-//! Small stand-ins of the systems that are served or used.
+//! Stand-ins for backend servers and for the platform, for tests and experiments.
 
 mod command;
 
--- a/crates/hollywheel-standins/src/message.rs
+++ b/crates/hollywheel-standins/src/message.rs
@@ -1,10 +1,10 @@
-//! Bodies of calls.
+//! Bodies of calls and answers.
 
 use serde::{Deserialize, Serialize};
 
 use crate::load::LoadReport;
 
-/// Holds the body of a call to a backend server.
+/// Body of a call to a backend server.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct RunCall {
     pub(crate) request: String,
@@ -21,7 +21,7 @@
     pub(crate) idempotency_key: Option<String>,
 }
 
-/// Holds the body of a call to a model engine.
+/// Body of a call to a model engine.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct GenerateCall {
     #[serde(flatten)]
@@ -36,13 +36,13 @@
     pub(crate) generated: String,
 }
 
-/// Names an attempt to be given up.
+/// Body of a cancellation.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct CancelCall {
     pub(crate) attempt: String,
 }
 
-/// Answers an order or a cancellation.
+/// Answer to an order or a cancellation.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct StateReply {
     pub(crate) state: &'static str,
@@ -50,7 +50,7 @@
     pub(crate) highest: Option<u64>,
 }
 
-/// Holds the whole answer to a run.
+/// Complete answer to a call.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct RunAnswer {
     pub(crate) request: String,
@@ -60,7 +60,7 @@
     pub(crate) load: LoadReport,
 }
 
-/// Refuses a call before any processing.
+/// Refusal of a call before any processing.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct RunRefusal {
     pub(crate) request: String,
@@ -71,7 +71,7 @@
     pub(crate) load: LoadReport,
 }
 
-/// Holds one token line.
+/// A token line of a stream.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct TokenLine<'a> {
     pub(crate) attempt: &'a str,
@@ -79,7 +79,7 @@
     pub(crate) text: &'a str,
 }
 
-/// Holds the line that makes a stream whole.
+/// Last line of a complete stream.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct EndLine<'a> {
     pub(crate) attempt: &'a str,
@@ -90,12 +90,12 @@
     pub(crate) load: LoadReport,
 }
 
-/// Describes one host of the host list.
+/// A host in the host list.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HostEntry {
     /// The name.
     pub name: String,
-    /// The address that hosts use between them.
+    /// The address for other hosts.
     pub address: String,
     /// The failure domain.
     pub domain: String,
@@ -107,7 +107,7 @@
     pub state: String,
 }
 
-/// Holds the host list.
+/// The host list.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HostList {
     /// The hosts.
--- a/crates/hollywheel-standins/src/platform.rs
+++ b/crates/hollywheel-standins/src/platform.rs
@@ -1,4 +1,4 @@
-//! The platform: table service, object store, host list and weight store.
+//! Stand-in for the platform: table service, object store, host list and weight store.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -27,32 +27,32 @@
 use crate::serve::{self, Endpoint};
 use crate::table::{MAX_ROWS, READ_KEYS, SCAN_ROWS, TXN_OPS, TableSpace};
 
-/// Bounds the bytes of all objects; further ones are refused as not run.
+/// Maximum total size of all objects; further ones are refused as not run.
 const OBJECT_SPACE_BYTES: usize = 256 * 1024 * 1024;
 
-/// Bounds the host lists that are kept for their lag; the oldest is dropped.
+/// Maximum number of stored host lists; the oldest one is dropped.
 const HOST_LISTS: usize = 256;
 
-/// Sets up the platform.
+/// Settings of the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlatformSettings {
-    /// The address; port 0 lets the system choose.
+    /// The address to listen on; with port 0 the system chooses the port.
     pub listen: SocketAddr,
-    /// The token that callers must give; none asks for no token.
+    /// The token that callers must send; none if no token is required.
     pub token: Option<String>,
-    /// Writes a second; further ones are refused as not run.
+    /// The limit of writes per second; further ones are refused as not run.
     pub writes_per_second: f64,
-    /// Reads a second; further ones are refused as not run.
+    /// The limit of reads per second; further ones are refused as not run.
     pub reads_per_second: f64,
-    /// The time of one call.
+    /// The service time of a call.
     pub latency: Duration,
-    /// The lag of the host list.
+    /// The age of the host list when it is returned.
     pub host_lag: Duration,
-    /// The hosts at the start.
+    /// The initial host list.
     pub hosts: HostList,
-    /// Reads of models a second; further ones are refused.
+    /// The limit of reads of models per second; further ones are refused.
     pub weights_per_second: f64,
-    /// The size of every model.
+    /// The size of each model, in bytes.
     pub weight_bytes: usize,
 }
 
@@ -72,7 +72,7 @@
     }
 }
 
-/// Counts calls since the start.
+/// Numbers of calls since the start.
 #[derive(Debug, Default)]
 struct CallCounts {
     reads: AtomicU64,
@@ -103,7 +103,7 @@
     }
 }
 
-/// Holds a write that takes effect once.
+/// A write, which is applied once.
 enum PlatformWrite {
     Txn { mode: TxnMode, ops: Vec<StoreOp> },
     Object { name: String, body: Bytes },
@@ -139,7 +139,7 @@
         }
     }
 
-    fn authorized(&self, request: &Request<Incoming>) -> bool {
+    fn is_authorized(&self, request: &Request<Incoming>) -> bool {
         let Some(token) = &self.settings.token else {
             return true;
         };
@@ -153,7 +153,7 @@
         not_run_reply(status, &body)
     }
 
-    /// Returns the refusal of a call that an outage or a rate stops.
+    /// Returns the refusal of a call during an outage or above the rate limit.
     fn refusal(&self, limit: &RateLimit) -> Option<Reply> {
         if self.faults.get().outage {
             return Some(self.refuse(StatusCode::SERVICE_UNAVAILABLE, "outage"));
@@ -169,7 +169,7 @@
             Ok(call) => call,
             Err(reply) => return Ok(reply),
         };
-        if let Some(reason) = call_fault(&call) {
+        if let Some(reason) = check_call(&call) {
             return Ok(text_reply(StatusCode::BAD_REQUEST, reason));
         }
         match call {
@@ -201,12 +201,13 @@
         Ok(json_reply(StatusCode::OK, &StoreReply::Rows { rows }))
     }
 
-    /// Makes a write take effect, now or late, and answers if no fault takes the answer.
+    /// Applies a write, now or late as the fault order says, and answers unless the answer is to be
+    /// lost.
     async fn write(self: Arc<Self>, write: PlatformWrite) -> ReplyResult {
         if let Some(reply) = self.refusal(&self.writes) {
             return Ok(reply);
         }
-        if self.full(&write) {
+        if self.is_full(&write) {
             return Ok(self.refuse(StatusCode::SERVICE_UNAVAILABLE, "full"));
         }
         self.counts.writes.fetch_add(1, Ordering::Relaxed);
@@ -235,7 +236,7 @@
         });
     }
 
-    fn full(&self, write: &PlatformWrite) -> bool {
+    fn is_full(&self, write: &PlatformWrite) -> bool {
         match write {
             PlatformWrite::Txn { ops, .. } => {
                 let tables = self.tables.lock().expect("no holder panics");
@@ -333,7 +334,7 @@
         ))
     }
 
-    async fn set_order(&self, request: Request<Incoming>) -> Reply {
+    async fn set_faults_from(&self, request: Request<Incoming>) -> Reply {
         match read_json(request.into_body()).await {
             Ok(order) => {
                 self.faults.set(order);
@@ -343,11 +344,14 @@
         }
     }
 
-    /// Answers the calls of testers; others come back.
-    async fn standin(&self, request: Request<Incoming>) -> Result<ReplyResult, Request<Incoming>> {
+    /// Answers the calls that control the stand-in; returns the request of any other.
+    async fn answer_control(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<ReplyResult, Request<Incoming>> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/standin/faults") => Ok(Ok(self.set_order(request).await)),
+            (&Method::POST, "/standin/faults") => Ok(Ok(self.set_faults_from(request).await)),
             (&Method::POST, "/standin/hosts") => Ok(self.set_hosts(request).await),
             (&Method::GET, "/standin/ledger") => Ok(Ok(text_reply(StatusCode::OK, ""))),
             (&Method::GET, "/standin/counts") => {
@@ -362,8 +366,8 @@
     }
 }
 
-/// Returns what is wrong with a call, if anything is.
-fn call_fault(call: &StoreRequest) -> Option<String> {
+/// Returns a message if a call exceeds a size limit.
+fn check_call(call: &StoreRequest) -> Option<String> {
     match call {
         StoreRequest::Read { keys, .. } if keys.len() > READ_KEYS => {
             Some(format!("read: {} keys; at most {READ_KEYS}", keys.len()))
@@ -392,11 +396,11 @@
 
 impl Endpoint for PlatformServer {
     async fn call(self: Arc<Self>, request: Request<Incoming>) -> ReplyResult {
-        let request = match self.standin(request).await {
+        let request = match self.answer_control(request).await {
             Ok(reply) => return reply,
             Err(request) => request,
         };
-        if !self.authorized(&request) {
+        if !self.is_authorized(&request) {
             return Ok(text_reply(StatusCode::UNAUTHORIZED, "token"));
         }
         self.faults.wait_unfrozen().await;
--- a/crates/hollywheel-standins/src/pool.rs
+++ b/crates/hollywheel-standins/src/pool.rs
@@ -1,4 +1,4 @@
-//! Encoders, retrievers and rerankers.
+//! Stand-ins for encoders, retrievers and rerankers.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -10,22 +10,22 @@
 use crate::runner::{RunServer, RunnerSettings};
 use crate::serve;
 
-/// Names the work of a pool.
+/// Kind of work of a pool.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum PoolWork {
-    /// Turns inputs into vectors.
+    /// Encodes inputs as vectors.
     Encoder,
-    /// Orders documents.
+    /// Sorts documents by relevance.
     Reranker,
-    /// Finds documents.
+    /// Searches documents.
     Retriever,
 }
 
 impl PoolWork {
-    /// Lists every work.
+    /// All kinds of work.
     pub const ALL: [Self; 3] = [Self::Encoder, Self::Reranker, Self::Retriever];
 
-    /// Returns the name used in flags.
+    /// Returns the name in command-line flags.
     pub const fn name(self) -> &'static str {
         match self {
             Self::Encoder => "encoder",
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Returns the `work` field of its calls.
+    /// Returns the value of the `work` field of its calls.
     pub const fn call_name(self) -> &'static str {
         match self {
             Self::Encoder => "encode",
@@ -61,28 +61,28 @@
     }
 }
 
-/// Sets up one server of a pool.
+/// Settings of one server of a pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSettings {
-    /// The address; port 0 lets the system choose.
+    /// The address to listen on; with port 0 the system chooses the port.
     pub listen: SocketAddr,
     /// The name of the server.
     pub name: String,
-    /// The work.
+    /// The kind of work.
     pub work: PoolWork,
-    /// Calls that run at once.
+    /// The number of calls that are executed at once.
     pub slots: u32,
-    /// Calls that wait; further ones are refused as not run.
+    /// The number of calls that may be queued; further ones are refused as not run.
     pub queue_limit: u32,
-    /// The median of the service times.
+    /// The median service time.
     pub median: Duration,
-    /// The standard deviation of the logarithm of the service times.
+    /// The standard deviation of the logarithms of the service times.
     pub sigma: f64,
     /// The autocorrelation of the logarithms of successive service times, from 0 to 1.
     pub correlation: f64,
-    /// The lag of load reports.
+    /// The age of load reports when they are returned.
     pub load_lag: Duration,
-    /// The seed of the service times.
+    /// The seed of the random service times.
     pub seed: u64,
 }
 
--- a/crates/hollywheel-standins/src/random.rs
+++ b/crates/hollywheel-standins/src/random.rs
@@ -1,4 +1,4 @@
-//! Service times with a heavy tail.
+//! Random service times with a heavy tail.
 
 use std::f64::consts::TAU;
 use std::time::Duration;
@@ -6,10 +6,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-/// Bounds one service time.
+/// Upper limit of a service time, in seconds.
 const MAX_SERVICE_SECS: f64 = 60.0;
 
-/// Draws lognormal times whose logarithms follow an AR(1) process.
+/// Generates lognormal times whose logarithms follow an AR(1) process.
 #[derive(Debug)]
 pub(crate) struct ServiceTimes {
     random: StdRng,
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Draws the next time.
+    /// Returns the next service time.
     pub(crate) fn draw(&mut self, slow_factor: f64) -> Duration {
         let fresh = (1.0 - self.correlation * self.correlation).sqrt();
         self.level = self.correlation * self.level + fresh * normal(&mut self.random);
@@ -42,7 +42,7 @@
     }
 }
 
-/// Draws from the standard normal distribution by the Box-Muller transform.
+/// Returns a number from the standard normal distribution by the Box-Muller transform.
 fn normal(random: &mut StdRng) -> f64 {
     let radius: f64 = 1.0 - random.random::<f64>();
     let angle: f64 = random.random();
--- a/crates/hollywheel-standins/src/reply.rs
+++ b/crates/hollywheel-standins/src/reply.rs
@@ -1,4 +1,4 @@
-//! Bodies and replies over HTTP.
+//! Reading of request bodies and building of replies.
 
 use std::fmt;
 
@@ -10,13 +10,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Bounds the body of a call.
+/// Maximum size of a request body, in bytes.
 pub(crate) const BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Marks refusals of calls that had no effect.
+/// Header that marks a refused call that had no effect.
 pub(crate) const NOT_RUN: &str = "hollywheel-not-run";
 
-/// Ends a connection without an answer.
+/// Error that closes the connection without an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct CutConnection;
 
@@ -31,7 +31,7 @@
 pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, CutConnection>;
 pub(crate) type Reply = Response<ReplyBody>;
 
-/// Holds the result of a call; an error cuts the connection.
+/// Result of a call; an error closes the connection.
 pub(crate) type ReplyResult = Result<Reply, CutConnection>;
 
 pub(crate) fn bytes_reply(status: StatusCode, kind: &'static str, body: Bytes) -> Reply {
@@ -54,7 +54,7 @@
     bytes_reply(status, "text/plain", Bytes::from(text.into()))
 }
 
-/// Returns a refusal that says that the call had no effect.
+/// Returns a refusal that states that the call had no effect.
 pub(crate) fn not_run_reply(status: StatusCode, body: &impl Serialize) -> Reply {
     let mut reply = json_reply(status, body);
     let headers = reply.headers_mut();
--- a/crates/hollywheel-standins/src/runner.rs
+++ b/crates/hollywheel-standins/src/runner.rs
@@ -1,4 +1,4 @@
-//! Servers that answer a call with one output.
+//! Servers that answer a call with a single output.
 
 use std::future::Future;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -22,7 +22,7 @@
 use crate::reply::{CutConnection, Reply, ReplyResult, json_reply, read_json, text_reply};
 use crate::serve::Endpoint;
 
-/// Sets up a server of one work.
+/// Settings of a server with one kind of work.
 #[derive(Debug)]
 pub(crate) struct RunnerSettings {
     pub(crate) name: String,
@@ -31,18 +31,18 @@
     pub(crate) queue_limit: u32,
     pub(crate) load_lag: Duration,
     pub(crate) times: ServiceTimes,
-    /// Whether running work ends when it is cancelled.
+    /// Whether a cancelled call is stopped if it is already running.
     pub(crate) stops_running: bool,
 }
 
-/// Says how a queued call ended.
+/// Reason why a queued call ended.
 enum RunEnd {
     Finished,
     CancelledQueued,
     CancelledRunning,
 }
 
-/// Runs calls in the order of arrival, so many at once.
+/// Executes calls in order of arrival, up to a number at once.
 pub(crate) struct RunServer {
     core: BackendCore,
     work: &'static str,
@@ -69,9 +69,9 @@
             running: AtomicU32::new(0),
             times: Mutex::new(settings.times),
         });
-        // A lagged report must not show calls that came before the first tick of the sampler.
+        // Without this sample a lagged report would include calls received before the first tick.
         server.core.sample(server.load());
-        server.spawn(Arc::clone(&server).keep_samples());
+        server.spawn(Arc::clone(&server).sample_loads());
         server
     }
 
@@ -79,7 +79,7 @@
         self.core.stop.clone()
     }
 
-    /// Runs a task that ends with the server.
+    /// Spawns a task that is stopped with the server.
     fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop_token();
         tokio::spawn(async move {
@@ -90,7 +90,7 @@
         });
     }
 
-    async fn keep_samples(self: Arc<Self>) {
+    async fn sample_loads(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(SAMPLE_EVERY);
         loop {
             ticks.tick().await;
@@ -127,7 +127,7 @@
         let token = self.core.attempts.open(&call.attempt);
         let server = Arc::clone(&self);
         let work = call.clone();
-        // Work that has begun goes on when its caller is gone.
+        // A task of its own, so that running work continues when its caller disconnects.
         self.spawn(async move {
             let _ = sender.send(server.process(&work, token).await);
         });
@@ -208,7 +208,7 @@
             output: unary_output(&call.stage, &call.work, &call.input, &call.previous),
             load: self.load(),
         };
-        json_reply(StatusCode::OK, &self.core.cross(answer))
+        json_reply(StatusCode::OK, &self.core.replace_answer(answer))
     }
 }
 
--- a/crates/hollywheel-standins/src/serve.rs
+++ b/crates/hollywheel-standins/src/serve.rs
@@ -1,4 +1,4 @@
-//! Accepting connections.
+//! HTTP server of a stand-in.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -17,12 +17,12 @@
 use crate::handle::{HandleControl, StandinHandle};
 use crate::reply::ReplyResult;
 
-/// Bounds the open connections; further ones are closed at once.
+/// Maximum number of open connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 4096;
 
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
-/// Answers the calls of one stand-in.
+/// Request handler of a stand-in.
 pub(crate) trait Endpoint: HandleControl {
     /// Answers one call.
     fn call(
--- a/crates/hollywheel-standins/src/service.rs
+++ b/crates/hollywheel-standins/src/service.rs
@@ -1,4 +1,4 @@
-//! Plain services, some of whose calls may not be repeated.
+//! Stand-in for plain services, some of whose calls must not be repeated.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,25 +8,25 @@
 use crate::runner::{RunServer, RunnerSettings};
 use crate::serve;
 
-/// Sets up one server of a plain service. It does not deduplicate calls by their key, and
-/// it finishes what it has started even when that is cancelled.
+/// Settings of one server of a plain service. The server does not deduplicate calls by their
+/// idempotency key, and it completes running calls even if they are cancelled.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSettings {
-    /// The address; port 0 lets the system choose.
+    /// The address to listen on; with port 0 the system chooses the port.
     pub listen: SocketAddr,
     /// The name of the server.
     pub name: String,
-    /// Calls that run at once.
+    /// The number of calls that are executed at once.
     pub slots: u32,
-    /// Calls that wait; further ones are refused as not run.
+    /// The number of calls that may be queued; further ones are refused as not run.
     pub queue_limit: u32,
-    /// The median of the service times.
+    /// The median service time.
     pub median: Duration,
-    /// The standard deviation of the logarithm of the service times.
+    /// The standard deviation of the logarithms of the service times.
     pub sigma: f64,
-    /// The lag of load reports.
+    /// The age of load reports when they are returned.
     pub load_lag: Duration,
-    /// The seed of the service times.
+    /// The seed of the random service times.
     pub seed: u64,
 }
 
--- a/crates/hollywheel-standins/src/table.rs
+++ b/crates/hollywheel-standins/src/table.rs
@@ -1,20 +1,20 @@
-//! The tables of the platform.
+//! Tables of the platform.
 
 use hollywheel_store::{RowOutcome, StoreOp, StoreRow, TableName, TxnMode};
 use hollywheel_types::SortedMap;
 use serde::Serialize;
 use serde_json::Value;
 
-/// Bounds the operations of one transaction.
+/// Maximum number of operations in a transaction.
 pub(crate) const TXN_OPS: usize = 128;
 
-/// Bounds the keys of one read.
+/// Maximum number of keys in a read.
 pub(crate) const READ_KEYS: usize = 128;
 
-/// Bounds the rows of one scan.
+/// Maximum number of rows in a scan.
 pub(crate) const SCAN_ROWS: u32 = 1000;
 
-/// Bounds the rows of all tables; transactions beyond it are refused as not run.
+/// Maximum number of rows in all tables; transactions above it are refused as not run.
 pub(crate) const MAX_ROWS: usize = 1_000_000;
 
 #[derive(Clone, Debug, Serialize)]
@@ -23,14 +23,14 @@
     revision: u64,
 }
 
-/// Restores one row when an atomic transaction fails.
+/// Previous state of a row, to undo a failed atomic transaction.
 struct UndoEntry {
     table: TableName,
     key: String,
     before: Option<RowState>,
 }
 
-/// Holds every table. Revisions rise over all rows, also when a row comes back.
+/// All tables. Revisions increase across all rows, also if a deleted row is inserted again.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct TableSpace {
     tables: SortedMap<TableName, SortedMap<String, RowState>>,
@@ -71,7 +71,7 @@
             .collect()
     }
 
-    /// Runs a transaction.
+    /// Executes a transaction.
     pub(crate) fn run(&mut self, mode: TxnMode, ops: &[StoreOp]) -> Vec<RowOutcome> {
         let mut undo = Vec::new();
         let mut outcomes: Vec<RowOutcome> = ops
--- a/crates/hollywheel-standins/tests/common/mod.rs
+++ b/crates/hollywheel-standins/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A small HTTP client for the tests.
+//! HTTP client of the tests.
 
 #![allow(dead_code)]
 
@@ -36,7 +36,7 @@
     }
 }
 
-/// Calls a stand-in on a connection of its own; an error means that it was cut.
+/// Calls a stand-in on a new connection; returns an error if the connection was closed early.
 pub async fn call(
     address: SocketAddr,
     method: Method,
@@ -96,7 +96,7 @@
     })
 }
 
-/// Lists the events of the ledger with the last digits of their requests.
+/// Returns the events of the ledger with the last digits of their request ids.
 pub fn events(handle: &StandinHandle) -> Vec<(LedgerEvent, String)> {
     let entries = handle.ledger().into_iter();
     entries
--- a/crates/hollywheel-standins/tests/engine.rs
+++ b/crates/hollywheel-standins/tests/engine.rs
@@ -1,4 +1,4 @@
-//! The model engine.
+//! Tests of the model engine.
 
 mod common;
 
@@ -39,7 +39,7 @@
     token_text("some-stage", "rates-7b", "a question", "", index)
 }
 
-/// Returns the indices of the token lines, checking their texts.
+/// Returns the indices of the token lines and checks their texts.
 fn indices(lines: &[Value]) -> Vec<u64> {
     let tokens = lines.iter().filter(|line| line.get("index").is_some());
     tokens
--- a/crates/hollywheel-standins/tests/platform.rs
+++ b/crates/hollywheel-standins/tests/platform.rs
@@ -1,4 +1,4 @@
-//! The platform.
+//! Tests of the platform.
 
 mod common;
 
--- a/crates/hollywheel-standins/tests/process.rs
+++ b/crates/hollywheel-standins/tests/process.rs
@@ -1,4 +1,4 @@
-//! The stand-ins as processes.
+//! Tests of the stand-ins as processes.
 
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
--- a/crates/hollywheel-standins/tests/runner.rs
+++ b/crates/hollywheel-standins/tests/runner.rs
@@ -1,4 +1,4 @@
-//! Pools and plain services.
+//! Tests of pools and plain services.
 
 mod common;
 
@@ -37,7 +37,7 @@
         body["output"],
         unary_output("some-stage", "encode", "a question", "")
     );
-    // Computed apart from the code, by `printf 'some-stage\0encode\0a question\0\0' | sha256sum`.
+    // Computed independently by `printf 'some-stage\0encode\0a question\0\0' | sha256sum`.
     assert_eq!(body["output"], "ENCODE:5eb50b7367689b9a");
     let ran = [LedgerEvent::Started, LedgerEvent::Finished];
     assert_eq!(events(&handle), ran.map(|event| (event, "1".to_owned())));
