--- a/crates/hollywheel-bench/src/arrival.rs
+++ b/crates/hollywheel-bench/src/arrival.rs
@@ -1,4 +1,4 @@
-//! Arrivals as a function of the plan and its seed.
+//! Arrivals, determined by the plan and its seed.
 
 use std::time::Duration;
 
@@ -7,13 +7,13 @@
 
 use crate::plan::{LoadPlan, MAX_REQUESTS, PipelinePlan, WorkspacePlan};
 
-/// Gives the length of a shared prompt prefix, in bytes.
+/// Length of a shared prompt prefix, in bytes.
 const PREFIX_BYTES: usize = 64;
 
-/// Describes one request before it is sent.
+/// A request to be sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlannedRequest {
-    /// The position in the load, from zero.
+    /// The position in the load, starting at zero.
     pub number: u64,
     /// The intended time since the start of the load.
     pub at: Duration,
@@ -27,8 +27,8 @@
     pub key: String,
 }
 
-/// Lists the requests of a load in the order of their times. Times, pipelines, workspaces
-/// and prefixes depend on the plan alone; the name of the run makes inputs and keys unique.
+/// Returns the requests of a load in the order of their times. Times, pipelines, workspaces and
+/// prefixes depend only on the plan; the name of the run makes inputs and keys unique.
 pub fn arrivals(plan: &LoadPlan, run: &str) -> Vec<PlannedRequest> {
     let mut random = StdRng::seed_from_u64(plan.seed);
     let mut requests = Vec::new();
@@ -39,7 +39,7 @@
         if at >= plan.span() {
             break;
         }
-        // Thinning: candidates come at the peak rate and are kept in proportion.
+        // Thinning: candidates arrive at the peak rate and are kept in proportion to the current rate.
         let kept = random.random::<f64>() * peak < plan.rate_at(at);
         if kept {
             let number = requests.len() as u64;
--- a/crates/hollywheel-bench/src/caller.rs
+++ b/crates/hollywheel-bench/src/caller.rs
@@ -1,4 +1,4 @@
-//! One try of one request over HTTP.
+//! Sends one attempt of a request over HTTP.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -61,7 +61,7 @@
     request: Option<String>,
 }
 
-/// Holds what a try needs beyond its record.
+/// Parameters of an attempt that are not in its record.
 #[derive(Clone, Debug)]
 pub(crate) struct CallSettings {
     pub(crate) workspace_key: String,
@@ -71,14 +71,14 @@
     pub(crate) start: Instant,
 }
 
-/// Sends requests to the hosts in turn, as a balancer does.
+/// Sends requests to the hosts in position, like a load balancer.
 pub(crate) struct HostCaller {
     client: Client<HttpConnector, Full<Bytes>>,
     hosts: Vec<SocketAddr>,
-    turn: AtomicUsize,
+    position: AtomicUsize,
 }
 
-/// Follows the tokens of one answer.
+/// Collects the tokens of one answer.
 struct TokenClock {
     intended: Instant,
     last: Option<Instant>,
@@ -111,18 +111,22 @@
         Self {
             client,
             hosts,
-            turn: AtomicUsize::new(0),
+            position: AtomicUsize::new(0),
         }
     }
 
-    /// Takes a turn: the position of the host to begin with.
-    pub(crate) fn take_turn(&self) -> usize {
-        self.turn.fetch_add(1, Ordering::Relaxed)
+    /// Returns the position of the next host and advances to the one after it.
+    pub(crate) fn next_position(&self) -> usize {
+        self.position.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Fetches a key from the host whose turn it is; none if it issues none in time.
-    pub(crate) async fn fetch_key(&self, turn: usize, settings: &CallSettings) -> Option<String> {
-        let host = self.hosts[turn % self.hosts.len()];
+    /// Requests a key from the next host; none if it issues none in time.
+    pub(crate) async fn fetch_key(
+        &self,
+        position: usize,
+        settings: &CallSettings,
+    ) -> Option<String> {
+        let host = self.hosts[position % self.hosts.len()];
         let authorization = format!("Bearer {}", settings.workspace_key);
         let request = Request::post(format!("http://{host}/v1/keys"))
             .header(header::AUTHORIZATION, authorization)
@@ -137,15 +141,15 @@
         tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
     }
 
-    /// Makes one try, beginning with the host whose turn it is, and completes its record.
+    /// Sends one attempt, beginning with the next host, and completes its record.
     pub(crate) async fn call(
         &self,
-        turn: usize,
+        position: usize,
         record: &mut RequestRecord,
         settings: &CallSettings,
     ) {
         record.sent_us = micros(settings.start.elapsed());
-        let exchange = self.exchange(turn, record, settings);
+        let exchange = self.exchange(position, record, settings);
         if tokio::time::timeout(settings.give_up, exchange)
             .await
             .is_err()
@@ -156,8 +160,8 @@
         record.latency_us = micros(Instant::now().saturating_duration_since(intended));
     }
 
-    async fn exchange(&self, turn: usize, record: &mut RequestRecord, settings: &CallSettings) {
-        let Some(reply) = self.send(turn, record, settings).await else {
+    async fn exchange(&self, position: usize, record: &mut RequestRecord, settings: &CallSettings) {
+        let Some(reply) = self.send(position, record, settings).await else {
             return;
         };
         record.status = reply.status().as_u16();
@@ -170,16 +174,16 @@
         }
     }
 
-    /// Sends to the next host that can be connected to.
+    /// Sends the attempt to the first host that accepts a connection.
     async fn send(
         &self,
-        turn: usize,
+        position: usize,
         record: &mut RequestRecord,
         settings: &CallSettings,
     ) -> Option<Response<Incoming>> {
-        // The turn is taken once, so that no host is passed over for other requests' turns.
+        // The position advances once per attempt, so that unreachable hosts do not shift that of others.
         for step in 0..self.hosts.len() {
-            let host = self.hosts[(turn + step) % self.hosts.len()];
+            let host = self.hosts[(position + step) % self.hosts.len()];
             let request = build_request(host, record, settings)?;
             match self.client.request(request).await {
                 Ok(reply) => {
@@ -255,14 +259,14 @@
     let mut reader = EventReader::default();
     let mut body = reply.into_body();
     while let Some(frame) = body.frame().await {
-        let piece = match frame {
+        let chunk = match frame {
             Ok(frame) => frame.into_data().unwrap_or_default(),
             Err(error) => {
                 record.reason = format!("broken answer: {error}");
                 return;
             }
         };
-        for event in reader.read(&piece) {
+        for event in reader.read(&chunk) {
             take_event(&event, record, &mut clock);
         }
     }
@@ -310,7 +314,7 @@
     record.request = problem.request.unwrap_or_default();
 }
 
-/// Returns a span in whole microseconds.
+/// Returns a duration in whole microseconds.
 pub(crate) fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/hollywheel-bench/src/check.rs
+++ b/crates/hollywheel-bench/src/check.rs
@@ -1,4 +1,4 @@
-//! The outcome checker.
+//! Outcome checker.
 
 use std::fmt;
 
@@ -10,14 +10,14 @@
 use crate::objects::ObjectView;
 use crate::record::RequestRecord;
 
-/// Bounds the differences that a report lists; all are counted.
+/// Maximum number of violations listed in a report; all are counted.
 const LISTED_DIFFERENCES: usize = 20;
 
-/// Names what must hold.
+/// Rule that the outcomes must satisfy.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CheckRule {
-    /// A complete answer is the whole answer to its own request.
+    /// A complete answer is the expected answer to its request.
     OwnAnswer,
     /// Streamed tokens are complete, in order and equal to the answer.
     TokenOrder,
@@ -25,20 +25,20 @@
     AtMostOnce,
     /// A non-idempotent stage never starts without a key.
     KeyGiven,
-    /// What has not run has not started anywhere.
+    /// A request with the verdict `not-run` has not started at any server.
     NotRun,
-    /// What ran has started at every stage.
+    /// A request with the verdict `ran` has started at every stage.
     Ran,
     /// No two requests share an answer.
     OneRequest,
-    /// Ledgers tell of everything.
+    /// All ledgers are complete.
     LedgerWhole,
-    /// Every pipeline is described.
+    /// Every pipeline is defined.
     PipelineKnown,
 }
 
 impl CheckRule {
-    /// Returns the name used in reports.
+    /// Returns the name in reports.
     pub const fn name(self) -> &'static str {
         match self {
             Self::OwnAnswer => "own-answer",
@@ -54,12 +54,12 @@
     }
 }
 
-/// Describes one violation.
+/// A violation of a rule.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Difference {
     /// The rule.
     pub rule: CheckRule,
-    /// What was found and what was expected.
+    /// The finding and the expectation.
     pub detail: String,
 }
 
@@ -69,33 +69,33 @@
     }
 }
 
-/// Sums up a check.
+/// Report of a check.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CheckReport {
-    /// Records that were read.
+    /// The number of records.
     pub records: u64,
-    /// Complete answers that were compared.
+    /// The number of compared complete answers.
     pub answers: u64,
-    /// Streams that were compared.
+    /// The number of compared streams.
     pub streams: u64,
-    /// Records with the verdict `not-run`.
+    /// The number of records with the verdict `not-run`.
     pub not_run: u64,
-    /// Records with the verdict `may-have-run`.
+    /// The number of records with the verdict `may-have-run`.
     pub may_have_run: u64,
-    /// Records that were told nothing.
+    /// The number of records without a verdict.
     pub unanswered: u64,
-    /// Lines of ledgers that were read.
+    /// The number of ledger lines.
     pub ledger_lines: u64,
-    /// Starts of non-idempotent stages.
+    /// The number of starts of non-idempotent stages.
     pub keyed_starts: u64,
-    /// Violations.
+    /// The number of violations.
     pub violations: u64,
     /// The first violations.
     pub differences: Vec<Difference>,
 }
 
 impl CheckReport {
-    fn violate(&mut self, rule: CheckRule, detail: String) {
+    fn add_violation(&mut self, rule: CheckRule, detail: String) {
         self.violations += 1;
         if self.differences.len() < LISTED_DIFFERENCES {
             self.differences.push(Difference { rule, detail });
@@ -127,7 +127,7 @@
     }
 }
 
-/// Identifies a non-idempotent effect.
+/// Key of a non-idempotent effect.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct EffectKey {
     workspace: String,
@@ -135,7 +135,7 @@
     stage: String,
 }
 
-/// Finds starts by request and by key.
+/// Index of starts by request and by key.
 #[derive(Debug, Default)]
 struct StartIndex {
     by_request: SortedMap<String, Vec<String>>,
@@ -155,7 +155,7 @@
     }
 }
 
-/// Compares what callers were told with what ran.
+/// Compares the verdicts and answers of callers with the ledgers.
 pub fn check_outcomes(
     view: &ObjectView,
     records: &[RequestRecord],
@@ -180,8 +180,11 @@
     let mut effects = Vec::new();
     for ledger in ledgers {
         report.ledger_lines += ledger.lines.len() as u64;
-        if let Some(gap) = ledger.gap() {
-            report.violate(CheckRule::LedgerWhole, format!("{}: {gap}", ledger.server));
+        if let Some(missing) = ledger.missing_entry() {
+            report.add_violation(
+                CheckRule::LedgerWhole,
+                format!("{}: {missing}", ledger.server),
+            );
         }
         for line in ledger.lines.iter().filter(|line| line.event == "started") {
             starts.push((line.request.clone(), line.stage.clone()));
@@ -189,7 +192,7 @@
             let guarded = stage.is_some_and(|stage| !stage.idempotent);
             if guarded && line.idempotency_key.is_empty() {
                 let detail = format!("{}: {} of {}", ledger.server, line.stage, line.request);
-                report.violate(CheckRule::KeyGiven, detail);
+                report.add_violation(CheckRule::KeyGiven, detail);
             }
             if !line.idempotency_key.is_empty() {
                 let effect = EffectKey {
@@ -209,7 +212,7 @@
     }
 }
 
-/// Collects the values of equal keys.
+/// Groups values by key.
 fn group<K: Ord>(mut pairs: Vec<(K, String)>) -> SortedMap<K, Vec<String>> {
     pairs.sort();
     let mut groups: Vec<(K, Vec<String>)> = Vec::new();
@@ -236,7 +239,7 @@
             places.len(),
             places.join(", ")
         );
-        report.violate(CheckRule::AtMostOnce, detail);
+        report.add_violation(CheckRule::AtMostOnce, detail);
     }
 }
 
@@ -263,7 +266,7 @@
     }
     let (pipeline, input) = (&record.pipeline, &record.input);
     let Some(expected) = expected_answer(view, pipeline, input, record.max_tokens) else {
-        report.violate(CheckRule::PipelineKnown, name_of(record));
+        report.add_violation(CheckRule::PipelineKnown, name_of(record));
         return;
     };
     report.answers += 1;
@@ -276,9 +279,9 @@
             expected.output,
             expected.tokens
         );
-        report.violate(CheckRule::OwnAnswer, detail);
+        report.add_violation(CheckRule::OwnAnswer, detail);
     }
-    // A replayed answer, and that of a stage that does not generate, comes without tokens.
+    // Repeated answers, and those of stages that do not generate tokens, have no streamed tokens.
     let streamed = record.stream && expected.tokens > 0;
     if streamed && !(record.replayed && record.indices.is_empty()) {
         report.streams += 1;
@@ -290,7 +293,7 @@
                 record.indices,
                 expected.tokens - 1
             );
-            report.violate(CheckRule::TokenOrder, detail);
+            report.add_violation(CheckRule::TokenOrder, detail);
         }
     }
 }
@@ -308,7 +311,7 @@
     let direct = record.complete && !record.replayed;
     for stage in stages {
         let started = if stage.idempotent {
-            // The stages of an earlier try ran under the id of that try.
+            // The stages of an earlier attempt have the request id of that attempt.
             !direct || index.stages(&record.request).contains(&stage.name)
         } else {
             index.by_effect.contains_key(&EffectKey {
@@ -319,7 +322,7 @@
         };
         if !started {
             let detail = format!("{}: stage {} never started", name_of(record), stage.name);
-            report.violate(CheckRule::Ran, detail);
+            report.add_violation(CheckRule::Ran, detail);
         }
     }
 }
@@ -331,11 +334,11 @@
     let stages = index.stages(&record.request);
     if !stages.is_empty() {
         let detail = format!("{}: started {}", name_of(record), stages.join(", "));
-        report.violate(CheckRule::NotRun, detail);
+        report.add_violation(CheckRule::NotRun, detail);
     }
 }
 
-/// Checks the keys of which every try has not run.
+/// Checks the keys whose attempts all have the verdict `not-run`.
 fn check_silent_keys(records: &[RequestRecord], index: &StartIndex, report: &mut CheckReport) {
     let keyed = records.iter().filter(|record| !record.key.is_empty());
     let pairs = keyed.map(|record| {
@@ -349,7 +352,7 @@
         }
         for effect in index.effects(workspace, key) {
             let detail = format!("workspace {workspace}, key {key}: started {}", effect.stage);
-            report.violate(CheckRule::NotRun, detail);
+            report.add_violation(CheckRule::NotRun, detail);
         }
     }
 }
@@ -361,7 +364,7 @@
     for (request, names) in group(pairs.collect()).iter() {
         if names.len() > 1 {
             let detail = format!("id {request}: {}", names.join(", "));
-            report.violate(CheckRule::OneRequest, detail);
+            report.add_violation(CheckRule::OneRequest, detail);
         }
     }
 }
--- a/crates/hollywheel-bench/src/command/check.rs
+++ b/crates/hollywheel-bench/src/command/check.rs
@@ -14,7 +14,7 @@
 
 pub(crate) fn command() -> Command {
     Command::new("check")
-        .about("Compares what callers were told with what the stand-ins ran")
+        .about("Compares the outcomes at the callers with the ledgers of the stand-ins")
         .arg(
             Arg::new("records")
                 .long("records")
--- a/crates/hollywheel-bench/src/command/experiment.rs
+++ b/crates/hollywheel-bench/src/command/experiment.rs
@@ -25,7 +25,7 @@
                 .required(true)
                 .env("HOLLYWHEEL_BENCH_OUTPUT")
                 .value_parser(value_parser!(PathBuf))
-                .help("File for the results, one JSON object a run"),
+                .help("File for the results, one JSON object per run"),
         )
 }
 
--- a/crates/hollywheel-bench/src/command/load.rs
+++ b/crates/hollywheel-bench/src/command/load.rs
@@ -9,7 +9,7 @@
 
 pub(crate) fn command() -> Command {
     Command::new("load")
-        .about("Sends the requests of a plan at their times and records what became of them")
+        .about("Sends the requests of a plan at their times and records their outcomes")
         .arg(
             Arg::new("plan")
                 .long("plan")
@@ -30,7 +30,7 @@
                 .long("run")
                 .required(true)
                 .env("HOLLYWHEEL_BENCH_RUN")
-                .help("Name of the run; keys and inputs begin with it, so it must be new"),
+                .help("Name of the run, a prefix of keys and inputs; must be unique"),
         )
         .arg(
             Arg::new("seed")
@@ -44,7 +44,7 @@
                 .required(true)
                 .env("HOLLYWHEEL_BENCH_OUTPUT")
                 .value_parser(value_parser!(PathBuf))
-                .help("File for the records, one JSON object a line"),
+                .help("File for the records, one JSON object per line"),
         )
 }
 
--- a/crates/hollywheel-bench/src/command/run.rs
+++ b/crates/hollywheel-bench/src/command/run.rs
@@ -1,4 +1,4 @@
-//! Choosing the command and reporting its end.
+//! Dispatches to the subcommands and returns the exit code.
 
 use std::io;
 use std::process::ExitCode;
@@ -8,10 +8,10 @@
 
 use super::{check, experiment, load, plot};
 
-/// Ends a command that found violations.
+/// Exit code of a command that found violations.
 pub(crate) const VIOLATED: u8 = 1;
 
-/// Ends a command that could not do its work.
+/// Exit code of a command that failed.
 const FAILED: u8 = 2;
 
 fn root() -> Command {
--- a/crates/hollywheel-bench/src/cost.rs
+++ b/crates/hollywheel-bench/src/cost.rs
@@ -1,24 +1,24 @@
-//! Cost by stage, from the ledgers.
+//! Cost by stage, computed from the ledgers.
 
 use hollywheel_types::SortedMap;
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::{LedgerBook, LedgerLine};
 
-/// Sums up the work of one stage.
+/// The work of one stage.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StageCost {
     /// The stage.
     pub stage: String,
-    /// Attempts that started.
+    /// The number of attempts that started.
     pub starts: u64,
-    /// Attempts that finished.
+    /// The number of attempts that finished.
     pub finishes: u64,
-    /// The time from start to end over all attempts, in milliseconds.
+    /// The total time from start to end of all attempts, in milliseconds.
     pub busy_ms: f64,
 }
 
-/// Sums up the work of every stage, sorted by name.
+/// Computes the work of all stages, sorted by name.
 pub fn stage_costs(ledgers: &[LedgerBook]) -> Vec<StageCost> {
     let mut costs: SortedMap<String, StageCost> = SortedMap::new();
     for ledger in ledgers {
@@ -43,7 +43,7 @@
             open.insert(&line.attempt, line.at_us);
             continue;
         }
-        // Work that is cancelled in the queue ends without a start.
+        // Work that is cancelled in the queue has an end and no start.
         let Some(started) = open.remove(line.attempt.as_str()) else {
             continue;
         };
--- a/crates/hollywheel-bench/src/error.rs
+++ b/crates/hollywheel-bench/src/error.rs
@@ -1,49 +1,49 @@
-//! What can go wrong, apart from outcomes.
+//! Errors of the commands.
 
 use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Says why a command could not do its work.
+/// Reason why a command failed.
 #[derive(Debug)]
 pub enum BenchError {
     /// A file cannot be read or written; check the path and the permissions.
     File {
         /// The file.
         path: PathBuf,
-        /// What the system reported.
+        /// The error of the operating system.
         error: io::Error,
     },
-    /// A file has a syntax error or a wrong field; mend the file.
+    /// A file has a syntax error or an invalid field; correct the file.
     Syntax {
         /// The file.
         path: PathBuf,
-        /// What the reader reported, with the line.
+        /// The error of the parser, with the line.
         message: String,
     },
-    /// A field is out of its range; mend the field.
+    /// A field is out of range; correct the value.
     Field {
         /// The object and its field.
         field: String,
-        /// What was expected.
+        /// The expected value.
         expected: String,
     },
-    /// A stand-in does not answer; check that it runs at the address.
+    /// A stand-in does not answer; check that it is running at the address.
     Call {
         /// The URL.
         url: String,
-        /// What happened.
+        /// The error.
         message: String,
     },
-    /// The picture cannot be drawn.
+    /// A plot cannot be drawn.
     Plot {
-        /// What the library reported.
+        /// The error of the plotting library.
         message: String,
     },
 }
 
 impl BenchError {
-    /// Names a field and what was expected of it.
+    /// Creates an error for a field and its expected value.
     pub(crate) fn field(field: impl Into<String>, expected: impl Into<String>) -> Self {
         Self::Field {
             field: field.into(),
@@ -73,14 +73,14 @@
             Self::Syntax { path, message } => write!(f, "{}: {message}", path.display()),
             Self::Field { field, expected } => write!(f, "{field}: expected {expected}"),
             Self::Call { url, message } => write!(f, "{url}: {message}"),
-            Self::Plot { message } => write!(f, "the picture cannot be drawn: {message}"),
+            Self::Plot { message } => write!(f, "cannot draw the plot: {message}"),
         }
     }
 }
 
 impl std::error::Error for BenchError {}
 
-/// Reads a file as text.
+/// Reads a text file.
 pub(crate) fn read_file(path: &Path) -> Result<String, BenchError> {
     std::fs::read_to_string(path).map_err(|error| BenchError::file(path, error))
 }
--- a/crates/hollywheel-bench/src/event_text.rs
+++ b/crates/hollywheel-bench/src/event_text.rs
@@ -1,9 +1,9 @@
-//! Reading of server-sent events.
+//! Parser of server-sent events.
 
-/// Bounds the bytes of one event; a longer one is dropped.
+/// Maximum size of an event, in bytes; a longer one is dropped.
 const MAX_EVENT_BYTES: usize = 16 * 1024 * 1024;
 
-/// Holds one event.
+/// A server-sent event.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServerEvent {
     /// The name.
@@ -12,7 +12,7 @@
     pub data: String,
 }
 
-/// Puts events together from pieces of a body.
+/// Assembles events from the chunks of a body.
 #[derive(Clone, Debug, Default)]
 pub struct EventReader {
     line: Vec<u8>,
@@ -20,10 +20,10 @@
 }
 
 impl EventReader {
-    /// Takes a piece and returns the events that it completes.
-    pub fn read(&mut self, piece: &[u8]) -> Vec<ServerEvent> {
+    /// Adds a chunk and returns the events that it completes.
+    pub fn read(&mut self, chunk: &[u8]) -> Vec<ServerEvent> {
         let mut events = Vec::new();
-        for byte in piece {
+        for byte in chunk {
             if *byte != b'\n' {
                 if self.line.len() < MAX_EVENT_BYTES {
                     self.line.push(*byte);
--- a/crates/hollywheel-bench/src/expect.rs
+++ b/crates/hollywheel-bench/src/expect.rs
@@ -1,19 +1,19 @@
-//! Expected answers, computed from the call alone.
+//! Expected answers, computed from the calls.
 
 use sha2::{Digest, Sha256};
 
 use crate::objects::{ObjectView, StageView};
 
-/// Holds what the complete answer of a request must be.
+/// The expected complete answer to a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ExpectedAnswer {
     /// The output of the last stage.
     pub output: String,
-    /// The tokens of the last stage, zero if it does not generate.
+    /// The number of tokens of the last stage; zero if it does not generate tokens.
     pub tokens: u32,
 }
 
-/// Computes the answer of a pipeline, none if it is not described.
+/// Computes the expected answer of a pipeline; none if the pipeline is not defined.
 pub fn expected_answer(
     view: &ObjectView,
     pipeline: &str,
@@ -55,7 +55,7 @@
     }
 }
 
-/// Returns the SHA-256 of the parts, each followed by a zero byte, in hexadecimal.
+/// Returns the SHA-256 digest of the parts, each followed by a zero byte, in hexadecimal.
 pub(crate) fn digest(parts: &[&str]) -> String {
     let mut hasher = Sha256::new();
     for part in parts {
--- a/crates/hollywheel-bench/src/experiment.rs
+++ b/crates/hollywheel-bench/src/experiment.rs
@@ -1,4 +1,4 @@
-//! Running an experiment against daemons and stand-ins that already run.
+//! Runs an experiment against running daemons and stand-ins.
 
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -16,19 +16,19 @@
 use crate::summary::summarize;
 use crate::timeline::{clear_faults, run_timeline};
 
-/// Bounds the violations that a result lists.
+/// Maximum number of violations listed in a result.
 const LISTED_DIFFERENCES: usize = 5;
 
-/// Holds the results of an experiment.
+/// The results of an experiment.
 #[derive(Clone, Debug, Default)]
 pub struct ExperimentEnd {
     /// The results of the runs.
     pub results: Vec<RunResult>,
-    /// The check of every run together, which also sees work that started late.
+    /// The checks over all runs, which also cover work that started after its run.
     pub reports: Vec<PolicyReport>,
 }
 
-/// Holds the check of all runs of one policy.
+/// The check over all runs of one policy.
 #[derive(Clone, Debug, Default)]
 pub struct PolicyReport {
     /// The policy.
@@ -37,14 +37,14 @@
     pub report: CheckReport,
 }
 
-/// Holds what ran on one stand-in, over all runs.
+/// The ledger of one stand-in over all runs.
 #[derive(Debug)]
 struct ServerArchive {
     address: SocketAddr,
     books: Vec<LedgerBook>,
 }
 
-/// Holds the ledgers of every stand-in. Policies may share stand-ins.
+/// The ledgers of all stand-ins. Policies may share stand-ins.
 #[derive(Debug, Default)]
 struct LedgerArchive {
     servers: Vec<ServerArchive>,
@@ -61,7 +61,7 @@
         &mut self.servers[at]
     }
 
-    /// Reads what every ledger of a policy has gained since it was last read.
+    /// Reads the entries that were added to the ledgers of a policy since the last call.
     async fn read(&mut self, view: &ObjectView) -> Result<Vec<LedgerBook>, BenchError> {
         let mut gained = Vec::new();
         for server in &view.servers {
@@ -76,7 +76,7 @@
         Ok(gained)
     }
 
-    /// Returns everything that ran on the stand-ins of a policy.
+    /// Returns the complete ledgers of a policy.
     fn books(&self, view: &ObjectView) -> Vec<LedgerBook> {
         let used = |one: &&ServerArchive| {
             let mut servers = view.servers.iter();
@@ -87,9 +87,9 @@
     }
 }
 
-/// Runs every scenario with every policy. Within a repeat the policies follow one another
-/// on the same arrivals, and each repeat begins with another policy. Every result is
-/// passed on at once.
+/// Runs every scenario with every policy. Within a repetition the policies run one after another
+/// with the same arrivals, and each repetition begins with another policy. Each result is passed to
+/// the caller when its run has ended.
 ///
 /// # Errors
 ///
@@ -108,8 +108,8 @@
     let mut records: Vec<Vec<RequestRecord>> = vec![Vec::new(); targets.len()];
     for repeat in 0..plan.repeats {
         for scenario in &plan.scenarios {
-            for turn in 0..targets.len() {
-                let at = (turn + repeat as usize) % targets.len();
+            for offset in 0..targets.len() {
+                let at = (offset + repeat as usize) % targets.len();
                 let run = run_one(plan, &targets[at], scenario, repeat, &mut ledgers).await?;
                 on_result(&run.result)?;
                 results.push(run.result);
@@ -129,7 +129,7 @@
     Ok(ExperimentEnd { results, reports })
 }
 
-/// Holds one run.
+/// One run of a scenario with a policy.
 struct RunEnd {
     result: RunResult,
     records: Vec<RequestRecord>,
@@ -166,7 +166,7 @@
     Ok(RunEnd { result, records })
 }
 
-/// Returns a name that no earlier run has, so that no key is used twice.
+/// Returns a name that differs from those of earlier runs, so that no key is used twice.
 fn run_name() -> String {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/hollywheel-bench/src/fetch.rs
+++ b/crates/hollywheel-bench/src/fetch.rs
@@ -1,4 +1,4 @@
-//! Calls to stand-ins.
+//! HTTP calls to stand-ins.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Holds an answer.
+/// An answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HttpReply {
     /// The status.
@@ -23,21 +23,21 @@
     pub text: String,
 }
 
-/// Reads a path of a stand-in.
+/// Sends a GET request to a stand-in.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError::Call`] if it does not answer with status 200 in time.
+/// Returns [`BenchError::Call`] if the stand-in does not answer with status 200 in time.
 pub async fn get_text(address: SocketAddr, path: &str) -> Result<String, BenchError> {
     let reply = call(address, Method::GET, path, Bytes::new()).await?;
     Ok(reply.text)
 }
 
-/// Sends JSON to a stand-in.
+/// Sends a JSON body to a stand-in.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError::Call`] if it does not answer with status 200 in time.
+/// Returns [`BenchError::Call`] if the stand-in does not answer with status 200 in time.
 pub async fn post_json(
     address: SocketAddr,
     path: &str,
--- a/crates/hollywheel-bench/src/ledger.rs
+++ b/crates/hollywheel-bench/src/ledger.rs
@@ -1,4 +1,4 @@
-//! What ran, as the stand-ins say.
+//! Ledgers of executed calls, read from the stand-ins.
 
 use std::path::Path;
 
@@ -7,23 +7,23 @@
 use crate::error::BenchError;
 use crate::record::read_lines;
 
-/// Holds one line of a ledger.
+/// A line of a ledger.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
 pub struct LedgerLine {
-    /// The position in the ledger, from one.
+    /// The position in the ledger, starting at one.
     pub seq: u64,
-    /// What happened.
+    /// The kind of the event.
     pub event: String,
     /// The wall-clock time in microseconds.
     pub at_us: u64,
-    /// The request.
+    /// The request id.
     pub request: String,
-    /// The attempt.
+    /// The attempt id.
     pub attempt: String,
     /// The stage.
     pub stage: String,
-    /// The work.
+    /// The kind of work.
     pub work: String,
     /// The workspace.
     pub workspace: String,
@@ -31,12 +31,12 @@
     pub idempotency_key: String,
 }
 
-/// Holds the lines of one stand-in.
+/// The lines of one stand-in's ledger.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LedgerBook {
     /// The name, address or file of the stand-in.
     pub server: String,
-    /// The position after which the lines begin.
+    /// The position that precedes the first line.
     pub after: u64,
     /// The lines.
     pub lines: Vec<LedgerLine>,
@@ -48,8 +48,8 @@
         self.lines.last().map_or(self.after, |line| line.seq)
     }
 
-    /// Says why the ledger does not tell of everything that ran, if so.
-    pub fn gap(&self) -> Option<String> {
+    /// Returns why the ledger is incomplete; none if it is complete.
+    pub fn missing_entry(&self) -> Option<String> {
         let mut expected = self.after;
         for line in &self.lines {
             expected += 1;
@@ -64,11 +64,11 @@
     }
 }
 
-/// Reads a ledger from text, one JSON object a line.
+/// Parses a ledger, one JSON object per line.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError::Syntax`] with the line at fault.
+/// Returns [`BenchError::Syntax`] with the invalid line.
 pub fn read_ledger(server: &str, after: u64, text: &str) -> Result<LedgerBook, BenchError> {
     Ok(LedgerBook {
         server: server.to_owned(),
--- a/crates/hollywheel-bench/src/lib.rs
+++ b/crates/hollywheel-bench/src/lib.rs
@@ -1,7 +1,7 @@
 //! Load generator, outcome checker and experiments.
 //!
-//! Nothing here shares code with the parts that decide: the checker computes the expected
-//! answers by itself and reads what ran from the ledgers of the stand-ins.
+//! No code is shared with the serving crates: the checker computes the expected answers itself and
+//! reads from the ledgers of the stand-ins what was executed.
 
 mod arrival;
 mod caller;
--- a/crates/hollywheel-bench/src/load.rs
+++ b/crates/hollywheel-bench/src/load.rs
@@ -1,4 +1,4 @@
-//! The open loop: each request is sent at its time, whatever became of those before.
+//! Open-loop load: each request is sent at its time, independent of the outcome of earlier ones.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,10 +13,10 @@
 use crate::plan::{KeySource, LoadPlan};
 use crate::record::RequestRecord;
 
-/// Bounds the wait before another try.
+/// Maximum wait before a retry.
 const MAX_RETRY_WAIT: Duration = Duration::from_secs(5);
 
-/// Sends a load and returns the records, sorted by number and try.
+/// Sends a load and returns the records, sorted by number and attempt.
 ///
 /// # Errors
 ///
@@ -44,9 +44,9 @@
         };
         let (plan, caller) = (Arc::clone(&plan), Arc::clone(&caller));
         tasks.spawn(async move {
-            let tries = run_request(&plan, &caller, &request, first, start).await;
+            let attempts = run_request(&plan, &caller, &request, first, start).await;
             drop(permit);
-            tries
+            attempts
         });
     }
     while let Some(ended) = tasks.join_next().await {
@@ -88,7 +88,7 @@
     digest[..32].to_owned()
 }
 
-/// Tries a request until it has its complete answer or no try is left.
+/// Sends a request until it has a complete answer or no retries are left.
 async fn run_request(
     plan: &LoadPlan,
     caller: &HostCaller,
@@ -102,29 +102,29 @@
         give_up: Duration::from_millis(plan.give_up_ms),
         start,
     };
-    let mut turn = caller.take_turn();
+    let mut position = caller.next_position();
     let source = plan.pipelines[request.pipeline].keys;
     if source == KeySource::Issued
         && !first.key.is_empty()
-        && let Some(key) = caller.fetch_key(turn, &settings).await
+        && let Some(key) = caller.fetch_key(position, &settings).await
     {
         first.key = key;
     }
-    let mut tries = Vec::new();
+    let mut attempts = Vec::new();
     for try_number in 1..=plan.retries + 1 {
         let mut record = RequestRecord {
             try_number,
             ..first.clone()
         };
         if try_number > 1 {
-            turn = caller.take_turn();
+            position = caller.next_position();
         }
-        caller.call(turn, &mut record, &settings).await;
+        caller.call(position, &mut record, &settings).await;
         let wait = record.retry_after_ms.unwrap_or(0).max(plan.retry_ms);
         let wait = Duration::from_millis(wait).min(MAX_RETRY_WAIT);
-        // A client error stays one.
+        // A retry of a client error would fail as well.
         let ended = record.complete || matches!(record.status, 400..=408 | 410..=428);
-        tries.push(record);
+        attempts.push(record);
         if ended {
             break;
         }
@@ -132,5 +132,5 @@
             tokio::time::sleep(wait).await;
         }
     }
-    tries
+    attempts
 }
--- a/crates/hollywheel-bench/src/objects.rs
+++ b/crates/hollywheel-bench/src/objects.rs
@@ -1,4 +1,4 @@
-//! What the checker needs to know of the objects.
+//! Published objects, as far as the checker needs them.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,7 +7,7 @@
 
 use crate::error::{BenchError, read_file};
 
-/// Describes a pipeline.
+/// A pipeline.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct PipelineView {
     /// The name.
@@ -16,20 +16,20 @@
     pub stages: Vec<String>,
 }
 
-/// Describes a stage.
+/// A stage of a pipeline.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct StageView {
     /// The name.
     pub name: String,
-    /// The work: `encode`, `retrieve`, `rerank`, `generate` or `call`.
+    /// The kind of work: `encode`, `retrieve`, `rerank`, `generate` or `call`.
     pub kind: String,
-    /// Whether it may run more than once.
+    /// Whether the stage may be executed more than once.
     #[serde(default = "default_idempotent")]
     pub idempotent: bool,
-    /// The model, for a stage that generates.
+    /// The model, if the stage generates tokens.
     #[serde(default)]
     pub model: String,
-    /// The most tokens, for a stage that generates.
+    /// The maximum number of tokens, if the stage generates tokens.
     #[serde(default)]
     pub max_tokens: u32,
 }
@@ -38,7 +38,7 @@
     true
 }
 
-/// Describes a backend server.
+/// A backend server.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct ServerView {
     /// The name.
@@ -68,7 +68,7 @@
     pool: Vec<PoolView>,
 }
 
-/// Holds the pipelines, stages and servers of an object file; other fields are ignored.
+/// The pipelines, stages and servers of an object file; other fields are ignored.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ObjectView {
     /// The pipelines.
@@ -80,7 +80,7 @@
 }
 
 impl ObjectView {
-    /// Returns the stages of a pipeline, none if one of them is missing.
+    /// Returns the stages of a pipeline; none if one of them is not defined.
     pub fn stages_of(&self, pipeline: &str) -> Option<Vec<&StageView>> {
         let pipeline = self.pipelines.iter().find(|p| p.name == pipeline)?;
         let stages = pipeline.stages.iter();
@@ -89,11 +89,11 @@
             .collect()
     }
 
-    /// Reads the fields from TOML.
+    /// Parses the objects from TOML.
     ///
     /// # Errors
     ///
-    /// Returns [`BenchError::Syntax`] with the line and field at fault.
+    /// Returns [`BenchError::Syntax`] with the invalid line and field.
     pub fn from_toml(path: &Path, text: &str) -> Result<Self, BenchError> {
         let file: ObjectFileView =
             toml::from_str(text).map_err(|error| BenchError::syntax(path, error))?;
@@ -112,7 +112,7 @@
     }
 }
 
-/// Reads an object file as operators publish it.
+/// Reads an object file in the format that operators publish.
 ///
 /// # Errors
 ///
--- a/crates/hollywheel-bench/src/plan.rs
+++ b/crates/hollywheel-bench/src/plan.rs
@@ -1,4 +1,4 @@
-//! The description of a load.
+//! Load plans.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -8,126 +8,126 @@
 
 use crate::error::{BenchError, read_file};
 
-/// Bounds the requests of one load.
+/// Maximum number of requests of a load.
 pub(crate) const MAX_REQUESTS: usize = 200_000;
 
-/// Bounds the span of one load, in seconds.
+/// Maximum duration of a load, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
-/// Bounds the tries of one request beyond the first.
+/// Maximum number of retries of a request.
 const MAX_RETRIES: u32 = 20;
 
-/// Multiplies the rate for a while.
+/// Burst, during which the rate is multiplied.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct BurstPlan {
     /// The start, in milliseconds since the start of the load.
     pub at_ms: u64,
-    /// The length in milliseconds.
+    /// The duration in milliseconds.
     pub for_ms: u64,
     /// The factor.
     pub factor: f64,
 }
 
-/// Describes a caller.
+/// Workspace whose requests are sent.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct WorkspacePlan {
     /// The name.
     pub name: String,
-    /// The key that it authenticates with.
+    /// The access key.
     pub key: String,
-    /// The share of the requests, relative to the other workspaces.
+    /// The share of requests, relative to the other workspaces.
     #[serde(default = "default_weight")]
     pub weight: f64,
 }
 
-/// Says where the idempotency keys of requests come from.
+/// Origin of the idempotency keys of requests.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum KeySource {
-    /// The caller makes them.
+    /// The caller generates the keys.
     #[default]
     Own,
-    /// The host issues them; a caller that gets none makes its own.
+    /// The host issues the keys; a caller without one generates its own.
     Issued,
 }
 
-/// Describes the requests to one pipeline.
+/// The requests to one pipeline.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct PipelinePlan {
     /// The name.
     pub name: String,
-    /// The class, for the summary.
+    /// The request class in the summary.
     pub class: String,
-    /// The share of the requests, relative to the other pipelines.
+    /// The share of requests, relative to the other pipelines.
     #[serde(default = "default_weight")]
     pub weight: f64,
-    /// The time for the complete answer, in milliseconds.
+    /// The target time of the complete answer, in milliseconds.
     pub deadline_ms: u64,
-    /// The time for the first token, in milliseconds.
+    /// The target time of the first token, in milliseconds.
     #[serde(default)]
     pub first_token_ms: Option<u64>,
-    /// The time between tokens, in milliseconds.
+    /// The target time between two tokens, in milliseconds.
     #[serde(default)]
     pub token_gap_ms: Option<u64>,
-    /// Whether tokens are asked for one by one.
+    /// Whether streams of tokens are requested.
     #[serde(default)]
     pub stream: bool,
-    /// The most tokens asked for.
+    /// The requested maximum number of tokens.
     #[serde(default)]
     pub max_tokens: Option<u32>,
     /// Whether each request has an idempotency key.
     #[serde(default)]
     pub keyed: bool,
-    /// Where the keys come from.
+    /// The origin of the keys.
     #[serde(default)]
     pub keys: KeySource,
-    /// The time that the caller allows, sent as a header, in milliseconds.
+    /// The deadline that is sent as a header, in milliseconds.
     #[serde(default)]
     pub timeout_ms: Option<u64>,
-    /// The workspaces that call it; empty stands for all.
+    /// The workspaces that call the pipeline; empty for all.
     #[serde(default)]
     pub workspaces: Vec<String>,
-    /// The number of prompt prefixes that requests share; zero for no sharing.
+    /// The number of prompt prefixes that requests share; zero for none.
     #[serde(default)]
     pub prefixes: u32,
-    /// The bytes of input after the prefix, at least.
+    /// The minimum size of the input after the prefix, in bytes.
     #[serde(default)]
     pub input_bytes: u32,
 }
 
-/// Describes a load.
+/// Load plan.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LoadPlan {
     /// The seed of the arrivals.
     #[serde(default = "default_seed")]
     pub seed: u64,
-    /// The span of the arrivals, in seconds.
+    /// The duration of the arrivals, in seconds.
     pub seconds: f64,
-    /// The mean requests a second outside bursts.
+    /// The mean number of requests per second outside bursts.
     pub rate: f64,
     /// The addresses of the daemons.
     #[serde(default)]
     pub addresses: Vec<SocketAddr>,
-    /// The time after which a caller gives a request up, in milliseconds.
+    /// The time-out of a request at the caller, in milliseconds.
     #[serde(default = "default_give_up_ms")]
     pub give_up_ms: u64,
-    /// The requests that may wait for answers at once; further ones are not sent.
+    /// The maximum number of requests in flight; further ones are not sent.
     #[serde(default = "default_max_in_flight")]
     pub max_in_flight: u32,
-    /// The tries of a request without a complete answer, beyond the first.
+    /// The maximum number of retries of a request without a complete answer.
     #[serde(default)]
     pub retries: u32,
-    /// The shortest wait before another try, in milliseconds.
+    /// The minimum wait before a retry, in milliseconds.
     #[serde(default = "default_retry_ms")]
     pub retry_ms: u64,
     /// The bursts.
     #[serde(default, rename = "burst")]
     pub bursts: Vec<BurstPlan>,
-    /// The callers.
+    /// The workspaces.
     #[serde(rename = "workspace")]
     pub workspaces: Vec<WorkspacePlan>,
     /// The pipelines.
@@ -156,12 +156,12 @@
 }
 
 impl LoadPlan {
-    /// Returns the span of the arrivals.
+    /// Returns the duration of the arrivals.
     pub fn span(&self) -> Duration {
         Duration::from_secs_f64(self.seconds)
     }
 
-    /// Returns the rate at a point.
+    /// Returns the rate at a time.
     pub fn rate_at(&self, at: Duration) -> f64 {
         let at_ms = at.as_millis();
         let active = |burst: &&BurstPlan| {
@@ -172,17 +172,17 @@
         self.rate * factors.product::<f64>()
     }
 
-    /// Returns the highest rate of the plan, or more.
+    /// Returns an upper bound of the rate.
     pub(crate) fn peak_rate(&self) -> f64 {
         let factors = self.bursts.iter().map(|burst| burst.factor.max(1.0));
         self.rate * factors.product::<f64>()
     }
 
-    /// Checks every field that has a range.
+    /// Validates all fields that have a range.
     ///
     /// # Errors
     ///
-    /// Returns [`BenchError::Field`] for the first field out of its range.
+    /// Returns [`BenchError::Field`] for the first field that is out of range.
     pub fn check(&self) -> Result<(), BenchError> {
         if !is_positive(self.seconds) || self.seconds > MAX_SECONDS {
             let expected = format!("a number above 0, at most {MAX_SECONDS}");
@@ -235,7 +235,7 @@
             }
             let known = |name: &String| self.workspaces.iter().any(|w| w.name == *name);
             if let Some(name) = pipeline.workspaces.iter().find(|name| !known(name)) {
-                let expected = format!("workspaces of the plan; {name:?} is none");
+                let expected = format!("workspaces of the plan; {name:?} is not one of them");
                 return Err(BenchError::field(field("workspaces"), expected));
             }
         }
@@ -247,11 +247,11 @@
     value.is_finite() && value > 0.0
 }
 
-/// Reads and checks a load plan.
+/// Reads and validates a load plan.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError`] with the file, and the line or field at fault.
+/// Returns [`BenchError`] with the file and the invalid line or field.
 pub fn read_plan(path: &Path) -> Result<LoadPlan, BenchError> {
     let text = read_file(path)?;
     let plan: LoadPlan = toml::from_str(&text).map_err(|error| BenchError::syntax(path, error))?;
--- a/crates/hollywheel-bench/src/plot.rs
+++ b/crates/hollywheel-bench/src/plot.rs
@@ -1,4 +1,4 @@
-//! Drawing the results of an experiment.
+//! Plots of the results of an experiment.
 
 use std::path::Path;
 
@@ -10,12 +10,12 @@
 
 const SIZE: (u32, u32) = (1000, 520);
 
-/// Gives the share of a scenario's width that its marks take.
+/// Fraction of a scenario's width that its marks occupy.
 const GROUP_WIDTH: f64 = 0.6;
 
 type SvgArea<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 
-/// Draws the means and intervals of one metric over the scenarios as an SVG file.
+/// Plots the means and confidence intervals of a metric over the scenarios as an SVG file.
 ///
 /// # Errors
 ///
--- a/crates/hollywheel-bench/src/record.rs
+++ b/crates/hollywheel-bench/src/record.rs
@@ -1,4 +1,4 @@
-//! What became of each request, one JSON object a line.
+//! Records of sent requests and their outcomes, one JSON object per line.
 
 use std::fs::File;
 use std::io::{BufWriter, Write};
@@ -8,18 +8,18 @@
 
 use crate::error::{BenchError, read_file};
 
-/// Records one try of one request. Times are in microseconds since the start of the load.
+/// Record of one attempt of a caller. Times are in microseconds since the start of the load.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
 pub struct RequestRecord {
     /// The position of the request in the load.
     pub number: u64,
-    /// The try, from one.
+    /// The number of the attempt, starting at one.
     #[serde(rename = "try")]
     pub try_number: u32,
     /// The pipeline.
     pub pipeline: String,
-    /// The class.
+    /// The request class.
     pub class: String,
     /// The workspace.
     pub workspace: String,
@@ -27,38 +27,38 @@
     pub key: String,
     /// The trace id that was sent.
     pub trace: String,
-    /// The host that the try was sent to, empty if none was reached.
+    /// The host to which the attempt was sent; empty if no host was reached.
     pub host: String,
     /// The intended time of the request.
     pub intended_us: u64,
-    /// The time at which the try was sent.
+    /// The time at which the attempt was sent.
     pub sent_us: u64,
     /// The input.
     pub input: String,
-    /// The most tokens asked for.
+    /// The requested maximum number of tokens.
     pub max_tokens: Option<u32>,
-    /// Whether tokens were asked for one by one.
+    /// Whether a stream of tokens was requested.
     pub stream: bool,
-    /// The HTTP status, zero without an answer.
+    /// The HTTP status; zero if there was no answer.
     pub status: u16,
-    /// `not-run`, `may-have-run` or `ran`; `not-sent` if no host was reached; empty if nothing
-    /// was said.
+    /// The verdict: `not-run`, `may-have-run` or `ran`; `not-sent` if no host was reached; empty if
+    /// the answer had no verdict.
     pub verdict: String,
-    /// Why there is no complete answer.
+    /// The reason why there is no complete answer.
     pub reason: String,
-    /// The wait that the answer asks for.
+    /// The retry time in the answer.
     pub retry_after_ms: Option<u64>,
-    /// The request id that the answer gives.
+    /// The request id in the answer.
     pub request: String,
-    /// Whether the complete answer came.
+    /// Whether the complete answer was received.
     pub complete: bool,
     /// The output of the complete answer.
     pub output: String,
-    /// The tokens that the complete answer counts.
+    /// The number of tokens according to the complete answer.
     pub tokens: u32,
-    /// Whether the answer comes from an earlier try.
+    /// Whether the answer is that of an earlier attempt.
     pub replayed: bool,
-    /// The positions of the streamed tokens in the order of arrival.
+    /// The indices of the streamed tokens, in order of arrival.
     pub indices: Vec<u32>,
     /// The streamed text.
     pub streamed: String,
@@ -66,11 +66,11 @@
     pub first_token_us: Option<u64>,
     /// The longest time between two tokens.
     pub longest_gap_us: Option<u64>,
-    /// The time from the intended time to the end of the try.
+    /// The time from the intended time to the end of the attempt.
     pub latency_us: u64,
 }
 
-/// Writes records, one JSON object a line.
+/// Writes records, one JSON object per line.
 ///
 /// # Errors
 ///
@@ -95,12 +95,12 @@
 ///
 /// # Errors
 ///
-/// Returns [`BenchError`] with the file and the line at fault.
+/// Returns [`BenchError`] with the file and the invalid line.
 pub fn read_records(path: &Path) -> Result<Vec<RequestRecord>, BenchError> {
     read_lines(path, &read_file(path)?)
 }
 
-/// Reads JSON objects, one a line.
+/// Parses JSON objects, one per line.
 pub(crate) fn read_lines<T>(path: &Path, text: &str) -> Result<Vec<T>, BenchError>
 where
     T: serde::de::DeserializeOwned,
--- a/crates/hollywheel-bench/src/result.rs
+++ b/crates/hollywheel-bench/src/result.rs
@@ -1,4 +1,4 @@
-//! Results of runs and their means.
+//! Results of runs, and their means.
 
 use std::fmt;
 use std::path::Path;
@@ -11,12 +11,12 @@
 use crate::record::read_lines;
 use crate::summary::{LoadSummary, SummaryRow};
 
-/// Names a metric of one class.
+/// Metrics of one request class.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ClassResult {
-    /// The class.
+    /// The request class.
     pub class: String,
-    /// The share of requests within target.
+    /// The fraction of requests that meet all targets.
     pub attainment: f64,
     /// The 99th percentile of the latency, in milliseconds.
     pub p99_ms: f64,
@@ -32,14 +32,14 @@
     }
 }
 
-/// Holds the result of one run.
+/// The result of one run.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RunResult {
     /// The scenario.
     pub scenario: String,
     /// The policy.
     pub policy: String,
-    /// The repeat, from zero.
+    /// The number of the repetition, starting at zero.
     pub repeat: u32,
     /// The seed of the load.
     pub seed: u64,
@@ -47,16 +47,16 @@
     pub summary: LoadSummary,
     /// The work by stage.
     pub costs: Vec<StageCost>,
-    /// Violations that the checker found.
+    /// The number of violations that the checker found.
     pub violations: u64,
     /// The first violations.
     pub differences: Vec<String>,
-    /// Fault orders that failed.
+    /// The fault orders that failed.
     pub failed_orders: Vec<String>,
 }
 
 impl RunResult {
-    /// Lists the metrics by name.
+    /// Returns the metrics with their names.
     fn metrics(&self) -> Vec<(String, f64)> {
         let mut metrics = vec![
             ("attainment".to_owned(), self.summary.total.attainment),
@@ -77,7 +77,7 @@
     }
 }
 
-/// Holds the mean of one metric over the repeats of a scenario with a policy.
+/// The mean of a metric over the repetitions of a scenario with a policy.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MetricRow {
     /// The scenario.
@@ -86,7 +86,7 @@
     pub policy: String,
     /// The metric.
     pub metric: String,
-    /// The mean and its interval.
+    /// The mean and its confidence interval.
     #[serde(flatten)]
     pub interval: MeanInterval,
 }
@@ -107,7 +107,7 @@
     }
 }
 
-/// Computes the means of every metric, in the order of the first runs.
+/// Computes the means of all metrics, in the order of the first runs.
 pub fn metric_rows(results: &[RunResult]) -> Vec<MetricRow> {
     let mut rows: Vec<(MetricRow, Vec<f64>)> = Vec::new();
     for result in results {
@@ -139,11 +139,11 @@
     rows.into_iter().map(finish).collect()
 }
 
-/// Reads the results of an experiment, one JSON object a line.
+/// Reads the results of an experiment, one JSON object per line.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError`] with the file and the line at fault.
+/// Returns [`BenchError`] with the file and the invalid line.
 pub fn read_results(path: &Path) -> Result<Vec<RunResult>, BenchError> {
     read_lines(path, &read_file(path)?)
 }
--- a/crates/hollywheel-bench/src/scenario.rs
+++ b/crates/hollywheel-bench/src/scenario.rs
@@ -1,4 +1,4 @@
-//! The description of an experiment.
+//! Experiment files.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,13 +10,13 @@
 use crate::objects::{ObjectView, ServerView, read_objects};
 use crate::plan::{BurstPlan, LoadPlan};
 
-/// Bounds the runs of one experiment.
+/// Maximum number of runs of an experiment.
 const MAX_RUNS: usize = 500;
 
-/// Bounds the span of all loads of one experiment, in seconds.
+/// Maximum total duration of all loads of an experiment, in seconds.
 const MAX_TOTAL_SECONDS: f64 = 7200.0;
 
-/// Names a policy and the daemons that use it. A fleet gives daemons, platform and objects.
+/// A policy and the daemons that use it. A fleet record provides daemons, platform and objects.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct PolicyPlan {
@@ -28,10 +28,10 @@
     /// The record of its fleet, relative to the experiment file.
     #[serde(default)]
     pub fleet: Option<PathBuf>,
-    /// The object file, relative to the experiment file; if none, that of the experiment.
+    /// The object file, relative to the experiment file; by default that of the experiment.
     #[serde(default)]
     pub objects: Option<PathBuf>,
-    /// The platform; if none, that of the experiment.
+    /// The platform; by default that of the experiment.
     #[serde(default)]
     pub platform: Option<SocketAddr>,
 }
@@ -41,7 +41,7 @@
     callers: SocketAddr,
 }
 
-/// Holds what is needed of the record of a fleet.
+/// The part of a fleet record that experiments use.
 #[derive(Deserialize)]
 struct FleetView {
     platform: SocketAddr,
@@ -49,27 +49,27 @@
     hosts: Vec<FleetHostView>,
 }
 
-/// Holds a policy with everything that it runs on.
+/// A policy with its daemons, platform and objects.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PolicyTarget {
     /// The name.
     pub name: String,
     /// The addresses of its daemons.
     pub addresses: Vec<SocketAddr>,
-    /// The platform, if faults are ordered there.
+    /// The platform, if faults are injected there.
     pub platform: Option<SocketAddr>,
     /// The objects, with the addresses of the stand-ins.
     pub view: ObjectView,
 }
 
-/// Orders faults at a point of the load. A server is chosen if it matches every field
-/// that is given.
+/// Fault to inject at a time of the load. A server is selected if it matches all fields that are
+/// given.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FaultPlan {
     /// The time since the start of the load, in milliseconds.
     pub at_ms: u64,
-    /// The names of the servers; empty stands for all.
+    /// The names of the servers; empty for all.
     #[serde(default)]
     pub servers: Vec<String>,
     /// The pool of the servers.
@@ -78,10 +78,10 @@
     /// The failure domain of the servers.
     #[serde(default)]
     pub domain: Option<String>,
-    /// The most servers chosen.
+    /// The maximum number of selected servers.
     #[serde(default)]
     pub limit: Option<usize>,
-    /// Whether the platform is chosen in place of servers.
+    /// Whether the platform is selected instead of servers.
     #[serde(default)]
     pub platform: bool,
     /// The fault order; an empty one clears the faults.
@@ -89,7 +89,7 @@
 }
 
 impl FaultPlan {
-    /// Lists the addresses of the chosen stand-ins.
+    /// Returns the addresses of the selected stand-ins.
     pub fn targets(&self, target: &PolicyTarget) -> Vec<SocketAddr> {
         if self.platform {
             return target.platform.into_iter().collect();
@@ -109,16 +109,16 @@
     }
 }
 
-/// Describes one scenario; what it does not give comes from the load of the experiment.
+/// A scenario. Fields that are absent are taken from the load of the experiment.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct ScenarioPlan {
     /// The name.
     pub name: String,
-    /// The factor on the rate of the load.
+    /// The factor by which the rate of the load is multiplied.
     #[serde(default = "default_factor")]
     pub rate_factor: f64,
-    /// The span in seconds.
+    /// The duration in seconds.
     #[serde(default)]
     pub seconds: Option<f64>,
     /// The bursts.
@@ -133,16 +133,16 @@
     1.0
 }
 
-/// Describes an experiment: every scenario with every policy, so many times.
+/// An experiment, which runs every scenario with every policy a number of times.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct ExperimentPlan {
     /// The name.
     pub name: String,
-    /// The runs of each scenario with each policy.
+    /// The number of runs of each scenario with each policy.
     #[serde(default = "default_repeats")]
     pub repeats: u32,
-    /// The seed; each repeat adds one.
+    /// The seed of the first repetition; each further one adds one.
     #[serde(default = "default_seed")]
     pub seed: u64,
     /// The wait after each run, before its ledgers are read, in milliseconds.
@@ -151,7 +151,7 @@
     /// The object file, relative to the experiment file.
     #[serde(default)]
     pub objects: Option<PathBuf>,
-    /// The platform, if faults are ordered there.
+    /// The platform, if faults are injected there.
     #[serde(default)]
     pub platform: Option<SocketAddr>,
     /// The policies.
@@ -189,11 +189,11 @@
         }
     }
 
-    /// Checks sizes, names and every load.
+    /// Validates sizes, names and loads.
     ///
     /// # Errors
     ///
-    /// Returns [`BenchError::Field`] for the first field out of its range.
+    /// Returns [`BenchError::Field`] for the first field that is out of range.
     pub fn check(&self, targets: &[PolicyTarget]) -> Result<(), BenchError> {
         let runs = self.scenarios.len() * targets.len() * self.repeats as usize;
         if runs == 0 || runs > MAX_RUNS {
@@ -271,11 +271,11 @@
     })
 }
 
-/// Reads an experiment file and the files that it names, and checks them.
+/// Reads and validates an experiment file and the files that it refers to.
 ///
 /// # Errors
 ///
-/// Returns [`BenchError`] with the file, and the line or field at fault.
+/// Returns [`BenchError`] with the file and the invalid line or field.
 pub fn read_experiment(path: &Path) -> Result<(ExperimentPlan, Vec<PolicyTarget>), BenchError> {
     let text = read_file(path)?;
     let plan: ExperimentPlan =
--- a/crates/hollywheel-bench/src/summary.rs
+++ b/crates/hollywheel-bench/src/summary.rs
@@ -1,4 +1,4 @@
-//! Counts and quantiles of a load.
+//! Summary of a load: counts and quantiles.
 
 use std::fmt;
 
@@ -12,27 +12,27 @@
 const MAX_LATENCY_US: u64 = 3_600_000_000;
 const DIGITS: u8 = 3;
 
-/// Sums up the requests of one pipeline, one class or the whole load. Latencies are those
-/// of complete answers, in milliseconds from the intended time.
+/// Summary of the requests of one pipeline, one class or the whole load. Latencies are those of
+/// complete answers, in milliseconds since the intended time.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SummaryRow {
     /// The pipeline or class.
     pub name: String,
-    /// Requests.
+    /// The number of requests.
     pub requests: u64,
-    /// Requests with a complete answer.
+    /// The number of requests with a complete answer.
     pub complete: u64,
-    /// Requests with a complete answer within every target.
+    /// The number of requests with a complete answer that meets all targets.
     pub attained: u64,
-    /// The share of `attained` among `requests`, from 0 to 1.
+    /// The ratio of `attained` to `requests`.
     pub attainment: f64,
-    /// Requests whose last word was that they have not run.
+    /// The number of requests whose last verdict is that they have not run.
     pub not_run: u64,
-    /// Requests whose last word was that they may have run.
+    /// The number of requests whose last verdict is that they may have run.
     pub may_have_run: u64,
-    /// Requests that were told nothing.
+    /// The number of requests without a verdict.
     pub unanswered: u64,
-    /// Requests that reached no host.
+    /// The number of requests that reached no host.
     pub not_sent: u64,
     /// The median latency.
     pub p50_ms: f64,
@@ -48,7 +48,7 @@
     pub token_gap_p99_ms: f64,
 }
 
-/// Sums up a load.
+/// Summary of a load.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct LoadSummary {
     /// The whole load.
@@ -57,9 +57,9 @@
     pub classes: Vec<SummaryRow>,
     /// The pipelines.
     pub pipelines: Vec<SummaryRow>,
-    /// Complete answers within target, a second of the load.
+    /// The number of complete answers that meet all targets, per second of the load.
     pub goodput: f64,
-    /// The 99th percentile of how late requests were sent, in milliseconds.
+    /// The 99th percentile of the delay with which requests were sent, in milliseconds.
     pub send_delay_p99_ms: f64,
 }
 
@@ -133,7 +133,7 @@
     histogram.value_at_quantile(quantile) as f64 / 1000.0
 }
 
-/// Says whether a complete answer meets every target of its pipeline.
+/// Returns whether a complete answer meets all targets of its pipeline.
 fn attains(record: &RequestRecord, pipeline: &PipelinePlan) -> bool {
     let within = |given: Option<u64>, limit_ms: Option<u64>| match (given, limit_ms) {
         (Some(given), Some(limit)) => given <= limit * 1000,
@@ -145,8 +145,8 @@
         && within(record.longest_gap_us, pipeline.token_gap_ms)
 }
 
-/// Sums up the records of a load, sorted by number and try. Only the last try of a request
-/// counts, with its latency from the intended time of the request.
+/// Summarizes the records of a load, sorted by number and attempt. Only the last attempt of a
+/// request counts, with its latency since the intended time of the request.
 ///
 /// # Panics
 ///
@@ -156,8 +156,8 @@
     let mut classes: SortedMap<String, RowBuilder> = SortedMap::new();
     let mut pipelines: SortedMap<String, RowBuilder> = SortedMap::new();
     let mut delays = histogram();
-    for tries in records.chunk_by(|one, other| one.number == other.number) {
-        let (first, last) = (&tries[0], &tries[tries.len() - 1]);
+    for attempts in records.chunk_by(|one, other| one.number == other.number) {
+        let (first, last) = (&attempts[0], &attempts[attempts.len() - 1]);
         let object = plan.pipelines.iter().find(|p| p.name == last.pipeline);
         let attained = object.is_some_and(|pipeline| attains(last, pipeline));
         total.add(last, attained);
--- a/crates/hollywheel-bench/src/timeline.rs
+++ b/crates/hollywheel-bench/src/timeline.rs
@@ -1,4 +1,4 @@
-//! Ordering faults at their times.
+//! Injects the faults of a scenario at their times.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,14 +12,14 @@
 const FAULTS_PATH: &str = "/standin/faults";
 const RESTART_PATH: &str = "/standin/restart";
 
-/// Holds one order to one stand-in.
+/// A fault order to one stand-in.
 struct TimedOrder {
     at: Duration,
     address: SocketAddr,
     order: Value,
 }
 
-/// Orders the faults of a scenario; returns the orders that failed.
+/// Sends the fault orders of a scenario at their times; returns those that failed.
 pub(crate) async fn run_timeline(scenario: &ScenarioPlan, target: &PolicyTarget) -> Vec<String> {
     let start = Instant::now();
     let mut orders: Vec<TimedOrder> = Vec::new();
--- a/crates/hollywheel-bench/tests/arrival.rs
+++ b/crates/hollywheel-bench/tests/arrival.rs
@@ -1,4 +1,4 @@
-//! Arrivals and plans.
+//! Tests of arrivals and plans.
 
 mod common;
 
@@ -46,7 +46,7 @@
         },
         "run",
     );
-    // Four standard deviations of a Poisson count around 1,000 and 3,000.
+    // The bounds are four standard deviations of Poisson counts with means of 1,000 and 3,000.
     for (from, to, mean) in [
         (0.0, 10.0, 1000),
         (10.0, 20.0, 3000),
--- a/crates/hollywheel-bench/tests/check.rs
+++ b/crates/hollywheel-bench/tests/check.rs
@@ -1,4 +1,4 @@
-//! The checker catches every violation in doctored ledgers and records.
+//! Tests that the checker finds each violation in modified ledgers and records.
 
 mod common;
 
@@ -168,7 +168,7 @@
         violated(&[by_key.clone()], honest_ledger()),
         CheckRule::NotRun
     );
-    // Another try of the key may have been the one that ran.
+    // Another attempt with the key may have been executed.
     let later = refused(payment(), "may-have-run");
     assert_eq!(check(&[by_key, later], honest_ledger()).violations, 0);
 }
--- a/crates/hollywheel-bench/tests/common/mod.rs
+++ b/crates/hollywheel-bench/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A server that speaks the callers' protocol, and objects for it.
+//! Test server of the callers' protocol, and its objects.
 
 #![allow(dead_code)]
 
@@ -80,14 +80,14 @@
     }
 }
 
-/// Says how the server answers.
+/// Behaviour of the test server.
 #[derive(Clone, Debug)]
 pub enum ServerHabit {
-    /// With the expected answer, after a while.
+    /// Sends the expected answer after a delay.
     Answer { after: Duration },
-    /// By calling a plain service; none of its failures is hidden.
+    /// Calls a plain service and passes its failures to the caller.
     Forward { service: SocketAddr },
-    /// With a refusal.
+    /// Refuses all requests.
     Refuse,
 }
 
@@ -123,7 +123,7 @@
     reply(status, "application/problem+json", body.to_string())
 }
 
-/// Issues a key unless the server refuses everything.
+/// Issues a key unless the server refuses all requests.
 fn issued_key(habit: &ServerHabit) -> Response<Full<Bytes>> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     if matches!(habit, ServerHabit::Refuse) {
--- a/crates/hollywheel-bench/tests/experiment.rs
+++ b/crates/hollywheel-bench/tests/experiment.rs
@@ -1,4 +1,4 @@
-//! Experiments, their means and pictures.
+//! Tests of experiments, means and plots.
 
 mod common;
 
@@ -100,7 +100,7 @@
     let total = |at: usize| &end.results[at].summary.total;
     assert_eq!(total(0).requests, total(1).requests);
     assert_eq!(total(0).attained, total(0).requests);
-    // The policies share the server, and each run counts its own work alone.
+    // The policies share the server, and each run counts only its own work.
     let starts = end.results.iter().map(|result| result.costs[0].starts);
     let requests = end
         .results
@@ -113,10 +113,10 @@
     assert!(violations.is_empty(), "{violations:?}");
     let path = std::env::temp_dir().join(format!("hollywheel-plot-{}.svg", std::process::id()));
     draw_results(&path, &end.results, "attainment").unwrap();
-    let picture = std::fs::read_to_string(&path).unwrap();
+    let plot = std::fs::read_to_string(&path).unwrap();
     std::fs::remove_file(&path).unwrap();
     for word in ["<svg", "calm", "failing", "one", "two"] {
-        assert!(picture.contains(word), "{word}");
+        assert!(plot.contains(word), "{word}");
     }
     let missing = draw_results(&path, &end.results, "beauty").unwrap_err();
     assert!(
@@ -135,7 +135,7 @@
         scenarios: vec![scenario("failing", vec![outage()])],
         ..plan
     };
-    // The small server does not deduplicate, so another try doubles the work.
+    // The test server does not deduplicate, so a retry executes the work again.
     plan.load.retries = 1;
     let end = run_experiment(&plan, &targets, |_| Ok(())).await.unwrap();
     let reports = end.reports.iter().map(|one| &one.report);
@@ -163,7 +163,8 @@
 fn interval_is_that_of_student() {
     let interval = mean_interval(&[1.0, 2.0, 3.0]);
     assert!((interval.mean - 2.0).abs() < 1e-9);
-    // 4.303 times the standard error of 1 over the root of 3.
+    // 4.303 is the quantile of Student's t distribution for 2 degrees of freedom, and the standard
+    // error is 1 / sqrt(3).
     assert!((interval.high - 4.4843).abs() < 1e-3, "{interval:?}");
     assert!((interval.low + 0.4843).abs() < 1e-3, "{interval:?}");
 }
--- a/crates/hollywheel-bench/tests/load.rs
+++ b/crates/hollywheel-bench/tests/load.rs
@@ -1,4 +1,4 @@
-//! The open loop against a small server.
+//! Tests of open-loop load against a test server.
 
 mod common;
 
