--- a/crates/hollywheel-matrix/src/answer.rs
+++ b/crates/hollywheel-matrix/src/answer.rs
@@ -1,4 +1,4 @@
-//! The answers that requests should get, computed without the machines.
+//! Expected answers, computed without the state machines.
 
 use hollywheel_node::ReplyPart;
 
@@ -6,10 +6,10 @@
 use crate::fixture;
 use crate::scene::{SeenPart, SentRequest, token_text, unary_output};
 
-/// The tokens that a question generates under the first version.
+/// Number of tokens of an answer under the first version.
 const FIRST_TOKENS: u32 = 5;
 
-/// Returns the tokens of the answer to a request; none if it is not streamed.
+/// Returns the tokens of the answer to a request; none if it is not a stream.
 fn expected_tokens(sent: &SentRequest) -> Option<Vec<String>> {
     if sent.scenario != CellScenario::Question {
         return None;
@@ -33,7 +33,7 @@
     })
 }
 
-/// Compares the parts that a caller got with what the request should give.
+/// Compares the received parts with the expected answer.
 pub(crate) fn answer_fault(sent: &SentRequest, parts: &[SeenPart]) -> Option<String> {
     let request = sent.request;
     let expected = expected_tokens(sent).unwrap_or_default();
--- a/crates/hollywheel-matrix/src/breaks.rs
+++ b/crates/hollywheel-matrix/src/breaks.rs
@@ -1,4 +1,4 @@
-//! Faults put into the wrapper of the machines on purpose, to show that the checks find them.
+//! Deliberate faults in the wrapper of the state machines, which show that the checks find them.
 
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -21,32 +21,32 @@
 use crate::cell::CellError;
 use crate::fixture;
 
-/// The revision of rows that a forged answer names.
+/// Row revision in a forged answer.
 const FORGED_REVISION: u64 = 1;
 
-/// The attempt and the server of a forged call.
+/// Attempt and server of a forged call.
 const FOREIGN_NONCE: u128 = 0xf0;
 const FOREIGN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9021);
 
-/// The time by which a refusal is held back.
+/// Delay of a refusal that is held back.
 const HOLD: Duration = Duration::from_millis(1500);
 
-/// The time that a forged refusal of the table service names.
+/// Retry time in a forged refusal of the table service.
 const REFUSED_RETRY: Duration = Duration::from_millis(50);
 
 macro_rules! named_breaks {
     ($($(#[$doc:meta])* $variant:ident = $text:literal,)*) => {
-        /// Names a fault put in on purpose.
+        /// A deliberate fault.
         #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
         pub enum DeliberateBreak {
             $($(#[$doc])* $variant,)*
         }
 
         impl DeliberateBreak {
-            /// Lists every one.
+            /// All deliberate faults.
             pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
 
-            /// Returns the name used on the command line and in reports.
+            /// Returns the name on the command line and in reports.
             pub const fn name(self) -> &'static str {
                 match self {
                     $(Self::$variant => $text,)*
@@ -59,29 +59,29 @@
 named_breaks! {
     /// Sends a non-idempotent call twice.
     SendTwice = "send-twice",
-    /// Answers claims without writing them.
+    /// Confirms claims without writing them.
     SkipClaim = "skip-claim",
-    /// Takes over rows whatever their revision.
+    /// Takes over rows without a condition on their revision.
     BlindTakeover = "blind-takeover",
-    /// Tells other hosts that running requests were never sent.
+    /// Reports to other hosts that running requests were never sent.
     ForgeReleased = "forge-released",
-    /// Takes a broken connection for one that was never made.
+    /// Treats a broken connection as one that was never opened.
     BrokenAsNotSent = "broken-as-not-sent",
-    /// Takes a lost answer of the table service for a refusal.
+    /// Treats a lost answer of the table service as a refusal.
     LostAsRefused = "lost-as-refused",
-    /// Sends a call for a request that is handed to the issuer of its key.
+    /// Sends a call for a request that is forwarded to the issuer of its key.
     SendForeignKey = "send-foreign-key",
-    /// Takes an answered call for one that was never sent.
+    /// Treats an answered call as one that was never sent.
     ForgetDispatch = "forget-dispatch",
-    /// Takes a request whose hand-over may have arrived for one that was not handed over.
+    /// Treats a request that may have been forwarded as one that was not.
     LostForwardAsNotSent = "lost-forward-as-not-sent",
-    /// Says `not-run` in every refusal.
+    /// Sets the verdict `not-run` in every refusal.
     ForgeNotRun = "forge-not-run",
-    /// Exchanges the replies of two requests.
+    /// Swaps the replies of two requests.
     CrossReplies = "cross-replies",
-    /// Takes any echo for the right one.
+    /// Accepts answers with the id of another attempt.
     TrustEcho = "trust-echo",
-    /// Cuts the end of complete answers.
+    /// Truncates complete answers.
     CutOutput = "cut-output",
     /// Drops a token.
     DropToken = "drop-token",
@@ -89,17 +89,17 @@
     DropFinal = "drop-final",
     /// Sends final parts twice.
     DoubleFinal = "double-final",
-    /// Holds refusals back.
+    /// Delays refusals.
     HoldRefusal = "hold-refusal",
-    /// Answers results without writing them.
+    /// Confirms results without writing them.
     DropResult = "drop-result",
-    /// Wakes no machine.
+    /// Drops all timers.
     DropTick = "drop-tick",
-    /// Tells no machine that a server is leaving.
+    /// Drops the notifications that a server is leaving.
     IgnoreLeaving = "ignore-leaving",
-    /// Never tells that a shutdown is complete.
+    /// Never reports that a shutdown is complete.
     DropDrained = "drop-drained",
-    /// Lets a shutdown wait for nothing.
+    /// Completes shutdowns without waiting for requests.
     DrainAtOnce = "drain-at-once",
     /// Drops new configurations.
     DropConfig = "drop-config",
@@ -126,14 +126,14 @@
     }
 }
 
-/// Holds what becomes of an output.
+/// Effect of a deliberate fault on an output.
 #[derive(Debug, Default)]
 pub struct AlteredOutput {
-    /// The outputs to carry out now.
+    /// The outputs to execute now.
     pub outputs: Vec<NodeOutput>,
-    /// The outputs to carry out after a delay.
+    /// The outputs to execute after a delay.
     pub later: Vec<(Duration, NodeOutput)>,
-    /// The inputs to give to the machine.
+    /// The inputs to pass to the state machine.
     pub inputs: Vec<NodeInput>,
 }
 
@@ -146,7 +146,7 @@
     }
 }
 
-/// Alters an input.
+/// Modifies an input.
 pub fn alter_input(broken: DeliberateBreak, mut input: NodeInput) -> Vec<NodeInput> {
     match (broken, &mut input) {
         (DeliberateBreak::TrustEcho, NodeInput::Attempt { nonce, event }) => {
@@ -204,7 +204,7 @@
     }
 }
 
-/// Alters an output.
+/// Modifies an output.
 pub fn alter_output(broken: DeliberateBreak, output: NodeOutput) -> AlteredOutput {
     match (broken, output) {
         (DeliberateBreak::SendTwice, NodeOutput::Dispatch(call)) => send_twice(call),
@@ -250,7 +250,7 @@
     AlteredOutput::now(outputs)
 }
 
-/// Forges the call that a host must not make for a key of another host.
+/// Returns the call that a host must not send for a key that another host issued.
 fn foreign_call(request: &CallerRequest) -> AttemptCall {
     AttemptCall {
         nonce: AttemptNonce(FOREIGN_NONCE),
--- a/crates/hollywheel-matrix/src/cell.rs
+++ b/crates/hollywheel-matrix/src/cell.rs
@@ -1,4 +1,4 @@
-//! The cells of the fault matrix.
+//! Cells of the fault matrix.
 
 use std::fmt;
 use std::str::FromStr;
@@ -17,10 +17,10 @@
         }
 
         impl $name {
-            /// Lists every one.
+            /// All values.
             pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
 
-            /// Returns the name used on the command line and in reports.
+            /// Returns the name on the command line and in reports.
             pub const fn name(self) -> &'static str {
                 match self {
                     $(Self::$variant => $text,)*
@@ -53,7 +53,7 @@
 }
 
 named_enum! {
-    /// Names the request that a cell observes.
+    /// The observed request of a cell.
     CellScenario, "scenario" {
         /// One idempotent stage.
         Lookup = "lookup",
@@ -71,7 +71,7 @@
 }
 
 named_enum! {
-    /// Names the step of the request at which a fault sets in.
+    /// The step of the request at which a fault is injected.
     CellStep, "step" {
         /// The host receives the request.
         Receive = "receive",
@@ -95,31 +95,31 @@
         ResultWrite = "result-write",
         /// The caller is answered.
         Reply = "reply",
-        /// A new configuration arrives while the request runs.
+        /// A new configuration arrives while the request is in progress.
         ConfigChange = "config-change",
-        /// The host is told to shut down while the request runs.
+        /// The host is told to shut down while the request is in progress.
         Drain = "drain",
     }
 }
 
 named_enum! {
-    /// Names the fault that sets in.
+    /// The injected fault.
     CellFault, "fault" {
         /// Nothing fails.
         Nothing = "nothing",
-        /// The process dies just before the step; another starts on the host.
+        /// The process crashes just before the step and is restarted.
         KillBefore = "kill-before",
-        /// The process dies just after the step; another starts on the host.
+        /// The process crashes just after the step and is restarted.
         KillAfter = "kill-after",
-        /// The process stops before the step until long after the deadline.
+        /// The process is paused before the step until long after the deadline.
         PauseBefore = "pause-before",
-        /// The process stops after the step until long after the deadline.
+        /// The process is paused after the step until long after the deadline.
         PauseAfter = "pause-after",
         /// A connection to a server is refused.
         ConnectRefused = "connect-refused",
-        /// A connection to a server is cut before the call is processed.
+        /// A connection to a server breaks before the call is processed.
         CutBefore = "cut-before",
-        /// A connection to a server is cut after the call was processed.
+        /// A connection to a server breaks after the call was processed.
         CutAfter = "cut-after",
         /// A server or the table service answers after the deadline.
         Slow = "slow",
@@ -129,7 +129,7 @@
         StoreSilent = "store-silent",
         /// A write takes effect and its answer is lost.
         StoreAnswerLost = "store-answer-lost",
-        /// A write takes effect long after its call was given up.
+        /// A write takes effect long after its call has timed out.
         StoreLateEffect = "store-late-effect",
         /// A message to the host arrives twice.
         Duplicate = "duplicate",
@@ -145,19 +145,19 @@
         CallerRetry = "caller-retry",
         /// The caller sends the same request with the same key to the same host.
         DuplicateRequest = "duplicate-request",
-        /// The hosts do not reach each other.
+        /// The hosts cannot reach each other.
         PeerUnreachable = "peer-unreachable",
     }
 }
 
-/// Says that a text names no scenario, step, fault or cell.
+/// Error for an unknown name of a scenario, step, fault or cell.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CellError {
-    /// What the text should name.
+    /// The kind of the name.
     pub kind: &'static str,
     /// The text.
     pub given: String,
-    /// The names that are allowed.
+    /// The allowed names.
     pub expected: Vec<&'static str>,
 }
 
@@ -175,7 +175,7 @@
 
 impl std::error::Error for CellError {}
 
-/// Says which fault sets in at which step.
+/// A fault and the step at which it is injected.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct FaultPoint {
     /// The step.
@@ -185,7 +185,7 @@
 }
 
 impl FaultPoint {
-    /// Lists every fault at every step.
+    /// Returns all faults at all steps.
     pub fn all() -> Vec<Self> {
         let faults = |step: &CellStep| {
             let step = *step;
@@ -220,17 +220,17 @@
     }
 }
 
-/// Names one cell of the matrix, written `SCENARIO/STEP+FAULT[/STEP+FAULT]`.
+/// A cell of the matrix, written `SCENARIO/STEP+FAULT[/STEP+FAULT]`.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct MatrixCell {
-    /// The request that is observed.
+    /// The observed request.
     pub scenario: CellScenario,
     /// The faults, one or two.
     pub points: Vec<FaultPoint>,
 }
 
 impl MatrixCell {
-    /// Lists the cells with one fault.
+    /// Returns the cells with one fault.
     pub fn singles() -> Vec<Self> {
         let mut cells = Vec::new();
         for scenario in CellScenario::ALL {
@@ -242,7 +242,7 @@
         cells
     }
 
-    /// Lists the cells of a scenario with two faults, at the same step or at different ones.
+    /// Returns the cells of a scenario with two faults, at the same step or at different ones.
     pub fn pairs(scenario: CellScenario) -> Vec<Self> {
         let points = FaultPoint::all();
         let mut cells = Vec::new();
--- a/crates/hollywheel-matrix/src/check.rs
+++ b/crates/hollywheel-matrix/src/check.rs
@@ -1,4 +1,4 @@
-//! The checks of a cell, made only from what can be seen from outside the machines.
+//! Checks of a cell, based only on observations from outside the state machines.
 
 use std::fmt;
 use std::time::Duration;
@@ -12,50 +12,50 @@
 use crate::fixture;
 use crate::scene::{LedgerEvent, SceneLog, SeenPart, SentRequest};
 
-/// The time by which a reply may be late through the granularity of a run.
+/// Tolerance of reply times for the granularity of a run.
 const SLACK: Duration = Duration::from_millis(10);
 
-/// The longest time from receipt to the refusal of a request whose claim cannot be written.
+/// Maximum time from receipt to the refusal of a request whose claim cannot be written.
 const STORE_REFUSAL: Duration = Duration::from_millis(1300);
 
-/// The longest time from the last news of an attempt to a refusal because of it.
+/// Maximum time from the last input about an attempt to the refusal that it causes.
 const BACKEND_REFUSAL: Duration = Duration::from_millis(100);
 
-/// The time after which a server that is leaving gets no new work.
+/// Time after which a leaving server must not get new work.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
 
-/// The time in which a shutdown completes: its span and the time for the last writes.
+/// Time limit of a shutdown, with the time for the last writes.
 const DRAIN_TIME: Duration = Duration::from_millis(2600);
 
-/// Names the checks.
+/// A check of the outcomes of a run.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CheckName {
-    /// A key's non-idempotent stage begins once at most.
+    /// A non-idempotent stage is started at most once per key.
     AtMostOnce,
-    /// No stage of a request that was refused as not run ever began.
+    /// No stage of a request that was refused as not run was started.
     NotRunTrue,
-    /// A complete answer is the whole answer to that request, token by token.
+    /// A complete answer is the expected answer to its request, token by token.
     OwnAnswer,
-    /// A caller who stays gets one final part, and nothing after it.
+    /// A connected caller gets one final part and nothing after it.
     FinalOnce,
-    /// The final part comes by the deadline, and a refusal as soon as it is decided.
+    /// The final part is sent by the deadline, and a refusal as soon as it is decided.
     Prompt,
-    /// No claim of a live process stays open.
+    /// No claim of a running process remains open.
     ClaimsSettle,
-    /// No process keeps a request.
+    /// No request remains in progress.
     Quiesce,
     /// A leaving server gets no new work after a few seconds.
     LeavingServer,
-    /// A shutdown completes once, in time.
+    /// A shutdown completes exactly once and in time.
     DrainCompletes,
     /// The newest published version is in force in every process.
     ConfigInForce,
-    /// A request that meets no fault completes.
+    /// A request without a fault completes.
     Completes,
 }
 
 impl CheckName {
-    /// Lists every check.
+    /// All checks.
     pub const ALL: [Self; 11] = [
         Self::AtMostOnce,
         Self::NotRunTrue,
@@ -70,7 +70,7 @@
         Self::Completes,
     ];
 
-    /// Returns the name used in reports.
+    /// Returns the name in reports.
     pub const fn name(self) -> &'static str {
         match self {
             Self::AtMostOnce => "at-most-once",
@@ -94,12 +94,12 @@
     }
 }
 
-/// Describes what a check found wrong.
+/// A failure of a check.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CheckFinding {
     /// The check.
     pub check: CheckName,
-    /// What is wrong.
+    /// The description of the failure.
     pub detail: String,
 }
 
@@ -109,7 +109,7 @@
     }
 }
 
-/// Makes every check of a run.
+/// Runs all checks on the observations of a run.
 pub fn check_cell(cell: &MatrixCell, log: &SceneLog) -> Vec<CheckFinding> {
     let mut checker = LogChecker {
         log,
--- a/crates/hollywheel-matrix/src/command/breaks.rs
+++ b/crates/hollywheel-matrix/src/command/breaks.rs
@@ -11,12 +11,12 @@
 
 pub(super) fn command() -> Command {
     Command::new("breaks")
-        .about("Puts in one fault after another on purpose and shows which checks find it")
+        .about("Runs the matrix with one deliberate fault after another and shows which checks find it")
         .arg(
             Arg::new("pairs")
                 .long("pairs")
                 .action(ArgAction::SetTrue)
-                .help("Looks in the cells with two faults as well if none with one finds it"),
+                .help("Also runs the cells with two faults if no cell with one finds it"),
         )
         .arg(options::seed_arg())
         .arg(options::jitter_arg())
--- a/crates/hollywheel-matrix/src/command/mod.rs
+++ b/crates/hollywheel-matrix/src/command/mod.rs
@@ -1,4 +1,4 @@
-//! The commands of `hollywheel-matrix`, one a file.
+//! The commands of `hollywheel-matrix`, one file each.
 
 mod breaks;
 mod options;
@@ -12,10 +12,10 @@
 
 use clap::Command;
 
-/// Describes the command line.
+/// Returns the definition of the command line.
 pub fn command_line() -> Command {
     Command::new("hollywheel-matrix")
-        .about("Runs every fault at every step against the decision machines")
+        .about("Runs every fault at every step against the state machines")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
@@ -27,7 +27,7 @@
         .subcommand(writes::command())
 }
 
-/// Runs the command that was given.
+/// Runs the selected command.
 pub fn run() -> ExitCode {
     let matches = command_line().get_matches();
     match matches.subcommand() {
--- a/crates/hollywheel-matrix/src/command/options.rs
+++ b/crates/hollywheel-matrix/src/command/options.rs
@@ -1,4 +1,4 @@
-//! Options that several commands take.
+//! Options that several commands share.
 
 use clap::{Arg, ArgMatches, value_parser};
 
@@ -20,7 +20,7 @@
         .value_name("MICROSECONDS")
         .default_value("0")
         .value_parser(value_parser!(u64))
-        .help("The most that a message is delayed at random")
+        .help("The maximum random delay of a message")
 }
 
 pub(super) fn threads_arg() -> Arg {
--- a/crates/hollywheel-matrix/src/command/run.rs
+++ b/crates/hollywheel-matrix/src/command/run.rs
@@ -10,7 +10,7 @@
 use crate::check::CheckName;
 use crate::matrix::{MatrixSummary, run_cells};
 
-/// Bounds the failing cells that are printed.
+/// Maximum number of failed cells that are printed.
 const MAX_PRINTED: usize = 40;
 
 pub(super) fn command() -> Command {
@@ -34,7 +34,7 @@
                 .long("scenario")
                 .value_name("SCENARIO")
                 .value_parser(value_parser!(CellScenario))
-                .help("Runs the cells of this scenario alone"),
+                .help("Runs only the cells of this scenario"),
         )
         .arg(options::seed_arg())
         .arg(options::jitter_arg())
--- a/crates/hollywheel-matrix/src/command/told.rs
+++ b/crates/hollywheel-matrix/src/command/told.rs
@@ -13,7 +13,7 @@
 
 pub(super) fn command() -> Command {
     Command::new("told")
-        .about("Shows what the callers of a scenario are told under each fault")
+        .about("Shows the outcomes that the callers of a scenario see under each fault")
         .arg(
             Arg::new("scenario")
                 .required(true)
@@ -37,8 +37,8 @@
     ExitCode::SUCCESS
 }
 
-/// Counts what the caller of the observed request hears, over every step at which the fault sets
-/// in, and gives the longest time to it.
+/// Counts the outcomes of the observed request over all steps at which the fault is injected, and
+/// returns the longest time to each.
 fn told(scenario: CellScenario, fault: CellFault, settings: &SceneSettings) -> String {
     let mut counts: SortedMap<String, (u32, Duration)> = SortedMap::new();
     for step in CellStep::ALL.iter().copied() {
--- a/crates/hollywheel-matrix/src/command/writes.rs
+++ b/crates/hollywheel-matrix/src/command/writes.rs
@@ -11,12 +11,12 @@
 
 pub(super) fn command() -> Command {
     Command::new("writes")
-        .about("Measures what claims cost in writes of the table service, in virtual time")
+        .about("Measures the cost of claims in writes of the table service, in virtual time")
         .arg(number("hosts", "9", "The hosts"))
         .arg(number(
             "rate",
             "660",
-            "The non-idempotent requests a second",
+            "The non-idempotent requests per second",
         ))
         .arg(number(
             "store-ms",
@@ -26,18 +26,22 @@
         .arg(number(
             "linger-ms",
             "20",
-            "The shortest time between two writes of a host",
+            "The minimum time between two writes of a host",
         ))
         .arg(number(
             "settle-linger-ms",
             "100",
-            "The longest time that a result waits",
+            "The maximum time until a result is written",
+        ))
+        .arg(number(
+            "batch",
+            "64",
+            "The maximum number of rows in a write",
         ))
-        .arg(number("batch", "64", "The most rows written together"))
         .arg(number(
             "max-writes",
             "2",
-            "The most writes of a host in progress",
+            "The maximum number of concurrent writes of a host",
         ))
         .arg(options::seed_arg())
 }
--- a/crates/hollywheel-matrix/src/fixture.rs
+++ b/crates/hollywheel-matrix/src/fixture.rs
@@ -1,4 +1,4 @@
-//! The objects and settings that every cell uses.
+//! Objects and settings that all cells share.
 
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
@@ -12,10 +12,10 @@
 
 const OBJECTS: &str = include_str!("objects.toml");
 
-/// The time in which every request of the matrix must be answered.
+/// Deadline of every request of the matrix.
 pub const DEADLINE: Duration = Duration::from_millis(3000);
 
-/// The tokens that a question generates under the second version.
+/// Number of tokens of an answer under the second version.
 pub const SECOND_TOKENS: TokenCount = TokenCount(3);
 
 static VERSIONS: LazyLock<[Arc<PublishedSet>; 2]> = LazyLock::new(|| {
@@ -42,7 +42,7 @@
     Arc::clone(&VERSIONS[0])
 }
 
-/// Returns the second published version, under which questions are shorter.
+/// Returns the second published version, under which answers have fewer tokens.
 pub fn second_version() -> Arc<PublishedSet> {
     Arc::clone(&VERSIONS[1])
 }
@@ -53,7 +53,7 @@
     names[host].parse().expect("a valid name")
 }
 
-/// Returns the workspace of every caller.
+/// Returns the workspace of all callers.
 pub fn workspace() -> WorkspaceId {
     "clerks".parse().expect("a valid name")
 }
@@ -76,7 +76,7 @@
     "medeu".parse().expect("a valid name")
 }
 
-/// Returns a view of hosts; none stands for a host that is taken for dead.
+/// Returns a view of the hosts; none for a host that is considered dead.
 pub fn view(incarnations: [Option<Incarnation>; 2]) -> HostView {
     let info = |(host, incarnation): (usize, &Option<Incarnation>)| {
         incarnation.map(|incarnation| HostInfo {
--- a/crates/hollywheel-matrix/src/main.rs
+++ b/crates/hollywheel-matrix/src/main.rs
@@ -1,4 +1,4 @@
-//! Fault matrix and trace replay over the decision machines.
+//! Fault matrix and trace replay for the state machines that make decisions.
 
 use std::process::ExitCode;
 
--- a/crates/hollywheel-matrix/src/matrix.rs
+++ b/crates/hollywheel-matrix/src/matrix.rs
@@ -1,4 +1,4 @@
-//! Runs of many cells.
+//! Runs of the cells of the matrix.
 
 use std::thread;
 
@@ -9,7 +9,7 @@
 use crate::check::{CheckFinding, CheckName, check_cell};
 use crate::scene::{FaultScene, SceneSettings};
 
-/// Holds the settings of a run of the matrix.
+/// Settings of a run of the matrix.
 #[derive(Clone, Debug)]
 pub struct MatrixSettings {
     /// The settings of each cell.
@@ -27,18 +27,18 @@
     }
 }
 
-/// Holds what came of a cell.
+/// The result of a cell.
 #[derive(Clone, Debug)]
 pub struct CellResult {
     /// The cell.
     pub cell: MatrixCell,
-    /// Whether every fault of the cell set in.
+    /// Whether all faults of the cell were injected.
     pub reached: bool,
-    /// What the checks found wrong.
+    /// The failures that the checks found.
     pub findings: Vec<CheckFinding>,
 }
 
-/// Runs one cell and makes every check.
+/// Runs one cell and all checks.
 pub fn run_cell(cell: &MatrixCell, settings: &SceneSettings) -> CellResult {
     let log = FaultScene::new(cell, settings.clone()).run();
     CellResult {
@@ -48,18 +48,18 @@
     }
 }
 
-/// Sums up a run of the matrix.
+/// Summary of a run of the matrix.
 #[derive(Clone, Debug, Default)]
 pub struct MatrixSummary {
-    /// Cells run.
+    /// The number of cells.
     pub run: usize,
-    /// Cells in which every fault set in.
+    /// The number of cells in which all faults were injected.
     pub reached: usize,
-    /// Cells run, by scenario.
+    /// The number of cells by scenario.
     pub by_scenario: SortedMap<CellScenario, usize>,
-    /// Cells in which a check failed, by check.
+    /// The number of cells with a failed check, by check.
     pub by_check: SortedMap<CheckName, usize>,
-    /// The results of the cells that failed.
+    /// The results of the failed cells.
     pub failing: Vec<CellResult>,
 }
 
@@ -120,7 +120,7 @@
     summary
 }
 
-/// Says which checks found a fault that was put in on purpose, and in how many cells.
+/// Returns the checks that found a deliberate fault, with the number of cells.
 pub fn run_break(
     cells: &[MatrixCell],
     broken: DeliberateBreak,
--- a/crates/hollywheel-matrix/src/replay.rs
+++ b/crates/hollywheel-matrix/src/replay.rs
@@ -1,4 +1,4 @@
-//! Replay of recorded traces against their stated outcomes.
+//! Replay of recorded traces, compared with the recorded outcomes.
 
 use std::fmt;
 
@@ -8,25 +8,25 @@
 };
 use hollywheel_types::{AttemptNonce, MonoTime, RequestId, SortedMap};
 
-/// Says why a trace cannot be replayed or how it differs.
+/// Reason why a trace cannot be replayed, or difference between replay and trace.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReplayError {
-    /// A line is not one of a trace.
+    /// A line is invalid.
     BadLine {
-        /// The number of the line, from one.
+        /// The number of the line, starting at one.
         line: usize,
-        /// What is wrong.
+        /// The error of the parser.
         message: String,
     },
     /// The trace does not begin with its settings.
     NoSettings,
-    /// A request ends in another way than stated.
+    /// A request has another outcome than the recorded one.
     Differs {
-        /// The number of the line that states the outcome, from one.
+        /// The number of the line with the recorded outcome, starting at one.
         line: usize,
         /// The request.
         request: RequestId,
-        /// The stated outcome.
+        /// The recorded outcome.
         expected: Box<TraceOutcome>,
         /// The outcome of the replay.
         actual: Box<TraceOutcome>,
@@ -53,20 +53,20 @@
 
 impl std::error::Error for ReplayError {}
 
-/// Sums up a replay without difference.
+/// Summary of a replay without differences.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReplaySummary {
-    /// The inputs.
+    /// The number of inputs.
     pub inputs: usize,
-    /// The outcomes that were compared.
+    /// The number of compared outcomes.
     pub outcomes: usize,
 }
 
-/// Reads the lines of a trace.
+/// Parses the lines of a trace.
 ///
 /// # Errors
 ///
-/// Returns the first line that is not one of a trace.
+/// Returns the first invalid line.
 pub fn read_trace(text: &str) -> Result<Vec<TraceLine>, ReplayError> {
     text.lines()
         .enumerate()
@@ -80,7 +80,7 @@
         .collect()
 }
 
-/// Writes the lines of a trace.
+/// Formats the lines of a trace.
 pub fn write_trace(lines: &[TraceLine]) -> String {
     let mut text = String::new();
     for line in lines {
@@ -90,12 +90,12 @@
     text
 }
 
-/// Replays a trace on a fresh machine.
+/// Replays a trace on a new state machine.
 ///
 /// # Errors
 ///
-/// Returns the first request that ends in another way than stated, or an error if the trace does
-/// not begin with its settings.
+/// Returns the first request with another outcome than the recorded one, or an error if the trace
+/// does not begin with its settings.
 pub fn replay_trace(lines: &[TraceLine]) -> Result<ReplaySummary, ReplayError> {
     let Some(TraceLine::Settings(settings)) = lines.first() else {
         return Err(ReplayError::NoSettings);
@@ -124,7 +124,8 @@
     Ok(summary)
 }
 
-/// Gives the inputs of a trace to a machine, with its own nonces and tickets in their places.
+/// Passes the inputs of a trace to a state machine, with the recorded nonces and tickets replaced by
+/// its own.
 struct TracePlayer {
     machine: NodeMachine,
     attempts: SortedMap<RequestId, Vec<AttemptNonce>>,
--- a/crates/hollywheel-matrix/src/scene/backend.rs
+++ b/crates/hollywheel-matrix/src/scene/backend.rs
@@ -1,10 +1,10 @@
-//! What fake backend servers compute, and the ledger of what ran.
+//! Outputs of simulated backend servers, and the ledger of executed calls.
 
 use hollywheel_config::StageKind;
 use hollywheel_node::AttemptCall;
 use hollywheel_types::{AttemptNonce, IdempotencyKey, MonoTime, RequestId, ServerId, StageId};
 
-/// Names what a backend server did with a call.
+/// Action of a backend server on a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LedgerEvent {
     /// The work began.
@@ -13,14 +13,14 @@
     Refused,
 }
 
-/// Holds one line of the ledger of the backend servers.
+/// An entry of the ledger of the backend servers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LedgerEntry {
-    /// When.
+    /// The time.
     pub at: MonoTime,
     /// The server.
     pub server: ServerId,
-    /// What it did.
+    /// The action.
     pub event: LedgerEvent,
     /// The request.
     pub request: RequestId,
@@ -32,27 +32,27 @@
     pub key: Option<IdempotencyKey>,
 }
 
-/// Returns the output of a stage that does not stream.
+/// Returns the output of a stage that does not generate a stream.
 pub fn unary_output(stage: &str, input: &str, previous: &str) -> String {
     format!("{stage}({input}|{previous})")
 }
 
-/// Returns one token of a stage that streams.
+/// Returns a token of a stage that generates a stream.
 pub fn token_text(stage: &str, input: &str, previous: &str, index: u32) -> String {
     format!("{stage}.{index}({input}|{previous}) ")
 }
 
-/// Returns the output of a call that does not stream.
+/// Returns the output of a call that does not generate a stream.
 pub fn call_output(call: &AttemptCall) -> String {
     unary_output(call.stage.as_str(), &call.input, &call.previous)
 }
 
-/// Returns a token of a call that streams.
+/// Returns a token of a call that generates a stream.
 pub fn call_token(call: &AttemptCall, index: u32) -> String {
     token_text(call.stage.as_str(), &call.input, &call.previous, index)
 }
 
-/// Says whether a call is answered by a stream.
+/// Returns whether a call is answered by a stream.
 pub fn streams(call: &AttemptCall) -> bool {
     call.work == StageKind::Generate
 }
--- a/crates/hollywheel-matrix/src/scene/deliver.rs
+++ b/crates/hollywheel-matrix/src/scene/deliver.rs
@@ -1,9 +1,9 @@
-//! The way of inputs to the machines.
+//! Delivery of inputs to the state machines.
 
 use hollywheel_node::{CallerRequest, NodeInput};
 use hollywheel_types::{MonoTime, RequestId, WallTime};
 
-use super::inject::StepFate;
+use super::inject::StepEffect;
 use super::log::SentRequest;
 use super::queue::{ProcessRef, SceneEvent};
 use super::run::{BACKGROUND, FaultScene};
@@ -11,7 +11,7 @@
 use crate::cell::CellScenario;
 use crate::fixture;
 
-/// The input of the requests that a cell observes.
+/// The input of the observed requests.
 pub(crate) const OBSERVED_INPUT: &str = "order";
 
 const BACKGROUND_INPUT: &str = "other";
@@ -30,30 +30,30 @@
             false => self.input_steps(&input),
         };
         let mut inputs = vec![input];
-        let mut fate = StepFate::default();
+        let mut effect = StepEffect::default();
         for fault in self.due_faults(&steps) {
-            self.inject_input(fault, to, &mut inputs, &mut fate);
+            self.inject_input(fault, to, &mut inputs, &mut effect);
         }
-        if fate.kill {
+        if effect.kill {
             self.kill(to.host);
             return;
         }
-        if fate.hold {
+        if effect.hold {
             self.pause(to.host);
             self.hosts[to.host].held_inputs.extend(inputs);
             return;
         }
         for input in inputs {
-            self.feed(to.host, input);
+            self.pass_input(to.host, input);
         }
-        if fate.kill_after {
+        if effect.kill_after {
             self.kill(to.host);
-        } else if fate.pause_after {
+        } else if effect.pause_after {
             self.pause(to.host);
         }
     }
 
-    /// Says whether an input tells of an attempt whose connection the host has closed.
+    /// Returns whether an input belongs to an attempt whose connection the host has closed.
     fn is_cancelled(&self, input: &NodeInput) -> bool {
         let NodeInput::Attempt { nonce, .. } = input else {
             return false;
@@ -61,8 +61,8 @@
         !self.open_calls.iter().any(|(_, call)| call.nonce == *nonce)
     }
 
-    /// Gives an input to the machine of a host and carries out what it decides.
-    pub(super) fn feed(&mut self, host: usize, input: NodeInput) {
+    /// Passes an input to the state machine of a host and executes its outputs.
+    pub(super) fn pass_input(&mut self, host: usize, input: NodeInput) {
         if self.hosts[host].paused {
             self.hosts[host].held_inputs.push(input);
             return;
@@ -73,11 +73,11 @@
             None => vec![input],
         };
         for input in inputs {
-            self.feed_one(host, input);
+            self.pass_one(host, input);
         }
     }
 
-    fn feed_one(&mut self, host: usize, input: NodeInput) {
+    fn pass_one(&mut self, host: usize, input: NodeInput) {
         let now = self.now;
         let first = self.hosts[host].incarnation.0 == 1 && host == 0;
         if let Some(recorder) = self.recorder.as_mut().filter(|_| first) {
@@ -90,7 +90,7 @@
         if let Some(recorder) = self.recorder.as_mut().filter(|_| first) {
             recorder.outputs(&outputs);
         }
-        self.carry_out(host, outputs);
+        self.execute(host, outputs);
         self.arm_wake(host);
     }
 
@@ -134,7 +134,7 @@
     }
 
     pub(super) fn submit(&mut self, host: usize, number: u128) {
-        // A balancer leads callers past a host without a process.
+        // A load balancer sends callers to the other host if this one has no process.
         let host = match self.hosts[host].machine.is_some() {
             true => host,
             false => 1 - host,
@@ -165,10 +165,10 @@
         }
     }
 
-    pub(super) fn tell_view(&mut self, host: usize) {
+    pub(super) fn notify_view(&mut self, host: usize) {
         let now = self.now;
         let seen = |slot: &super::host::HostSlot| {
-            // A host that has been stopped for a while is taken for dead, though it is not.
+            // The other host considers a host dead whose process was paused for a while.
             let stopped =
                 self.log.pauses.iter().any(|(paused, from, until)| {
                     *paused == slot.host && *from < now && now < *until
@@ -189,9 +189,9 @@
         slot.paused = false;
         let outputs = std::mem::take(&mut slot.held_outputs);
         let inputs = std::mem::take(&mut slot.held_inputs);
-        self.carry_out(process.host, outputs);
-        // A process that goes on may see its timers before or after what has arrived.
-        let timers_first = self.settings.jitter_us > 0 && self.draw().is_multiple_of(2);
+        self.execute(process.host, outputs);
+        // A resumed process may handle its timers before or after the inputs that have arrived.
+        let timers_first = self.settings.jitter_us > 0 && self.next_random().is_multiple_of(2);
         if timers_first {
             self.deliver(process, NodeInput::Tick, false, true);
         }
@@ -215,7 +215,7 @@
             .as_ref()
             .and_then(|machine| machine.next_wake());
         match due {
-            Some(due) if due <= self.now => self.feed(process.host, NodeInput::Tick),
+            Some(due) if due <= self.now => self.pass_input(process.host, NodeInput::Tick),
             _ => self.arm_wake(process.host),
         }
     }
--- a/crates/hollywheel-matrix/src/scene/carry_out.rs
+++ b/crates/hollywheel-matrix/src/scene/execute.rs
@@ -1,4 +1,4 @@
-//! The way of outputs out of the machines, as the edges of a host treat them.
+//! Execution of the outputs of the state machines, as the I/O layer of a host does.
 
 use std::collections::VecDeque;
 
@@ -8,18 +8,18 @@
 use hollywheel_store::StoreRequest;
 use hollywheel_types::{HostId, Incarnation, RequestId};
 
-use super::inject::{CallFaults, StepFate};
+use super::inject::{CallFaults, StepEffect};
 use super::log::SeenPart;
 use super::queue::{ProcessRef, SceneEvent};
 use super::run::{BACKGROUND, FaultScene, OBSERVED};
 use crate::breaks;
 use crate::fixture;
 
-/// The time of one way between a host and anything else, in microseconds.
+/// One-way network latency from or to a host, in microseconds.
 pub(super) const ONE_WAY_US: u64 = 1000;
 
 impl FaultScene {
-    pub(super) fn carry_out(&mut self, host: usize, outputs: Vec<NodeOutput>) {
+    pub(super) fn execute(&mut self, host: usize, outputs: Vec<NodeOutput>) {
         let process = self.hosts[host].process();
         let mut outputs = VecDeque::from(outputs);
         while let Some(output) = outputs.pop_front() {
@@ -32,36 +32,36 @@
                 return;
             }
             let steps = self.output_steps(&output);
-            let mut fate = StepFate::default();
+            let mut effect = StepEffect::default();
             for fault in self.due_faults(&steps) {
-                self.inject(fault, process, &mut fate);
+                self.inject(fault, process, &mut effect);
             }
-            if fate.kill {
+            if effect.kill {
                 self.kill(host);
                 return;
             }
-            if fate.hold {
+            if effect.hold {
                 self.pause(host);
                 outputs.push_front(output);
                 continue;
             }
-            self.carry_out_altered(process, output);
-            if fate.kill_after {
+            self.execute_altered(process, output);
+            if effect.kill_after {
                 self.kill(host);
-            } else if fate.pause_after {
+            } else if effect.pause_after {
                 self.pause(host);
             }
         }
     }
 
-    fn carry_out_altered(&mut self, from: ProcessRef, output: NodeOutput) {
+    fn execute_altered(&mut self, from: ProcessRef, output: NodeOutput) {
         let Some(broken) = self.settings.broken else {
-            self.carry_out_one(from, output);
+            self.execute_one(from, output);
             return;
         };
         let altered = breaks::alter_output(broken, output);
         for output in altered.outputs {
-            self.carry_out_one(from, output);
+            self.execute_one(from, output);
         }
         for (delay, output) in altered.later {
             let at = self.now + delay;
@@ -88,7 +88,7 @@
         }
     }
 
-    fn carry_out_one(&mut self, from: ProcessRef, output: NodeOutput) {
+    fn execute_one(&mut self, from: ProcessRef, output: NodeOutput) {
         match output {
             NodeOutput::Dispatch(call) => self.send_call(from, *call),
             NodeOutput::Cancel { nonce } => self.open_calls.retain(|(_, call)| call.nonce != nonce),
@@ -129,7 +129,7 @@
             BACKGROUND => CallFaults::default(),
             _ => std::mem::take(&mut self.armed.call),
         };
-        // The edge checks the deadline once more before it sends.
+        // The I/O layer checks the deadline again before it sends.
         if faults.refused || self.now > call.deadline {
             let event = AttemptEvent::NotSent;
             let nonce = call.nonce;
@@ -229,7 +229,7 @@
     fn drained(&mut self, host: usize) {
         self.log.drained.push((host, self.now));
         self.hosts[host].stop();
-        self.lose_forwards_to(host);
+        self.drop_forwards_to(host);
         self.open_calls.retain(|(from, _)| from.host != host);
         let at = self.now + std::time::Duration::from_secs(1);
         self.queue.push(at, SceneEvent::View { host: 1 - host });
--- a/crates/hollywheel-matrix/src/scene/forward.rs
+++ b/crates/hollywheel-matrix/src/scene/forward.rs
@@ -1,17 +1,17 @@
-//! Issued keys, and requests that one host hands to the other.
+//! Issued keys, and requests that a host forwards to the other one.
 
 use hollywheel_node::{
     CallTicket, CallerRequest, ForwardEnd, GrantedKey, NodeInput, Refusal, ReplyPart,
 };
 use hollywheel_types::{HostId, IdempotencyKey, Incarnation, RequestId};
 
-use super::carry_out::ONE_WAY_US;
+use super::execute::ONE_WAY_US;
 use super::queue::ProcessRef;
 use super::run::FaultScene;
 use crate::cell::CellScenario;
 use crate::fixture;
 
-/// Holds a request that a host was handed by the other one and has not answered.
+/// A forwarded request that has not been answered.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenForward {
     from: ProcessRef,
@@ -21,7 +21,7 @@
 }
 
 impl CellScenario {
-    /// Returns the host that issues the key of the observed request, if one does.
+    /// Returns the host that issues the key of the observed request; none if the caller generates it.
     pub const fn issuer(self) -> Option<usize> {
         match self {
             Self::Issued => Some(0),
@@ -32,11 +32,11 @@
 }
 
 impl FaultScene {
-    /// Lets the caller fetch its key.
+    /// Requests a key for the caller.
     pub(super) fn fetch_key(&mut self, host: usize) {
         let ticket = CallTicket(0);
         let workspace = fixture::workspace();
-        self.feed(host, NodeInput::IssueKey { ticket, workspace });
+        self.pass_input(host, NodeInput::IssueKey { ticket, workspace });
     }
 
     pub(super) fn key_issued(&mut self, result: Result<GrantedKey, Refusal>) {
@@ -58,7 +58,7 @@
     ) {
         let target = (0..2).find(|host_at| fixture::host_name(*host_at) == *host);
         let target = target.map(|host| ProcessRef { host, incarnation });
-        // The edge does not send what has no time left.
+        // A request whose deadline has passed is not forwarded.
         let in_time = request.timeout.is_some_and(|left| !left.is_zero());
         let reached = target.filter(|to| {
             in_time && self.hosts[to.host].runs(*to) && self.now >= self.armed.peers_cut
@@ -78,7 +78,7 @@
         self.push_input(at, to, NodeInput::Request(request));
     }
 
-    /// Takes a reply to a request that was handed over; returns whether it was one.
+    /// Handles a reply if it belongs to a forwarded request; returns whether it does.
     pub(super) fn answer_forward(
         &mut self,
         from: ProcessRef,
@@ -109,8 +109,8 @@
         true
     }
 
-    /// Tells the other host that what it handed to this one is lost.
-    pub(super) fn lose_forwards_to(&mut self, host: usize) {
+    /// Notifies the other host that the requests that it forwarded to this one are lost.
+    pub(super) fn drop_forwards_to(&mut self, host: usize) {
         let forwards = std::mem::take(&mut self.forwards);
         let (lost, kept) = forwards
             .into_iter()
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Returns the process that handed a request to another one.
+    /// Returns the process that forwarded a request.
     pub(super) fn forwarder_of(&self, to: ProcessRef, request: RequestId) -> Option<ProcessRef> {
         let mut forwards = self.forwards.iter();
         let open = forwards.find(|open| open.to == to && open.request == request);
--- a/crates/hollywheel-matrix/src/scene/host.rs
+++ b/crates/hollywheel-matrix/src/scene/host.rs
@@ -1,11 +1,11 @@
-//! The processes of one host.
+//! Process of a simulated host.
 
 use hollywheel_node::{NodeInput, NodeMachine, NodeOutput};
 use hollywheel_types::{Incarnation, MonoTime};
 
 use super::queue::ProcessRef;
 
-/// Holds the process of a host, if one runs.
+/// A host and its process, if one is running.
 #[derive(Debug)]
 pub(super) struct HostSlot {
     pub(super) host: usize,
@@ -14,7 +14,7 @@
     pub(super) paused: bool,
     pub(super) held_outputs: Vec<NodeOutput>,
     pub(super) held_inputs: Vec<NodeInput>,
-    /// The point of the wake event that is queued.
+    /// The time of the queued wake event.
     pub(super) wake: Option<MonoTime>,
 }
 
--- a/crates/hollywheel-matrix/src/scene/inject.rs
+++ b/crates/hollywheel-matrix/src/scene/inject.rs
@@ -1,4 +1,4 @@
-//! The faults and what they do.
+//! Fault injection.
 
 use std::time::Duration;
 
@@ -10,20 +10,20 @@
 use super::run::{FOLLOW_UP, FaultScene, OBSERVED};
 use crate::cell::CellFault;
 
-/// A span longer than the deadline of every request.
+/// Duration that exceeds the deadline of every request.
 pub(super) const PAST_DEADLINE: Duration = Duration::from_secs(4);
 
 const PAUSE: Duration = Duration::from_secs(5);
 const OUTAGE: Duration = Duration::from_millis(2500);
 const RESTART: Duration = Duration::from_millis(300);
 
-/// The time after which hosts hear of a change of the other host or of a server.
+/// Time after which hosts are notified of a change of the other host or of a server.
 const NEWS_LAG: Duration = Duration::from_secs(1);
 
-/// The time after which a caller without an answer asks again.
+/// Time after which a caller without an answer retries.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
-/// Holds the faults that wait for the next call.
+/// Faults that apply to the next call.
 #[derive(Debug, Default)]
 pub(super) struct ArmedFaults {
     pub(super) call: CallFaults,
@@ -35,7 +35,7 @@
     pub(super) peers_cut: MonoTime,
 }
 
-/// Holds the faults of one call of a backend server.
+/// Faults of one call to a backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct CallFaults {
     pub(super) refused: bool,
@@ -48,9 +48,9 @@
     pub(super) leaving: bool,
 }
 
-/// Says what else becomes of the step.
+/// Effect of a fault on its step.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct StepFate {
+pub(super) struct StepEffect {
     pub(super) skip: bool,
     pub(super) kill: bool,
     pub(super) hold: bool,
@@ -59,13 +59,13 @@
 }
 
 impl FaultScene {
-    /// Applies a fault to an input; the inputs that reach the machine are changed accordingly.
+    /// Applies a fault to an input; changes the inputs that reach the state machine accordingly.
     pub(super) fn inject_input(
         &mut self,
         fault: CellFault,
         to: ProcessRef,
         inputs: &mut Vec<NodeInput>,
-        fate: &mut StepFate,
+        effect: &mut StepEffect,
     ) {
         let attempt = match inputs.first() {
             Some(NodeInput::Attempt { nonce, .. }) => Some(*nonce),
@@ -85,7 +85,7 @@
                     lose_result(input);
                 }
             }
-            // The edge numbers every request that it receives, so that a repeated one is new.
+            // The I/O layer assigns an id to each received request, so a repeated one is a new request.
             (CellFault::Duplicate, _) if matches!(inputs.first(), Some(NodeInput::Request(_))) => {
                 self.submit_again(to.host);
             }
@@ -93,23 +93,23 @@
                 let again = inputs.clone();
                 inputs.extend(again);
             }
-            (CellFault::Crossed, Some(_)) => inputs.iter_mut().for_each(cross_input),
-            _ => self.inject(fault, to, fate),
+            (CellFault::Crossed, Some(_)) => inputs.iter_mut().for_each(swap_input_attempt),
+            _ => self.inject(fault, to, effect),
         }
     }
 
-    /// Applies a fault that does not change the message at hand.
-    pub(super) fn inject(&mut self, fault: CellFault, at: ProcessRef, fate: &mut StepFate) {
+    /// Applies a fault that does not change the current message.
+    pub(super) fn inject(&mut self, fault: CellFault, at: ProcessRef, effect: &mut StepEffect) {
         let call = &mut self.armed.call;
         match fault {
             CellFault::Nothing => {}
             CellFault::KillBefore => {
-                fate.kill = true;
-                fate.skip = true;
+                effect.kill = true;
+                effect.skip = true;
             }
-            CellFault::KillAfter => fate.kill_after = true,
-            CellFault::PauseBefore => fate.hold = true,
-            CellFault::PauseAfter => fate.pause_after = true,
+            CellFault::KillAfter => effect.kill_after = true,
+            CellFault::PauseBefore => effect.hold = true,
+            CellFault::PauseAfter => effect.pause_after = true,
             CellFault::ConnectRefused => call.refused = true,
             CellFault::CutBefore => call.cut_before = true,
             CellFault::CutAfter => call.cut_after = true,
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Makes a server refuse new work; the hosts hear of it later.
+    /// Makes a server refuse new work; the hosts are notified later.
     pub(super) fn mark_leaving(&mut self, server: ServerId) {
         if self.leaving.contains(&server) {
             return;
@@ -174,8 +174,8 @@
         }
     }
 
-    /// Lets a process that has just started hear of the leaving servers from their reports.
-    pub(super) fn tell_leaving(&mut self, host: usize) {
+    /// Sends the reports of leaving servers to a process that has just started.
+    pub(super) fn notify_leaving(&mut self, host: usize) {
         let known = self.now + NEWS_LAG;
         for server in self.leaving.clone() {
             self.push_leaving(known, host, server);
@@ -200,7 +200,7 @@
         self.push_input(self.now, at, input);
     }
 
-    /// Notes that a caller will hear no more; it asks again elsewhere.
+    /// Records that a caller gets no further reply and retries at the other host.
     pub(super) fn lose_caller(&mut self, request: RequestId) {
         if self.log.lost.contains(&request) || self.is_answered(request) {
             return;
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Lets the caller of the observed request ask the other host with the same key.
+    /// Sends the observed request to the other host with the same key.
     pub(super) fn follow_up(&mut self) {
         if !self.followed_up {
             self.followed_up = true;
@@ -230,7 +230,7 @@
             return;
         }
         self.hosts[host].stop();
-        self.lose_forwards_to(host);
+        self.drop_forwards_to(host);
         self.log.killed.push((host, self.now));
         self.open_calls.retain(|(from, _)| from.host != host);
         self.lose_callers_of(host);
@@ -288,14 +288,14 @@
     }
 }
 
-fn cross_input(input: &mut NodeInput) {
+fn swap_input_attempt(input: &mut NodeInput) {
     if let NodeInput::Attempt { event, .. } = input {
-        cross(event);
+        swap_attempt(event);
     }
 }
 
-/// Turns an answer into that of another attempt.
-pub(super) fn cross(event: &mut AttemptEvent) {
+/// Changes an answer into that of another attempt.
+pub(super) fn swap_attempt(event: &mut AttemptEvent) {
     const OTHER: AttemptNonce = AttemptNonce(0xc0de);
     let other_echo = |echo: &mut AnswerEcho| {
         echo.nonce = OTHER;
--- a/crates/hollywheel-matrix/src/scene/log.rs
+++ b/crates/hollywheel-matrix/src/scene/log.rs
@@ -1,4 +1,4 @@
-//! What can be seen of a cell from outside the machines.
+//! Observations of a run from outside the state machines.
 
 use hollywheel_node::{RefusalReason, ReplyPart};
 use hollywheel_store::StoreRow;
@@ -9,16 +9,16 @@
 use super::backend::LedgerEntry;
 use crate::cell::CellScenario;
 
-/// Describes a request that a caller sent.
+/// A request that a caller sent.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
     /// The request.
     pub request: RequestId,
-    /// When the host received it.
+    /// The time at which the host received it.
     pub at: MonoTime,
     /// The host.
     pub host: usize,
-    /// The start of the host's process.
+    /// The incarnation of the host's process.
     pub incarnation: Incarnation,
     /// The pipeline.
     pub scenario: CellScenario,
@@ -26,14 +26,14 @@
     pub input: String,
     /// The key.
     pub key: Option<IdempotencyKey>,
-    /// The version of the objects that the host had been given by then.
+    /// The configuration version that the host had received by then.
     pub version: ConfigVersion,
 }
 
-/// Holds a part of a reply as the caller saw it.
+/// A part of a reply that a caller received.
 #[derive(Clone, Debug)]
 pub struct SeenPart {
-    /// When.
+    /// The time.
     pub at: MonoTime,
     /// The request.
     pub request: RequestId,
@@ -42,12 +42,12 @@
 }
 
 impl SeenPart {
-    /// Says whether it is a final part.
+    /// Returns whether this is the final part.
     pub const fn is_final(&self) -> bool {
         !matches!(self.part, ReplyPart::Token { .. })
     }
 
-    /// Returns the reason of a refusal.
+    /// Returns the reason if the part is a refusal.
     pub const fn reason(&self) -> Option<RefusalReason> {
         match &self.part {
             ReplyPart::Refused(refusal) => Some(refusal.reason),
@@ -56,54 +56,54 @@
     }
 }
 
-/// Holds the state of a process at the end.
+/// The state of a process at the end of the run.
 #[derive(Clone, Debug)]
 pub struct ProcessEnd {
     /// The host.
     pub host: HostId,
-    /// The start of the process.
+    /// The incarnation of the process.
     pub incarnation: Incarnation,
-    /// Requests still in progress.
+    /// The number of requests in progress.
     pub requests: usize,
-    /// The point at which the process still wants to be woken.
+    /// The time of the next timer of the process.
     pub next_wake: Option<MonoTime>,
-    /// Whether every claim is settled.
+    /// Whether all claims are settled.
     pub settled: bool,
-    /// The version in force.
+    /// The configuration version in force.
     pub version: ConfigVersion,
 }
 
-/// Holds everything that the checker may look at.
+/// All observations that the checks use.
 #[derive(Clone, Debug, Default)]
 pub struct SceneLog {
     /// The requests.
     pub sent: Vec<SentRequest>,
     /// The parts of the replies.
     pub parts: Vec<SeenPart>,
-    /// Requests whose caller left or lost its host.
+    /// The requests whose caller has disconnected or lost its host.
     pub lost: Vec<RequestId>,
-    /// What the backend servers did.
+    /// The ledger of the backend servers.
     pub ledger: Vec<LedgerEntry>,
-    /// The last point at which something about an attempt of a request reached its host.
+    /// The last time at which an input about an attempt reached the host, by request.
     pub heard: Vec<(RequestId, MonoTime)>,
-    /// Spans in which a host's process was stopped.
+    /// The intervals in which a host's process was paused.
     pub pauses: Vec<(usize, MonoTime, MonoTime)>,
-    /// Servers that are leaving, and since when the hosts know.
+    /// The leaving servers, with the time since when the hosts know.
     pub leaving: Vec<(ServerId, MonoTime)>,
-    /// When each host was told to shut down.
+    /// The time at which each host was told to shut down.
     pub drain_ordered: Vec<(usize, MonoTime)>,
-    /// When each host said that its shutdown is complete.
+    /// The time at which each host reported that its shutdown is complete.
     pub drained: Vec<(usize, MonoTime)>,
-    /// Processes that were killed.
+    /// The processes that were killed.
     pub killed: Vec<(usize, MonoTime)>,
-    /// The newest version given to each host.
+    /// The newest configuration version sent to each host.
     pub versions: [ConfigVersion; 2],
-    /// The processes at the end.
+    /// The processes at the end of the run.
     pub ends: Vec<ProcessEnd>,
-    /// The claim rows at the end.
+    /// The claim rows at the end of the run.
     pub rows: Vec<StoreRow>,
-    /// Whether the events did not come to an end.
+    /// Whether the run exceeded the maximum number of events.
     pub endless: bool,
-    /// The faults that set in.
+    /// The faults that were injected.
     pub reached: usize,
 }
--- a/crates/hollywheel-matrix/src/scene/mod.rs
+++ b/crates/hollywheel-matrix/src/scene/mod.rs
@@ -1,8 +1,8 @@
-//! One run of a cell: two hosts, fake servers, a fake table service and a caller.
+//! Simulation of a cell: two hosts, backend servers, a table service and a caller.
 
 mod backend;
-mod carry_out;
 mod deliver;
+mod execute;
 mod forward;
 mod host;
 mod inject;
--- a/crates/hollywheel-matrix/src/scene/queue.rs
+++ b/crates/hollywheel-matrix/src/scene/queue.rs
@@ -1,19 +1,19 @@
-//! Events in virtual time.
+//! Queue of events in virtual time.
 
 use hollywheel_node::{AttemptCall, CallTicket, NodeInput};
 use hollywheel_store::StoreRequest;
 use hollywheel_types::{Incarnation, MonoTime, SortedMap};
 
-/// Names a process: a host and the start of its process.
+/// Identifies a process by its host and incarnation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ProcessRef {
-    /// The host, by its position.
+    /// The index of the host.
     pub host: usize,
-    /// The start of the process.
+    /// The incarnation of the process.
     pub incarnation: Incarnation,
 }
 
-/// Names what happens at a point.
+/// An event of the simulation.
 #[derive(Clone, Debug)]
 pub enum SceneEvent {
     /// An input reaches a process.
@@ -22,9 +22,9 @@
         to: ProcessRef,
         /// The input.
         input: NodeInput,
-        /// Whether it is delivered even if its attempt was cancelled.
+        /// Whether the input is delivered even if its attempt was cancelled.
         stray: bool,
-        /// Whether faults have been considered for it.
+        /// Whether faults were already applied to the input.
         seen: bool,
     },
     /// A call reaches a backend server.
@@ -45,19 +45,19 @@
         /// Whether the answer is lost.
         lost: bool,
     },
-    /// A write takes effect after its call was given up.
+    /// A write takes effect after its call has timed out.
     LateWrite(StoreRequest),
-    /// A paused process goes on.
+    /// A paused process resumes.
     Resume(ProcessRef),
     /// Another process starts on a host.
     Restart(usize),
-    /// A process asked to be woken.
+    /// A timer of a process expires.
     Wake(ProcessRef),
     /// The caller sends a request to a host.
     Submit {
         /// The host.
         host: usize,
-        /// The number of the submission.
+        /// The index of the submission.
         number: u128,
     },
     /// The caller fetches a key from a host.
@@ -65,14 +65,14 @@
         /// The host.
         host: usize,
     },
-    /// The host hears of the other's process.
+    /// The host is notified of the process of the other host.
     View {
         /// The host.
         host: usize,
     },
 }
 
-/// Holds the events to come, in order.
+/// Queue of future events, sorted by time.
 #[derive(Debug, Default)]
 pub struct EventQueue {
     events: SortedMap<(MonoTime, u64), SceneEvent>,
@@ -86,7 +86,7 @@
         self.events.insert((at, self.next), event);
     }
 
-    /// Takes the first event.
+    /// Removes and returns the first event.
     pub fn pop(&mut self) -> Option<(MonoTime, SceneEvent)> {
         let key = *self.events.keys().next()?;
         let event = self.events.remove(&key)?;
--- a/crates/hollywheel-matrix/src/scene/run.rs
+++ b/crates/hollywheel-matrix/src/scene/run.rs
@@ -1,4 +1,4 @@
-//! The run of one cell.
+//! Simulation of one cell.
 
 use std::time::Duration;
 
@@ -15,10 +15,10 @@
 use crate::cell::{CellScenario, CellStep, FaultPoint, MatrixCell};
 use crate::fixture;
 
-/// The end of every run, long after the last fault.
+/// End of every run, long after the last fault.
 const END: MonoTime = MonoTime::from_millis(40_000);
 
-/// Bounds the events of a run; a run that has more does not come to an end.
+/// Maximum number of events of a run; a run with more counts as endless.
 const MAX_EVENTS: usize = 20_000;
 
 const KEY_FETCH: MonoTime = MonoTime::from_millis(5);
@@ -28,39 +28,39 @@
 const DRAIN: MonoTime = MonoTime::from_millis(24);
 const LAST_SUBMISSION: MonoTime = MonoTime::from_millis(12_000);
 
-/// The span of a planned shutdown.
+/// Time limit of a planned shutdown.
 const DRAIN_SPAN: Duration = Duration::from_secs(2);
 
-/// Numbers the submission that a cell observes.
+/// Index of the observed submission.
 pub(super) const OBSERVED: u128 = 1;
 
-/// Numbers a submission of another caller at the same time.
+/// Index of a concurrent submission of another caller.
 pub(super) const BACKGROUND: u128 = 2;
 
-/// Numbers the submission after the observed one ended.
+/// Index of the submission after the end of the observed one.
 pub(super) const FOLLOW_UP: u128 = 20;
 
 const LATE: u128 = 21;
 
-/// Holds the settings of a run.
+/// Settings of a run.
 #[derive(Clone, Debug, Default)]
 pub struct SceneSettings {
-    /// The seed of the machines and of the delays.
+    /// The seed of the state machines and of the delays.
     pub seed: u64,
-    /// The fault put into a machine's wrapper on purpose.
+    /// The deliberate fault in the wrapper of the state machines.
     pub broken: Option<DeliberateBreak>,
-    /// Adds random delays of up to so many microseconds to every message.
+    /// The maximum random delay of each message, in microseconds.
     pub jitter_us: u64,
 }
 
-/// Holds a planned fault and whether it has set in.
+/// A planned fault, and whether it was injected.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlannedFault {
     pub(super) point: FaultPoint,
     pub(super) done: bool,
 }
 
-/// Runs one cell in virtual time.
+/// Simulation of one cell in virtual time.
 #[derive(Debug)]
 pub struct FaultScene {
     pub(super) settings: SceneSettings,
@@ -72,12 +72,12 @@
     pub(super) log: SceneLog,
     pub(super) plan: Vec<PlannedFault>,
     pub(super) armed: ArmedFaults,
-    /// The calls whose connections are open.
+    /// The calls with open connections.
     pub(super) open_calls: Vec<(ProcessRef, AttemptCall)>,
-    /// Questions between hosts: the asker and its ticket, by the position.
+    /// The queries between hosts, by index: the querying process and its ticket.
     pub(super) questions: Vec<(ProcessRef, CallTicket)>,
     pub(super) forwards: Vec<OpenForward>,
-    /// The key that the caller of the observed request fetched.
+    /// The issued key of the caller of the observed request.
     pub(super) issued_key: Option<IdempotencyKey>,
     pub(super) call_faults: Vec<(AttemptNonce, CallFaults)>,
     pub(super) leaving: Vec<ServerId>,
@@ -88,7 +88,7 @@
 }
 
 impl FaultScene {
-    /// Prepares the run of a cell.
+    /// Creates the simulation of a cell.
     pub fn new(cell: &MatrixCell, settings: SceneSettings) -> Self {
         let plan = cell.points.iter().map(|point| PlannedFault {
             point: *point,
@@ -119,7 +119,7 @@
         scene
     }
 
-    /// Records the inputs of the first host's first process.
+    /// Records the inputs of the first process of the first host.
     #[must_use]
     pub fn recording(mut self) -> Self {
         let settings = fixture::settings(0, Incarnation(1), self.settings.seed);
@@ -167,19 +167,19 @@
         }
     }
 
-    /// Runs the cell to its end.
+    /// Runs the simulation to its end.
     pub fn run(mut self) -> SceneLog {
         self.run_events();
         self.log
     }
 
-    /// Runs the cell to its end and returns the trace of the first host as well.
+    /// Runs the simulation to its end; also returns the trace of the first host.
     pub fn run_recorded(mut self) -> (SceneLog, Option<TraceRecorder>) {
         self.run_events();
         (self.log, self.recorder)
     }
 
-    /// Runs the cell to its end and returns the number of transactions as well.
+    /// Runs the simulation to its end; also returns the number of transactions.
     pub fn run_counted(mut self) -> (SceneLog, u64) {
         self.run_events();
         (self.log, self.table.txns())
@@ -193,13 +193,13 @@
                 return;
             };
             self.now = self.now.max(at);
-            self.happen(event);
+            self.handle_event(event);
         }
         self.log.endless = true;
         self.end();
     }
 
-    fn happen(&mut self, event: SceneEvent) {
+    fn handle_event(&mut self, event: SceneEvent) {
         match event {
             SceneEvent::Input {
                 to,
@@ -222,7 +222,7 @@
             SceneEvent::Wake(process) => self.wake(process),
             SceneEvent::Submit { host, number } => self.submit(host, number),
             SceneEvent::FetchKey { host } => self.fetch_key(host),
-            SceneEvent::View { host } => self.tell_view(host),
+            SceneEvent::View { host } => self.notify_view(host),
         }
     }
 
@@ -236,9 +236,9 @@
             }
             _ => fixture::first_version(),
         };
-        self.feed(host, NodeInput::Config(config));
-        self.tell_view(host);
-        self.tell_leaving(host);
+        self.pass_input(host, NodeInput::Config(config));
+        self.notify_view(host);
+        self.notify_leaving(host);
     }
 
     fn end(&mut self) {
@@ -259,17 +259,17 @@
         }
     }
 
-    /// Returns a point so many microseconds from now, with the random delay of this run.
+    /// Returns the time after a delay in microseconds plus the random delay of the run.
     pub(super) fn after(&mut self, micros: u64) -> MonoTime {
         let jitter = match self.settings.jitter_us {
             0 => 0,
-            most => self.draw() % most,
+            most => self.next_random() % most,
         };
         self.now + Duration::from_micros(micros + jitter)
     }
 
-    /// Draws a number; a linear congruence is enough for delays.
-    pub(super) fn draw(&mut self) -> u64 {
+    /// Returns a random number; a linear congruential generator suffices for delays.
+    pub(super) fn next_random(&mut self) -> u64 {
         self.random = self
             .random
             .wrapping_mul(6_364_136_223_846_793_005)
--- a/crates/hollywheel-matrix/src/scene/serve.rs
+++ b/crates/hollywheel-matrix/src/scene/serve.rs
@@ -1,4 +1,4 @@
-//! The fake servers and the fake table service.
+//! Simulated backend servers and table service.
 
 use std::time::Duration;
 
@@ -7,8 +7,8 @@
 use hollywheel_types::{MonoTime, TokenCount, TokenIndex};
 
 use super::backend::{LedgerEntry, LedgerEvent, call_output, call_token, streams};
-use super::carry_out::ONE_WAY_US;
-use super::inject::{CallFaults, PAST_DEADLINE, cross};
+use super::execute::ONE_WAY_US;
+use super::inject::{CallFaults, PAST_DEADLINE, swap_attempt};
 use super::queue::{ProcessRef, SceneEvent};
 use super::run::FaultScene;
 
@@ -18,7 +18,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The number of tokens after which a stream is cut.
+/// Number of tokens after which a stream is cut.
 const CUT_AFTER_TOKENS: usize = 2;
 
 impl FaultScene {
@@ -73,7 +73,7 @@
         if faults.crossed
             && let Some((_, event)) = events.first_mut()
         {
-            cross(event);
+            swap_attempt(event);
         }
         for (micros, event) in events {
             let mut at = self.after(micros);
--- a/crates/hollywheel-matrix/src/scene/steps.rs
+++ b/crates/hollywheel-matrix/src/scene/steps.rs
@@ -1,4 +1,4 @@
-//! Tells which steps of the observed request an input or output is.
+//! Determines the steps of the observed request to which an input or output belongs.
 
 use hollywheel_node::{AttemptEvent, NodeEvent, NodeInput, NodeOutput, ReplyPart};
 use hollywheel_store::{StoreOp, StoreRequest};
@@ -20,7 +20,7 @@
         }
     }
 
-    /// Returns the stage at which the step `dispatch` is.
+    /// Returns the stage to which the step `dispatch` refers.
     pub const fn main_stage(self) -> &'static str {
         match self {
             Self::Lookup => "encode",
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Says whether requests have a key.
+    /// Returns whether requests have a key.
     pub const fn has_key(self) -> bool {
         !matches!(self, Self::Lookup | Self::Question)
     }
@@ -40,7 +40,7 @@
 }
 
 impl FaultScene {
-    /// Takes the faults that set in now.
+    /// Returns the faults that are injected at this step and marks them as injected.
     pub(super) fn due_faults(&mut self, steps: &[CellStep]) -> Vec<CellFault> {
         let mut due = Vec::new();
         for planned in &mut self.plan {
--- a/crates/hollywheel-matrix/src/scene/table.rs
+++ b/crates/hollywheel-matrix/src/scene/table.rs
@@ -1,9 +1,9 @@
-//! A fake of the platform's table service.
+//! Simulated table service of the platform.
 
 use hollywheel_store::{RowOutcome, StoreOp, StoreReply, StoreRequest, StoreRow};
 use hollywheel_types::SortedMap;
 
-/// Holds the rows of the claim table.
+/// The claim table.
 #[derive(Debug, Default)]
 pub struct FakeTable {
     rows: SortedMap<String, StoreRow>,
@@ -12,7 +12,7 @@
 }
 
 impl FakeTable {
-    /// Lists the rows in the order of their keys.
+    /// Returns the rows, sorted by key.
     pub fn rows(&self) -> impl Iterator<Item = &StoreRow> {
         self.rows.values()
     }
@@ -22,7 +22,7 @@
         self.txns
     }
 
-    /// Carries out a call.
+    /// Executes a call.
     pub fn call(&mut self, request: &StoreRequest) -> StoreReply {
         match request {
             StoreRequest::Read { keys, .. } => StoreReply::Rows {
--- a/crates/hollywheel-matrix/src/write_cost.rs
+++ b/crates/hollywheel-matrix/src/write_cost.rs
@@ -1,4 +1,4 @@
-//! What claims cost in writes of the table service.
+//! Cost of claims in writes of the table service.
 
 use std::time::Duration;
 
@@ -14,14 +14,14 @@
 
 const MICROS: f64 = 1e6;
 
-/// Holds the settings of a measurement.
+/// Settings of a measurement.
 #[derive(Clone, Debug)]
 pub struct CostSettings {
-    /// The hosts, among which the requests are spread evenly.
+    /// The number of hosts, among which the requests are spread evenly.
     pub hosts: usize,
-    /// The non-idempotent requests a second over all hosts; they arrive at random.
+    /// The non-idempotent requests per second over all hosts, which arrive at random.
     pub rate: f64,
-    /// The time measured.
+    /// The duration of the measurement.
     pub span: Duration,
     /// The time from a call of the table service to its answer.
     pub store_time: Duration,
@@ -47,18 +47,18 @@
     }
 }
 
-/// Holds what was measured.
+/// The result of a measurement.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WriteCost {
-    /// The requests.
+    /// The number of requests.
     pub requests: u64,
-    /// The transactions a second.
+    /// The transactions per second.
     pub txns_per_second: f64,
-    /// The rows written a second.
+    /// The written rows per second.
     pub rows_per_second: f64,
     /// The median time from the claim to its grant.
     pub claim_p50: Duration,
-    /// The time that 99 of 100 claims took at most.
+    /// The 99th percentile of the time from the claim to its grant.
     pub claim_p99: Duration,
 }
 
@@ -120,26 +120,26 @@
 
     fn run(&mut self) {
         while let Some((now, event)) = self.pop() {
-            self.happen(now, event);
+            self.handle_event(now, event);
         }
     }
 
-    fn happen(&mut self, now: MonoTime, event: CostEvent) {
+    fn handle_event(&mut self, now: MonoTime, event: CostEvent) {
         match event {
             CostEvent::Arrive(host) => self.arrive(now, host),
             CostEvent::Answer(host, ticket, reply) => {
                 let outputs = self.tables[host].store_answered(now, ticket, &Ok(reply));
-                self.carry_out(now, host, outputs);
+                self.execute(now, host, outputs);
             }
             CostEvent::Finish(host, request) => {
                 let output = Some("a short answer".to_owned());
                 let ran = ExecutionVerdict::Ran;
                 let outputs = self.tables[host].finish(now, request, ran, output);
-                self.carry_out(now, host, outputs);
+                self.execute(now, host, outputs);
             }
             CostEvent::Wake(host) => {
                 let outputs = self.tables[host].tick(now);
-                self.carry_out(now, host, outputs);
+                self.execute(now, host, outputs);
             }
         }
     }
@@ -162,21 +162,22 @@
         };
         self.asked.insert(request, now);
         let outputs = self.tables[host].claim(now, order);
-        self.carry_out(now, host, outputs);
+        self.execute(now, host, outputs);
         let next = now + self.pause();
         if next < MonoTime(0) + self.settings.span {
-            let host = usize::try_from(self.draw()).unwrap_or_default() % self.settings.hosts;
+            let host =
+                usize::try_from(self.next_random()).unwrap_or_default() % self.settings.hosts;
             self.push(next, CostEvent::Arrive(host));
         }
     }
 
-    /// Draws the time to the next arrival.
+    /// Returns the random time to the next arrival.
     fn pause(&mut self) -> Duration {
-        let share = (self.draw() + 1) as f64 / (f64::from(u32::MAX) + 1.0);
+        let share = (self.next_random() + 1) as f64 / (f64::from(u32::MAX) + 1.0);
         Duration::from_secs_f64(-share.min(1.0).ln() / self.settings.rate)
     }
 
-    fn draw(&mut self) -> u64 {
+    fn next_random(&mut self) -> u64 {
         self.random = self
             .random
             .wrapping_mul(6_364_136_223_846_793_005)
@@ -184,7 +185,7 @@
         self.random >> 32
     }
 
-    fn carry_out(&mut self, now: MonoTime, host: usize, outputs: Vec<ClaimOutput>) {
+    fn execute(&mut self, now: MonoTime, host: usize, outputs: Vec<ClaimOutput>) {
         for output in outputs {
             match output {
                 ClaimOutput::Store { ticket, request } => {
--- a/crates/hollywheel-matrix/tests/matrix.rs
+++ b/crates/hollywheel-matrix/tests/matrix.rs
@@ -1,4 +1,4 @@
-//! The whole matrix with fixed seeds, and the proof that its checks find faults.
+//! Tests of the whole matrix with fixed seeds, and that its checks find deliberate faults.
 
 use bolero::ValueGenerator;
 use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// The delays of runs with random delays, in microseconds.
+/// Maximum delays of runs with random delays, in microseconds.
 const JITTER_US: u64 = 4000;
 
 fn settings(seed: u64, jitter_us: u64) -> MatrixSettings {
@@ -72,7 +72,7 @@
     }
 }
 
-/// Makes a cell of up to four faults from random bytes.
+/// Creates a cell with up to four faults from random bytes.
 fn random_cell(bytes: &[u8; 10]) -> MatrixCell {
     let points = FaultPoint::all();
     let pick =
@@ -85,7 +85,7 @@
     }
 }
 
-/// The seeds are fixed, so that every run gives the same verdict.
+/// The seeds are fixed, so that every run has the same result.
 #[test]
 fn random_faults_in_random_order() {
     let generator = bolero::produce::<([u8; 10], u16)>();
--- a/crates/hollywheel-matrix/tests/replay.rs
+++ b/crates/hollywheel-matrix/tests/replay.rs
@@ -1,4 +1,4 @@
-//! Replay of the recorded traces.
+//! Tests that replay the recorded traces.
 
 use std::fs;
 use std::path::Path;
