--- a/crates/hollywheel-daemon/tests/backend.rs
+++ b/crates/hollywheel-daemon/tests/backend.rs
@@ -1,4 +1,4 @@
-//! How attempts at backend servers end.
+//! Tests of the outcomes of attempts at backend servers.
 
 mod support;
 
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-/// Says what the listener does with the n-th request that it receives.
+/// Reaction of the listener to a request.
 #[derive(Clone, Debug)]
 enum Reaction {
     Answer(String),
@@ -38,7 +38,7 @@
             Ok(read) if read > 0 => buffer.extend_from_slice(&part[..read]),
             _ => return false,
         }
-        // Every body of an attempt is an object that ends with its last brace.
+        // The body of each attempt is a JSON object, which ends with its last brace.
         if buffer.windows(4).any(|w| w == b"\r\n\r\n") && buffer.ends_with(b"}") {
             return true;
         }
@@ -118,7 +118,7 @@
         self.clock.now() + Duration::from_secs(5)
     }
 
-    /// Runs an attempt and returns its events in order.
+    /// Executes an attempt and returns its events in order.
     async fn run(&mut self, call: AttemptCall) -> Vec<AttemptEvent> {
         let run = self.caller.run_attempt(call, &self.core);
         tokio::time::timeout(Duration::from_secs(10), run)
--- a/crates/hollywheel-daemon/tests/callers.rs
+++ b/crates/hollywheel-daemon/tests/callers.rs
@@ -1,4 +1,4 @@
-//! Callers over HTTP/2, callers that leave and callers that break off.
+//! Tests of callers over HTTP/2, and of callers that disconnect.
 
 mod support;
 
@@ -43,7 +43,7 @@
     .await;
 }
 
-/// Leaves a request without a stream while the engine works on it.
+/// Disconnects from a non-streaming request while the engine executes it.
 async fn leave_while_the_engine_works(client: HttpClient, version: Version) {
     let host = TestHost::start().await;
     slow_engine(&host);
--- a/crates/hollywheel-daemon/tests/config.rs
+++ b/crates/hollywheel-daemon/tests/config.rs
@@ -1,4 +1,4 @@
-//! Publication through a host.
+//! Tests of the publication of objects through a host.
 
 mod support;
 
@@ -29,7 +29,7 @@
             &text_of(&host).replace("max_tokens = 8", "max_tokens = 4"),
         )
         .await;
-    // The same publication as before answers as before; another one on an old base conflicts.
+    // A repeated publication gets the same answer; a different one on an old base conflicts.
     assert_eq!(stale.status, 200, "{}", stale.text());
     let other = r#"{"to":1,"base":1,"publish_id":"77","operator":"b"}"#;
     let path = "/admin/config/rollback";
@@ -91,7 +91,7 @@
     assert_eq!(answer.status, 503, "{}", answer.text());
     let problem = answer.problem();
     assert_eq!(problem.verdict.unwrap().name(), "not-run", "{problem:?}");
-    // What needs no table service goes on.
+    // Requests that need no table service are still served.
     assert_eq!(host.post("summary", r#"{"input":"x"}"#).await.status, 200);
     let payment = host.post_key("payment", "p-9", r#"{"input":"x"}"#).await;
     assert_eq!(payment.status, 503, "{}", payment.text());
--- a/crates/hollywheel-daemon/tests/connections.rs
+++ b/crates/hollywheel-daemon/tests/connections.rs
@@ -1,4 +1,4 @@
-//! Bounds on open connections, and callers that hold one without using it.
+//! Tests of the limits on open connections, and of callers that hold idle ones.
 
 mod support;
 
@@ -9,14 +9,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Allows for every time-out of the listeners and a busy machine.
+/// Time limit that covers all time-outs of the listeners on a busy machine.
 const CUT_BOUND: Duration = Duration::from_secs(30);
 const HEALTH: &str = "GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n";
 
-/// Asks on a connection of its own. Returns the connection if there was an answer.
+/// Sends a request on a new connection. Returns the connection if there was an answer.
 async fn ask(address: SocketAddr) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(address).await.unwrap();
-    // The host may have closed the connection already.
+    // The host may already have closed the connection.
     let _ = stream.write_all(HEALTH.as_bytes()).await;
     let mut answer = [0; 12];
     match stream.read(&mut answer).await {
@@ -34,7 +34,7 @@
         .unwrap()
 }
 
-/// Opens connections over the bound and returns those that are held and the count of those that
+/// Opens more connections than the limit; returns those that stay open and the number of those that
 /// were closed.
 async fn fill(address: SocketAddr, connections: usize) -> (Vec<TcpStream>, usize) {
     let mut held = Vec::new();
@@ -92,7 +92,7 @@
     assert!(host.stop().await);
 }
 
-/// Sends a text and says how long the host kept the connection after it.
+/// Sends a text and returns the time until the host closes the connection.
 async fn held_after(address: SocketAddr, text: &str) -> (Duration, String) {
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(text.as_bytes()).await.unwrap();
@@ -141,7 +141,7 @@
     assert!(host.stop().await);
 }
 
-/// Asks again and again without reading an answer, until the host cuts the connection.
+/// Sends requests without reading answers until the host closes the connection.
 async fn flood(address: SocketAddr) -> Duration {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let start = Instant::now();
--- a/crates/hollywheel-daemon/tests/doors.rs
+++ b/crates/hollywheel-daemon/tests/doors.rs
@@ -1,4 +1,4 @@
-//! Calls without the right key, and calls that are not valid.
+//! Tests of calls without a valid key, and of invalid calls.
 
 mod support;
 
@@ -67,7 +67,7 @@
     assert!(host.stop().await);
 }
 
-/// Gives name, method, path, headers and body of a call.
+/// Name, method, path, headers and body of a call.
 type InvalidCall<'a> = (&'a str, Method, &'a str, &'a [(&'a str, &'a str)], &'a str);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/hollywheel-daemon/tests/drain.rs
+++ b/crates/hollywheel-daemon/tests/drain.rs
@@ -1,4 +1,4 @@
-//! The graceful shutdown under load.
+//! Tests of the graceful shutdown under load.
 
 mod support;
 
@@ -82,7 +82,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_closes_refuses_connections_instead_of_leaving_them_unanswered() {
     let host = TestHost::start().await;
-    // An open connection keeps the host closing for some seconds.
+    // An open connection delays the end of the host by some seconds.
     let idle = tokio::net::TcpStream::connect(host.callers).await.unwrap();
     host.stop.send_replace(true);
     wait_for("a refused connection", async || {
--- a/crates/hollywheel-daemon/tests/fuzz.rs
+++ b/crates/hollywheel-daemon/tests/fuzz.rs
@@ -1,4 +1,4 @@
-//! Input of callers and settings that nobody would write.
+//! Fuzz tests of caller input and settings.
 
 use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
 use bolero::{TypeGenerator, ValueGenerator};
@@ -8,11 +8,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Counts the inputs of each test; their seeds are fixed, so that every run gives one verdict.
+/// Number of inputs of each test. Their seeds are fixed, so that every run has the same result.
 const ITERATIONS: u64 = 4000;
 const DRAWN_BYTES: usize = 512;
 
-/// Describes one piece of a text.
+/// A part of a generated text.
 #[derive(Clone, Debug, TypeGenerator)]
 struct Piece {
     part: u8,
@@ -21,7 +21,7 @@
     damage: Option<u8>,
 }
 
-/// Holds texts that break readers, to be cut and joined.
+/// Texts that are likely to break parsers, to be truncated and joined.
 const PARTS: [&[u8]; 16] = [
     b"{\"input\":\"x\"",
     b",\"stream\":true}",
@@ -54,7 +54,7 @@
     bytes
 }
 
-/// Calls a test with so many texts for each seed.
+/// Calls a test with a number of texts for each seed.
 fn for_each_input<const TEXTS: usize>(mut test: impl FnMut([Vec<u8>; TEXTS])) {
     let generator = bolero::produce::<Vec<Piece>>().with().len(0..6usize);
     for seed in 0..ITERATIONS {
--- a/crates/hollywheel-daemon/tests/hosts.rs
+++ b/crates/hollywheel-daemon/tests/hosts.rs
@@ -1,4 +1,4 @@
-//! Hosts that know one another.
+//! Tests of hosts that are members of one fleet.
 
 mod support;
 
@@ -49,7 +49,7 @@
     assert!(base.stop().await);
 }
 
-/// Fetches a key from a host.
+/// Requests a key from a host.
 async fn fetch_key(host: &Started) -> String {
     let answer = host.issue(support::CALLER_KEY).await;
     assert_eq!(answer.status, 201, "{}", answer.text());
@@ -77,7 +77,7 @@
     });
     let body = r#"{"input":"pay 5"}"#;
     let key = fetch_key(&first).await;
-    // The other host hands the payment over and its caller gets the answer.
+    // The other host forwards the payment, and its caller gets the answer.
     let paid = second.post_key("payment", &key, body).await;
     assert_eq!(paid.status, 200, "{}", paid.text());
     assert_eq!(paid.json()["replayed"], false);
@@ -119,7 +119,7 @@
         stranger.get("/readyz").await.status == 200
     })
     .await;
-    // Two rounds of joining have passed by then.
+    // Two rounds of joining have ended by then.
     let until = tokio::time::Instant::now() + std::time::Duration::from_secs(5);
     while tokio::time::Instant::now() < until {
         assert_eq!(states(&first).await, ["one:alive"]);
--- a/crates/hollywheel-daemon/tests/issued.rs
+++ b/crates/hollywheel-daemon/tests/issued.rs
@@ -1,4 +1,4 @@
-//! Issued keys and late answers on one host.
+//! Tests of issued keys and late answers on one host.
 
 mod support;
 
--- a/crates/hollywheel-daemon/tests/keys.rs
+++ b/crates/hollywheel-daemon/tests/keys.rs
@@ -1,4 +1,4 @@
-//! Keys of workspaces.
+//! Tests of the access keys of workspaces.
 
 use hollywheel_config::{ObjectSet, WorkspaceObject, hash_key};
 use hollywheel_daemon::KeyIndex;
--- a/crates/hollywheel-daemon/tests/load.rs
+++ b/crates/hollywheel-daemon/tests/load.rs
@@ -1,4 +1,4 @@
-//! The collection of backend servers' load.
+//! Tests of the collection of load reports.
 
 mod support;
 
--- a/crates/hollywheel-daemon/tests/metrics.rs
+++ b/crates/hollywheel-daemon/tests/metrics.rs
@@ -1,4 +1,4 @@
-//! Names of metrics and the bound on their series.
+//! Tests of the names of metrics and of the limit on their series.
 
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
     })
 }
 
-/// Returns metrics of which each has a value, since those without are not written.
+/// Returns metrics with a value each, because those without one are not exported.
 fn filled_metrics() -> DaemonMetrics {
     let metrics = DaemonMetrics::new();
     if let NodeEvent::Ended(summary) = ended(1) {
--- a/crates/hollywheel-daemon/tests/operators.rs
+++ b/crates/hollywheel-daemon/tests/operators.rs
@@ -1,4 +1,4 @@
-//! What operators see and change.
+//! Tests of the operators' interface.
 
 mod support;
 
@@ -11,7 +11,7 @@
         assert_eq!(host.post("look-up", r#"{"input":"x"}"#).await.status, 200);
     }
     host.post("missing", r#"{"input":"x"}"#).await;
-    // What ended is counted right after its reply.
+    // The end of a request is counted shortly after its reply.
     let mut text = String::new();
     wait_for("the end of every request", async || {
         text = host.admin("GET", "/metrics", Some(VIEWER), "").await.text();
--- a/crates/hollywheel-daemon/tests/placement.rs
+++ b/crates/hollywheel-daemon/tests/placement.rs
@@ -1,4 +1,4 @@
-//! Placement of models on engines.
+//! Tests of the placement of models on engines.
 
 mod support;
 
--- a/crates/hollywheel-daemon/tests/process.rs
+++ b/crates/hollywheel-daemon/tests/process.rs
@@ -1,4 +1,4 @@
-//! The program as a process of its own.
+//! Tests of the program as a process.
 
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, Stdio};
--- a/crates/hollywheel-daemon/tests/retention.rs
+++ b/crates/hollywheel-daemon/tests/retention.rs
@@ -1,4 +1,4 @@
-//! The sweep of old rows over a real connection to the platform.
+//! Tests of the sweep of old rows over a connection to the platform.
 
 mod support;
 
--- a/crates/hollywheel-daemon/tests/secrets.rs
+++ b/crates/hollywheel-daemon/tests/secrets.rs
@@ -1,4 +1,4 @@
-//! Secrets from a file descriptor, and their replacement on running hosts.
+//! Tests of secrets from a file descriptor, and of their replacement on running hosts.
 
 mod support;
 
@@ -12,7 +12,7 @@
 use support::keys::{Authority, start_named, start_with_keys, states, versions};
 use support::{PUBLISHER, Started, TestHost, VIEWER, objects, wait_for};
 
-/// Writes keys as the text that `--tls-fd` reads.
+/// Formats keys as the text that `--tls-fd` reads.
 fn bundle(keys: &TlsSettings) -> String {
     format!(
         "{}{}{}",
@@ -61,7 +61,7 @@
     assert!(base.stop().await);
 }
 
-/// Runs the program with a text on its standard input, which is descriptor 0.
+/// Runs the program with a text on descriptor 0, its standard input.
 fn check_with_input(text: &str) -> (i32, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_hollywheeld"))
         .env_clear()
@@ -152,7 +152,7 @@
         let text = format!("{text}[[workspace]]\n{workspace}");
         let published = first.publish(version, &text).await;
         assert_eq!(published.status, 200, "{step}: {}", published.text());
-        // What a host tells of another's version came over the transport.
+        // A host learns the version of another one only over the transport.
         wait_for(step, async || {
             let expected = [version + 1; 2];
             versions(&first).await == expected && versions(&second).await == expected
@@ -171,7 +171,7 @@
         stranger.get("/readyz").await.status == 200
     })
     .await;
-    // Two rounds of joining have passed by then.
+    // Two rounds of joining have ended by then.
     let until = tokio::time::Instant::now() + Duration::from_secs(5);
     while tokio::time::Instant::now() < until {
         assert_eq!(states(&stranger).await, ["four:alive"]);
--- a/crates/hollywheel-daemon/tests/serve.rs
+++ b/crates/hollywheel-daemon/tests/serve.rs
@@ -1,4 +1,4 @@
-//! Requests through a host from the caller to the stand-ins and back.
+//! Tests of requests from a caller through a host to the stand-ins.
 
 mod support;
 
--- a/crates/hollywheel-daemon/tests/settings.rs
+++ b/crates/hollywheel-daemon/tests/settings.rs
@@ -1,4 +1,4 @@
-//! Settings, and that their docs are complete.
+//! Tests of the settings and of the completeness of their documentation.
 
 use hollywheel_daemon::settings::{
     RawSettings, SecretText, check_settings, markdown_table, print_settings, read_arguments,
--- a/crates/hollywheel-daemon/tests/soak.rs
+++ b/crates/hollywheel-daemon/tests/soak.rs
@@ -1,8 +1,8 @@
-//! A randomized soak: hosts as separate processes, faults from outside them, and the promises
-//! checked while and after.
+//! Randomized soak test: hosts as separate processes, faults from outside, and checks of the
+//! guarantees during the run and after it.
 //!
-//! `HOLLYWHEEL_SOAK_SEEDS` names other seeds than the short run's, as `FIRST..LAST`. Seeds that
-//! failed are kept in `soak/seeds.txt` with their causes and are played first.
+//! `HOLLYWHEEL_SOAK_SEEDS` replaces the seeds of the short run, as `FIRST..LAST`. Seeds that have
+//! failed are listed in `soak/seeds.txt` with their causes and are run first.
 
 #[path = "soak/check.rs"]
 mod check;
@@ -25,8 +25,8 @@
 use support::ServerLog;
 use system::play_seed;
 
-/// The seeds of the short run: one without drills of the store, one with them, and one with limits of
-/// servers too.
+/// Seeds of the short run: one without restores of the store, one with them, and one that also has
+/// limits of servers.
 const SHORT_SEEDS: [u64; 3] = [2, 200, 300];
 
 fn seeds() -> Vec<u64> {
@@ -60,7 +60,7 @@
     assert!(failed.is_empty(), "seeds with violations: {failed:?}");
 }
 
-/// Checks a request that ran as often as the log says and whose caller was told an end.
+/// Checks a request that was executed a number of times and whose caller saw an outcome.
 fn violations_of(path: &'static str, runs: &[&str], end: CallerEnd) -> Vec<String> {
     let log = ServerLog::default();
     for run in runs {
--- a/crates/hollywheel-daemon/tests/soak/check.rs
+++ b/crates/hollywheel-daemon/tests/soak/check.rs
@@ -1,9 +1,9 @@
-//! The promises, checked from what callers and backend servers saw.
+//! Checks of the guarantees, from the records of callers and backend servers.
 
 use super::load::{CallRecord, CallerEnd};
 use super::support::ServerLog;
 
-/// Returns the whole answer of a server that behaves.
+/// Returns the complete answer of a server without faults.
 fn expected_body(path: &str) -> &'static str {
     match path {
         "/draft/ok" | "/brief/ok" => "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
@@ -20,7 +20,7 @@
     ran.iter().filter(|line| line.starts_with(&prefix)).count()
 }
 
-/// Lists the promises that were broken.
+/// Returns the violated guarantees.
 pub fn violations(calls: &[CallRecord], log: &ServerLog) -> Vec<String> {
     let ran = log.lines_with_prefix("ran ");
     let mut found = Vec::new();
--- a/crates/hollywheel-daemon/tests/soak/faults.rs
+++ b/crates/hollywheel-daemon/tests/soak/faults.rs
@@ -1,4 +1,4 @@
-//! Faults drawn from a seed, in series and overlapping.
+//! Random faults from a seed, in series and overlapping.
 
 use std::time::{Duration, Instant};
 
@@ -10,10 +10,10 @@
 use super::proxy::LinkMode;
 use super::system::SoakSystem;
 
-/// The time for which faults come.
+/// Duration of the fault injection.
 const FAULT_TIME: Duration = Duration::from_secs(7);
 
-/// Names a fault.
+/// A fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SoakFault {
     PauseHost(usize),
@@ -25,20 +25,20 @@
     ServerLink(usize, LinkMode),
     ServerLeaves(usize),
     NewVersion,
-    /// The store is away and comes back from a copy that is some seconds old.
+    /// The store is unavailable and is then restored from a copy that is some seconds old.
     StoreDrill,
     /// The server names a limit on its requests.
     ServerLimit(usize),
 }
 
-/// Seeds from this one on also bring drills of the store; those before keep the faults that they
-/// have failed with.
-const FIRST_DRILL_SEED: u64 = 200;
-/// Seeds from this one on also let servers name limits.
+/// First seed with restores of the store. Earlier seeds keep their faults, so that those in
+/// `soak/seeds.txt` still reproduce their failures.
+const FIRST_RESTORE_SEED: u64 = 200;
+/// First seed with servers that name limits.
 pub const FIRST_LIMIT_SEED: u64 = 300;
-/// The limit that servers name, in requests per second.
+/// Limit that servers name, in requests per second.
 pub const SERVER_LIMIT: f64 = 2.0;
-/// So many faults begin between two copies of the store.
+/// Number of faults between two copies of the store.
 const COPY_FAULTS: usize = 5;
 
 fn draw_mode(random: &mut StdRng) -> LinkMode {
@@ -52,8 +52,8 @@
 
 fn draw_fault(random: &mut StdRng, hosts: usize, servers: usize, seed: u64) -> SoakFault {
     let kinds = match seed {
-        0..FIRST_DRILL_SEED => 12,
-        FIRST_DRILL_SEED..FIRST_LIMIT_SEED => 15,
+        0..FIRST_RESTORE_SEED => 12,
+        FIRST_RESTORE_SEED..FIRST_LIMIT_SEED => 15,
         FIRST_LIMIT_SEED.. => 19,
     };
     let host = random.random_range(0..hosts);
@@ -111,7 +111,7 @@
     }
 }
 
-/// Starts hosts that have ended again; lists those that ended by themselves.
+/// Restarts hosts that have exited; returns those that exited by themselves.
 fn restart_ended(system: &mut SoakSystem, ordered: &[SoakFault]) -> Vec<String> {
     let mut found = Vec::new();
     for (index, host) in system.hosts.iter_mut().enumerate() {
@@ -129,7 +129,7 @@
     found
 }
 
-/// Brings faults over the system for a time and ends them all.
+/// Injects faults into the system for a time and then clears all of them.
 pub async fn bring_faults(system: &mut SoakSystem, seed: u64) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
     let random = &mut random;
--- a/crates/hollywheel-daemon/tests/soak/load.rs
+++ b/crates/hollywheel-daemon/tests/soak/load.rs
@@ -1,4 +1,4 @@
-//! Callers, and what they were told.
+//! Callers and their outcomes.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,13 +14,13 @@
 
 use super::support::{CallerBody, request};
 
-/// A caller waits this long for an answer; requests say 3 s.
+/// Time-out of an answer at the caller; the deadline of requests is 3 s.
 const PATIENCE: Duration = Duration::from_secs(4);
-/// A caller that leaves does so after this time.
+/// Time after which a caller disconnects, if it does.
 const LEAVE: Duration = Duration::from_millis(60);
-/// Callers pause between requests.
+/// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(15);
-/// Paths of requests; the last word says how the backend server behaves.
+/// Paths of requests; the last segment selects the behaviour of the backend server.
 const PATHS: [&str; 15] = [
     "/pay/ok",
     "/pay/ok",
@@ -39,22 +39,22 @@
     "/brief/restarted",
 ];
 
-/// Says what a caller was told.
+/// Outcome of a request at the caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallerEnd {
-    /// A whole answer, with its status, its body and whether it has the server's proof.
+    /// A complete answer, with its status, its body and whether it has the server's seal.
     Whole(u16, String, bool),
-    /// An answer that broke off.
+    /// An incomplete answer.
     Broken,
     /// The connection ended without an answer.
     Closed,
-    /// Nothing came in time, or the caller left.
+    /// No answer in time, or the caller disconnected.
     Left,
-    /// No connection.
+    /// The connection could not be opened.
     Unreached,
 }
 
-/// Holds one request and its end.
+/// A request and its outcome.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
     pub attempt: String,
@@ -75,7 +75,7 @@
     }
 }
 
-/// Collects the ends of all requests.
+/// The outcomes of all requests.
 pub type CallBook = Arc<Mutex<Vec<CallRecord>>>;
 
 type Sender = SendRequest<CallerBody>;
@@ -106,7 +106,7 @@
     }
 }
 
-/// Sends one request on a connection of its own.
+/// Sends one request on a new connection.
 pub async fn call_once(address: SocketAddr, path: &str, attempt: &str, key: &str) -> CallerEnd {
     match connect(address).await {
         Some(mut sender) => {
@@ -118,7 +118,7 @@
     }
 }
 
-/// Sends requests until a point, on kept connections as long as they last.
+/// Sends requests until a time, on keep-alive connections as long as they stay open.
 pub async fn run_caller(
     name: String,
     seed: u64,
--- a/crates/hollywheel-daemon/tests/soak/process.rs
+++ b/crates/hollywheel-daemon/tests/soak/process.rs
@@ -12,32 +12,32 @@
 use super::proxy::LinkProxy;
 use super::support::{HostAddresses, free_address, settings};
 
-/// A host ends this long after a SIGTERM at the latest: the grace of its settings.
+/// Maximum time from SIGTERM to the end of a host: the grace period of its settings.
 pub const GRACE: Duration = Duration::from_secs(8);
 const TICK: Duration = Duration::from_millis(20);
 
-/// Describes how a process ended.
+/// State of a process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProcessEnd {
-    /// It still runs.
+    /// The process is running.
     Running,
-    /// It ended by itself or after a SIGTERM, with this status.
+    /// The process exited with this status.
     Exit(i32),
-    /// A signal ended it.
+    /// The process was ended by a signal.
     Killed,
 }
 
-/// Holds one host and where it is reached.
+/// A host process and its addresses.
 pub struct HostProcess {
     /// The name.
     pub name: String,
     /// The address for callers.
     pub callers: SocketAddr,
-    /// The address that says whether it is ready.
+    /// The address of the readiness probe.
     pub ready: SocketAddr,
     peers: SocketAddr,
     metrics_port: u16,
-    /// Its way to the store.
+    /// The proxy between the host and the store.
     pub store: LinkProxy,
     directory: PathBuf,
     starts: u32,
@@ -45,7 +45,7 @@
 }
 
 impl HostProcess {
-    /// Starts a host whose files lie in a directory.
+    /// Starts a host with its files in a directory.
     pub fn start(name: &str, store: SocketAddr, directory: &Path) -> Self {
         let mut host = Self {
             name: name.to_owned(),
@@ -63,7 +63,7 @@
         host
     }
 
-    /// Writes the settings file with a comment, so that it changes.
+    /// Writes the settings file with a different comment, so that its content changes.
     pub fn write_settings(&self, comment: &str) {
         let addresses = HostAddresses {
             caller_address: self.callers,
@@ -95,16 +95,16 @@
         self.child = Some(child);
     }
 
-    /// Sends a signal to the process, if it runs.
+    /// Sends a signal to the process if it is running.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             let id = Pid::from_raw(i32::try_from(child.id()).unwrap());
-            // It may have ended in between.
+            // The process may have exited in the meantime.
             let _ = kill(id, signal);
         }
     }
 
-    /// Looks how the process is.
+    /// Returns the state of the process.
     pub fn end(&mut self) -> ProcessEnd {
         let Some(child) = &mut self.child else {
             return ProcessEnd::Killed;
@@ -115,10 +115,10 @@
         }
     }
 
-    /// Waits for the end of the process for a time. Time in which the test itself does not run, such as
-    /// the suspension of the machine, stops the process too and is not counted.
+    /// Waits for the exit of the process up to a time limit. Time in which the test itself does not run,
+    /// such as a suspension of the machine, is not counted, because it pauses the process as well.
     pub async fn wait_end(&mut self, limit: Duration) -> ProcessEnd {
-        /// Longest time between two looks that counts.
+        /// Longest time between two polls that is counted.
         const MAX_TICK: Duration = Duration::from_millis(500);
         let mut waited = Duration::ZERO;
         while self.end() == ProcessEnd::Running && waited < limit {
@@ -133,7 +133,7 @@
 impl Drop for HostProcess {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
-            // A process that has ended already is only waited for.
+            // Killing fails if the process has already exited.
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/crates/hollywheel-daemon/tests/soak/proxy.rs
+++ b/crates/hollywheel-daemon/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that harms the connections through it.
+//! Loopback proxy that injects connection faults.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -8,30 +8,30 @@
 
 use socket2::SockRef;
 
-/// Data waits this long in a delayed direction.
+/// Delay of data in a delayed direction.
 const DELAY: Duration = Duration::from_millis(120);
-/// A direction that passes nothing looks this often whether it may go on.
+/// Interval at which a blocked direction checks whether it may continue.
 const PAUSE: Duration = Duration::from_millis(10);
 
-/// Says what happens to connections.
+/// Treatment of connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkMode {
-    /// All passes.
+    /// All data is forwarded.
     Pass,
-    /// All passes late.
+    /// All data is forwarded with a delay.
     Delay,
-    /// Requests pass, answers do not.
+    /// Requests are forwarded, answers are not.
     OneWay,
-    /// Nothing passes, and nothing is closed.
+    /// No data is forwarded, and no connection is closed.
     Silent,
     /// Connections are reset.
     Reset,
 }
 
-/// Passes connections on to one address.
+/// Proxy in front of one address.
 #[derive(Clone)]
 pub struct LinkProxy {
-    /// Where it listens.
+    /// The address on which the proxy listens.
     pub address: SocketAddr,
     mode: Arc<Mutex<LinkMode>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
@@ -59,7 +59,7 @@
         *self.mode.lock().unwrap()
     }
 
-    /// Changes what happens to open and new connections.
+    /// Changes the treatment of open and new connections.
     pub fn set_mode(&self, mode: LinkMode) {
         *self.mode.lock().unwrap() = mode;
         if mode == LinkMode::Reset {
@@ -112,7 +112,7 @@
     }
 }
 
-/// Closes a connection so that its peer sees a reset.
+/// Closes a connection with a reset.
 fn reset(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
     stream.shutdown(Shutdown::Both)
--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -1,4 +1,4 @@
-//! The system under the soak, from its start to its graceful end.
+//! The system under test in the soak, from start to graceful shutdown.
 
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -27,43 +27,44 @@
     ("s1", "stage"),
     ("s2", "stage"),
 ];
-/// A configuration, or a server that leaves, is in force after this time (settings of the hosts).
+/// Time after which a configuration, or the leaving of a server, is in force (settings of the hosts).
 const IN_FORCE: Duration = Duration::from_millis(2000);
-/// Allows for the machine's own delays.
+/// Tolerance for delays of the machine.
 const SLACK: Duration = Duration::from_millis(500);
-/// Hosts serve again this long after all faults have ended.
+/// Time after the end of all faults by which hosts serve again.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// The window in which the users count requests to a server with a limit.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
-/// Hosts keep to a limit this long after it was first named (`contact-ms`).
+/// Time after a limit was first named by which hosts keep to it (`contact-ms`).
 const LIMIT_KNOWN: Duration = Duration::from_secs(3);
 /// Interval between two requests while servers name limits.
 const LIMIT_CALL_INTERVAL: Duration = Duration::from_millis(25);
-/// A server stops its work this long after its caller has left.
+/// Time after a caller has disconnected by which its server stops the work.
 const GONE_TIME: Duration = Duration::from_millis(1000);
 
-/// Pauses of the test are measured by timers of this length.
+/// Length of the timers that measure pauses of the test.
 const PAUSE_STEP: Duration = Duration::from_millis(20);
-/// Callers that leave, one after the other, until the request of one has reached a server.
+/// Maximum number of callers that disconnect one after another, until the request of one has reached
+/// a server.
 const GONE_CALLERS: usize = 5;
 
-/// Holds one backend server's stand-in behind a proxy.
+/// Stand-in for a backend server behind a proxy.
 pub struct SoakServer {
     name: &'static str,
     pool: &'static str,
     born: u64,
     state: &'static str,
-    /// The way to it.
+    /// The proxy in front of the server.
     pub link: LinkProxy,
 }
 
-/// Holds everything that a seed is played with.
+/// The system that a seed is run with.
 pub struct SoakSystem {
     /// The hosts.
     pub hosts: Vec<HostProcess>,
     /// The backend servers.
     pub servers: Vec<SoakServer>,
-    /// The platform's store.
+    /// The store of the platform.
     pub store: Arc<StoreStandin>,
     log: Arc<ServerLog>,
     version: u64,
@@ -108,7 +109,7 @@
         system
     }
 
-    /// Writes the entry of a server, of a new incarnation if it is ready.
+    /// Writes the entry of a server, with a new incarnation if it is ready.
     pub fn announce(&mut self, server: usize, state: &'static str) {
         let server = &mut self.servers[server];
         server.state = state;
@@ -120,20 +121,20 @@
             .set_server(server.name, server.pool, address, state, born);
     }
 
-    /// Lets a server name a limit on its requests, or no longer.
+    /// Sets or removes the limit on requests that a server names.
     pub fn set_limit(&self, server: usize, limit: Option<f64>) {
         self.log.set_limit(self.servers[server].name, limit);
     }
 
-    /// Publishes the next version, in which one key is known.
+    /// Publishes the next version, with a single access key.
     pub fn publish(&mut self, key: &'static str) {
         self.version += 1;
         self.key = key;
         self.store.set_config(&config(self.version, key));
     }
 
-    /// Writes what the operator and the servers had written, as they do once the store has come
-    /// back older.
+    /// Writes the current entries again, as the operator and the servers do after the store was restored
+    /// from an older copy.
     pub fn write_again(&self) {
         for server in &self.servers {
             let address = server.link.address;
@@ -143,7 +144,7 @@
         self.store.set_config(&config(self.version, self.key));
     }
 
-    /// Waits until every host answers a request of each kind.
+    /// Waits until all hosts answer a request of each kind.
     async fn wait_serving(&self, book: &CallBook, round: &str) -> Result<(), String> {
         let until = Instant::now() + RECOVERY;
         for (index, host) in self.hosts.iter().enumerate() {
@@ -199,7 +200,7 @@
         callers
     }
 
-    /// Checks that a new version is in force everywhere in time and does not revert.
+    /// Checks that a new version is in force on all hosts in time and is not reverted.
     async fn check_config(&mut self, book: &CallBook) -> Vec<String> {
         self.publish("k2");
         sleep(IN_FORCE + SLACK).await;
@@ -211,7 +212,7 @@
                 if !matches!(end, CallerEnd::Whole(200, ..)) {
                     found.push(format!("a new key is not in force: {attempt} {end:?}"));
                 }
-                // This call is not in the book, so it counts as one that nobody sent if it runs.
+                // This request is not recorded, so if it is executed it counts as one that nobody sent.
                 let host = self.hosts[index].callers;
                 let end = call_once(host, "/look/ok", "withdrawn", "k1").await;
                 if !matches!(end, CallerEnd::Whole(401, ..)) {
@@ -224,8 +225,8 @@
         found
     }
 
-    /// Checks that servers of each pool get no more requests from all hosts than they accept, and
-    /// that callers are served by the others.
+    /// Checks that servers of each pool get no more requests from all hosts than they accept, and that
+    /// the other servers serve the callers.
     async fn check_limit(&mut self, book: &CallBook) -> Vec<String> {
         const LIMITED: [usize; 3] = [1, 3, 5];
         for server in LIMITED {
@@ -277,7 +278,7 @@
         found
     }
 
-    /// Checks that a server that leaves gets nothing new.
+    /// Checks that a leaving server gets no new requests.
     async fn check_leaving(&mut self, book: &CallBook) -> Vec<String> {
         self.announce(0, "draining");
         sleep(IN_FORCE + SLACK).await;
@@ -297,8 +298,8 @@
         found
     }
 
-    /// Checks that servers stop work for callers that have left. A caller that leaves before its
-    /// request has reached a server proves nothing, so that another one follows it.
+    /// Checks that servers stop work for callers that have disconnected. If a caller disconnects before
+    /// its request has reached a server, nothing is checked and another caller follows.
     async fn check_gone(&self, book: &CallBook) -> Vec<String> {
         let mut found = Vec::new();
         for (index, path) in ["/pay/slow", "/draft/slow"].into_iter().enumerate() {
@@ -337,7 +338,7 @@
         found
     }
 
-    /// Stops every host while callers keep using their connections.
+    /// Stops all hosts while callers keep using their connections.
     async fn check_stop(&mut self, seed: u64, book: &CallBook) -> Vec<String> {
         let stop_book = CallBook::default();
         let mut callers = self.start_callers("stop", seed, GRACE, &stop_book);
@@ -368,8 +369,8 @@
     }
 }
 
-/// Measures how late the test's own timers are: bounds in time that are missed by about as much
-/// are the machine's.
+/// Measures the delay of the test's own timers. A time limit that is missed by about as much is missed
+/// because of the machine.
 struct PauseWatch {
     longest: Arc<Mutex<Duration>>,
     task: JoinHandle<()>,
@@ -402,7 +403,7 @@
     }
 }
 
-/// Plays one seed; returns the promises that were broken.
+/// Runs one seed; returns the violated guarantees.
 pub async fn play_seed(seed: u64) -> Vec<String> {
     println!("seed {seed}");
     let pauses = PauseWatch::start();
@@ -413,7 +414,7 @@
     let mut callers = system.start_callers("load", seed, Duration::from_secs(7), &book);
     found.extend(bring_faults(&mut system, seed).await);
     while callers.join_next().await.is_some() {}
-    // Hosts that were told to stop may still be about it.
+    // Hosts that were told to stop may still be running.
     sleep(GRACE / 2).await;
     for host in &mut system.hosts {
         if host.end() != ProcessEnd::Running {
--- a/crates/hollywheel-daemon/tests/supervisor.rs
+++ b/crates/hollywheel-daemon/tests/supervisor.rs
@@ -1,4 +1,4 @@
-//! Restart of children.
+//! Tests of the supervisor's restarts.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,7 +7,7 @@
 use hollywheel_daemon::{ChildEntry, HostPhase, RestartPolicy, SupervisorTree};
 use tokio::sync::watch;
 
-/// Returns a child that panics on its first runs and then stays up.
+/// Returns a child that panics in its first runs and then keeps running.
 fn failing(restart_policy: RestartPolicy, failures: usize, runs: &Arc<AtomicUsize>) -> ChildEntry {
     let runs = Arc::clone(runs);
     ChildEntry {
--- a/crates/hollywheel-daemon/tests/support/keys.rs
+++ b/crates/hollywheel-daemon/tests/support/keys.rs
@@ -1,4 +1,4 @@
-//! Hosts with certificates.
+//! Support for hosts with certificates.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 
 use super::{Started, TestHost, VIEWER, host_settings, start_host};
 
-/// Certifies hosts.
+/// Certificate authority for hosts.
 pub struct Authority {
     issuer: CertifiedIssuer<'static, KeyPair>,
 }
@@ -44,7 +44,7 @@
     }
 }
 
-/// Starts a host that uses the stand-ins of another one.
+/// Starts a host that shares the stand-ins of another one.
 pub fn start_named(
     host: &TestHost,
     authority: &Authority,
--- a/crates/hollywheel-daemon/tests/support/mod.rs
+++ b/crates/hollywheel-daemon/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A host in this process with stand-ins around it.
+//! Support for tests: a host in the test process, with stand-ins.
 #![allow(dead_code)]
 
 pub mod keys;
@@ -32,7 +32,7 @@
 pub const PUBLISHER: &str = "publisher-token";
 const BOUND: Duration = Duration::from_secs(10);
 
-/// Holds a whole answer.
+/// A complete answer.
 #[derive(Debug)]
 pub struct Answer {
     pub status: StatusCode,
@@ -86,7 +86,7 @@
         .unwrap_or_else(|_| panic!("{what} did not come true"));
 }
 
-/// Holds a running host.
+/// A running host.
 pub struct Started {
     pub callers: SocketAddr,
     pub operators: SocketAddr,
@@ -97,7 +97,7 @@
     pub client: HttpClient,
 }
 
-/// Holds a host and the stand-ins that it uses.
+/// A host and its stand-ins.
 pub struct TestHost {
     pub host: Started,
     pub engine: StandinHandle,
@@ -128,7 +128,7 @@
     }
 }
 
-/// Writes the objects of the tests.
+/// Returns the objects of the tests.
 pub fn objects(engine: SocketAddr, encoder: SocketAddr, service: SocketAddr) -> String {
     let hash = hash_key(CALLER_KEY);
     let other = hash_key(OTHER_KEY);
@@ -269,7 +269,7 @@
 }
 
 impl Started {
-    /// Publishes objects on a version.
+    /// Publishes objects based on a version.
     pub async fn publish(&self, base: u64, text: &str) -> Answer {
         let request = PublishRequest {
             base: ConfigVersion(base),
@@ -299,7 +299,7 @@
         send(&self.client, request).await
     }
 
-    /// Asks for a key.
+    /// Requests a key.
     pub async fn issue(&self, token: &str) -> Answer {
         let request = Request::post(format!("http://{}/v1/keys", self.callers))
             .header("authorization", format!("Bearer {token}"));
@@ -324,7 +324,7 @@
     }
 
     pub async fn stop(self) -> bool {
-        // Idle connections are closed, so that the host does not wait for their time-out.
+        // Idle connections are closed, because the host would wait for their time-out.
         drop(self.client);
         self.stop.send_replace(true);
         tokio::time::timeout(Duration::from_secs(20), self.run)
@@ -334,7 +334,7 @@
     }
 }
 
-/// Returns the way to other hosts of a host that serves alone.
+/// Returns the peer settings of a single host.
 pub fn lone_peers() -> hollywheel_daemon::peers::PeerCaller {
     let (member, _) = hollywheel_daemon::peers::member_channel();
     hollywheel_daemon::peers::PeerCaller::new(member, Arc::default(), None)
