--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,24 @@
+//! Stand-ins and checks of the review's cases: `standins CASE FOLDER`.
+//!
+//! A case ends with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
+
+mod http;
+mod plain;
+mod silent_stream;
+mod store;
+mod trial;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let folder = arguments.get(2).map_or(".", String::as_str);
+    match arguments.get(1).map(String::as_str) {
+        Some("overlapping-run") => silent_stream::overlapping_run(folder),
+        Some("foreign-entry") => plain::foreign_entry(folder),
+        Some("cut-stream") => silent_stream::cut_stream(folder),
+        Some("long-idle-time") => plain::long_idle_time(folder),
+        _ => {
+            eprintln!("usage: standins CASE FOLDER");
+            std::process::exit(2)
+        }
+    }
+}
