--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //!
 //! A case ends with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod endless_body;
 mod http;
 mod plain;
 mod silent_stream;
@@ -15,6 +16,7 @@
         Some("overlapping-run") => silent_stream::overlapping_run(folder),
         Some("foreign-entry") => plain::foreign_entry(folder),
         Some("cut-stream") => silent_stream::cut_stream(folder),
+        Some("endless-body") => endless_body::endless_body(folder),
         Some("long-idle-time") => plain::long_idle_time(folder),
         _ => {
             eprintln!("usage: standins CASE FOLDER");
