review: a request that omits its last stage runs without its inputs

Cause: an omitted stage still counts as following the one before, so that its results are not passed on. The cases are renumbered, the gravest first; the case on a stream at two engines (TWICE), which has the cause of the cut stream, gives way.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-target/review/standins overlapping-run review/4
+target/review/standins cut-stream review/4
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 
 mod endless_body;
 mod http;
+mod omitted_stage;
 mod plain;
 mod silent_stream;
 mod store;
@@ -13,10 +14,10 @@
     let arguments: Vec<String> = std::env::args().collect();
     let folder = arguments.get(2).map_or(".", String::as_str);
     match arguments.get(1).map(String::as_str) {
-        Some("overlapping-run") => silent_stream::overlapping_run(folder),
+        Some("omitted-stage") => omitted_stage::omitted_stage(folder),
+        Some("endless-body") => endless_body::endless_body(folder),
         Some("foreign-entry") => plain::foreign_entry(folder),
         Some("cut-stream") => silent_stream::cut_stream(folder),
-        Some("endless-body") => endless_body::endless_body(folder),
         Some("long-idle-time") => plain::long_idle_time(folder),
         _ => {
             eprintln!("usage: standins CASE FOLDER");
