--- a/review/standins/endless_body.rs
+++ b/review/standins/endless_body.rs
@@ -16,7 +16,7 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const PAYMENTS: usize = 24;
 /// Streams, 36 a second as on the sheet.
-const STREAMS: usize = 48;
+const STREAMS: usize = 72;
 const STREAM_INTERVAL: Duration = Duration::from_millis(28);
 
 fn seal(id: &str) -> String {
