Derive the followers of a stage once, without omitted stages

Cause: the stage graph searched the dependencies of all stages, omitted ones included, to find whether anything needs the results of a stage. A stage that only omitted stages follow was neither final nor were its results released before the end of the request.

Evidence: the graph alone, without a gateway, has no final handles for the pieces 1,0,0,0.

--- a/crates/hollywheel-gateway/tests/stage_inputs.rs
+++ b/crates/hollywheel-gateway/tests/stage_inputs.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use support::{Fixture, RawStep, servers};
+use support::{Fixture, RawStep, config, request, send, servers};
 use tokio::time::sleep;
 
 /// An engine that still processes other prompts has read the inputs long before it sends its first
@@ -92,3 +92,39 @@
         "two pieces for each request: {input_lines:?}"
     );
 }
+
+/// Callers that omitted the last stage of a branch got answers that were made without the results
+/// of the stage before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_runs_without_results_because_it_omits_the_last_stage() {
+    let fixture = Fixture::start("inputs-omitted").await;
+    let stages = r#""stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":10},{"service":"stage","after":[0],"bytes":10},{"service":"stage","after":[1,2],"bytes":10}]"#;
+    let line = r#""stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":10}]"#;
+    fixture
+        .store
+        .set_config(&config(2, "k1").replace(line, stages));
+    sleep(Duration::from_millis(700)).await;
+    for (pieces, input_count) in [
+        ("2,1,3,1", 1),
+        ("2,1,3,0", 4),
+        ("2,0,3,0", 3),
+        ("2,1,0,0", 1),
+        ("2,0,0,0", 2),
+        ("0,1,0,0", 1),
+        ("0,0,0,0", 0),
+    ] {
+        let attempt = format!("omit-{pieces}");
+        let mut request = request("POST", "/draft/ok", &attempt, "k1");
+        request
+            .headers_mut()
+            .insert("pieces", pieces.parse().unwrap());
+        let response = send(fixture.caller_address, request).await.unwrap();
+        assert_eq!(response.status, 200, "{pieces}: {response:?}");
+        let lines = fixture.log.lines_with_prefix(&format!("ran {attempt} "));
+        let expected = format!(" inputs={input_count} ");
+        assert!(
+            lines.len() == 1 && lines[0].contains(&expected),
+            "{pieces}: {lines:?}"
+        );
+    }
+}
--- a/crates/hollywheel-serving/src/stage_graph.rs
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -36,8 +36,10 @@
 /// Tracks the stages of one request and their results.
 #[derive(Clone, Debug)]
 pub struct StageGraph {
-    /// The stages that each stage needs, without omitted ones.
+    /// The stages that each stage needs, without omitted ones. An omitted stage needs none.
     after: Vec<Vec<usize>>,
+    /// The stages that need the results of each stage, without omitted ones.
+    followers: Vec<Vec<usize>>,
     /// The number of pieces of each stage.
     pieces: Vec<usize>,
     states: Vec<StageState>,
@@ -66,12 +68,22 @@
             needed.dedup();
             after.push(needed);
         }
+        let mut followers: Vec<Vec<usize>> = vec![Vec::new(); steps.len()];
+        for (stage, needed) in after.iter_mut().enumerate() {
+            if counts[stage] == 0 {
+                needed.clear();
+            }
+            for earlier in needed {
+                followers[*earlier].push(stage);
+            }
+        }
         let states = counts.iter().map(|count| match count {
             0 => StageState::Omitted,
             _ => StageState::Pending,
         });
         Self {
             after,
+            followers,
             states: states.collect(),
             freed: vec![false; counts.len()],
             pieces: counts,
@@ -127,9 +139,10 @@
         &self.after[stage]
     }
 
-    /// Returns whether the results of a stage are an input of the final call.
+    /// Returns whether the results of a stage are an input of the final call: no other stage of
+    /// the request needs them.
     pub fn is_final(&self, stage: usize) -> bool {
-        !self.after.iter().any(|needed| needed.contains(&stage))
+        self.states[stage] != StageState::Omitted && self.followers[stage].is_empty()
     }
 
     /// Returns the input of the pieces of a stage.
@@ -154,10 +167,9 @@
         self.states[stage] = StageState::Done(handles);
         let mut unneeded = Vec::new();
         for earlier in 0..self.states.len() {
-            let users: Vec<usize> = (0..self.states.len())
-                .filter(|user| self.after[*user].contains(&earlier))
-                .collect();
-            let is_unneeded = !users.is_empty() && users.iter().all(|user| self.is_done(*user));
+            let followers = &self.followers[earlier];
+            let is_unneeded =
+                !followers.is_empty() && followers.iter().all(|user| self.is_done(*user));
             if is_unneeded && !self.freed[earlier] && self.is_done(earlier) {
                 self.freed[earlier] = true;
                 unneeded.extend(self.handles(earlier));
@@ -172,7 +184,7 @@
         states.all(|state| matches!(state, StageState::Done(_) | StageState::Omitted))
     }
 
-    /// Returns the results that are inputs of the final call: those that no stage uses.
+    /// Returns the results that are inputs of the final call: those of the final stages.
     pub fn final_handles(&self) -> Vec<PieceHandle> {
         (0..self.states.len())
             .filter(|stage| self.is_final(*stage))
@@ -200,9 +212,9 @@
 
     /// Returns the length of the critical path after a stage, from the given time of each stage.
     pub fn time_after(&self, stage: usize, times: &[Duration]) -> Duration {
-        let users = (0..self.after.len()).filter(|user| self.after[*user].contains(&stage));
-        users
-            .map(|user| times[user] + self.time_after(user, times))
+        let followers = self.followers[stage].iter();
+        followers
+            .map(|user| times[*user] + self.time_after(*user, times))
             .max()
             .unwrap_or_default()
     }
