Keep a silent stream open until another engine sends its next event

Cause: a stream was dropped after a silence of five times the pause objective, which is less than callers wait, and before another engine had accepted it.

Evidence: the engine of the case sees the close 1.25 s after its last event. Both tests of silent_streams fail before the change with a cut body.

Why it works: the stream is no longer dropped for its silence. Shortly before its caller would leave, another engine is asked beside it, and the first of the two that sends the next event is kept. If the other one refuses, closes or is silent, nothing has changed for the first.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -66,6 +66,7 @@
     DuplicateEvents, "HW7206", "A backend server that resumed a stream sent events again that the caller already has; they were dropped.", "request, server, events, after";
     DuplicateAnswer, "HW7207", "A backend server sent the results of an earlier call again; the duplicate answer was dropped and its connection closed.", "server, results";
     CrashingRefused, "HW7208", "A request was refused since it crashes backend servers.", "request, wait_ms";
+    StreamSilent, "HW7209", "A stream is silent; another backend server is asked to continue it while it stays open.", "request, server, silent_ms, after";
     LinesSuppressed, "HW7901", "Log lines were suppressed by the rate limit.", "count, event";
 }
 
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -27,7 +27,7 @@
 };
 use crate::server_limits::{PermittedChoice, choose_permitted};
 use crate::stage_client::unpaused_server;
-use crate::stage_run::{StageContext, StageFailure, run_stages};
+use crate::stage_run::{StageContext, StageFailure, run_stages, stage_times};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
 
 /// Load, as a multiple of an engine's slots, from which it gets no requests. An engine runs one
@@ -76,7 +76,7 @@
     reserved: Option<ServerId>,
     stage_runs: u32,
     /// Servers whose attempt failed.
-    pub(crate) excluded: Vec<ServerId>,
+    excluded: Vec<ServerId>,
     /// Number of servers tried, including those that were not reached.
     pub(crate) tries: u32,
     /// Server of the last attempt and its load when it was chosen.
@@ -244,10 +244,47 @@
                 // The inputs were released; they are produced again for another engine.
                 self.restart_stages();
             }
+            self.exclude(server);
+        }
+    }
+
+    /// Excludes a server from further attempts.
+    pub(crate) fn exclude(&mut self, server: ServerId) {
+        if !self.excluded.contains(&server) {
             self.excluded.push(server);
         }
     }
 
+    /// Prepares an attempt at another server while the stream of a silent one stays open; returns
+    /// what [`Self::cancel_other_attempt`] restores.
+    pub(crate) fn begin_other_attempt(&mut self, silent: &ServerId) -> Option<(ServerId, f64)> {
+        self.exclude(silent.clone());
+        self.chosen.clone()
+    }
+
+    /// Takes back what an attempt has left that was cancelled or has failed, while the stream of the
+    /// server before it stays open.
+    pub(crate) fn cancel_other_attempt(&mut self, chosen: Option<(ServerId, f64)>) {
+        // The server may have received the request that was being sent.
+        self.received_attempts += u32::from(std::mem::take(&mut self.sending));
+        self.chosen = chosen;
+        self.verdict = ExecutionVerdict::Ran;
+        self.reason = "";
+        self.restart_stages();
+    }
+
+    /// Returns the expected time until another engine sends the next event of the stream.
+    pub(crate) fn resume_time(&self) -> Duration {
+        let context = &self.context;
+        let times = stage_times(&self.host, &context.set, &context.pipeline, &self.graph);
+        let first_answer = self
+            .host
+            .forecast
+            .borrow()
+            .first_answer(&context.pipeline.name);
+        self.graph.time_left(&times) + first_answer
+    }
+
     /// Refuses the request before its stages run if every engine has asked for a pause.
     fn check_pool_pause(&mut self) -> Result<(), OpenFailure> {
         if self.host.pool_pause(&self.context.pool).is_none() {
@@ -550,11 +587,7 @@
         let headers = hollywheel_adapter::caller_response_headers(&open.answer.headers);
         let status = open.answer.status;
         let host = self.host.clone();
-        let state = ForwardState {
-            job: self,
-            stream: Some(open),
-            tolerates_silence: false,
-        };
+        let state = ForwardState::new(self, open);
         let chunks = stream::unfold(state, |mut state| async move {
             let chunk = state.next().await?;
             Some((chunk, state))
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -1,6 +1,7 @@
 //! Forwards the complete events of a stream, and resumes a broken stream at another engine.
 
 use std::io;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,19 +10,23 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::EventSplitter;
-use hollywheel_types::ExecutionVerdict;
+use hollywheel_types::{ExecutionVerdict, MonoTime};
 
+use crate::log::{log_line, millis};
 use crate::respond::RequestOutcome;
 use crate::server_attempt::{AttemptFailure, OpenAnswer, record_attempt_failure};
 use crate::stream_call::StreamJob;
 
-/// Multiple of the objective for pauses between events after which a silent resumable stream is
-/// moved to another engine; callers disconnect after eight times the objective.
+/// Shortest time reserved for another engine to continue a silent stream before its caller leaves.
+const MIN_RESUME_TIME: Duration = Duration::from_millis(400);
+/// Multiple of the objective for pauses between events for which a stream may always be silent
+/// before another engine is asked to continue it.
 const SILENCE_FACTOR: u32 = 5;
-/// Shortest silence after which a stream is moved, however small its objective.
+/// Shortest silence after which another engine is asked, however small that objective.
 const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
-const SILENT_OR_EXPIRED: &str = "the stream was silent too long or reached its deadline";
+const EXPIRED: &str = "the stream reached its deadline";
+const SILENT: &str = "the stream was silent and another engine has continued it";
 
 /// A stream that an engine is sending.
 pub(crate) struct OpenStream {
@@ -120,14 +125,34 @@
 /// State of a stream that is forwarded to its caller, and resumed at another engine where the
 /// pipeline allows it.
 pub(crate) struct ForwardState {
-    pub(crate) job: StreamJob,
-    pub(crate) stream: Option<OpenStream>,
-    /// Whether silence is accepted up to the deadline, since no other engine can resume the
-    /// stream.
-    pub(crate) tolerates_silence: bool,
+    job: StreamJob,
+    stream: Option<OpenStream>,
+    /// When the last complete event was read.
+    last_event_at: MonoTime,
+    /// Whether another engine was asked to continue the stream since the last event.
+    asked_other: bool,
+}
+
+/// Result of waiting for the next event of a silent stream and for another engine that continues it.
+enum SilenceEnd {
+    /// The stream goes on with these events, or has ended.
+    Events(Option<Bytes>),
+    /// Another engine has sent the next event.
+    Continued(Box<OpenStream>),
+    /// The stream broke, and no other engine continues it.
+    Failed(StreamFailure),
 }
 
 impl ForwardState {
+    pub(crate) fn new(job: StreamJob, stream: OpenStream) -> Self {
+        Self {
+            last_event_at: job.host.now(),
+            job,
+            stream: Some(stream),
+            asked_other: false,
+        }
+    }
+
     /// Returns the next bytes for the caller. An error closes the connection, so that the caller
     /// does not take a truncated answer for a complete one.
     pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
@@ -141,26 +166,9 @@
                 self.finish();
                 return None;
             }
-            let limit = self.read_limit();
-            if limit.is_zero() {
-                // `timeout` polls the read first, so a stream that always has data would never
-                // time out below.
-                self.job.reason = SILENT_OR_EXPIRED;
-            } else {
-                let read = timeout(limit, self.stream.as_mut()?.read_events()).await;
-                self.job.reason = match read {
-                    Ok(Ok(chunk)) => {
-                        self.stream.as_mut()?.chunk = chunk;
-                        self.tolerates_silence = false;
-                        continue;
-                    }
-                    Ok(Err(failure)) => failure.name(),
-                    Err(_) if self.should_keep_waiting() => {
-                        self.tolerates_silence = true;
-                        continue;
-                    }
-                    Err(_) => SILENT_OR_EXPIRED,
-                };
+            match self.read_next().await {
+                Ok(()) => continue,
+                Err(reason) => self.job.reason = reason,
             }
             if let Err(error) = self.continue_stream().await {
                 return Some(Err(error));
@@ -168,31 +176,178 @@
         }
     }
 
-    /// Records the id of the last event in a chunk, after which the stream can resume.
-    fn record_last_event(&mut self, chunk: &[u8]) {
-        let events = EventSplitter::new().take(chunk).into_iter().rev();
-        let id = events.filter_map(|event| event.id).next();
-        self.job.last_event = id.or(self.job.last_event);
+    /// Reads the next events, however long the engine is silent: only the caller knows when to
+    /// give up. Shortly before it would, another engine is asked to continue the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the stream broke or reached its deadline.
+    async fn read_next(&mut self) -> Result<(), &'static str> {
+        let time_left = self.time_left();
+        // `timeout` polls the read first, so a stream that always has data would never time out.
+        if time_left.is_zero() {
+            return Err(EXPIRED);
+        }
+        let silence = self.silence_before_asking();
+        let wait = silence.map_or(time_left, |silence| silence.min(time_left));
+        let Some(stream) = self.stream.as_mut() else {
+            return Err(EXPIRED);
+        };
+        if let Ok(read) = timeout(wait, stream.read_events()).await {
+            let chunk = read.map_err(StreamFailure::name)?;
+            self.store_events(chunk);
+            return Ok(());
+        }
+        if !self.time_left().is_zero() {
+            self.asked_other = true;
+            if self.may_ask_other() {
+                return self.race_other().await;
+            }
+        }
+        Ok(())
     }
 
-    /// Returns how long to wait for the next event.
-    fn read_limit(&self) -> Duration {
+    fn store_events(&mut self, chunk: Option<Bytes>) {
+        if let Some(stream) = self.stream.as_mut() {
+            stream.chunk = chunk;
+        }
+        self.last_event_at = self.job.host.now();
+        self.asked_other = false;
+    }
+
+    fn time_left(&self) -> Duration {
+        let job = &self.job;
+        job.context.deadline.since(job.host.now())
+    }
+
+    /// Returns how much longer the stream may be silent before another engine is asked to continue
+    /// it; none if no engine is asked.
+    fn silence_before_asking(&self) -> Option<Duration> {
         let context = &self.job.context;
-        let time_left = context.deadline.since(self.job.host.now());
-        if !context.pipeline.resumable || self.tolerates_silence {
-            return time_left;
+        if self.asked_other || !context.pipeline.resumable {
+            return None;
         }
+        let caller_wait = context.pipeline.stream_event_timeout()?;
+        let caller_leaves = (self.last_event_at + caller_wait).min(context.deadline);
+        let resume_time = self.job.resume_time().max(MIN_RESUME_TIME);
+        let latest = caller_leaves.since(self.last_event_at + resume_time);
         let pause = context.pipeline.pause_objective.unwrap_or_default();
-        time_left.min((pause * SILENCE_FACTOR).max(MIN_SILENCE))
+        let silence = latest.max(pause * SILENCE_FACTOR).max(MIN_SILENCE);
+        Some((self.last_event_at + silence).since(self.job.host.now()))
     }
 
-    /// Returns whether to wait longer for a silent stream, which may just be slow: the deadline
-    /// has not passed and no other engine can resume it.
-    fn should_keep_waiting(&self) -> bool {
-        let job = &self.job;
-        let in_time = job.host.now() < job.context.deadline;
+    /// Returns whether another engine can be asked to continue the stream. Takes one unit of the
+    /// pool's retry budget.
+    fn may_ask_other(&mut self) -> bool {
+        let job = &mut self.job;
         let server = self.stream.as_ref().map(|stream| &stream.answer.server);
-        in_time && server.is_some_and(|server| !job.can_continue(server))
+        let can_continue = server.is_some_and(|server| job.can_continue(server));
+        can_continue && job.last_event.is_some() && job.may_retry()
+    }
+
+    /// Asks another engine to continue a silent stream, and keeps whichever of the two engines
+    /// sends the next event first. The silent engine may be sound, so its stream is dropped only
+    /// then.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if both streams failed or the deadline passed.
+    async fn race_other(&mut self) -> Result<(), &'static str> {
+        let time_left = self.time_left();
+        let waited = self.job.host.now().since(self.last_event_at);
+        let Some(stream) = self.stream.as_mut() else {
+            return Err(EXPIRED);
+        };
+        let job = &mut self.job;
+        let silent = stream.answer.server.clone();
+        log_line!(
+            job.host,
+            info,
+            StreamSilent,
+            request = job.context.head.attempt,
+            server = %silent,
+            silent_ms = millis(waited),
+            after = job.last_event
+        );
+        let chosen = job.begin_other_attempt(&silent);
+        let race = async {
+            let mut reading = pin!(stream.read_events());
+            let mut opening = pin!(job.open());
+            let (mut failure, mut is_refused) = (None, false);
+            loop {
+                tokio::select! {
+                    biased;
+                    read = reading.as_mut(), if failure.is_none() => match read {
+                        Ok(chunk) => return SilenceEnd::Events(chunk),
+                        Err(broken) => failure = Some(broken),
+                    },
+                    opened = opening.as_mut(), if !is_refused => match opened {
+                        Ok(other) => return SilenceEnd::Continued(Box::new(other)),
+                        Err(_) => is_refused = true,
+                    },
+                }
+                if let (Some(failure), true) = (failure, is_refused) {
+                    return SilenceEnd::Failed(failure);
+                }
+            }
+        };
+        let ended = timeout(time_left, race).await;
+        match ended {
+            Ok(SilenceEnd::Continued(other)) => {
+                self.job.reason = SILENT;
+                self.drop_stream();
+                self.job.reason = "";
+                self.stream = Some(*other);
+                self.last_event_at = self.job.host.now();
+                self.asked_other = false;
+                Ok(())
+            }
+            Ok(SilenceEnd::Events(chunk)) => {
+                self.job.cancel_other_attempt(chosen);
+                self.store_events(chunk);
+                Ok(())
+            }
+            Ok(SilenceEnd::Failed(failure)) => {
+                self.job.cancel_other_attempt(chosen);
+                Err(failure.name())
+            }
+            Err(_) => {
+                self.job.cancel_other_attempt(chosen);
+                Err(EXPIRED)
+            }
+        }
+    }
+
+    /// Records the id of the last event in a chunk, after which the stream can resume.
+    fn record_last_event(&mut self, chunk: &[u8]) {
+        let events = EventSplitter::new().take(chunk).into_iter().rev();
+        let id = events.filter_map(|event| event.id).next();
+        self.job.last_event = id.or(self.job.last_event);
+    }
+
+    /// Closes the stream of an engine that broke it off or was silent, and records the failure.
+    fn drop_stream(&mut self) {
+        let Some(broken) = self.stream.take() else {
+            return;
+        };
+        let job = &mut self.job;
+        let failure = AttemptFailure {
+            verdict: ExecutionVerdict::MayHaveRun,
+            received: true,
+            lost_server: false,
+            reason: job.reason,
+        };
+        let server = broken.answer.server.clone();
+        let sent_at = broken.answer.sent_at;
+        record_attempt_failure(
+            &job.host,
+            &job.context,
+            &server,
+            job.tries,
+            &failure,
+            sent_at,
+        );
+        job.exclude(server);
     }
 
     /// Resumes a broken stream after its last event, or ends the answer.
@@ -201,31 +356,14 @@
     ///
     /// Returns an error if the stream cannot be resumed; the answer is then incomplete.
     async fn continue_stream(&mut self) -> io::Result<()> {
+        self.drop_stream();
+        let time_left = self.time_left();
         let job = &mut self.job;
-        if let Some(broken) = self.stream.take() {
-            let failure = AttemptFailure {
-                verdict: ExecutionVerdict::MayHaveRun,
-                received: true,
-                lost_server: false,
-                reason: job.reason,
-            };
-            let server = broken.answer.server.clone();
-            let sent_at = broken.answer.sent_at;
-            record_attempt_failure(
-                &job.host,
-                &job.context,
-                &server,
-                job.tries,
-                &failure,
-                sent_at,
-            );
-            job.excluded.push(server);
-        }
-        let time_left = job.context.deadline.since(job.host.now());
         let resumes = job.last_event.is_some() && !time_left.is_zero() && job.may_retry();
         if resumes && let Ok(Ok(stream)) = timeout(time_left, job.open()).await {
             self.stream = Some(stream);
-            self.tolerates_silence = false;
+            self.last_event_at = self.job.host.now();
+            self.asked_other = false;
             return Ok(());
         }
         job.verdict = ExecutionVerdict::MayHaveRun;
