Bound the memory of all bodies together

Other operators report hosts that ran out of memory, and lost all their requests, because a faulty server sent bytes without end.

Cause: a body had a limit in bytes of content only. Its frames were kept as they came, each with many times its size when it is small, and the limit held for each body alone.

A body may grow while it is not larger than what is left, so endless bodies leave room for sound ones. A caller's request that finds no memory is refused with 503, since it has not run.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -23,6 +23,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::follow::ReaderRole;
 use crate::log::{LogLimiter, log_line, millis};
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::HostMetrics;
 use crate::peer_client::PeerClient;
 use crate::results::ReleaseQueue;
@@ -72,6 +73,8 @@
     /// Queueing delays last reported by the coordinators of pools.
     pub(crate) pool_waits: RefCell<SortedMap<PoolId, ShardWaits>>,
     pub(crate) connections: ConnectionPool,
+    /// Memory for bodies of callers and backend servers.
+    pub(crate) body_memory: MemoryBudget,
     pub(crate) coordinator: BatchCoordinator,
     pub(crate) peers: PeerClient,
     /// Stage results that wait to be freed.
@@ -144,6 +147,7 @@
             patience: RefCell::default(),
             pool_waits: RefCell::default(),
             connections: ConnectionPool::default(),
+            body_memory: MemoryBudget::new(settings.limits.memory_mb),
             coordinator: BatchCoordinator::default(),
             peers: PeerClient::default(),
             release_queue: ReleaseQueue::default(),
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod host_rows;
 mod limited_body;
 mod log;
+mod memory_budget;
 mod metrics;
 mod peer_client;
 mod peer_server;
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -1,16 +1,17 @@
 //! Reads bodies up to a size limit, to bound the memory that a peer can make this process use.
 
 use std::cell::Cell;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::time::timeout;
 
-/// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes;
-/// the smallest supported host (160 MB) can hold thirty answers of this size.
+use crate::memory_budget::{MemoryBudget, MemoryShare};
+
+/// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes.
 pub(crate) const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
 /// Maximum size of the answer to a batched stage call, in bytes. A result takes less than 100
 /// bytes, and a call has some hundred.
@@ -34,6 +35,8 @@
     Broken,
     /// Nothing arrived for too long.
     Stalled,
+    /// Other bodies take the memory that the body needs.
+    NoMemory,
 }
 
 impl BodyFailure {
@@ -42,6 +45,7 @@
             Self::TooLarge => "the body exceeds the size limit",
             Self::Broken => "the body is truncated",
             Self::Stalled => "the body stopped arriving",
+            Self::NoMemory => "the memory for bodies is used up",
         }
     }
 }
@@ -55,11 +59,38 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyFailure::TooLarge),
-        Err(_) => Err(BodyFailure::Broken),
+    let mut collected = Vec::new();
+    let mut body = pin!(body);
+    while let Some(data) = next_data(body.as_mut()).await? {
+        append(&mut collected, &data, limit, None)?;
+    }
+    Ok(Bytes::from(collected))
+}
+
+/// Reads a body completely within the memory that all bodies share. The returned bytes count
+/// towards it until they are dropped.
+///
+/// # Errors
+///
+/// Returns [`BodyFailure`] if the body exceeds `limit` bytes or the memory, or is truncated.
+pub(crate) async fn collect_within<B>(
+    body: B,
+    limit: usize,
+    memory: &MemoryBudget,
+) -> Result<Bytes, BodyFailure>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
+    let mut share = memory.share();
+    let mut collected = Vec::new();
+    let mut body = pin!(body);
+    while let Some(data) = next_data(body.as_mut()).await? {
+        append(&mut collected, &data, limit, Some(&mut share))?;
     }
+    collected.shrink_to_fit();
+    // A share may always shrink.
+    let _ = share.resize(collected.len());
+    Ok(share.hold(collected))
 }
 
 /// Reads a body completely as long as it makes progress: it fails once nothing has arrived for
@@ -77,21 +108,50 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
+    let mut collected = Vec::new();
     let mut body = pin!(body);
-    let mut collected = BytesMut::new();
     loop {
-        let frame = timeout(stall_time, body.as_mut().frame()).await;
-        let Some(frame) = frame.map_err(|_| BodyFailure::Stalled)? else {
-            return Ok(collected.freeze());
-        };
-        let frame = frame.map_err(|_| BodyFailure::Broken)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
+        let data = timeout(stall_time, next_data(body.as_mut())).await;
+        let Some(data) = data.map_err(|_| BodyFailure::Stalled)?? else {
+            return Ok(Bytes::from(collected));
         };
         received.set(received.get() + data.len());
-        if received.get() > limit {
-            return Err(BodyFailure::TooLarge);
+        append(&mut collected, &data, limit, None)?;
+    }
+}
+
+/// Returns the next data of a body; none at its end.
+async fn next_data<B>(mut body: Pin<&mut B>) -> Result<Option<Bytes>, BodyFailure>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
+    while let Some(frame) = body.as_mut().frame().await {
+        let frame = frame.map_err(|_| BodyFailure::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// Appends data to a body. The data is copied: a frame of one byte keeps a buffer of kilobytes.
+fn append(
+    collected: &mut Vec<u8>,
+    data: &Bytes,
+    limit: usize,
+    share: Option<&mut MemoryShare>,
+) -> Result<(), BodyFailure> {
+    let length = collected.len() + data.len();
+    if length > limit {
+        return Err(BodyFailure::TooLarge);
+    }
+    if length > collected.capacity() {
+        let capacity = length.max(2 * collected.capacity()).min(limit);
+        if share.is_some_and(|share| !share.resize(capacity)) {
+            return Err(BodyFailure::NoMemory);
         }
-        collected.extend_from_slice(&data);
+        collected.reserve_exact(capacity - collected.len());
     }
+    collected.extend_from_slice(data);
+    Ok(())
 }
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -144,7 +144,9 @@
             BodyFailure::Stalled => PeerFailure::TimedOut {
                 received: received.get(),
             },
-            BodyFailure::TooLarge | BodyFailure::Broken => PeerFailure::Broken,
+            BodyFailure::TooLarge | BodyFailure::NoMemory | BodyFailure::Broken => {
+                PeerFailure::Broken
+            }
         })
     }
 
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -12,7 +12,7 @@
 use crate::body::AnswerBody;
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
 use crate::host::{Host, StopPhase};
-use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_body};
+use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::server_attempt::{AttemptExtras, AttemptFailure, record_attempt_failure, send_attempt};
@@ -226,7 +226,7 @@
     record: &ServerRecord,
 ) -> Result<WholeAnswer, AttemptFailure> {
     let mut answer = send_attempt(host, context, server, record, AttemptExtras::default()).await?;
-    let body = collect_body(&mut answer.body, ANSWER_LIMIT);
+    let body = collect_within(&mut answer.body, ANSWER_LIMIT, &host.body_memory);
     let body = body.await.map_err(|failure| AttemptFailure {
         verdict: ExecutionVerdict::MayHaveRun,
         received: true,
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -18,7 +18,8 @@
 
 use crate::body::AnswerBody;
 use crate::host::{Host, HostState};
-use crate::limited_body::{BodyFailure, collect_body};
+use crate::limited_body::{BodyFailure, collect_within};
+use crate::memory_budget::MemoryBudget;
 use crate::plain_call::call_plain;
 use crate::respond::{RequestEnd, answer_locally, record_request_end};
 use crate::stream_call::call_stream;
@@ -28,6 +29,9 @@
 const NO_CONFIG_BACKOFF: Duration = Duration::from_millis(500);
 /// `Retry-After` of a request that this host cannot end before it stops; other hosts serve it.
 const STOP_BACKOFF: Duration = Duration::from_millis(100);
+/// `Retry-After` of a request whose body finds no memory; bodies that take it end within this time,
+/// and other hosts have their own.
+const NO_MEMORY_BACKOFF: Duration = Duration::from_millis(300);
 /// Part of the caller's time reserved for the answer's way back: the one-way network delay to
 /// callers and the transfer of the answer itself.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
@@ -133,12 +137,13 @@
     TooLarge,
     BadBody,
     SlowBody,
+    NoMemory,
 }
 
 impl Rejection {
     const fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::Stopping | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadKey => StatusCode::UNAUTHORIZED,
@@ -157,6 +162,7 @@
             Self::TooLarge => "the body exceeds the size limit",
             Self::BadBody => "the body could not be read",
             Self::SlowBody => "the body did not arrive before the deadline",
+            Self::NoMemory => "the memory for bodies is used up",
         }
     }
 }
@@ -203,6 +209,7 @@
     let retry_after = match rejection {
         Rejection::NoConfig => Some(NO_CONFIG_BACKOFF),
         Rejection::Stopping => Some(STOP_BACKOFF),
+        Rejection::NoMemory => Some(NO_MEMORY_BACKOFF),
         _ => None,
     };
     answer_locally(host, attempt_id, status, retry_after)
@@ -236,7 +243,11 @@
     let time_budget = time_budget
         .saturating_sub(RETURN_MARGIN)
         .min(pipeline.timeout);
-    let body = timeout(time_budget, read_body(body, set.limits.body_bytes)).await;
+    let body = timeout(
+        time_budget,
+        read_body(body, set.limits.body_bytes, &host.body_memory),
+    )
+    .await;
     let body = body.map_err(|_| Rejection::SlowBody)??;
     check_stop(host, &pipeline, host.now())?;
     let tie_breaker = host.next_tie_breaker();
@@ -333,11 +344,16 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
-    let body = collect_body(body, limit).await;
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    memory: &MemoryBudget,
+) -> Result<Bytes, Rejection> {
+    let body = collect_within(body, limit, memory).await;
     body.map_err(|failure| match failure {
         BodyFailure::TooLarge => Rejection::TooLarge,
         BodyFailure::Broken => Rejection::BadBody,
         BodyFailure::Stalled => Rejection::SlowBody,
+        BodyFailure::NoMemory => Rejection::NoMemory,
     })
 }
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -14,7 +14,7 @@
 use crate::connection_pool::{ActiveConnection, SendFailure};
 use crate::crash_evidence::{record_answer, shared_parts};
 use crate::host::{Host, HostState};
-use crate::limited_body::{SMALL_LIMIT, collect_body};
+use crate::limited_body::{SMALL_LIMIT, collect_within};
 use crate::log::{log_line, millis};
 use crate::request::RequestContext;
 use crate::server_limits::note_response_limit;
@@ -194,7 +194,7 @@
     if !facts.names_attempt {
         return;
     }
-    let read = collect_body(answer.into_body(), SMALL_LIMIT);
+    let read = collect_within(answer.into_body(), SMALL_LIMIT, &host.body_memory);
     let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await;
     if matches!(read, Ok(Ok(_))) {
         host.connections.give_back(connection, facts.idle_time);
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -14,7 +14,7 @@
 use crate::connection_pool::SendFailure;
 use crate::crash_evidence::record_answer;
 use crate::host::Host;
-use crate::limited_body::{BodyFailure, PIECES_LIMIT, SMALL_LIMIT, collect_body};
+use crate::limited_body::{BodyFailure, PIECES_LIMIT, SMALL_LIMIT, collect_within};
 use crate::log::log_line;
 use crate::server_limits::{note_response_limit, take_permit};
 
@@ -81,10 +81,12 @@
     if answer.status() != StatusCode::OK {
         return CallOutcome::Failed;
     }
-    let body = match collect_body(answer.into_body(), PIECES_LIMIT).await {
+    let body = match collect_within(answer.into_body(), PIECES_LIMIT, &host.body_memory).await {
         Ok(body) => body,
         Err(BodyFailure::Broken) => return CallOutcome::ServerLost,
-        Err(BodyFailure::Stalled | BodyFailure::TooLarge) => return CallOutcome::Failed,
+        Err(BodyFailure::Stalled | BodyFailure::TooLarge | BodyFailure::NoMemory) => {
+            return CallOutcome::Failed;
+        }
     };
     record_answer(host, server, &record, sent_at);
     let results = match hollywheel_adapter::decode_stage_results(&body) {
@@ -200,7 +202,8 @@
         let said = facts.limit.trusted_if(is_genuine);
         note_response_limit(host, server, said, sent_at);
         let status = answer.status();
-        collect_body(answer.into_body(), SMALL_LIMIT).await.ok()?;
+        let body = collect_within(answer.into_body(), SMALL_LIMIT, &host.body_memory);
+        body.await.ok()?;
         if status != StatusCode::OK {
             // A late duplicate of this rejection names no request, so it would look like the rejection
             // of the next one on the connection.
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -17,7 +17,7 @@
 use crate::body::AnswerBody;
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
 use crate::host::{Host, StopPhase};
-use crate::limited_body::{ANSWER_LIMIT, collect_body};
+use crate::limited_body::{ANSWER_LIMIT, collect_within};
 use crate::log::log_line;
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
@@ -516,7 +516,7 @@
             last_event: self.last_event,
         };
         let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
-        let mut open = OpenStream::new(answer, self.last_event);
+        let mut open = OpenStream::new(answer, self.last_event, self.host.body_memory.share());
         if open.answer.status.is_success() {
             open.chunk = open.read_events().await.map_err(|failure| AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
@@ -524,7 +524,7 @@
                 lost_server: failure == StreamFailure::Broken,
                 reason: match failure {
                     StreamFailure::Broken => "the stream ended before its first event",
-                    StreamFailure::Overlong => failure.name(),
+                    StreamFailure::Overlong | StreamFailure::NoMemory => failure.name(),
                 },
             })?;
         }
@@ -569,7 +569,7 @@
             body,
             ..
         } = answer;
-        match collect_body(body, ANSWER_LIMIT).await {
+        match collect_within(body, ANSWER_LIMIT, &self.host.body_memory).await {
             Ok(body) => {
                 let headers = hollywheel_adapter::caller_response_headers(&headers);
                 OpenFailure::Whole(Box::new(WholeAnswer {
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -13,6 +13,7 @@
 use hollywheel_types::{ExecutionVerdict, MonoTime};
 
 use crate::log::{log_line, millis};
+use crate::memory_budget::MemoryShare;
 use crate::respond::RequestOutcome;
 use crate::server_attempt::{AttemptFailure, OpenAnswer, record_attempt_failure};
 use crate::stream_call::StreamJob;
@@ -32,6 +33,8 @@
 pub(crate) struct OpenStream {
     pub(crate) answer: OpenAnswer,
     cutter: EventSplitter,
+    /// Memory of the incomplete event.
+    share: MemoryShare,
     /// Last event that the caller has received; events up to it are not forwarded again.
     after: Option<u64>,
     /// Number of events dropped because the caller had already received them.
@@ -52,6 +55,8 @@
     Broken,
     /// An event exceeds the maximum event size.
     Overlong,
+    /// Other bodies take the memory that an event needs.
+    NoMemory,
 }
 
 impl StreamFailure {
@@ -59,12 +64,13 @@
         match self {
             Self::Broken => "the stream ended early",
             Self::Overlong => "an event of the stream exceeds the size limit",
+            Self::NoMemory => "the memory for bodies is used up",
         }
     }
 }
 
 impl OpenStream {
-    pub(crate) fn new(answer: OpenAnswer, after: Option<u64>) -> Self {
+    pub(crate) fn new(answer: OpenAnswer, after: Option<u64>, share: MemoryShare) -> Self {
         let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         Self {
             ends_at_close: !length_headers
@@ -72,6 +78,7 @@
                 .any(|name| answer.headers.contains_key(name)),
             answer,
             cutter: EventSplitter::new(),
+            share,
             after,
             repeated: 0,
             chunk: None,
@@ -111,6 +118,9 @@
             if self.cutter.is_overlong() {
                 return Err(StreamFailure::Overlong);
             }
+            if !self.share.resize(self.cutter.rest().len()) {
+                return Err(StreamFailure::NoMemory);
+            }
             let count = events.len();
             events.retain(|event| event.id.is_none() || event.id > self.after);
             self.repeated += count - events.len();
--- /dev/null
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -0,0 +1,135 @@
+//! Checks a host whose backend servers send bytes without end: other requests are served in time, and
+//! memory is bounded.
+
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
+mod support;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use support::{Fixture, RawRequest, RawStep, config, request, send};
+use tokio::time::sleep;
+
+/// Memory that endless answers may take beyond that of a calm host, in kilobytes.
+const MAX_GROWTH_KB: u64 = 32 * 1024;
+
+/// Memory is measured for the whole process, so its tests run one after the other.
+static MEASUREMENT: Mutex<()> = Mutex::new(());
+
+/// Returns the resident memory of this process, in kilobytes.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let size = line.unwrap().split_whitespace().nth(1).unwrap();
+    size.parse().unwrap()
+}
+
+/// Answers with a head and then repeats bytes until the gateway closes the connection.
+fn endless(request: &RawRequest, head: &str, bytes: &[u8]) -> Vec<RawStep> {
+    let attempt = request.header("attempt-id");
+    let head = head.replace("ATTEMPT", &attempt);
+    let repeated = bytes.repeat(16 * 1024 / bytes.len());
+    vec![
+        RawStep::Send(head.into_bytes()),
+        RawStep::Repeat(repeated, Duration::ZERO),
+    ]
+}
+
+/// Head of a chunked answer.
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nattempt-id: ATTEMPT\r\nresponse-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Returns what a server repeats, by the last segment of the path.
+fn script(request: &RawRequest) -> Vec<RawStep> {
+    match request.path.rsplit('/').next().unwrap_or("") {
+        "bytes" => endless(request, CHUNKED, b"1\r\nx\r\n"),
+        "chunks" => endless(
+            request,
+            CHUNKED,
+            &[b"1000\r\n", &[b'x'; 4096][..], b"\r\n"].concat(),
+        ),
+        _ => vec![RawStep::Send(request.response(
+            "200 OK",
+            "",
+            "id: 1\ndata: a\n\n",
+        ))],
+    }
+}
+
+/// Starts a gateway whose callers wait for 8 s.
+async fn start(name: &str) -> Fixture {
+    let fixture = Fixture::start(name).await;
+    let patient = config(2, "k1").replace("\"timeout-ms\":4000", "\"timeout-ms\":8000");
+    fixture.store.set_config(&patient);
+    fixture
+}
+
+/// Sends requests at once that are answered without end; returns tasks that end with them.
+fn begin_calls(
+    fixture: &Fixture,
+    path: &str,
+    count: usize,
+) -> Vec<tokio::task::JoinHandle<Option<u16>>> {
+    let calls = (0..count).map(|number| {
+        let mut request = request("POST", path, &format!("{path}-{number}"), "k1");
+        let headers = request.headers_mut();
+        headers.insert("deadline-ms", "8000".parse().unwrap());
+        let address = fixture.caller_address;
+        tokio::spawn(async move {
+            send(address, request)
+                .await
+                .ok()
+                .map(|answer| answer.status)
+        })
+    });
+    calls.collect()
+}
+
+/// Runs calls that are answered without end; returns by how much the memory grew at most, in
+/// kilobytes.
+async fn measure_growth(fixture: &Fixture, path: &str, count: usize) -> u64 {
+    let calm = resident_kb();
+    let has_ended = AtomicBool::new(false);
+    let observe = async {
+        let mut peak = calm;
+        while !has_ended.load(Ordering::Relaxed) {
+            peak = peak.max(resident_kb());
+            sleep(Duration::from_millis(10)).await;
+        }
+        peak
+    };
+    let calls = async {
+        for call in begin_calls(fixture, path, count) {
+            call.await.unwrap();
+        }
+        has_ended.store(true, Ordering::Relaxed);
+    };
+    let (peak, ()) = tokio::join!(observe, calls);
+    peak - calm
+}
+
+/// A host ran out of memory when a server answered in chunks of one byte without end: each chunk was
+/// kept with many times its size.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_byte_chunks_exhaust_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-chunks").await;
+    let slow = config(3, "k1").replace("\"timeout-ms\":1500", "\"timeout-ms\":8000");
+    fixture.store.set_config(&slow);
+    fixture.replace_pool("plain", script).await;
+    let growth = measure_growth(&fixture, "/pay/bytes", 12).await;
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+}
+
+/// A host ran out of memory when a server answered many requests at once without end, although
+/// each answer alone was within its limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_endless_answers_exhaust_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-answers").await;
+    fixture.replace_pool("plain", script).await;
+    let growth = measure_growth(&fixture, "/pay/chunks", 96).await;
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    let after = fixture.call("POST", "/pay/ok", "after").await;
+    assert_eq!(after.status, 200, "{after:?}");
+}
