Bound the framing bytes of answers, and the bytes read in one poll

Cause: the HTTP library parses framing for as long as reads return bytes, megabytes in one poll of the only thread, and nothing bounded framing, since limits count content.

Evidence: endless_framing_bytes_hold_up_other_requests fails before the change at the first payment.

Why it works: a connection yields to other tasks after 16 kB, and fails after 256 kB without content, or when framing exceeds 16 bytes for each byte of content. A sound answer in one-byte chunks has 6.

--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -14,6 +14,7 @@
 
 use crate::connect::accept;
 use crate::host::{Host, StopPhase};
+use crate::metered_stream::MeteredStream;
 use crate::request::answer_request;
 
 /// Time for which an idle connection is kept beyond the callers' own idle time-out, so that a
@@ -67,7 +68,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(MeteredStream::yielding(stream)), service);
     let ended = tokio::select! {
         ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended,
         () = host.wait_for_stop(StopPhase::Closing) => {
@@ -76,7 +77,7 @@
         }
     };
     drop(guard);
-    let stream = connection.into_parts().io.into_inner();
+    let stream = connection.into_parts().io.into_inner().into_inner();
     // Other errors just end the connection; an affected request logs its own end.
     let is_refused = ended.is_err_and(|error| error.is_parse());
     close_connection(stream, is_refused).await;
--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -2,12 +2,12 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
@@ -16,6 +16,7 @@
 use hollywheel_types::{ServerId, SortedMap};
 
 use crate::connect::connect;
+use crate::metered_stream::{MeteredBody, MeteredStream, ReadMeter};
 
 /// Time-out of connecting. A server on the same network accepts within milliseconds; one that is
 /// down or unreachable never does.
@@ -52,6 +53,7 @@
 
 struct IdleConnection {
     sender: SendRequest<CallBody>,
+    meter: Rc<ReadMeter>,
     address: SocketAddr,
     usable_until: Instant,
     seen_results: Vec<PieceHandle>,
@@ -66,6 +68,7 @@
 /// A connection with a request in flight. Dropping it closes the connection.
 pub(crate) struct ActiveConnection {
     sender: SendRequest<CallBody>,
+    meter: Rc<ReadMeter>,
     server: ServerId,
     address: SocketAddr,
     /// Recent results received on the connection, oldest first.
@@ -88,9 +91,13 @@
     async fn send(
         mut self,
         request: Request<CallBody>,
-    ) -> Result<(Response<Incoming>, Self), SendFailure> {
+    ) -> Result<(Response<MeteredBody>, Self), SendFailure> {
+        self.meter.restart();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, self)),
+            Ok(response) => {
+                let meter = Rc::clone(&self.meter);
+                Ok((response.map(|body| MeteredBody::new(body, meter)), self))
+            }
             // The error contains the request only if none of it was sent.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
@@ -111,7 +118,7 @@
         server: &ServerId,
         address: SocketAddr,
         request: Request<CallBody>,
-    ) -> Result<(Response<Incoming>, ActiveConnection), SendFailure> {
+    ) -> Result<(Response<MeteredBody>, ActiveConnection), SendFailure> {
         let connection = match self.take_idle(server, address) {
             Some(connection) => connection,
             None => self.open(server, address).await?,
@@ -130,7 +137,7 @@
         server: &ServerId,
         address: SocketAddr,
         request: Request<CallBody>,
-    ) -> Result<(Response<Incoming>, ActiveConnection), SendFailure> {
+    ) -> Result<(Response<MeteredBody>, ActiveConnection), SendFailure> {
         let Some(connection) = self.take_idle(server, address) else {
             return self.open(server, address).await?.send(request).await;
         };
@@ -152,6 +159,7 @@
         let stream = connect(address, CONNECT_TIMEOUT)
             .await
             .map_err(|_| SendFailure::NotSent)?;
+        let (stream, meter) = MeteredStream::metered(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(TokioIo::new(stream))
@@ -163,6 +171,7 @@
         });
         Ok(ActiveConnection {
             sender,
+            meter,
             server: server.clone(),
             address,
             seen_results: Vec::new(),
@@ -184,11 +193,13 @@
             .rposition(|connection| connection.sender.is_ready())?;
         let IdleConnection {
             sender,
+            meter,
             seen_results,
             ..
         } = connections.remove(last);
         Some(ActiveConnection {
             sender,
+            meter,
             server: server.clone(),
             address,
             seen_results,
@@ -203,6 +214,7 @@
         let time = idle_time.map_or(IDLE_TIME, |time| time.mul_f64(IDLE_FRACTION));
         let idle_connection = IdleConnection {
             sender: connection.sender,
+            meter: connection.meter,
             address: connection.address,
             usable_until: Instant::now() + time,
             seen_results: connection.seen_results,
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod limited_body;
 mod log;
 mod memory_budget;
+mod metered_stream;
 mod metrics;
 mod peer_client;
 mod peer_server;
--- /dev/null
+++ b/crates/hollywheel-gateway/src/metered_stream.rs
@@ -0,0 +1,192 @@
+//! Connections whose reads are bounded per poll, and between two pieces of content.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Number of bytes read in one poll before other tasks run. The HTTP library parses framing byte by
+/// byte and would go on for as long as the peer sends.
+const TURN_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes read before the content that they belong to is delivered. It covers the
+/// largest head and the read-ahead of the HTTP library, 64 kB each.
+const MAX_UNDELIVERED: usize = 256 * 1024;
+/// Framing allowed per byte of content; a chunk of one byte has six times its size.
+const FRAMING_FACTOR: usize = 16;
+
+/// Counts the bytes of an answer that were read and not delivered as content.
+#[derive(Debug)]
+pub(crate) struct ReadMeter {
+    left: Cell<usize>,
+}
+
+impl ReadMeter {
+    fn new() -> Rc<Self> {
+        Rc::new(Self {
+            left: Cell::new(MAX_UNDELIVERED),
+        })
+    }
+
+    /// Starts to count for the next answer on the connection.
+    pub(crate) fn restart(&self) {
+        self.left.set(MAX_UNDELIVERED);
+    }
+
+    /// Counts bytes that were read; returns whether they are within the bound.
+    fn note_read(&self, count: usize) -> bool {
+        let left = self.left.get().checked_sub(count);
+        self.left.set(left.unwrap_or(0));
+        left.is_some()
+    }
+
+    /// Counts content that was delivered, and its framing.
+    fn note_content(&self, count: usize) {
+        let credit = count.saturating_mul(1 + FRAMING_FACTOR);
+        let left = self.left.get().saturating_add(credit);
+        self.left.set(left.min(MAX_UNDELIVERED));
+    }
+}
+
+/// A TCP connection that yields to other tasks after each [`TURN_BYTES`], and fails if its peer
+/// sends too many bytes without content.
+#[derive(Debug)]
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    /// Bytes read since the last yield.
+    turn: usize,
+    meter: Option<Rc<ReadMeter>>,
+}
+
+impl MeteredStream {
+    /// Creates a connection whose reads yield, without a bound on bytes without content.
+    pub(crate) const fn yielding(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            turn: 0,
+            meter: None,
+        }
+    }
+
+    /// Creates a connection whose reads yield and are metered.
+    pub(crate) fn metered(stream: TcpStream) -> (Self, Rc<ReadMeter>) {
+        let meter = ReadMeter::new();
+        let metered = Self {
+            stream,
+            turn: 0,
+            meter: Some(Rc::clone(&meter)),
+        };
+        (metered, meter)
+    }
+
+    pub(crate) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.turn >= TURN_BYTES {
+            this.turn = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if read.is_pending() {
+            this.turn = 0;
+        }
+        ready!(read)?;
+        let count = buffer.filled().len() - before;
+        this.turn += count;
+        let is_within = this
+            .meter
+            .as_ref()
+            .is_none_or(|meter| meter.note_read(count));
+        if !is_within {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "framing without content");
+            return Poll::Ready(Err(error));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
+/// The body of an answer on a metered connection.
+#[derive(Debug)]
+pub(crate) struct MeteredBody {
+    body: Incoming,
+    meter: Rc<ReadMeter>,
+}
+
+impl MeteredBody {
+    pub(crate) const fn new(body: Incoming, meter: Rc<ReadMeter>) -> Self {
+        Self { body, meter }
+    }
+}
+
+impl Body for MeteredBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            this.meter.note_content(data.len());
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -21,6 +21,7 @@
 use crate::limited_body::{
     BodyFailure, DOCUMENT_LIMIT, STALL_TIME, collect_body, collect_steadily,
 };
+use crate::metered_stream::MeteredStream;
 
 /// Path for a group of pieces that the called host coordinates.
 pub(crate) const PIECES_PATH: &str = "/pieces";
@@ -200,7 +201,7 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(PROBE_INTERVAL)
         .keep_alive_timeout(PROBE_TIMEOUT)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(MeteredStream::yielding(stream)))
         .await
         .map_err(|_| PeerFailure::Unreachable)?;
     // An error of the connection is also returned by the calls in flight on it.
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -25,6 +25,7 @@
 use crate::follow::answer_follow;
 use crate::host::Host;
 use crate::limited_body::collect_body;
+use crate::metered_stream::MeteredStream;
 use crate::peer_client::{
     CONFIG_PATH, EVIDENCE_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH,
     PIECES_PATH,
@@ -49,7 +50,7 @@
                 .timer(TokioTimer::new())
                 .keep_alive_interval(PROBE_INTERVAL)
                 .keep_alive_timeout(PROBE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
+                .serve_connection(TokioIo::new(MeteredStream::yielding(stream)), service)
                 .await;
         });
     }
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use hollywheel_adapter::{ResponseHead, ServerRequest};
 use hollywheel_serving::ServerRecord;
@@ -16,6 +15,7 @@
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_within};
 use crate::log::{log_line, millis};
+use crate::metered_stream::MeteredBody;
 use crate::request::RequestContext;
 use crate::server_limits::note_response_limit;
 
@@ -64,7 +64,7 @@
 pub(crate) struct OpenAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
+    pub(crate) body: MeteredBody,
     pub(crate) server: ServerId,
     pub(crate) sent_at: MonoTime,
     facts: ResponseHead,
@@ -185,7 +185,7 @@
 /// Reads the rest of a refusal, and returns its connection to the pool if that succeeds in time.
 async fn drain_refusal(
     host: &Host,
-    answer: Response<Incoming>,
+    answer: Response<MeteredBody>,
     connection: ActiveConnection,
     facts: ResponseHead,
 ) {
--- a/crates/hollywheel-gateway/src/status_server.rs
+++ b/crates/hollywheel-gateway/src/status_server.rs
@@ -15,6 +15,7 @@
 
 use crate::connect::accept;
 use crate::host::Host;
+use crate::metered_stream::MeteredStream;
 
 /// Time without a request after which a connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(10);
@@ -42,7 +43,7 @@
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIME)
-                .serve_connection(TokioIo::new(stream), service)
+                .serve_connection(TokioIo::new(MeteredStream::yielding(stream)), service)
                 .await;
         });
     }
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -2,12 +2,12 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
@@ -17,6 +17,7 @@
 use crate::connect::connect;
 use crate::host::Host;
 use crate::limited_body::{DOCUMENT_LIMIT, STALL_TIME, collect_steadily};
+use crate::metered_stream::{MeteredBody, MeteredStream, ReadMeter};
 
 /// Time-out of connecting; the store accepts a connection within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -66,7 +67,13 @@
 pub(crate) struct StoreConnection {
     host: Host,
     address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    link: Option<StoreLink>,
+}
+
+/// An open connection to the store.
+struct StoreLink {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Rc<ReadMeter>,
 }
 
 impl StoreConnection {
@@ -74,7 +81,7 @@
         Self {
             host: host.clone(),
             address: host.settings().store.address,
-            sender: None,
+            link: None,
         }
     }
 
@@ -97,13 +104,13 @@
             Err(failure) => Err(failure),
         };
         if matches!(answered, Err(StoreFailure::Unknown { .. })) {
-            self.sender = None;
+            self.link = None;
         }
         answered
     }
 
     /// Sends a call and returns its answer, which has begun.
-    async fn begin(&mut self, call: &StoreCall) -> Result<Response<Incoming>, StoreFailure> {
+    async fn begin(&mut self, call: &StoreCall) -> Result<Response<MeteredBody>, StoreFailure> {
         let (method, path, body) = hollywheel_adapter::encode_store_call(call).map_err(refused)?;
         let request = Request::builder()
             .method(method)
@@ -112,12 +119,15 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(refused)?;
-        let sender = self.sender().await?;
-        sender.send_request(request).await.map_err(unknown)
+        let link = self.open_link().await?;
+        link.meter.restart();
+        let answer = link.sender.send_request(request).await.map_err(unknown)?;
+        let meter = Rc::clone(&link.meter);
+        Ok(answer.map(|body| MeteredBody::new(body, meter)))
     }
 
     /// Reads the rest of an answer.
-    async fn read(&self, answer: Response<Incoming>) -> Result<StoreRows, StoreFailure> {
+    async fn read(&self, answer: Response<MeteredBody>) -> Result<StoreRows, StoreFailure> {
         let status = answer.status();
         let era = hollywheel_adapter::decode_store_era(answer.headers()).map_err(unknown)?;
         let (begun_at, received) = (self.host.now(), Cell::new(0));
@@ -140,27 +150,28 @@
         }
     }
 
-    /// Returns the sender of the open connection, or of a new one.
-    async fn sender(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, StoreFailure> {
-        let existing = self.sender.take();
-        let usable = existing.filter(|sender| !sender.is_closed() && sender.is_ready());
-        let sender = match usable {
-            Some(sender) => sender,
-            None => self.open().await?,
+    /// Returns the open connection, or a new one.
+    async fn open_link(&mut self) -> Result<&mut StoreLink, StoreFailure> {
+        let existing = self.link.take();
+        let usable = existing.filter(|link| !link.sender.is_closed() && link.sender.is_ready());
+        let link = match usable {
+            Some(link) => link,
+            None => self.connect().await?,
         };
-        Ok(self.sender.insert(sender))
+        Ok(self.link.insert(link))
     }
 
-    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, StoreFailure> {
+    async fn connect(&self) -> Result<StoreLink, StoreFailure> {
         let stream = connect(self.address, CONNECT_TIMEOUT)
             .await
             .map_err(refused)?;
+        let (stream, meter) = MeteredStream::metered(stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(refused)?;
         // An error of the connection is also returned by the call in flight on it.
         tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(StoreLink { sender, meter })
     }
 }
--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -6,9 +6,9 @@
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use support::{Fixture, RawRequest, RawStep, config, request, send};
+use support::{Fixture, RawRequest, RawStep, config, request, send, serve_raw};
 use tokio::time::sleep;
 
 /// Memory that endless answers may take beyond that of a calm host, in kilobytes.
@@ -42,6 +42,9 @@
 /// Returns what a server repeats, by the last segment of the path.
 fn script(request: &RawRequest) -> Vec<RawStep> {
     match request.path.rsplit('/').next().unwrap_or("") {
+        "size" => endless(request, CHUNKED, b"0"),
+        "padded" => endless(request, CHUNKED, &padded_chunk()),
+        "interim" => endless(request, "", b"HTTP/1.1 100 Continue\r\n\r\n"),
         "bytes" => endless(request, CHUNKED, b"1\r\nx\r\n"),
         "chunks" => endless(
             request,
@@ -56,6 +59,13 @@
     }
 }
 
+/// Returns a chunk of one byte whose size has many leading zeros.
+fn padded_chunk() -> Vec<u8> {
+    let mut chunk = vec![b'0'; 16 * 1024 - 6];
+    chunk.extend(b"1\r\nx\r\n");
+    chunk
+}
+
 /// Starts a gateway whose callers wait for 8 s.
 async fn start(name: &str) -> Fixture {
     let fixture = Fixture::start(name).await;
@@ -85,6 +95,47 @@
     calls.collect()
 }
 
+/// Payments to sound servers had no answer for seconds, while a model engine sent chunk sizes or
+/// interim answers without end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_framing_bytes_hold_up_other_requests() {
+    const STREAMS: usize = 24;
+    const PAYMENTS: usize = 10;
+    let fixture = start("endless-framing").await;
+    let model = fixture.replace_pool("model", script).await;
+    // More servers of the same kind, so that all streams find a place.
+    for number in 0..6 {
+        let (address, _) = serve_raw(script).await;
+        let name = format!("m{number}");
+        fixture
+            .store
+            .set_server(&name, "model", address, "ready", 1);
+    }
+    sleep(Duration::from_millis(700)).await;
+    for mode in ["size", "padded", "interim"] {
+        let sent = model.repeated_bytes();
+        let streams = begin_calls(&fixture, &format!("/draft/{mode}"), STREAMS);
+        sleep(Duration::from_millis(200)).await;
+        for number in 0..PAYMENTS {
+            let started = Instant::now();
+            let attempt = format!("{mode}{number}");
+            let status = fixture.call("POST", "/pay/ok", &attempt).await.status;
+            let elapsed = started.elapsed();
+            assert!(
+                status == 200 && elapsed < Duration::from_millis(500),
+                "{mode}: payment {number}: {status} after {elapsed:?}"
+            );
+        }
+        for stream in streams {
+            // Some are refused by the stages, which these many requests fill.
+            let status = stream.await.unwrap();
+            assert!(matches!(status, Some(502 | 503)), "{mode}: {status:?}");
+        }
+        let sent = model.repeated_bytes() - sent;
+        assert!(sent < 32 * 1024 * 1024, "{mode}: {sent} bytes");
+    }
+}
+
 /// Runs calls that are answered without end; returns by how much the memory grew at most, in
 /// kilobytes.
 async fn measure_growth(fixture: &Fixture, path: &str, count: usize) -> u64 {
