Search each byte of a stream once for the end of its event

A host was busy for seconds with a stream that arrived in small pieces without the end of an event: each piece made it search the whole event again, up to 1 MB.

Cause: the splitter kept no position; its time grew with the square of the size of an event.

Why it works: the splitter remembers how far the incomplete line was searched.

--- a/crates/hollywheel-serving/src/events.rs
+++ b/crates/hollywheel-serving/src/events.rs
@@ -16,6 +16,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Start of the first incomplete line of `pending`.
+    line_start: usize,
+    /// Number of bytes of `pending` that were searched for the end of that line.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -25,22 +29,38 @@
     }
 
     /// Consumes bytes of the stream; returns the events that they complete.
+    ///
+    /// Each byte is searched once, however small the pieces are in which a stream arrives.
     pub fn take(&mut self, bytes: &[u8]) -> Vec<StreamEvent> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(end) = event_length(&self.pending[start..]) {
-            let event = &self.pending[start..start + end];
-            events.push(StreamEvent {
-                bytes: event.to_vec(),
-                id: parse_id(event),
-            });
-            start += end;
+        while let Some(length) = self.next_line_end() {
+            let line = &self.pending[self.line_start..self.searched + length];
+            let is_blank = matches!(line, b"" | b"\r");
+            self.searched += length + 1;
+            self.line_start = self.searched;
+            if is_blank {
+                let event = &self.pending[start..self.searched];
+                events.push(StreamEvent {
+                    bytes: event.to_vec(),
+                    id: parse_id(event),
+                });
+                start = self.searched;
+            }
         }
+        self.searched = self.pending.len() - start;
+        self.line_start -= start;
         self.pending.drain(..start);
         events
     }
 
+    /// Returns how many bytes precede the end of the incomplete line, from the bytes searched on.
+    fn next_line_end(&self) -> Option<usize> {
+        let rest = &self.pending[self.searched..];
+        rest.iter().position(|byte| *byte == b'\n')
+    }
+
     /// Returns the bytes after the last complete event.
     pub fn rest(&self) -> &[u8] {
         &self.pending
@@ -52,19 +72,6 @@
     }
 }
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    loop {
-        let length = bytes[start..].iter().position(|byte| *byte == b'\n')?;
-        let line = &bytes[start..start + length];
-        start += length + 1;
-        if matches!(line, b"" | b"\r") {
-            return Some(start);
-        }
-    }
-}
-
 fn parse_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let id = lines
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -174,6 +174,24 @@
     }
 }
 
+/// A host was busy for seconds with one stream whose bytes arrived one by one without the end of an
+/// event: each of them made it search all of the event again.
+#[test]
+fn long_event_in_small_pieces_is_searched_again_for_each_piece() {
+    const SIZE: usize = 300_000;
+    let started = std::time::Instant::now();
+    let mut splitter = EventSplitter::new();
+    for number in 0..SIZE {
+        let byte = if number % 1000 == 999 { b"\n" } else { b"x" };
+        assert_eq!(splitter.take(byte), []);
+    }
+    assert_eq!(splitter.rest().len(), SIZE);
+    assert_eq!(splitter.take(b"\n").len(), 1);
+    assert_eq!(splitter.rest(), b"");
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_secs(5), "{elapsed:?}");
+}
+
 #[test]
 fn repeated_sends_of_all_hosts_stay_within_the_common_budget() {
     const HOSTS: usize = 9;
