Write the rest of an answer before a stopping host closes its connection

Callers that read slowly lost the rest of an answer that had been made during a stop: 3.6 of 7 MB arrived.

Cause: an answer with "Connection: close" that is complete in the buffer of the HTTP library makes the library take the writing side for closed. Its graceful shutdown, 2.6 s after SIGTERM, then ends the connection at once, and the host polled it without the shutdown that writes the buffer.

Evidence: stop_cuts_answers_that_are_not_read_yet fails before the change after 3,588,096 bytes.

Why it works: the connection is polled to its shutdown, which writes the buffer first. A caller that does not read any more ends by the time-out of unacknowledged data, as before.

--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 server for callers.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -69,11 +68,12 @@
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(MeteredStream::yielding(stream)), service);
+    // The connection is polled to its shutdown, which writes what is left of an answer first.
     let ended = tokio::select! {
-        ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended,
+        ended = &mut connection => ended,
         () = host.wait_for_stop(StopPhase::Closing) => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     drop(guard);
