--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -112,7 +112,7 @@
     /// Records a load report of a server.
     pub fn note_report(&mut self, now: MonoTime, server: &ServerId, report: LoadReport) {
         let load = self.load(server);
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         load.others = (total - f64::from(load.in_flight)).max(0.0);
         load.reported_at = now;
     }
