Let an entry of another writer neither name a server nor hide one

Cause: only the fields that the host uses were read, and an entry that could not be read counted as the removal of its server.

Evidence: entry_of_another_writer_replaces_that_of_a_server fails before the change, the payment ran at s1.

--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -13,8 +13,8 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{
-    FeedHealth, HostRecord, RowChange, ServerPhase, ServerRecord, StoreEra, StorePlace, ViewPart,
-    reader_count,
+    FeedHealth, HostRecord, RowChange, ServerListing, ServerPhase, ServerRecord, StoreEra,
+    StorePlace, ViewPart, reader_count,
 };
 use hollywheel_types::{ConfigVersion, MonoTime};
 use hollywheel_wire::serving::{
@@ -290,7 +290,10 @@
     }
     let servers = reply.servers.iter().filter_map(decode_server);
     match &reply.servers_place {
-        Some(place) => host.apply_server_listing(decode_place(place), servers.collect(), name),
+        Some(place) => {
+            let listing = ServerListing::new(decode_place(place), servers.collect());
+            host.apply_server_listing(listing, name);
+        }
         None => servers.for_each(|change| host.apply_server(change, name)),
     }
     for entry in &reply.hosts {
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -11,8 +11,8 @@
 use hollywheel_serving::{
     BudgetShare, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable, LatencyForecast,
     LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget,
-    RetryDetector, RowChange, ServerRecord, ServerRegistry, ServingSet, ShardWaits, SlackShare,
-    StoreEra, StorePlace, StoreView,
+    RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet, ShardWaits,
+    SlackShare, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -317,15 +317,10 @@
     }
 
     /// Applies a complete listing of the backend servers as of a place in the store's history.
-    pub(crate) fn apply_server_listing(
-        &self,
-        place: StorePlace,
-        rows: Vec<RowChange>,
-        source: &str,
-    ) {
+    pub(crate) fn apply_server_listing(&self, listing: ServerListing, source: &str) {
         let now = self.now();
         let before = self.registry.borrow().change();
-        self.registry.borrow_mut().apply_listing(now, place, rows);
+        self.registry.borrow_mut().apply_listing(now, listing);
         let changed = self.registry.borrow().changes_after(before);
         for change in &changed {
             self.log_server_change(&change.server, change.place, source);
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use hollywheel_adapter::{StoreCall, StoreRow, StoreTable};
-use hollywheel_serving::{HostRecord, RowChange, StoreEra, StorePlace, ViewPart};
+use hollywheel_serving::{HostRecord, RowChange, ServerListing, StoreEra, StorePlace, ViewPart};
 use hollywheel_types::{HostId, MonoTime, ServerId};
 use hollywheel_wire::serving::HostEntry;
 
@@ -41,6 +41,14 @@
 /// longest pause between their calls, and a slow call.
 const READERS_TIME: Duration = Duration::from_millis(700);
 
+/// A row of the table of servers.
+enum ServerRow {
+    /// The server wrote the row, or it was removed.
+    Own(RowChange),
+    /// Another writer wrote the row; it says nothing about the server.
+    Foreign(ServerId),
+}
+
 /// Client of the change feed of one table.
 struct TableFeed {
     host: Host,
@@ -222,9 +230,15 @@
             return;
         }
         if self.table == StoreTable::Servers {
-            let changes = rows.into_iter().filter_map(|row| self.read_server_row(row));
-            let changes: Vec<RowChange> = changes.collect();
-            self.host.apply_server_listing(place, changes, "store");
+            let mut listing = ServerListing::new(place, Vec::new());
+            for row in rows {
+                match self.read_server_row(row) {
+                    Some(ServerRow::Own(change)) => listing.rows.push(change),
+                    Some(ServerRow::Foreign(server)) => listing.foreign.push(server),
+                    None => {}
+                }
+            }
+            self.host.apply_server_listing(listing, "store");
             return;
         }
         for row in rows {
@@ -237,7 +251,7 @@
         match self.table {
             StoreTable::Operator => self.apply_config(row),
             StoreTable::Servers => {
-                if let Some(change) = self.read_server_row(row) {
+                if let Some(ServerRow::Own(change)) = self.read_server_row(row) {
                     self.host.apply_server(change, "store");
                 }
             }
@@ -251,12 +265,20 @@
         }
     }
 
-    /// Reads the row of a server. An invalid entry is logged and treated like a removed one.
-    fn read_server_row(&self, row: StoreRow) -> Option<RowChange> {
+    /// Reads the row of a server; none if its key is no name of a server. An invalid entry is
+    /// logged.
+    fn read_server_row(&self, row: StoreRow) -> Option<ServerRow> {
         let server: ServerId = row.key.parse().ok()?;
-        let record = row.value.and_then(|value| {
-            let read = hollywheel_adapter::decode_server_entry(&value);
-            read.map_err(|error| {
+        let read = row
+            .value
+            .map(|value| hollywheel_adapter::decode_server_entry(&value));
+        match read.transpose() {
+            Ok(record) => Some(ServerRow::Own(RowChange {
+                server,
+                place: row.place,
+                record,
+            })),
+            Err(error) => {
                 log_line!(
                     self.host,
                     warn,
@@ -265,14 +287,9 @@
                     place = %row.place,
                     detail = %error
                 );
-            })
-            .ok()
-        });
-        Some(RowChange {
-            server,
-            place: row.place,
-            record,
-        })
+                Some(ServerRow::Foreign(server))
+            }
+        }
     }
 
     fn apply_host(&self, row: &StoreRow) {
--- a/crates/hollywheel-gateway/tests/odd_entries.rs
+++ b/crates/hollywheel-gateway/tests/odd_entries.rs
@@ -84,3 +84,38 @@
     let ready = send(fixture.readiness_address, request("GET", "/ready", "x", "")).await;
     assert_eq!(ready.unwrap().status, 200);
 }
+
+/// Payments ran at another service, since an entry that another writer had put over that of a live
+/// server was used; or the server was no longer used until it wrote its own entry again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_of_another_writer_replaces_that_of_a_server() {
+    let fixture = Fixture::start("foreign-entries").await;
+    let own = servers::serve("p1", Arc::clone(&fixture.log)).await;
+    let stage = servers::serve("s1", Arc::clone(&fixture.log)).await;
+    fixture.store.set_server("p1", "plain", own, "ready", 1);
+    fixture.store.set_server("s1", "stage", stage, "ready", 1);
+    fixture.store.remove_server("p2");
+    sleep(Duration::from_millis(900)).await;
+    let usual = String::from_utf8(entry("address", &format!("\"{stage}\""))).unwrap();
+    let moved = usual.replace(",\"sequence\":1", "");
+    let draining = moved.replace("\"ready\"", "\"draining\"");
+    let odd_version = usual.replace("\"v1\"", "1");
+    for (number, foreign) in [moved, draining, odd_version, "{}".into()]
+        .iter()
+        .enumerate()
+    {
+        fixture.store.set_odd_server("s1", foreign.as_bytes());
+        fixture.store.set_odd_server("p1", foreign.as_bytes());
+        sleep(Duration::from_millis(900)).await;
+        for call in 0..4 {
+            let attempt = format!("f{number}-{call}");
+            let response = fixture.call("POST", "/pay/ok", &attempt).await;
+            assert_eq!(response.status, 200, "{foreign}: {response:?}");
+            let ran = fixture.log.lines_with_prefix(&format!("ran {attempt} "));
+            assert!(ran[0].contains(" at=p1 "), "{foreign}: {ran:?}");
+        }
+        let attempt = format!("d{number}");
+        let draft = fixture.call("POST", "/draft/ok", &attempt).await;
+        assert_eq!(draft.status, 200, "{foreign}: {draft:?}");
+    }
+}
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -50,7 +50,7 @@
     PlacementQuery, PlacementVerdict, PromptPart, choose_engine, choose_least_loaded,
 };
 pub use rank::RequestRank;
-pub use registry::{RowChange, ServerPhase, ServerRecord, ServerRegistry};
+pub use registry::{RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry};
 pub use request_identity::RequestIdentity;
 pub use retry_detector::{CallerAttempt, RetryDetector};
 pub use server_limit::{
--- a/crates/hollywheel-serving/src/registry.rs
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -45,6 +45,29 @@
     pub born: Option<u64>,
 }
 
+/// Describes a complete listing of the rows of the servers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServerListing {
+    /// The position of the listing.
+    pub place: StorePlace,
+    /// The rows that servers wrote.
+    pub rows: Vec<RowChange>,
+    /// The servers whose rows another writer wrote. Such a row neither describes a server nor
+    /// replaces what the server wrote before.
+    pub foreign: Vec<ServerId>,
+}
+
+impl ServerListing {
+    /// Creates a listing without rows of other writers.
+    pub const fn new(place: StorePlace, rows: Vec<RowChange>) -> Self {
+        Self {
+            place,
+            rows,
+            foreign: Vec::new(),
+        }
+    }
+}
+
 /// Describes one change of a row in the table of servers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RowChange {
@@ -274,10 +297,15 @@
         }
     }
 
-    /// Applies a complete listing of the rows at a position. Servers that are not in the listing are
-    /// removed, unless their row is newer than the listing.
-    pub fn apply_listing(&mut self, now: MonoTime, place: StorePlace, rows: Vec<RowChange>) {
-        let mut listed: Vec<ServerId> = rows.iter().map(|row| row.server.clone()).collect();
+    /// Applies a complete listing of the rows. Servers that are not in the listing are removed,
+    /// unless their row is newer than the listing.
+    pub fn apply_listing(&mut self, now: MonoTime, listing: ServerListing) {
+        let ServerListing {
+            place,
+            rows,
+            foreign: mut listed,
+        } = listing;
+        listed.extend(rows.iter().map(|row| row.server.clone()));
         listed.sort();
         let missing: Vec<ServerId> = self
             .entries
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    FeedHealth, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreEra, StorePlace,
-    StoreView, ViewPart,
+    FeedHealth, RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry, StoreEra,
+    StorePlace, StoreView, ViewPart,
 };
 use hollywheel_types::{MonoTime, PoolId, ServerId};
 
@@ -80,7 +80,7 @@
     let mut registry = ServerRegistry::new();
     registry.apply(at(0), change("s1", 5, Some(record(ServerPhase::Ready, 7))));
     registry.apply(at(0), change("s2", 9, Some(record(ServerPhase::Ready, 7))));
-    registry.apply_listing(at(1), place(7), Vec::new());
+    registry.apply_listing(at(1), ServerListing::new(place(7), Vec::new()));
     assert_eq!(usable(&registry, at(1)), ["s2"]);
 }
 
--- a/crates/hollywheel-serving/tests/store_eras.rs
+++ b/crates/hollywheel-serving/tests/store_eras.rs
@@ -1,8 +1,8 @@
 //! Tests of the server registry and the host table when the store is restored from an older copy.
 
 use hollywheel_serving::{
-    HostRecord, HostTable, RowChange, ServerPhase, ServerRecord, ServerRegistry, StoreEra,
-    StorePlace,
+    HostRecord, HostTable, RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry,
+    StoreEra, StorePlace,
 };
 use hollywheel_types::{HostId, MonoTime, PoolId};
 
@@ -62,7 +62,7 @@
     let mut registry = ServerRegistry::new();
     registry.note_era(at(0), StoreEra(1));
     let rows = vec![ready("s1", "1/5", 7), ready("s2", "1/6", 7)];
-    registry.apply_listing(at(0), place("1/50"), rows);
+    registry.apply_listing(at(0), ServerListing::new(place("1/50"), rows));
     for row in lost_changes {
         registry.apply(at(9000), row);
     }
@@ -89,7 +89,7 @@
 fn a_removal_after_the_restore_applies_despite_its_lower_revision() {
     let mut registry = registry_after_restore(vec![ready("s2", "1/90", 7)]);
     let copy = vec![ready("s1", "2/5", 7), ready("s2", "2/6", 7)];
-    registry.apply_listing(at(10_000), place("2/50"), copy);
+    registry.apply_listing(at(10_000), ServerListing::new(place("2/50"), copy));
     registry.apply(at(13_000), removed("s2", "2/52"));
     assert_eq!(usable(&registry, at(13_000)), ["s1"]);
 }
@@ -98,7 +98,7 @@
 fn a_removed_server_does_not_reappear_with_the_restored_copy() {
     let mut registry = registry_after_restore(vec![removed("s2", "1/60")]);
     let copy = vec![ready("s1", "2/5", 7), ready("s2", "2/6", 7)];
-    registry.apply_listing(at(10_000), place("2/50"), copy);
+    registry.apply_listing(at(10_000), ServerListing::new(place("2/50"), copy));
     assert_eq!(usable(&registry, at(10_000)), ["s1"]);
     assert!(registry.restore_rewritten(at(20_000)).is_empty());
     assert_eq!(
@@ -118,7 +118,10 @@
 #[test]
 fn a_removed_server_whose_writes_are_replayed_is_never_used() {
     let mut registry = registry_after_restore(vec![removed("s2", "1/60")]);
-    registry.apply_listing(at(10_000), place("2/50"), vec![ready("s2", "2/6", 7)]);
+    registry.apply_listing(
+        at(10_000),
+        ServerListing::new(place("2/50"), vec![ready("s2", "2/6", 7)]),
+    );
     registry.apply(at(10_800), ready("s2", "2/55", 7));
     assert!(!usable(&registry, at(10_900)).contains(&"s2".to_owned()));
     registry.apply(at(11_000), removed("s2", "2/58"));
@@ -130,7 +133,10 @@
 #[test]
 fn a_removed_live_server_is_used_once_its_row_is_written_again() {
     let mut registry = registry_after_restore(vec![removed("s2", "1/60")]);
-    registry.apply_listing(at(10_000), place("2/50"), vec![ready("s2", "2/6", 7)]);
+    registry.apply_listing(
+        at(10_000),
+        ServerListing::new(place("2/50"), vec![ready("s2", "2/6", 7)]),
+    );
     let known_change = registry.change();
     registry.apply(at(11_200), ready("s2", "2/55", 7));
     assert!(registry.restore_rewritten(at(12_000)).is_empty());
@@ -147,7 +153,7 @@
 fn a_server_whose_drain_was_lost_keeps_draining() {
     let mut registry = registry_after_restore(vec![draining("s2", "1/60", 7)]);
     let copy = vec![ready("s1", "2/5", 7), ready("s2", "2/6", 7)];
-    registry.apply_listing(at(10_000), place("2/50"), copy);
+    registry.apply_listing(at(10_000), ServerListing::new(place("2/50"), copy));
     assert_eq!(usable(&registry, at(10_000)), ["s1"]);
     registry.apply(at(30_000), ready("s2", "2/80", 7));
     assert_eq!(
@@ -161,7 +167,7 @@
 fn a_server_whose_join_was_lost_is_used_for_a_grace_period() {
     let mut registry = registry_after_restore(vec![ready("s3", "1/60", 7)]);
     let copy = vec![ready("s1", "2/5", 7), ready("s2", "2/6", 7)];
-    registry.apply_listing(at(10_000), place("2/50"), copy.clone());
+    registry.apply_listing(at(10_000), ServerListing::new(place("2/50"), copy.clone()));
     assert_eq!(usable(&registry, at(11_600)), ["s1", "s2", "s3"]);
     assert_eq!(
         usable(&registry, at(11_800)),
@@ -174,7 +180,10 @@
         place: place("3/6"),
         ..row
     });
-    registry.apply_listing(at(11_900), place("3/50"), copy.collect());
+    registry.apply_listing(
+        at(11_900),
+        ServerListing::new(place("3/50"), copy.collect()),
+    );
     registry.apply(at(12_000), ready("s3", "3/51", 7));
     assert_eq!(usable(&registry, at(12_000)), ["s1", "s2", "s3"]);
 }
@@ -187,7 +196,10 @@
         ..ready("s9", "1/61", 8)
     };
     let mut registry = registry_after_restore(vec![removed("s2", "1/60"), owner]);
-    registry.apply_listing(at(10_000), place("2/50"), vec![ready("s2", "2/6", 7)]);
+    registry.apply_listing(
+        at(10_000),
+        ServerListing::new(place("2/50"), vec![ready("s2", "2/6", 7)]),
+    );
     assert!(!usable(&registry, at(10_000)).contains(&"s2".to_owned()));
 }
 
@@ -195,7 +207,10 @@
 #[test]
 fn hosts_in_different_eras_agree_on_the_later_one() {
     let mut ahead = registry_after_restore(Vec::new());
-    ahead.apply_listing(at(10_000), place("2/50"), vec![ready("s1", "2/5", 7)]);
+    ahead.apply_listing(
+        at(10_000),
+        ServerListing::new(place("2/50"), vec![ready("s1", "2/5", 7)]),
+    );
     ahead.apply(at(13_000), draining("s1", "2/52", 7));
     let mut behind = registry_after_restore(vec![ready("s1", "1/99", 7), ready("s3", "1/98", 7)]);
     for row in behind.changes_after(0) {
@@ -206,7 +221,10 @@
         "changes of the earlier era are stale"
     );
     let rows = ahead.changes_after(0);
-    behind.apply_listing(at(13_000), ahead.listed_place().unwrap(), rows);
+    behind.apply_listing(
+        at(13_000),
+        ServerListing::new(ahead.listed_place().unwrap(), rows),
+    );
     assert!(usable(&behind, at(13_000)).is_empty());
 }
 
@@ -218,11 +236,14 @@
     let mut reader = ServerRegistry::new();
     reader.note_era(at(0), StoreEra(2));
     assert_eq!(reader.listed_place(), None, "no listing was applied yet");
-    reader.apply_listing(at(0), place("2/50"), vec![ready("s1", "2/5", 7)]);
+    reader.apply_listing(
+        at(0),
+        ServerListing::new(place("2/50"), vec![ready("s1", "2/5", 7)]),
+    );
     reader.note_place(place("2/70"));
     assert_eq!(reader.listed_place(), Some(place("2/70")));
     let rows = reader.changes_after(0);
-    follower.apply_listing(at(13_000), place("2/70"), rows);
+    follower.apply_listing(at(13_000), ServerListing::new(place("2/70"), rows));
     assert_eq!(usable(&follower, at(15_000)), ["s1"]);
 }
 
