Keep a slow plain attempt that no other server could replace

Callers of requests that may be repeated got 502 from a server that was only slow: the attempt was given up after three quarters of the objective, also where no other server could take it.

Evidence: slow_answer_is_given_up_without_another_server fails before the change with 502.

Why it works: after that time the attempt goes on unless another server has capacity and the retry budget allows another attempt.

--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -1,12 +1,13 @@
 //! Non-streaming requests: one call whose answer is read completely before it is forwarded.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
-use hollywheel_serving::{PlacementQuery, ServerRecord, choose_least_loaded};
+use hollywheel_serving::{PlacementQuery, PlacementVerdict, ServerRecord, choose_least_loaded};
 use hollywheel_types::{ExecutionVerdict, ServerId};
 
 use crate::body::AnswerBody;
@@ -104,15 +105,8 @@
         state.tries += 1;
         state.chosen = Some((server.clone(), host.server_load(&server, &record)));
         let sent_at = host.now();
-        let attempt = attempt_whole(host, context, &server, &record);
-        let limit = attempt_timeout(host, context, state);
         state.sending = true;
-        let ended = timeout(limit, attempt).await.unwrap_or(Err(AttemptFailure {
-            verdict: ExecutionVerdict::MayHaveRun,
-            received: true,
-            lost_server: false,
-            reason: "the attempt timed out",
-        }));
+        let ended = attempt_in_time(host, context, state, &server, &record).await;
         state.sending = false;
         match ended {
             Ok(answer) => {
@@ -167,23 +161,41 @@
     host.take_repeat(&context.pool)
 }
 
+/// Returns whether another server could take the place of one that is slow to answer: one has
+/// capacity, and the pool's retry budget allows another attempt.
+fn can_replace(host: &Host, context: &RequestContext, state: &CallState, slow: &ServerId) -> bool {
+    let mut servers = host.pool_servers(&context.pool);
+    servers.retain(|(name, _)| name != slow);
+    let verdict = place(host, context, state, &servers);
+    matches!(verdict, PlacementVerdict::Server(_)) && host.has_repeat(&context.pool)
+}
+
+/// Chooses the server of the next attempt among the given ones.
+fn place(
+    host: &Host,
+    context: &RequestContext,
+    state: &CallState,
+    servers: &[(ServerId, ServerRecord)],
+) -> PlacementVerdict {
+    let query = PlacementQuery {
+        now: host.now(),
+        servers,
+        exclude: &state.excluded,
+        tie: context.tie_breaker,
+        domain: Some(&host.settings().domain),
+    };
+    choose_least_loaded(&query, &host.loads.borrow(), FULL_LOAD)
+}
+
 /// Chooses a server for the next attempt; sets the reason if there is none.
 async fn choose_server(
     host: &Host,
     context: &RequestContext,
     state: &mut CallState,
 ) -> Option<(ServerId, ServerRecord)> {
-    let place = |servers: &[(ServerId, ServerRecord)]| {
-        let query = PlacementQuery {
-            now: host.now(),
-            servers,
-            exclude: &state.excluded,
-            tie: context.tie_breaker,
-            domain: Some(&host.settings().domain),
-        };
-        choose_least_loaded(&query, &host.loads.borrow(), FULL_LOAD)
-    };
-    match choose_permitted(host, &context.pool, place).await {
+    let place = |servers: &[(ServerId, ServerRecord)]| place(host, context, state, servers);
+    let choice = choose_permitted(host, &context.pool, place).await;
+    match choice {
         PermittedChoice::Server(server, record) => Some((server, record)),
         PermittedChoice::Full => {
             state.reason = "every server is full";
@@ -205,6 +217,30 @@
     }
 }
 
+/// Sends the request to one server and reads its answer, for as long as no other server could take
+/// its place: it may just be slow.
+async fn attempt_in_time(
+    host: &Host,
+    context: &RequestContext,
+    state: &CallState,
+    server: &ServerId,
+    record: &ServerRecord,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let mut attempt = pin!(attempt_whole(host, context, server, record));
+    let limit = attempt_timeout(host, context, state);
+    let mut ended = timeout(limit, attempt.as_mut()).await;
+    if ended.is_err() && !can_replace(host, context, state, server) {
+        let time_left = context.deadline.since(host.now());
+        ended = timeout(time_left, attempt).await;
+    }
+    ended.unwrap_or(Err(AttemptFailure {
+        verdict: ExecutionVerdict::MayHaveRun,
+        received: true,
+        lost_server: false,
+        reason: "the attempt timed out",
+    }))
+}
+
 /// Returns the time-out of an attempt: shorter than the remaining time if another attempt may
 /// follow.
 fn attempt_timeout(host: &Host, context: &RequestContext, state: &CallState) -> Duration {
--- a/crates/hollywheel-gateway/tests/silent_streams.rs
+++ b/crates/hollywheel-gateway/tests/silent_streams.rs
@@ -1,4 +1,4 @@
-//! Checks streams whose engine is silent for a while and then goes on.
+//! Checks streams and plain requests whose server is silent for a while and then goes on.
 
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
@@ -127,3 +127,24 @@
         "each next engine was asked once"
     );
 }
+
+/// Callers of requests that may be repeated got 502 from a server that was only slow: the attempt was
+/// given up although no other server could take the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_answer_is_given_up_without_another_server() {
+    let fixture = Fixture::start("slow-answer").await;
+    let plain = fixture
+        .replace_pool("plain", |request| {
+            vec![
+                RawStep::Pause(Duration::from_millis(700)),
+                RawStep::Send(request.response("200 OK", "", "slow")),
+            ]
+        })
+        .await;
+    let response = fixture.call("GET", "/look/ok", "slow").await;
+    assert_eq!(
+        (response.status, response.body.as_deref()),
+        (200, Ok("slow"))
+    );
+    assert_eq!(plain.paths().len(), 1);
+}
