Test uploads and stage calls against the memory for bodies

64 uploads of 0.9 MB at once take less than 32 MB; those without memory get 503 with Retry-After, the others their time-out, and a small request is served meanwhile. Stage calls answered in chunks of one byte without end stay within the same bound. Neither was run on the code before the budget.

--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 use support::{Fixture, RawRequest, RawStep, config, request, send, serve_raw};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Memory that endless answers may take beyond that of a calm host, in kilobytes.
@@ -42,6 +44,7 @@
 /// Returns what a server repeats, by the last segment of the path.
 fn script(request: &RawRequest) -> Vec<RawStep> {
     match request.path.rsplit('/').next().unwrap_or("") {
+        "stage-run" => endless(request, CHUNKED, b"1\r\n[\r\n"),
         "size" => endless(request, CHUNKED, b"0"),
         "padded" => endless(request, CHUNKED, &padded_chunk()),
         "interim" => endless(request, "", b"HTTP/1.1 100 Continue\r\n\r\n"),
@@ -170,6 +173,9 @@
     fixture.replace_pool("plain", script).await;
     let growth = measure_growth(&fixture, "/pay/bytes", 12).await;
     assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    fixture.replace_pool("stage", script).await;
+    let growth = measure_growth(&fixture, "/draft/ok", 12).await;
+    assert!(growth < MAX_GROWTH_KB, "stage calls: {growth} kB");
 }
 
 /// A host ran out of memory when a server answered many requests at once without end, although
@@ -184,3 +190,45 @@
     let after = fixture.call("POST", "/pay/ok", "after").await;
     assert_eq!(after.status, 200, "{after:?}");
 }
+
+/// Starts an upload of a megabyte that stops short of its end.
+async fn begin_upload(fixture: &Fixture, number: usize) -> TcpStream {
+    let mut caller = TcpStream::connect(fixture.caller_address).await.unwrap();
+    let head = format!(
+        "POST /pay/ok HTTP/1.1\r\nhost: h\r\nattempt-id: u{number}\r\ndeadline-ms: 8000\r\nauthorization: Bearer k1\r\ncontent-length: 1000000\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    // The host closes the connection when it refuses the rest.
+    let _ = caller.write_all(&vec![b'x'; 900_000]).await;
+    caller
+}
+
+/// A host ran out of memory when many callers uploaded long bodies at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_uploads_exhaust_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-uploads").await;
+    let slow = config(3, "k1").replace("\"timeout-ms\":1500", "\"timeout-ms\":8000");
+    fixture.store.set_config(&slow);
+    sleep(Duration::from_millis(700)).await;
+    let calm = resident_kb();
+    let mut uploads = Vec::new();
+    for number in 0..64 {
+        uploads.push(begin_upload(&fixture, number).await);
+    }
+    let growth = resident_kb() - calm;
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    let small = fixture.call("POST", "/pay/ok", "small").await;
+    assert_eq!(small.status, 200, "{small:?}");
+    let mut refused_count = 0;
+    for mut upload in uploads {
+        let mut part = vec![0; 1024];
+        let count = upload.read(&mut part).await.unwrap();
+        let head = String::from_utf8_lossy(&part[..count]);
+        // Uploads that found memory stall until their deadline.
+        let is_refused = head.starts_with("HTTP/1.1 503 ") && head.contains("retry-after: ");
+        assert!(is_refused || head.starts_with("HTTP/1.1 408 "), "{head}");
+        refused_count += usize::from(is_refused);
+    }
+    assert!(refused_count > 0);
+}
