Measure the memory of endless answers without another test beside it

Traced by printing the growth: 23,700 and 24,112 kB when the test runs alone, 25,992 kB beside the other tests of the file. The test of framing bytes, with a host and 24 streams of its own in the same process, did not take the lock that keeps measurements apart; it does now. The check and its bound are as they were.

--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -16,7 +16,7 @@
 /// Memory that endless answers may take beyond that of a calm host, in kilobytes.
 const MAX_GROWTH_KB: u64 = 32 * 1024;
 
-/// Memory is measured for the whole process, so its tests run one after the other.
+/// Memory is measured for the whole process, so the tests of this file run one after the other.
 static MEASUREMENT: Mutex<()> = Mutex::new(());
 
 /// Returns the resident memory of this process, in kilobytes.
@@ -104,6 +104,7 @@
 async fn endless_framing_bytes_hold_up_other_requests() {
     const STREAMS: usize = 24;
     const PAYMENTS: usize = 10;
+    let _guard = MEASUREMENT.lock();
     let fixture = start("endless-framing").await;
     let model = fixture.replace_pool("model", script).await;
     // More servers of the same kind, so that all streams find a place.
