Keep bodies in segments, so that freed ones leave no holes

Cause: the buffer of a body grew by doubling. The allocator maps blocks of 128 kB and more on their own, but raises that limit to the largest such block freed; then buffers grow beside each other on the heap, and the space that each leaves is too small for the next.

Why it works: segments of 16 kB do not move, and a freed one fits any other body.

--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod batch_coordinator;
 mod body;
+mod body_buffer;
 mod caller_server;
 mod command;
 mod config_fetch;
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -9,6 +9,7 @@
 use hyper::body::Body;
 use tokio::time::timeout;
 
+use crate::body_buffer::BodyBuffer;
 use crate::memory_budget::{MemoryBudget, MemoryShare};
 
 /// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes.
@@ -59,12 +60,12 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
-    let mut collected = Vec::new();
+    let mut collected = BodyBuffer::default();
     let mut body = pin!(body);
     while let Some(data) = next_data(body.as_mut()).await? {
         append(&mut collected, &data, limit, None)?;
     }
-    Ok(Bytes::from(collected))
+    Ok(Bytes::from(collected.into_vec()))
 }
 
 /// Reads a body completely within the memory that all bodies share. The returned bytes count
@@ -82,15 +83,14 @@
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
     let mut share = memory.share();
-    let mut collected = Vec::new();
+    let mut collected = BodyBuffer::default();
     let mut body = pin!(body);
     while let Some(data) = next_data(body.as_mut()).await? {
         append(&mut collected, &data, limit, Some(&mut share))?;
     }
-    collected.shrink_to_fit();
     // A share may always shrink.
     let _ = share.resize(collected.len());
-    Ok(share.hold(collected))
+    Ok(share.hold(collected.into_vec()))
 }
 
 /// Reads a body completely as long as it makes progress: it fails once nothing has arrived for
@@ -108,12 +108,12 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
-    let mut collected = Vec::new();
+    let mut collected = BodyBuffer::default();
     let mut body = pin!(body);
     loop {
         let data = timeout(stall_time, next_data(body.as_mut())).await;
         let Some(data) = data.map_err(|_| BodyFailure::Stalled)?? else {
-            return Ok(Bytes::from(collected));
+            return Ok(Bytes::from(collected.into_vec()));
         };
         received.set(received.get() + data.len());
         append(&mut collected, &data, limit, None)?;
@@ -136,22 +136,18 @@
 
 /// Appends data to a body. The data is copied: a frame of one byte keeps a buffer of kilobytes.
 fn append(
-    collected: &mut Vec<u8>,
+    collected: &mut BodyBuffer,
     data: &Bytes,
     limit: usize,
     share: Option<&mut MemoryShare>,
 ) -> Result<(), BodyFailure> {
-    let length = collected.len() + data.len();
-    if length > limit {
+    if collected.len() + data.len() > limit {
         return Err(BodyFailure::TooLarge);
     }
-    if length > collected.capacity() {
-        let capacity = length.max(2 * collected.capacity()).min(limit);
-        if share.is_some_and(|share| !share.resize(capacity)) {
-            return Err(BodyFailure::NoMemory);
-        }
-        collected.reserve_exact(capacity - collected.len());
+    let memory = collected.memory_with(data.len());
+    if share.is_some_and(|share| !share.resize(memory)) {
+        return Err(BodyFailure::NoMemory);
     }
-    collected.extend_from_slice(data);
+    collected.append(data);
     Ok(())
 }
--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -16,6 +16,9 @@
 /// Memory that endless answers may take beyond that of a calm host, in kilobytes.
 const MAX_GROWTH_KB: u64 = 32 * 1024;
 
+/// Size of a large body that a host has freed, in bytes.
+const LARGE_SIZE: usize = 7_000_000;
+
 /// Memory is measured for the whole process, so the tests of this file run one after the other.
 static MEASUREMENT: Mutex<()> = Mutex::new(());
 
@@ -54,6 +57,11 @@
             CHUNKED,
             &[b"1000\r\n", &[b'x'; 4096][..], b"\r\n"].concat(),
         ),
+        "event" => endless(
+            request,
+            &CHUNKED.replace("\r\n\r\n", "\r\ncontent-type: text/event-stream\r\n\r\n"),
+            &[b"1000\r\n", &[b'x'; 4096][..], b"\r\n"].concat(),
+        ),
         _ => vec![RawStep::Send(request.response(
             "200 OK",
             "",
@@ -192,6 +200,27 @@
     assert_eq!(after.status, 200, "{after:?}");
 }
 
+/// The memory of endless answers depended on earlier ones: once a large body had been freed, the
+/// allocator placed growing buffers beside each other, and the space that they left was not reused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn freed_body_fragments_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("freed-body").await;
+    fixture.replace_pool("plain", script).await;
+    // The allocator keeps its threshold after this block is freed, and answers of the test's own
+    // client do not count.
+    drop(vec![1_u8; LARGE_SIZE]);
+    for round in 0..3 {
+        let growth = measure_growth(&fixture, "/pay/chunks", 96).await;
+        assert!(growth < MAX_GROWTH_KB, "round {round}: {growth} kB");
+    }
+    fixture.replace_pool("model", script).await;
+    for round in 0..3 {
+        let growth = measure_growth(&fixture, "/draft/event", 96).await;
+        assert!(growth < MAX_GROWTH_KB, "events, round {round}: {growth} kB");
+    }
+}
+
 /// Starts an upload of a megabyte that stops short of its end.
 async fn begin_upload(fixture: &Fixture, number: usize) -> TcpStream {
     let mut caller = TcpStream::connect(fixture.caller_address).await.unwrap();
