Test a silent stream whose stages are refused, the lost stream's cause

Cause: its engine paused, the host gave the stream up, and the stages that the next engine needed were refused. Pieces of a request that has sent a part of its body can only be those asked for again for another engine.

Evidence: the new test (pause of 3 s, stage servers that refuse all calls but the first) on, the code before: status 200, "error reading a body from connection".

--- a/crates/hollywheel-gateway/tests/silent_streams.rs
+++ b/crates/hollywheel-gateway/tests/silent_streams.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use support::{CallerResponse, Fixture, RawLog, RawRequest, RawStep, config, request, send};
@@ -128,6 +129,44 @@
     );
 }
 
+/// Callers lost streams whose engine was silent: the stream was given up, and the stages whose results
+/// the next engine needs were refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_stream_ends_when_its_stages_are_refused() {
+    let (fixture, engines) = start_engines("silent-stages", Duration::from_millis(3000)).await;
+    let stage_calls = AtomicUsize::new(0);
+    let refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    let stage = fixture
+        .replace_pool("stage", move |request| {
+            if request.path == "/stage-free" {
+                return vec![RawStep::Send(request.response("200 OK", "", ""))];
+            }
+            if stage_calls.fetch_add(1, Ordering::Relaxed) > 0 {
+                return vec![RawStep::Send(refusal.into())];
+            }
+            let pieces = request.body.matches("\"stage\":").count();
+            let handles: Vec<String> = (0..pieces)
+                .map(|piece| format!(r#"{{"handle":"{}/r{piece}"}}"#, request.authority))
+                .collect();
+            let body = format!(r#"{{"items":[{}]}}"#, handles.join(","));
+            vec![RawStep::Send(request.response("200 OK", "", &body))]
+        })
+        .await;
+    let mut request = request("POST", "/brief/take", "refused", "k1");
+    let headers = request.headers_mut();
+    headers.insert("deadline-ms", "9000".parse().unwrap());
+    let response = send(fixture.caller_address, request).await.unwrap();
+    assert_eq!(
+        (response.status, response.body.as_deref()),
+        (200, Ok(EVENTS))
+    );
+    assert_eq!(request_count(&engines), 1, "the other engine had no inputs");
+    let runs = stage.paths();
+    let runs = runs.iter().filter(|path| *path == "/stage-run").count();
+    assert!(runs > 1, "the stages were asked again: {runs}");
+}
+
 /// Callers of requests that may be repeated got 502 from a server that was only slow: the attempt was
 /// given up although no other server could take the request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
