Answer 502 when a server's 503, 429 or 408 does not state "not run"

What callers saw: a server ran a request and then answered 503, 429 or 408 of its own without Not-Executed; the gateway passed the status on. Callers take these statuses for the promise that the request has not run, and repeat requests that are not idempotent.

Cause: the status of a genuine answer was never looked at; only the header decided whether an attempt counted as not run.

Evidence: faulty_servers, status_without_not_executed_is_passed_on, failed before with 408 and the server's seal; after: 502 without a seal on plain, repeatable and streaming routes, for each of the three statuses.

Why it works: such an answer is a failed attempt that may have run, as one without the server's seal. An idempotent request may go to another server.

--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -147,6 +147,10 @@
             "the answer does not come from the server itself",
         ));
     }
+    if promises_not_run(answer.status()) {
+        // Passed on, the status would tell the caller what the server has not stated.
+        return Err(may_have_run("the server's status contradicts its headers"));
+    }
     if answer.status().is_success() {
         record_answer(host, server, record, sent_at);
     }
@@ -173,6 +177,17 @@
     }
 }
 
+/// Returns whether callers take a status as the promise that their request has not run. A 421 is
+/// absent, since a server sends it only without running the request.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 fn refusal_reason(status: StatusCode) -> &'static str {
     match status {
         StatusCode::MISDIRECTED_REQUEST => "another server uses the address",
--- a/crates/hollywheel-gateway/tests/faulty_servers.rs
+++ b/crates/hollywheel-gateway/tests/faulty_servers.rs
@@ -271,6 +271,29 @@
     assert_eq!(fixture.call("POST", "/pay/ok", "d2").await.status, 200);
 }
 
+/// Callers were told that their request had not run, although its server had run it: the server's own
+/// 503 was passed on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_without_not_executed_is_passed_on() {
+    let fixture = Fixture::start("unmarked-refusal").await;
+    let script = |request: &RawRequest| {
+        let status = request.path.rsplit('/').next().unwrap_or("");
+        vec![RawStep::Send(request.response(status, "", "ran"))]
+    };
+    fixture.replace_pool("plain", script).await;
+    fixture.replace_pool("model", script).await;
+    for route in ["pay", "look", "draft", "brief"] {
+        for status in ["408", "429", "503"] {
+            let path = format!("/{route}/{status}");
+            let response = fixture
+                .call("POST", &path, &format!("{route}{status}"))
+                .await;
+            let given = (response.status, response.seal.as_deref());
+            assert_eq!(given, (502, None), "{path}: {response:?}");
+        }
+    }
+}
+
 /// The store, or another process at its address, may send an endless response. The host keeps
 /// running and repeats the call.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
