Refuse unknown keys on pipelines that allow requests without a key

What was seen: a request with a key that no configuration held ran on a pipeline with allow-anonymous (read in the review, shown here).

Cause: an unknown key was taken for no key.

Evidence: end_to_end, unknown_key_is_served_on_an_anonymous_pipeline, failed before (200 instead of 401); after: known key 200, no key 200, unknown 401.

--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -326,8 +326,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Rejection::BadKey`] if the pipeline needs a key and the caller's is missing or
-/// unknown.
+/// Returns [`Rejection::BadKey`] if the caller's key is unknown, or missing although the pipeline
+/// needs one.
 fn check_key<'a>(
     set: &'a ServingSet,
     pipeline: &PipelineRoute,
@@ -336,9 +336,8 @@
     let Some(keys) = &set.keys else {
         return Ok(None);
     };
-    let holder = head.key.as_deref().and_then(|key| keys.get(key));
-    match holder {
-        Some(holder) => Ok(Some(holder)),
+    match head.key.as_deref() {
+        Some(key) => keys.get(key).map(Some).ok_or(Rejection::BadKey),
         None if pipeline.allow_anonymous => Ok(None),
         None => Err(Rejection::BadKey),
     }
--- a/crates/hollywheel-gateway/tests/end_to_end.rs
+++ b/crates/hollywheel-gateway/tests/end_to_end.rs
@@ -175,6 +175,26 @@
     }
 }
 
+/// A request ran whose key no configuration had held, on a pipeline that allows requests without one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_key_is_served_on_an_anonymous_pipeline() {
+    let fixture = Fixture::start("unknown-key").await;
+    let text = config(2, "k1").replace(
+        "\"service\":\"plain\"",
+        "\"service\":\"plain\",\"allow-anonymous\":true",
+    );
+    fixture.store.set_config(&text);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for (key, status) in [("k1", 200), ("", 200), ("other", 401)] {
+        let mut request = request("POST", "/pay/ok", &format!("a{key}"), key);
+        if key.is_empty() {
+            request.headers_mut().remove("authorization");
+        }
+        let response = send(fixture.caller_address, request).await.unwrap();
+        assert_eq!(response.status, status, "key {key:?}: {response:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_and_routes_follow_the_applied_configuration() {
     let fixture = Fixture::start("keys").await;
