Accept heads with up to 1,024 lines

What callers saw: a request with over 100 header lines got 431 although its head was within max-header-bytes; an answer with as many was lost (502).

Cause: the HTTP library's own limit of 100 lines.

Evidence: malformed, many_short_header_lines_are_refused (101 and 1,000 lines in the request and the answer): 431 before, whole answers after. A head of the largest size could hold 4,096 lines of the shortest kind; the library prepares an entry for each possible line, which takes 9.3 us a request against 2.4 with 100 and 4.3 with 1,024 (a server in one process, five lines a head, 100,000 requests; a trial). Requests with more lines still get 431.

--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::connect::accept;
+use crate::connect::{MAX_HEADER_LINES, accept};
 use crate::host::{Host, StopPhase};
 use crate::metered_stream::MeteredStream;
 use crate::request::answer_request;
@@ -67,6 +67,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + IDLE_SLACK)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
+        .max_headers(MAX_HEADER_LINES)
         .serve_connection(TokioIo::new(MeteredStream::yielding(stream)), service);
     // The connection is polled to its shutdown, which writes what is left of an answer first.
     let ended = tokio::select! {
--- a/crates/hollywheel-gateway/src/connect.rs
+++ b/crates/hollywheel-gateway/src/connect.rs
@@ -17,6 +17,9 @@
 /// Maximum number of connections waiting to be accepted. Beyond it the kernel drops the SYN packet,
 /// which the client repeats only after a second.
 const LISTEN_BACKLOG: u32 = 1024;
+/// Maximum number of header lines of a request or an answer, whose heads are limited in bytes
+/// besides. The HTTP library prepares that many entries for each head that it parses.
+pub(crate) const MAX_HEADER_LINES: usize = 1024;
 
 /// Sets the options that every connection has.
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -15,7 +15,7 @@
 use hollywheel_serving::PieceHandle;
 use hollywheel_types::{ServerId, SortedMap};
 
-use crate::connect::connect;
+use crate::connect::{MAX_HEADER_LINES, connect};
 use crate::metered_stream::{MeteredBody, MeteredStream, ReadMeter};
 
 /// Time-out of connecting. A server on the same network accepts within milliseconds; one that is
@@ -162,6 +162,7 @@
         let (stream, meter) = MeteredStream::metered(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
+            .max_headers(MAX_HEADER_LINES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendFailure::NotSent)?;
--- a/crates/hollywheel-gateway/tests/malformed.rs
+++ b/crates/hollywheel-gateway/tests/malformed.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use prost::Message;
-use support::Fixture;
+use support::{Fixture, RawRequest, RawStep};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -140,6 +140,29 @@
     assert_eq!(fixture.call("POST", "/pay/ok", "a2").await.status, 200);
 }
 
+/// Requests with over 100 header lines were refused with 431 although their head was within
+/// `max-header-bytes`; answers with as many were lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_short_header_lines_are_refused() {
+    let fixture = Fixture::start("header-lines").await;
+    let script = |request: &RawRequest| {
+        let lines = "b: c\r\n".repeat(request.head_lines());
+        vec![RawStep::Send(request.response("200 OK", &lines, "body"))]
+    };
+    fixture.replace_pool("plain", script).await;
+    for count in [101, 1000] {
+        let lines = "a:\r\n".repeat(count);
+        let request = format!(
+            "POST /pay/ok HTTP/1.1\r\nhost: h\r\nattempt-id: n{count}\r\nauthorization: Bearer k1\r\n{lines}content-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        let response = exchange(&fixture, request.as_bytes()).await;
+        assert!(
+            response.starts_with("HTTP/1.1 200") && response.ends_with("body"),
+            "{count} lines: {response:.80}"
+        );
+    }
+}
+
 /// The gateway rejects an oversized head while the caller is still sending it. Closing the
 /// connection with unread bytes would reset it, and the caller would not get the response.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -31,6 +31,11 @@
         value.unwrap_or("").to_owned()
     }
 
+    /// Returns the number of lines of the head.
+    pub fn head_lines(&self) -> usize {
+        self.head.lines().count()
+    }
+
     /// Builds a complete response with the attempt id and the seal of a genuine server.
     pub fn response(&self, status: &str, extra: &str, body: &str) -> Vec<u8> {
         let attempt = self.header("attempt-id");
