--- a/crates/hollywheel-gateway/tests/stage_inputs.rs
+++ b/crates/hollywheel-gateway/tests/stage_inputs.rs
@@ -128,3 +128,34 @@
         );
     }
 }
+
+/// A configuration was refused as a whole, so its routes and keys had no effect, when a name held a
+/// space or a stage needed one with a higher number.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn valid_configuration_is_refused() {
+    let fixture = Fixture::start("valid-config").await;
+    let line = r#""stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":10}]"#;
+    let stages = r#""stages":[{"service":"text stage","after":[1],"bytes":1000},{"service":"text stage","after":[],"bytes":10}]"#;
+    let text = config(2, "k2")
+        .replace(line, stages)
+        .replace("\"name\":\"draft\"", "\"name\":\"draft: \u{e9}t\u{e9}\"")
+        .replace("\"stage\"", "\"text stage\"")
+        .replace("\"office\"", "\"head office: 1\"");
+    let address = servers::serve("s2", Arc::clone(&fixture.log)).await;
+    fixture
+        .store
+        .set_server("s2", "text stage", address, "ready", 2);
+    fixture.store.set_config(&text);
+    sleep(Duration::from_millis(700)).await;
+    let mut request = request("POST", "/draft/ok", "names", "k2");
+    request
+        .headers_mut()
+        .insert("pieces", "3,2".parse().unwrap());
+    let response = send(fixture.caller_address, request).await.unwrap();
+    assert_eq!(response.status, 200, "{response:?}");
+    let lines = fixture.log.lines_with_prefix("ran names ");
+    let is_expected = lines.len() == 1
+        && lines[0].contains(" inputs=3 ")
+        && lines[0].contains(" tenant=head office: 1 ");
+    assert!(is_expected, "{lines:?}");
+}
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -61,7 +61,7 @@
     PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
 };
 pub use shards::{PoolShard, ShardWaits, choose_shard, least_wait, split_into_shards};
-pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput};
+pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput, stage_order};
 pub use stage_plan::{StagePlan, StageTimes};
 pub use store_place::{PlaceError, StoreEra, StorePlace};
 pub use store_view::{FeedHealth, StoreView, ViewPart};
--- a/crates/hollywheel-serving/src/serving_set.rs
+++ b/crates/hollywheel-serving/src/serving_set.rs
@@ -5,6 +5,8 @@
 
 use hollywheel_types::{ConfigVersion, PipelineId, PoolId, SortedMap, WorkspaceId};
 
+use crate::stage_graph::stage_order;
+
 /// Describes whether a request whose outcome is unknown may be repeated, and how it is answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestKind {
@@ -231,7 +233,7 @@
             }
             Self::StageOrder { pipeline, stage } => write!(
                 f,
-                "pipeline {pipeline}: stage {stage} needs a stage that does not stand before it"
+                "pipeline {pipeline}: stage {stage} needs itself or a stage that does not exist"
             ),
             Self::NotPieces { pipeline, pool } => write!(
                 f,
@@ -294,13 +296,11 @@
                 pool: pool.clone(),
             });
         }
-        for (position, stage) in pipeline.stages.iter().enumerate() {
-            if stage.after.iter().any(|needed| *needed >= position) {
-                return Err(ServingSetError::StageOrder {
-                    pipeline: name(),
-                    stage: position,
-                });
-            }
+        stage_order(&pipeline.stages).map_err(|stage| ServingSetError::StageOrder {
+            pipeline: name(),
+            stage,
+        })?;
+        for stage in &pipeline.stages {
             if self.piece_pool(&stage.pool).is_none() {
                 return Err(ServingSetError::NotPieces {
                     pipeline: name(),
--- a/crates/hollywheel-serving/src/stage_graph.rs
+++ b/crates/hollywheel-serving/src/stage_graph.rs
@@ -33,6 +33,32 @@
     Done(Vec<PieceHandle>),
 }
 
+/// Returns the stages in an order in which each comes after all that it needs.
+///
+/// # Errors
+///
+/// Returns a stage that has no place: it needs itself, directly or through others, or a stage that
+/// does not exist.
+pub fn stage_order(steps: &[StageStep]) -> Result<Vec<usize>, usize> {
+    let mut order: Vec<usize> = Vec::with_capacity(steps.len());
+    let mut is_placed = vec![false; steps.len()];
+    while order.len() < steps.len() {
+        let placed_before = order.len();
+        for (stage, step) in steps.iter().enumerate() {
+            let mut needed = step.after.iter();
+            let is_ready = needed.all(|earlier| is_placed.get(*earlier) == Some(&true));
+            if is_ready && !is_placed[stage] {
+                is_placed[stage] = true;
+                order.push(stage);
+            }
+        }
+        if order.len() == placed_before {
+            return Err(is_placed.iter().position(|placed| !placed).unwrap_or(0));
+        }
+    }
+    Ok(order)
+}
+
 /// Tracks the stages of one request and their results.
 #[derive(Clone, Debug)]
 pub struct StageGraph {
@@ -54,19 +80,19 @@
         let counts: Vec<usize> = (0..steps.len())
             .map(|stage| pieces.get(stage).copied().unwrap_or(1))
             .collect();
-        let mut after: Vec<Vec<usize>> = Vec::with_capacity(steps.len());
-        for step in steps {
+        let mut after: Vec<Vec<usize>> = vec![Vec::new(); steps.len()];
+        for stage in stage_order(steps).unwrap_or_default() {
             let mut needed: Vec<usize> = Vec::new();
-            for stage in &step.after {
-                if counts[*stage] == 0 {
-                    needed.extend(after[*stage].iter().copied());
+            for earlier in &steps[stage].after {
+                if counts[*earlier] == 0 {
+                    needed.extend(after[*earlier].iter().copied());
                 } else {
-                    needed.push(*stage);
+                    needed.push(*earlier);
                 }
             }
             needed.sort_unstable();
             needed.dedup();
-            after.push(needed);
+            after[stage] = needed;
         }
         let mut followers: Vec<Vec<usize>> = vec![Vec::new(); steps.len()];
         for (stage, needed) in after.iter_mut().enumerate() {
--- a/crates/hollywheel-serving/tests/omitted_stages.rs
+++ b/crates/hollywheel-serving/tests/omitted_stages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollywheel_serving::{PieceHandle, StageGraph, StageInput, StageStep};
+use hollywheel_serving::{PieceHandle, StageGraph, StageInput, StageStep, stage_order};
 
 /// The number of stages of the graphs.
 const STAGES: usize = 4;
@@ -109,3 +109,28 @@
         }
     }
 }
+
+/// A configuration was refused as a whole when a stage needed one with a higher number.
+#[test]
+fn stage_that_needs_a_later_one_is_refused() {
+    for edges in 0..1 << (STAGES * (STAGES - 1) / 2) {
+        let mut steps = steps(edges);
+        steps.reverse();
+        for stage in steps.iter_mut().flat_map(|step| &mut step.after) {
+            *stage = STAGES - 1 - *stage;
+        }
+        let mut order = stage_order(&steps).unwrap();
+        for present in 0..1_usize << STAGES {
+            let pieces: Vec<usize> = (0..STAGES)
+                .map(|stage| (stage + 1) * (present >> stage & 1))
+                .collect();
+            check_graph(&steps, &pieces);
+        }
+        order.sort_unstable();
+        assert_eq!(order, [0, 1, 2, 3]);
+        // A cycle has no order.
+        steps[0].after.push(STAGES - 1);
+        steps[STAGES - 1].after.push(0);
+        assert!(stage_order(&steps).is_err(), "{steps:?}");
+    }
+}
