Run the stages of pipelines that are not streaming

What callers saw: a request of an idempotent or other plain pipeline with stages was answered without them; its server got no inputs.

Cause: only streaming requests went through the code that runs stages.

Evidence: stage_inputs, stages_of_a_plain_pipeline_are_omitted: before, no stage call and no inputs; after, two stage calls and one call with inputs for each request, the answer whole although it holds blank lines and does not end with one, a 500 passed on, a truncated answer 502.

Why it works: all requests with stages take that path; the answer of one that is not streaming is read whole before it is forwarded. An idempotent request with stages is not sent again after a 500 of its server, unlike one without; it is after a failed attempt.

--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -190,11 +190,12 @@
     let name = context.pipeline.name.as_str();
     let guard = RequestGuard::new(&host, &attempt_id, name, arrived);
     host.count_request(&context.pool);
+    let has_stages = !context.pipeline.stages.is_empty();
     match context.pipeline.kind {
-        RequestKind::Streaming => call_stream(&host, context, guard).await,
-        RequestKind::Idempotent | RequestKind::NonIdempotent => {
+        RequestKind::Idempotent | RequestKind::NonIdempotent if !has_stages => {
             call_plain(&host, &context, &guard).await
         }
+        _ => call_stream(&host, context, guard).await,
     }
 }
 
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -1,4 +1,4 @@
-//! Streaming requests: runs their stages, then sends the final call to a model engine.
+//! Streaming requests and others with stages: runs the stages, then sends the final call.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,15 +9,15 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{
-    PieceHandle, PlacementQuery, PlacementVerdict, ServerRecord, StageGraph, choose_engine,
-    choose_least_loaded,
+    PieceHandle, PlacementQuery, PlacementVerdict, RequestKind, ServerRecord, StageGraph,
+    choose_engine, choose_least_loaded,
 };
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
 use crate::host::{Host, StopPhase};
-use crate::limited_body::{ANSWER_LIMIT, collect_within};
+use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::log_line;
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
@@ -65,7 +65,7 @@
     body: Bytes,
 }
 
-/// State of a streaming request, from its stages to the end of its stream.
+/// State of a request, from its stages to the end of its stream or answer.
 pub(crate) struct StreamJob {
     pub(crate) host: Host,
     pub(crate) context: Rc<RequestContext>,
@@ -93,7 +93,7 @@
     pub(crate) last_event: Option<u64>,
 }
 
-/// Serves a streaming request; the returned body forwards the stream.
+/// Serves a request that is streaming or has stages; the returned body forwards the stream.
 pub(crate) async fn call_stream(
     host: &Host,
     context: Rc<RequestContext>,
@@ -503,7 +503,7 @@
         attempt.await
     }
 
-    /// Sends the final call and waits for the first event.
+    /// Sends the final call and waits for the first event, or the whole answer if it is no stream.
     async fn attempt(
         &self,
         server: &ServerId,
@@ -517,7 +517,16 @@
         };
         let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
         let mut open = OpenStream::new(answer, self.last_event, self.host.body_memory.share());
-        if open.answer.status.is_success() {
+        let is_streaming = self.context.pipeline.kind == RequestKind::Streaming;
+        if open.answer.status.is_success() && !is_streaming {
+            let read = open.read_whole(&self.host.body_memory).await;
+            read.map_err(|failure| AttemptFailure {
+                verdict: ExecutionVerdict::MayHaveRun,
+                received: true,
+                lost_server: failure == BodyFailure::Broken,
+                reason: failure.name(),
+            })?;
+        } else if open.answer.status.is_success() {
             open.chunk = open.read_events().await.map_err(|failure| AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
                 received: true,
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -12,8 +12,9 @@
 use hollywheel_serving::EventSplitter;
 use hollywheel_types::{ExecutionVerdict, MonoTime};
 
+use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::{log_line, millis};
-use crate::memory_budget::MemoryShare;
+use crate::memory_budget::{MemoryBudget, MemoryShare};
 use crate::respond::RequestOutcome;
 use crate::server_attempt::{AttemptFailure, OpenAnswer, record_attempt_failure};
 use crate::stream_call::StreamJob;
@@ -87,6 +88,18 @@
         }
     }
 
+    /// Reads an answer that is no stream completely.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyFailure`] if the answer is truncated, too long or finds no memory.
+    pub(crate) async fn read_whole(&mut self, memory: &MemoryBudget) -> Result<(), BodyFailure> {
+        let body = collect_within(&mut self.answer.body, ANSWER_LIMIT, memory).await?;
+        self.chunk = (!body.is_empty()).then_some(body);
+        self.ended = true;
+        Ok(())
+    }
+
     /// Reads until at least one new event is complete; `None` if the stream has ended.
     ///
     /// Bytes after the last complete event mean that the stream was cut within an event. They are
--- a/crates/hollywheel-gateway/tests/stage_inputs.rs
+++ b/crates/hollywheel-gateway/tests/stage_inputs.rs
@@ -159,3 +159,47 @@
         && lines[0].contains(" tenant=head office: 1 ");
     assert!(is_expected, "{lines:?}");
 }
+
+/// Requests of pipelines that are not streaming ran without their stages.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stages_of_a_plain_pipeline_are_omitted() {
+    let fixture = Fixture::start("plain-stages").await;
+    let body = "one\n\ntwo without a line end";
+    let plain = fixture
+        .replace_pool("plain", move |request| {
+            match request.path.rsplit('/').next() {
+                Some("fault") => vec![RawStep::Send(request.response("500 Fault", "", body))],
+                Some("cut") => {
+                    let mut response = request.response("200 OK", "", body);
+                    response.truncate(response.len() - 4);
+                    vec![RawStep::Send(response), RawStep::Close]
+                }
+                _ => vec![RawStep::Send(request.response("200 OK", "", body))],
+            }
+        })
+        .await;
+    let stages = r#""service":"plain","stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":10}]"#;
+    fixture
+        .store
+        .set_config(&config(2, "k1").replace("\"service\":\"plain\"", stages));
+    sleep(Duration::from_millis(700)).await;
+    for (method, path, status) in [
+        ("POST", "/pay/ok", 200),
+        ("GET", "/look/ok", 200),
+        ("POST", "/pay/fault", 500),
+        ("POST", "/pay/cut", 502),
+    ] {
+        let calls = fixture.log.lines_with_prefix("/stage-run").len();
+        let requests = plain.requests().len();
+        let attempt = path.replace('/', "-");
+        let response = fixture.call(method, path, &attempt).await;
+        let whole = response.body.as_deref();
+        assert_eq!(response.status, status, "{path}: {response:?}");
+        assert!(status == 502 || whole == Ok(body), "{path}: {response:?}");
+        let runs = fixture.log.lines_with_prefix("/stage-run").len() - calls;
+        let sent = plain.requests().split_off(requests);
+        let inputs: Vec<String> = sent.iter().map(|sent| sent.header("inputs")).collect();
+        assert_eq!((runs, inputs.len()), (2, 1), "{path}: {inputs:?}");
+        assert!(!inputs[0].is_empty(), "{path}");
+    }
+}
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -68,6 +68,11 @@
 }
 
 impl RawLog {
+    /// Returns the requests in the order of their arrival.
+    pub fn requests(&self) -> Vec<RawRequest> {
+        self.requests.lock().unwrap().clone()
+    }
+
     /// Returns the paths of the requests in the order of their arrival.
     pub fn paths(&self) -> Vec<String> {
         let requests = self.requests.lock().unwrap();
