Count messages of other hosts towards the memory budget

What was seen: 64 unfinished messages of 3 MB each, sent as another host sends them, took 195 MB of a host (endless_bytes, many_peer_messages_exhaust_memory; 32 MB allowed, a host has 160 to 512). Answers of other hosts could take 16 MB each.

Cause: messages between hosts had a limit each and none together.

Why it works: both sides read through the budget of all bodies, answers to calls with the limit of a stage call's answer, 1 MB. Messages up to 16 kB always find memory, so that calls of usual size go on; configurations and listings are downloaded one at a time from each source and stay apart. The test passes after, and a request with stages is served meanwhile.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -127,6 +127,7 @@
             incarnation,
             weight: host_weight(&settings.limits),
         };
+        let body_memory = MemoryBudget::new(settings.limits.memory_mb);
         Rc::new(Self {
             log: LogLimiter::new(clock),
             metrics: HostMetrics::new(),
@@ -147,9 +148,9 @@
             patience: RefCell::default(),
             pool_waits: RefCell::default(),
             connections: ConnectionPool::default(),
-            body_memory: MemoryBudget::new(settings.limits.memory_mb),
+            peers: PeerClient::new(body_memory.clone()),
+            body_memory,
             coordinator: BatchCoordinator::default(),
-            peers: PeerClient::default(),
             release_queue: ReleaseQueue::default(),
             reader_role: ReaderRole::default(),
             view_changed: Notify::new(),
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -14,8 +14,8 @@
 
 /// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes.
 pub(crate) const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
-/// Maximum size of the answer to a batched stage call, in bytes. A result takes less than 100
-/// bytes, and a call has some hundred.
+/// Maximum size of the answer to a batched stage call, or of another host's to a call, in bytes. A
+/// result takes less than 100 bytes, and a call has some hundred.
 pub(crate) const PIECES_LIMIT: usize = 1024 * 1024;
 /// Maximum size of an answer whose body is discarded, such as a refusal, in bytes.
 pub(crate) const SMALL_LIMIT: usize = 64 * 1024;
@@ -51,23 +51,6 @@
     }
 }
 
-/// Reads a body completely.
-///
-/// # Errors
-///
-/// Returns [`BodyFailure`] if the body exceeds `limit` bytes or is truncated.
-pub(crate) async fn collect_body<B>(body: B, limit: usize) -> Result<Bytes, BodyFailure>
-where
-    B: Body<Data = Bytes, Error = hyper::Error>,
-{
-    let mut collected = BodyBuffer::default();
-    let mut body = pin!(body);
-    while let Some(data) = next_data(body.as_mut()).await? {
-        append(&mut collected, &data, limit, None)?;
-    }
-    Ok(Bytes::from(collected.into_vec()))
-}
-
 /// Reads a body completely within the memory that all bodies share. The returned bytes count
 /// towards it until they are dropped.
 ///
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -19,8 +19,9 @@
 
 use crate::connect::connect;
 use crate::limited_body::{
-    BodyFailure, DOCUMENT_LIMIT, STALL_TIME, collect_body, collect_steadily,
+    BodyFailure, DOCUMENT_LIMIT, PIECES_LIMIT, STALL_TIME, collect_steadily, collect_within,
 };
+use crate::memory_budget::MemoryBudget;
 use crate::metered_stream::MeteredStream;
 
 /// Path for a group of pieces that the called host coordinates.
@@ -97,12 +98,21 @@
 }
 
 /// Connections to the other hosts, one each.
-#[derive(Default)]
 pub(crate) struct PeerClient {
     links: RefCell<SortedMap<HostId, Rc<PeerLink>>>,
+    /// Memory for answers.
+    memory: MemoryBudget,
 }
 
 impl PeerClient {
+    /// Creates a client without connections, whose answers take their memory from the budget.
+    pub(crate) fn new(memory: MemoryBudget) -> Self {
+        Self {
+            links: RefCell::default(),
+            memory,
+        }
+    }
+
     /// Calls another host. Dropping the future cancels the call there.
     ///
     /// # Errors
@@ -117,7 +127,7 @@
     ) -> Result<Bytes, PeerFailure> {
         let call = async {
             let answer = self.begin(peer, path, body).await?;
-            let body = collect_body(answer, DOCUMENT_LIMIT).await;
+            let body = collect_within(answer, PIECES_LIMIT, &self.memory).await;
             body.map_err(|_| PeerFailure::Broken)
         };
         let answered = timeout(limit, call).await;
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -24,7 +24,7 @@
 use crate::crash_evidence::receive_evidence;
 use crate::follow::answer_follow;
 use crate::host::Host;
-use crate::limited_body::collect_body;
+use crate::limited_body::collect_within;
 use crate::metered_stream::MeteredStream;
 use crate::peer_client::{
     CONFIG_PATH, EVIDENCE_PATH, FOLLOW_PATH, FREE_PATH, LIMITS_PATH, LocalExecutor, PERMIT_PATH,
@@ -61,7 +61,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path().to_owned();
-    let body = match collect_body(request.into_body(), MAX_BODY).await {
+    let body = match collect_within(request.into_body(), MAX_BODY, &host.body_memory).await {
         Ok(body) => body,
         Err(_) => return Ok(reply(StatusCode::BAD_REQUEST, Vec::new())),
     };
--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -4,13 +4,21 @@
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
+use std::convert::Infallible;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use support::{Fixture, RawRequest, RawStep, config, request, send, serve_raw};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 /// Memory that endless answers may take beyond that of a calm host, in kilobytes.
@@ -262,3 +270,46 @@
     }
     assert!(refused_count > 0);
 }
+
+/// Sends the start of a message to the gateway as another host does, and then nothing more.
+async fn begin_peer_message(fixture: &Fixture) -> JoinSet<()> {
+    const START_SIZE: usize = 3_000_000;
+    let stream = TcpStream::connect(fixture.peer_address).await.unwrap();
+    let (mut sender, connection) = http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    let frames =
+        futures_util::stream::repeat_with(|| Ok::<_, Infallible>(Bytes::from_static(&[0; 8192])))
+            .take(START_SIZE / 8192)
+            .chain(futures_util::stream::pending())
+            .map_ok(Frame::data);
+    let body = StreamBody::new(frames);
+    let request = http::Request::post(format!("http://{}/pieces", fixture.peer_address));
+    let request = request.body(body).unwrap();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let _ = connection.await;
+    });
+    tasks.spawn(async move {
+        let _ = sender.send_request(request).await;
+    });
+    tasks
+}
+
+/// A host ran out of memory when other hosts sent long messages at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_peer_messages_exhaust_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-messages").await;
+    let calm = resident_kb();
+    let mut messages = Vec::new();
+    for _ in 0..64 {
+        messages.push(begin_peer_message(&fixture).await);
+    }
+    sleep(Duration::from_millis(1000)).await;
+    let growth = resident_kb() - calm;
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    // A stage of this request is collected through the same budget.
+    let response = fixture.call("POST", "/draft/ok", "small").await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
