Test the largest counts of a configuration

Counts and sizes of 0, 2^32 - 1, 2^64 - 1 and 1e308 in all fields of services and stages: each request on four pipelines gets an answer, 200 where the stages have room and servers, 503 otherwise (debug build, which checks arithmetic). Results of 1e308 bytes saturate at the room of 1e308 MB, so two stages do not fit; the test does not ask for that.

--- a/crates/hollywheel-gateway/tests/extreme_numbers.rs
+++ b/crates/hollywheel-gateway/tests/extreme_numbers.rs
@@ -72,22 +72,14 @@
 async fn longest_times_of_a_configuration_end_requests() {
     let fixture = Fixture::start("extreme-times").await;
     for (version, number) in [(2, "18446744073709551615"), (3, "1e22"), (4, "1e308")] {
-        let mut text = config(version, "k1");
-        for field in [
+        let fields = [
             "timeout-ms",
             "latency-target-ms",
             "gap-target-ms",
             "call-ms",
             "item-ms",
-        ] {
-            let prefix = format!("\"{field}\":");
-            let parts: Vec<&str> = text.split(prefix.as_str()).collect();
-            let rest = parts[1..].iter().map(|part| {
-                let digits = part.trim_start_matches(|digit: char| digit.is_ascii_digit());
-                format!("{prefix}{number}{digits}")
-            });
-            text = format!("{}{}", parts[0], rest.collect::<String>());
-        }
+        ];
+        let text = with_numbers(&config(version, "k1"), &fields, number);
         fixture.store.set_config(&text);
         sleep(Duration::from_millis(700)).await;
         for path in ["/pay/ok", "/look/ok", "/draft/ok", "/brief/ok"] {
@@ -102,3 +94,52 @@
         }
     }
 }
+
+/// Replaces all numbers of some fields of a configuration.
+fn with_numbers(text: &str, fields: &[&str], number: &str) -> String {
+    let mut text = text.to_owned();
+    for field in fields {
+        let prefix = format!("\"{field}\":");
+        let parts: Vec<&str> = text.split(prefix.as_str()).collect();
+        let rest = parts[1..].iter().map(|part| {
+            let digits = part.trim_start_matches(|digit: char| digit.is_ascii_digit());
+            format!("{prefix}{number}{digits}")
+        });
+        text = format!("{}{}", parts[0], rest.collect::<String>());
+    }
+    text
+}
+
+/// Guards against counts and sizes of a configuration whose products or sums exceed their type.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn largest_counts_of_a_configuration_end_requests() {
+    let fixture = Fixture::start("extreme-counts").await;
+    // Whether stages have room or a server; their requests are refused otherwise.
+    let cases: [(&[&str], &str, bool); 6] = [
+        (&["slots", "queue", "max-attempts"], "4294967295", true),
+        (&["batch", "kv-cache-tokens"], "18446744073709551615", true),
+        (&["bytes"], "18446744073709551615", false),
+        (&["headroom-mb", "handle-s"], "1e308", true),
+        (&["headroom-mb", "handle-s", "bytes", "item-ms"], "0", false),
+        (&["slots", "batch", "kv-cache-tokens"], "0", false),
+    ];
+    let mut version = 1;
+    for (fields, number, has_room) in cases {
+        version += 1;
+        let text = config(version, &format!("k{version}"));
+        fixture
+            .store
+            .set_config(&with_numbers(&text, fields, number));
+        sleep(Duration::from_millis(700)).await;
+        for path in ["/pay/ok", "/look/ok", "/draft/ok", "/brief/ok"] {
+            let attempt = format!("{path}{version}");
+            let key = format!("k{version}");
+            let call = request("POST", path, &attempt, &key);
+            let response = send(fixture.caller_address, call).await;
+            let response =
+                response.unwrap_or_else(|error| panic!("{path} {fields:?} {number}: {error}"));
+            let is_expected = response.status == 200 || !has_room && response.status == 503;
+            assert!(is_expected, "{path} {fields:?} {number}: {response:?}");
+        }
+    }
+}
