--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod batch_coordinator;
 mod body;
-mod body_buffer;
 mod caller_server;
 mod command;
 mod config_fetch;
--- a/crates/hollywheel-gateway/src/limited_body.rs
+++ b/crates/hollywheel-gateway/src/limited_body.rs
@@ -9,7 +9,8 @@
 use hyper::body::Body;
 use tokio::time::timeout;
 
-use crate::body_buffer::BodyBuffer;
+use hollywheel_serving::BodyBuffer;
+
 use crate::memory_budget::{MemoryBudget, MemoryShare};
 
 /// Maximum size of the answer to a non-streaming call, in bytes. Usual answers have some kilobytes.
--- a/crates/hollywheel-gateway/src/body_buffer.rs
+++ b/crates/hollywheel-serving/src/body_buffer.rs
@@ -3,12 +3,12 @@
 /// Size of a segment in bytes.
 const SEGMENT_SIZE: usize = 16 * 1024;
 
-/// Body that is being read, kept in segments of equal size.
+/// Holds a body that is being read, kept in segments of equal size.
 ///
 /// Segments do not move when the body grows, and the allocator can reuse each for any other body.
 /// A single buffer that grows by doubling would leave unused space of every smaller size behind.
 #[derive(Debug, Default)]
-pub(crate) struct BodyBuffer {
+pub struct BodyBuffer {
     /// All but the last are full.
     segments: Vec<Vec<u8>>,
     /// Number of bytes in all segments.
@@ -16,20 +16,25 @@
 }
 
 impl BodyBuffer {
+    /// Returns whether there are no bytes.
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
     /// Returns the number of bytes.
-    pub(crate) const fn len(&self) -> usize {
+    pub const fn len(&self) -> usize {
         self.length
     }
 
     /// Returns the memory that the buffer takes at most once `added` more bytes are appended, in
     /// bytes.
-    pub(crate) fn memory_with(&self, added: usize) -> usize {
+    pub fn memory_with(&self, added: usize) -> usize {
         let length = self.length + added;
         length.next_multiple_of(SEGMENT_SIZE).min(2 * length)
     }
 
     /// Appends bytes.
-    pub(crate) fn append(&mut self, mut data: &[u8]) {
+    pub fn append(&mut self, mut data: &[u8]) {
         self.length += data.len();
         while !data.is_empty() {
             let segment = self.free_segment(data.len());
@@ -42,7 +47,7 @@
 
     /// Returns the bytes as one block. Each segment is freed as soon as it is copied, so the body
     /// does not take its memory twice.
-    pub(crate) fn into_vec(mut self) -> Vec<u8> {
+    pub fn into_vec(mut self) -> Vec<u8> {
         if self.segments.len() <= 1 {
             let mut bytes = self.segments.pop().unwrap_or_default();
             bytes.shrink_to_fit();
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -5,6 +5,7 @@
 //! nor opens a socket: the current time is an argument.
 
 mod batch;
+mod body_buffer;
 mod budget;
 mod budget_share;
 mod call_time;
@@ -32,6 +33,7 @@
     BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, PieceDelivery,
     PieceResult, PoolBatcher, WorkPiece,
 };
+pub use body_buffer::BodyBuffer;
 pub use budget::RetryBudget;
 pub use budget_share::{BudgetShare, SlackShare};
 pub use call_time::CallTimes;
