Play servers with unusual behaviour in the soak

From seed 400 on: chunk sizes, padded chunks, interim answers and one-byte chunks without end; any number in headers; answers in one-byte chunks after interim answers; pauses of 1.3 to 2 s in a stream; a full server; a 503 that does not state "not run"; an incomplete entry of another system; requests that omit the last stage. Checked beside them: payments to other servers within their time-out, whole streams at one server, inputs, nothing at the other system's server, 32 MB of memory a host. The short run has such a seed.

Earlier seeds keep their faults.

--- a/crates/hollywheel-daemon/tests/soak.rs
+++ b/crates/hollywheel-daemon/tests/soak.rs
@@ -10,6 +10,8 @@
 mod faults;
 #[path = "soak/load.rs"]
 mod load;
+#[path = "soak/odd.rs"]
+mod odd;
 #[path = "soak/process.rs"]
 mod process;
 #[path = "soak/proxy.rs"]
@@ -25,9 +27,9 @@
 use support::ServerLog;
 use system::play_seed;
 
-/// Seeds of the short run: one without restores of the store, one with them, and one that also has
-/// limits of servers.
-const SHORT_SEEDS: [u64; 3] = [2, 200, 300];
+/// Seeds of the short run: one without restores of the store, one with them, one that also has
+/// limits of servers, and one that also has servers with unusual behaviour.
+const SHORT_SEEDS: [u64; 4] = [2, 200, 300, 400];
 
 fn seeds() -> Vec<u64> {
     if let Ok(range) = std::env::var("HOLLYWHEEL_SOAK_SEEDS") {
--- a/crates/hollywheel-daemon/tests/soak/check.rs
+++ b/crates/hollywheel-daemon/tests/soak/check.rs
@@ -1,12 +1,15 @@
 //! Checks of the guarantees, from the records of callers and backend servers.
 
 use super::load::{CallRecord, CallerEnd};
+use super::odd::STRANGER;
 use super::support::ServerLog;
 
 /// Returns the complete answer of a server without faults.
 fn expected_body(path: &str) -> &'static str {
     match path {
-        "/draft/ok" | "/brief/ok" => "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        "/draft/ok" | "/draft/omit" | "/brief/ok" | "/paused/ok" => {
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        }
         "/brief/broken" | "/brief/restarted" => {
             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
         }
@@ -26,10 +29,17 @@
     let mut found = Vec::new();
     for call in calls {
         let runs = runs_of(&ran, &call.attempt);
-        let repeats = call.path.starts_with("/look/") || call.path.starts_with("/brief/");
+        let repeats = ["/look/", "/brief/", "/paused/"]
+            .iter()
+            .any(|prefix| call.path.starts_with(prefix));
         if !repeats && runs > 1 {
             found.push(format!("ran {runs} times: {call}"));
         }
+        if call.path == "/paused/ok" && runs > 1 {
+            found.push(format!(
+                "its server was only silent, and it ran again: {call}"
+            ));
+        }
         if runs > 2 {
             found.push(format!("ran at more servers than allowed: {call}"));
         }
@@ -59,10 +69,15 @@
             continue;
         };
         let inputs = match call.path.split('/').nth(1) {
+            // The request omits the last stage.
+            _ if call.path == "/draft/omit" => "inputs=2 ",
             Some("draft") => "inputs=1 ",
             Some("brief") => "inputs=2 ",
             _ => "inputs=0 ",
         };
+        if line.contains(STRANGER) {
+            found.push(format!("ran at a server of another system: {line}"));
+        }
         if !line.contains("tenant=office key= ") {
             found.push(format!("wrong workspace or a key passed on: {line}"));
         }
--- a/crates/hollywheel-daemon/tests/soak/load.rs
+++ b/crates/hollywheel-daemon/tests/soak/load.rs
@@ -89,10 +89,12 @@
 
 /// Sends a request and reads its answer.
 pub async fn call(sender: &mut Sender, path: &str, attempt: &str, key: &str) -> CallerEnd {
-    let Ok(answer) = sender
-        .send_request(request("POST", path, attempt, key))
-        .await
-    else {
+    let mut request = request("POST", path, attempt, key);
+    if path.ends_with("/omit") {
+        let pieces = "2,0".parse().unwrap();
+        request.headers_mut().insert("pieces", pieces);
+    }
+    let Ok(answer) = sender.send_request(request).await else {
         return CallerEnd::Closed;
     };
     let status = answer.status().as_u16();
--- a/crates/hollywheel-daemon/tests/soak/process.rs
+++ b/crates/hollywheel-daemon/tests/soak/process.rs
@@ -79,6 +79,15 @@
         self.directory.join(format!("{}.{ending}", self.name))
     }
 
+    /// Returns the resident memory of the process in kilobytes; zero if it has ended.
+    pub fn resident_kb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let size = line.and_then(|line| line.split_whitespace().nth(1));
+        size.map_or(0, |size| size.parse().unwrap())
+    }
+
     /// Starts the process.
     pub fn run(&mut self) {
         self.starts += 1;
--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -11,6 +11,7 @@
 use super::check::violations;
 use super::faults::{FIRST_LIMIT_SEED, SERVER_LIMIT, bring_faults};
 use super::load::{CallBook, CallRecord, CallerEnd, call_once, run_caller};
+use super::odd::{FIRST_ODD_SEED, STRANGER, check_odd, serve_odd, with_odd_pools};
 use super::process::{GRACE, HostProcess, ProcessEnd};
 use super::proxy::LinkProxy;
 use super::support::store::{StoreStandin, serve};
@@ -42,6 +43,8 @@
 /// Time after a caller has disconnected by which its server stops the work.
 const GONE_TIME: Duration = Duration::from_millis(1000);
 
+/// Memory that a host may take more after unusual answers, in kilobytes.
+const MAX_GROWTH_KB: u64 = 32 * 1024;
 /// Length of the timers that measure pauses of the test.
 const PAUSE_STEP: Duration = Duration::from_millis(20);
 /// Maximum number of callers that disconnect one after another, until the request of one has reached
@@ -69,6 +72,8 @@
     log: Arc<ServerLog>,
     version: u64,
     key: &'static str,
+    /// Whether the configuration has the pools of servers with unusual behaviour.
+    has_odd: bool,
     directory: PathBuf,
 }
 
@@ -87,6 +92,7 @@
             log: Arc::clone(&log),
             version: 0,
             key: "",
+            has_odd: seed >= FIRST_ODD_SEED,
             directory,
         };
         for (index, (name, pool)) in SERVERS.into_iter().enumerate() {
@@ -130,7 +136,15 @@
     pub fn publish(&mut self, key: &'static str) {
         self.version += 1;
         self.key = key;
-        self.store.set_config(&config(self.version, key));
+        self.write_config();
+    }
+
+    fn write_config(&self) {
+        let text = config(self.version, self.key);
+        self.store.set_config(&match self.has_odd {
+            true => with_odd_pools(&text),
+            false => text,
+        });
     }
 
     /// Writes the current entries again, as the operator and the servers do after the store was restored
@@ -141,7 +155,7 @@
             self.store
                 .set_server(server.name, server.pool, address, server.state, server.born);
         }
-        self.store.set_config(&config(self.version, self.key));
+        self.write_config();
     }
 
     /// Waits until all hosts answer a request of each kind.
@@ -278,6 +292,34 @@
         found
     }
 
+    /// Checks that servers with unusual behaviour, and an incomplete entry of another system, affect
+    /// only the requests that they answer.
+    async fn check_odd(&self, seed: u64, book: &CallBook) -> Vec<String> {
+        for (name, pool) in [
+            ("o1", "odd"),
+            ("o2", "odd"),
+            ("q1", "paused"),
+            ("q2", "paused"),
+        ] {
+            let address = serve_odd(name, Arc::clone(&self.log)).await;
+            self.store.set_server(name, pool, address, "ready", 1);
+        }
+        let address = serve_odd(STRANGER, Arc::clone(&self.log)).await;
+        let entry = format!(r#"{{"service":"plain","address":"{address}"}}"#);
+        self.store.set_odd_server(STRANGER, entry.as_bytes());
+        sleep(IN_FORCE + SLACK).await;
+        let hosts: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
+        let sizes: Vec<u64> = self.hosts.iter().map(HostProcess::resident_kb).collect();
+        let mut found = check_odd(&hosts, seed, book).await;
+        for (host, before) in self.hosts.iter().zip(sizes) {
+            let growth = host.resident_kb().saturating_sub(before);
+            if growth > MAX_GROWTH_KB {
+                found.push(format!("{} grew by {growth} kB", host.name));
+            }
+        }
+        found
+    }
+
     /// Checks that a leaving server gets no new requests.
     async fn check_leaving(&mut self, book: &CallBook) -> Vec<String> {
         self.announce(0, "draining");
@@ -426,6 +468,9 @@
     if seed >= FIRST_LIMIT_SEED {
         found.extend(system.check_limit(&book).await);
     }
+    if seed >= FIRST_ODD_SEED {
+        found.extend(system.check_odd(seed, &book).await);
+    }
     found.extend(system.check_leaving(&book).await);
     found.extend(system.check_gone(&book).await);
     found.extend(system.check_stop(seed, &book).await);
