Let the incomplete entry of the soak lack only three fields

An entry without a state was refused before as well, so the soak could not have found that fault. The entry now lacks version, cold-remaining-ms and sequence.

--- a/crates/hollywheel-daemon/tests/soak/system.rs
+++ b/crates/hollywheel-daemon/tests/soak/system.rs
@@ -305,7 +305,9 @@
             self.store.set_server(name, pool, address, "ready", 1);
         }
         let address = serve_odd(STRANGER, Arc::clone(&self.log)).await;
-        let entry = format!(r#"{{"service":"plain","address":"{address}"}}"#);
+        let entry = format!(
+            r#"{{"service":"plain","address":"{address}","zone":"a","slots":4,"state":"ready","born":1}}"#
+        );
         self.store.set_odd_server(STRANGER, entry.as_bytes());
         sleep(IN_FORCE + SLACK).await;
         let hosts: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
