--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -1,6 +1,9 @@
 //! Checks a host whose backend servers send bytes without end: other requests are served in time, and
 //! memory is bounded.
 
+#[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
+#[path = "support/peer_host.rs"]
+mod peer_host;
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
@@ -313,3 +316,20 @@
     let response = fixture.call("POST", "/draft/ok", "small").await;
     assert_eq!(response.status, 200, "{response:?}");
 }
+
+/// A host ran out of memory when another one, which collects the pieces of a pool, sent long answers
+/// to its calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_peer_answers_exhaust_memory() {
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-peer").await;
+    let (address, order_count) = peer_host::serve_peer(200, vec![0; 12_000_000]).await;
+    let entry = peer_host::encode_heavy_host("front-z-1", address);
+    fixture.store.set_host("front-z-1", &entry);
+    sleep(Duration::from_millis(1500)).await;
+    let growth = measure_growth(&fixture, "/draft/ok", 24).await;
+    assert!(order_count.load(Ordering::Relaxed) > 0);
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB");
+    let after = fixture.call("POST", "/pay/ok", "after").await;
+    assert_eq!(after.status, 200, "{after:?}");
+}
