Accept heads with up to 256 lines instead of 1,024

Cause: the HTTP library prepares an entry for each line that is possible, for each head that it parses.

A request with 101 to 256 lines is served, one with more gets 431 as before.

--- a/crates/hollywheel-gateway/src/connect.rs
+++ b/crates/hollywheel-gateway/src/connect.rs
@@ -18,8 +18,8 @@
 /// which the client repeats only after a second.
 const LISTEN_BACKLOG: u32 = 1024;
 /// Maximum number of header lines of a request or an answer, whose heads are limited in bytes
-/// besides. The HTTP library prepares that many entries for each head that it parses.
-pub(crate) const MAX_HEADER_LINES: usize = 1024;
+/// besides. The HTTP library prepares that many entries for each head, which costs processor time.
+pub(crate) const MAX_HEADER_LINES: usize = 256;
 
 /// Sets the options that every connection has.
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
