--- a/crates/hollywheel-gateway/tests/faulty_servers.rs
+++ b/crates/hollywheel-gateway/tests/faulty_servers.rs
@@ -105,12 +105,7 @@
                 "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
             match request.path.as_str() {
                 "/stage-run" => {
-                    let pieces = request.body.matches("\"stage\":").count();
-                    let handles: Vec<String> = (0..pieces)
-                        .map(|piece| format!(r#"{{"handle":"{}/r{piece}"}}"#, request.authority))
-                        .collect();
-                    let body = format!(r#"{{"items":[{}]}}"#, handles.join(","));
-                    vec![RawStep::Send(request.response("200 OK", "", &body))]
+                    vec![RawStep::Send(request.stage_response())]
                 }
                 "/stage-free" => vec![RawStep::Send(rejection.into())],
                 // The rejection of the release comes once more before the response.
--- a/crates/hollywheel-gateway/tests/silent_streams.rs
+++ b/crates/hollywheel-gateway/tests/silent_streams.rs
@@ -145,12 +145,7 @@
             if stage_calls.fetch_add(1, Ordering::Relaxed) > 0 {
                 return vec![RawStep::Send(refusal.into())];
             }
-            let pieces = request.body.matches("\"stage\":").count();
-            let handles: Vec<String> = (0..pieces)
-                .map(|piece| format!(r#"{{"handle":"{}/r{piece}"}}"#, request.authority))
-                .collect();
-            let body = format!(r#"{{"items":[{}]}}"#, handles.join(","));
-            vec![RawStep::Send(request.response("200 OK", "", &body))]
+            vec![RawStep::Send(request.stage_response())]
         })
         .await;
     let mut request = request("POST", "/brief/take", "refused", "k1");
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -36,6 +36,16 @@
         self.head.lines().count()
     }
 
+    /// Builds the response to a stage call, with one result for each of its pieces.
+    pub fn stage_response(&self) -> Vec<u8> {
+        let pieces = self.body.matches("\"stage\":").count();
+        let handles: Vec<String> = (0..pieces)
+            .map(|piece| format!(r#"{{"handle":"{}/r{piece}"}}"#, self.authority))
+            .collect();
+        let body = format!(r#"{{"items":[{}]}}"#, handles.join(","));
+        self.response("200 OK", "", &body)
+    }
+
     /// Builds a complete response with the attempt id and the seal of a genuine server.
     pub fn response(&self, status: &str, extra: &str, body: &str) -> Vec<u8> {
         let attempt = self.header("attempt-id");
