Reserve each test address without examining earlier ones

The product was not at fault.

Cause: free_address() listened on port 0 to find a port, and repeated this while the port was one that it had returned before. The tests of a program run on several threads. While one thread examined such a port, the gateway of another thread could not open its listener on it. Outgoing connections are ruled out: their source is 127.0.0.1, also to this address (seen here).

Now the ports come from a counter, so that a call never opens a port that an earlier call returned. The port is still opened once, since another program may listen on it on all addresses.

--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -6,7 +6,8 @@
 pub mod store;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,22 +50,27 @@
 /// Body of a caller's request.
 pub type CallerBody = Full<Bytes>;
 
-/// Addresses that [`free_address`] has returned in this process.
-static RETURNED_ADDRESSES: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+/// The port after the last one that [`free_address`] examined in this process.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
 
 /// Returns an address that nothing listens on, a different one on each call.
 ///
 /// Each process uses its own loopback IP address. Otherwise another process or an outgoing
-/// connection could take the port before the caller listens on it.
+/// connection could take the port before the caller listens on it. Each port is examined by one
+/// call only: to examine a port that an earlier call returned would occupy it for a moment, and its
+/// listener could not be opened.
+///
+/// # Panics
+///
+/// Panics if the process has used all ports.
 pub fn free_address() -> SocketAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let mut returned = RETURNED_ADDRESSES.lock().unwrap();
+    let ip = Ipv4Addr::new(127, 1 + high % 250, low, 1);
     loop {
-        let listener = TcpListener::bind((Ipv4Addr::new(127, 1 + high % 250, low, 1), 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        if !returned.contains(&address) {
-            returned.push(address);
-            return address;
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(port >= 10_000, "no port is left");
+        if let Ok(listener) = TcpListener::bind((ip, port)) {
+            return listener.local_addr().unwrap();
         }
     }
 }
