--- a/crates/hollywheel-gateway/tests/support/peer_host.rs
+++ b/crates/hollywheel-gateway/tests/support/peer_host.rs
@@ -63,19 +63,33 @@
 /// number of orders for pieces that it has received.
 pub async fn serve_peer(status: u16, body: Vec<u8>) -> (SocketAddr, Arc<AtomicUsize>) {
     let body = Bytes::from(body);
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
     let order_count = Arc::new(AtomicUsize::new(0));
     let shared_count = Arc::clone(&order_count);
+    let address = serve_answers(move |path| {
+        if path == "/pieces" {
+            shared_count.fetch_add(1, Ordering::SeqCst);
+        }
+        (status, body.clone())
+    })
+    .await;
+    (address, order_count)
+}
+
+/// Serves a host whose answer to a call, a status and a body, depends on the path; returns its
+/// address.
+pub async fn serve_answers(
+    answer: impl Fn(&str) -> (u16, Bytes) + Send + Sync + 'static,
+) -> SocketAddr {
+    let answer = Arc::new(answer);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            let (order_count, body) = (Arc::clone(&shared_count), body.clone());
+            let answer = Arc::clone(&answer);
             let service = service_fn(move |request: Request<Incoming>| {
-                if request.uri().path() == "/pieces" {
-                    order_count.fetch_add(1, Ordering::SeqCst);
-                }
-                let mut response = Response::new(Full::new(body.clone()));
+                let (status, body) = answer(request.uri().path());
+                let mut response = Response::new(Full::new(body));
                 *response.status_mut() = status.try_into().unwrap();
                 async move { Ok::<_, Infallible>(response) }
             });
@@ -83,7 +97,7 @@
             tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
         }
     });
-    (address, order_count)
+    address
 }
 
 /// Encodes the store entry of a host with the largest weight, so that every duty (a task such as
