Test callers that send framing bytes without end

That stays: framing costs a host no more than content or further requests do, and other tasks run after 8 kB of a connection.

--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -1,5 +1,5 @@
-//! Checks a host whose backend servers send bytes without end: other requests are served in time, and
-//! memory is bounded.
+//! Checks a host whose backend servers or callers send bytes without end: other requests are served
+//! in time, and memory is bounded.
 
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 #[path = "support/peer_host.rs"]
@@ -8,6 +8,7 @@
 mod support;
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -274,6 +275,79 @@
     assert!(refused_count > 0);
 }
 
+/// Begins a chunked upload and repeats bytes until the gateway closes the connection; returns the
+/// start of the answer and the time until the end.
+async fn upload_without_end(
+    address: SocketAddr,
+    attempt: String,
+    bytes: &[u8],
+) -> (String, Duration) {
+    let head = format!(
+        "POST /pay/ok HTTP/1.1\r\nhost: h\r\nattempt-id: {attempt}\r\ndeadline-ms: 1200\r\nauthorization: Bearer k1\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let repeated = bytes.repeat(16 * 1024 / bytes.len());
+    let started = Instant::now();
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let writing = tokio::spawn(async move {
+        let mut result = writer.write_all(head.as_bytes()).await;
+        while result.is_ok() {
+            result = writer.write_all(&repeated).await;
+        }
+    });
+    let mut answer = vec![0; 12];
+    let length = reader.read(&mut answer).await.unwrap_or(0);
+    answer.truncate(length);
+    let elapsed = started.elapsed();
+    writing.abort();
+    (String::from_utf8(answer).unwrap(), elapsed)
+}
+
+/// Callers that send chunk sizes, chunk extensions or one-byte chunks without end must neither delay
+/// other requests nor outlive their deadlines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_framing_of_callers_holds_up_other_requests() {
+    const UPLOADS: usize = 24;
+    const PAYMENTS: usize = 10;
+    let _guard = MEASUREMENT.lock();
+    let fixture = start("endless-callers").await;
+    let padded = padded_chunk();
+    for (mode, bytes) in [
+        ("size", b"0".as_slice()),
+        ("padded", &padded),
+        ("extension", b"1;extension=x\r\nx\r\n"),
+        ("bytes", b"1\r\nx\r\n"),
+    ] {
+        let uploads: Vec<_> = (0..UPLOADS)
+            .map(|number| {
+                let (address, bytes) = (fixture.caller_address, bytes.to_vec());
+                let attempt = format!("{mode}-{number}");
+                tokio::spawn(async move { upload_without_end(address, attempt, &bytes).await })
+            })
+            .collect();
+        sleep(Duration::from_millis(200)).await;
+        for number in 0..PAYMENTS {
+            let started = Instant::now();
+            let attempt = format!("{mode}{number}");
+            let status = fixture.call("POST", "/pay/ok", &attempt).await.status;
+            let elapsed = started.elapsed();
+            assert!(
+                status == 200 && elapsed < Duration::from_millis(500),
+                "{mode}: payment {number}: {status} after {elapsed:?}"
+            );
+        }
+        for upload in uploads {
+            let (answer, elapsed) = upload.await.unwrap();
+            assert!(
+                answer.starts_with("HTTP/1.1 4") && elapsed < Duration::from_secs(2),
+                "{mode}: {answer} after {elapsed:?}"
+            );
+        }
+        let ran = fixture.log.lines_with_prefix(&format!("ran {mode}-"));
+        assert!(ran.is_empty(), "{mode}: {ran:?}");
+    }
+}
+
 /// Sends the start of a message to the gateway as another host does, and then nothing more.
 async fn begin_peer_message(fixture: &Fixture) -> JoinSet<()> {
     const START_SIZE: usize = 3_000_000;
