--- a/crates/hollywheel-cli/src/commands/logs.rs
+++ b/crates/hollywheel-cli/src/commands/logs.rs
@@ -9,6 +9,7 @@
 use crate::context::CommandContext;
 use crate::error::CliError;
 use crate::log_lines::{LogLine, read_logs};
+use crate::outcome_plot::draw_outcomes;
 use crate::output::TextTable;
 
 pub(crate) const NAME: &str = "logs";
@@ -39,8 +40,15 @@
         .subcommand(
             Command::new("failures")
                 .about("Counts failed requests by pipeline and cause")
+                .arg(
+                    Arg::new("plot")
+                        .long("plot")
+                        .value_name("SVG")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("File for a plot of all requests over time, by outcome and cause"),
+                )
                 .arg(files_argument())
-                .after_help("Example:\n  hollywheelctl logs failures logs/*.log"),
+                .after_help("Examples:\n  hollywheelctl logs failures logs/*.log\n  hollywheelctl logs failures --plot outcomes.svg logs/*.log"),
         )
 }
 
@@ -62,6 +70,9 @@
     let files = args.get_many::<PathBuf>("files").unwrap_or_default();
     let lines = read_logs(files.map(PathBuf::as_path))?;
     if name == "failures" {
+        if let Some(path) = args.get_one::<PathBuf>("plot") {
+            draw_outcomes(path, ended_requests(&lines))?;
+        }
         return context.print(&count_failures(&lines), |failures| failure_table(failures));
     }
     let request = args.get_one::<String>("request");
@@ -130,10 +141,14 @@
     example: String,
 }
 
+fn ended_requests(lines: &[LogLine]) -> impl Iterator<Item = &LogLine> {
+    lines.iter().filter(|line| line.code == REQUEST_ENDED_CODE)
+}
+
 fn count_failures(lines: &[LogLine]) -> Vec<FailureCount> {
     let mut counts: SortedMap<[String; 3], FailureCount> = SortedMap::new();
-    let ended = lines.iter().filter(|line| line.code == REQUEST_ENDED_CODE);
-    for line in ended.filter(|line| line.field("outcome") != "answered") {
+    let failed = ended_requests(lines).filter(|line| line.field("outcome") != "answered");
+    for line in failed {
         let key = ["pipeline", "outcome", "reason"].map(|name| line.field(name));
         let count = counts.get_or_insert_with(key, || FailureCount {
             pipeline: line.field("pipeline"),
--- a/crates/hollywheel-cli/src/error.rs
+++ b/crates/hollywheel-cli/src/error.rs
@@ -43,7 +43,7 @@
         /// The error of the parser.
         message: String,
     },
-    /// A file could not be read.
+    /// A file could not be read or written.
     File {
         /// The file.
         path: PathBuf,
--- a/crates/hollywheel-cli/src/lib.rs
+++ b/crates/hollywheel-cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod log_lines;
 mod object_files;
+mod outcome_plot;
 mod output;
 
 pub use app::{build_command, run};
--- a/crates/hollywheel-cli/tests/logs.rs
+++ b/crates/hollywheel-cli/tests/logs.rs
@@ -52,6 +52,32 @@
     insta::assert_snapshot!(run(&["failures"], &write_logs("failures")));
 }
 
+#[test]
+fn plot_has_a_line_for_each_outcome_and_cause() {
+    let files = write_logs("plot");
+    let plot = files[0].with_file_name("outcomes.svg");
+    let output = run(&["failures", "--plot", plot.to_str().unwrap()], &files);
+    assert!(output.starts_with("exit 0"), "{output}");
+    let svg = std::fs::read_to_string(&plot).unwrap();
+    for label in [
+        "requests per second",
+        "ended (3)",
+        "answered (1)",
+        "refused: pool can&apos;t make it in time (2)",
+    ] {
+        assert!(svg.contains(label), "{label}: {svg}");
+    }
+    let unwritable = plot.join("outcomes.svg");
+    let output = run(
+        &["failures", "--plot", unwritable.to_str().unwrap()],
+        &files,
+    );
+    assert!(output.starts_with("exit 2"), "{output}");
+    assert!(output.contains("outcomes.svg/outcomes.svg: "), "{output}");
+    let output = run(&["failures", "--plot", plot.to_str().unwrap()], &files[1..]);
+    assert!(output.contains("contain no end of a request"), "{output}");
+}
+
 #[test]
 fn missing_request_and_file_without_events_are_reported() {
     let files = write_logs("missing");
