Close the sockets of a soak seed before the next

What was seen: seeds 409 to 459 by hand in one run; from seed 421 on the test's own stand-ins and proxies failed with "Too many open files", and seeds 421, 422 and 423 had 480, 534 and 559 violations. Seeds 409 to 420 had none. Not the product's fault.

Cause: the test's proxies kept a copy of each socket until the next reset, and neither proxies nor the tasks of the stand-ins ended with their seed.

Each seed has a runtime of its own now, and a proxy that is dropped closes its connections and its listener. A socket is owned by the threads that copy its data.

--- a/crates/hollywheel-daemon/tests/soak.rs
+++ b/crates/hollywheel-daemon/tests/soak.rs
@@ -22,6 +22,8 @@
 #[path = "soak/system.rs"]
 mod system;
 
+use std::time::{Duration, Instant};
+
 use check::violations;
 use load::{CallRecord, CallerEnd};
 use support::ServerLog;
@@ -31,6 +33,24 @@
 /// limits of servers, and one that also has servers with unusual behaviour.
 const SHORT_SEEDS: [u64; 4] = [2, 200, 300, 400];
 
+/// Checks that nothing of a seed is left open, apart from what the threads of its proxies close
+/// within a moment. Later seeds would run out of files.
+fn check_open_files(seed: u64) {
+    const MAX_OPEN_FILES: usize = 40;
+    const CLOSE_TIME: Duration = Duration::from_secs(2);
+    let count = || std::fs::read_dir("/proc/self/fd").unwrap().count();
+    let start = Instant::now();
+    while count() > MAX_OPEN_FILES && start.elapsed() < CLOSE_TIME {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let open_files = count();
+    println!("  {open_files} open files");
+    assert!(
+        open_files <= MAX_OPEN_FILES,
+        "{open_files} after seed {seed}"
+    );
+}
+
 fn seeds() -> Vec<u64> {
     if let Ok(range) = std::env::var("HOLLYWHEEL_SOAK_SEEDS") {
         let (first, last) = range.split_once("..").expect("FIRST..LAST");
@@ -43,14 +63,16 @@
 
 #[test]
 fn promises_hold_under_faults_from_outside() {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .unwrap();
     let mut failed = Vec::new();
     for seed in seeds() {
+        // The end of the runtime closes the sockets of the seed's stand-ins and proxies.
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
         let found = runtime.block_on(play_seed(seed));
+        drop(runtime);
         println!("seed {seed}: {} violations", found.len());
         for violation in &found {
             println!("  {violation}");
@@ -58,6 +80,7 @@
         if !found.is_empty() {
             failed.push(seed);
         }
+        check_open_files(seed);
     }
     assert!(failed.is_empty(), "seeds with violations: {failed:?}");
 }
--- a/crates/hollywheel-daemon/tests/soak/proxy.rs
+++ b/crates/hollywheel-daemon/tests/soak/proxy.rs
@@ -2,7 +2,8 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::Duration;
 
@@ -28,48 +29,70 @@
     Reset,
 }
 
-/// Proxy in front of one address.
-#[derive(Clone)]
+/// Proxy in front of one address. It stops to accept connections once it is dropped.
 pub struct LinkProxy {
     /// The address on which the proxy listens.
     pub address: SocketAddr,
-    mode: Arc<Mutex<LinkMode>>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    state: Arc<LinkState>,
+}
+
+/// State that a proxy shares with its threads.
+struct LinkState {
+    mode: Mutex<LinkMode>,
+    closed: AtomicBool,
+    /// The sockets of open connections; the threads that copy their data own them.
+    open: Mutex<Vec<Weak<TcpStream>>>,
 }
 
 impl LinkProxy {
     /// Starts a proxy in front of an address.
     pub fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let proxy = Self {
-            address: listener.local_addr().unwrap(),
-            mode: Arc::new(Mutex::new(LinkMode::Pass)),
-            open: Arc::default(),
-        };
-        let accepting = proxy.clone();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(LinkState {
+            mode: Mutex::new(LinkMode::Pass),
+            closed: AtomicBool::new(false),
+            open: Mutex::default(),
+        });
+        let accepting = Arc::clone(&state);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                accepting.join(stream, target);
+                if accepting.closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                Arc::clone(&accepting).join(stream, target);
             }
         });
-        proxy
-    }
-
-    fn mode(&self) -> LinkMode {
-        *self.mode.lock().unwrap()
+        Self { address, state }
     }
 
     /// Changes the treatment of open and new connections.
     pub fn set_mode(&self, mode: LinkMode) {
-        *self.mode.lock().unwrap() = mode;
+        *self.state.mode.lock().unwrap() = mode;
         if mode == LinkMode::Reset {
-            for stream in self.open.lock().unwrap().drain(..) {
+            let open = std::mem::take(&mut *self.state.open.lock().unwrap());
+            for stream in open.iter().filter_map(Weak::upgrade) {
                 let _ = reset(&stream);
             }
         }
     }
+}
+
+impl Drop for LinkProxy {
+    fn drop(&mut self) {
+        self.set_mode(LinkMode::Reset);
+        self.state.closed.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+impl LinkState {
+    fn mode(&self) -> LinkMode {
+        *self.mode.lock().unwrap()
+    }
 
-    fn join(&self, near: TcpStream, target: SocketAddr) {
+    fn join(self: Arc<Self>, near: TcpStream, target: SocketAddr) {
         if self.mode() == LinkMode::Reset {
             let _ = reset(&near);
             return;
@@ -77,20 +100,19 @@
         let Ok(far) = TcpStream::connect(target) else {
             return;
         };
-        let copies = [near.try_clone(), far.try_clone()];
-        self.open
-            .lock()
-            .unwrap()
-            .extend(copies.into_iter().flatten());
-        let (Ok(near_in), Ok(far_in)) = (near.try_clone(), far.try_clone()) else {
-            return;
-        };
-        let (there, back) = (self.clone(), self.clone());
-        thread::spawn(move || there.copy(near_in, far, true));
-        thread::spawn(move || back.copy(far_in, near, false));
+        let (near, far) = (Arc::new(near), Arc::new(far));
+        {
+            let mut open = self.open.lock().unwrap();
+            open.retain(|stream| stream.strong_count() > 0);
+            open.extend([&near, &far].map(Arc::downgrade));
+        }
+        let (there, back) = (Arc::clone(&self), self);
+        let (near_in, far_in) = (Arc::clone(&near), Arc::clone(&far));
+        thread::spawn(move || there.copy(&near_in, &far, true));
+        thread::spawn(move || back.copy(&far_in, &near, false));
     }
 
-    fn copy(&self, mut from: TcpStream, mut to: TcpStream, is_request: bool) {
+    fn copy(&self, mut from: &TcpStream, mut to: &TcpStream, is_request: bool) {
         let mut buffer = [0; 16 * 1024];
         while let Ok(read @ 1..) = from.read(&mut buffer) {
             loop {
