Give slow readers of the stop test a time-out that they do not reach

Cause: the test reads for 40 pauses of 80 ms, 3.2 s on a calm machine, and its pipeline has a time-out of 4 s, which ends a stream, stop or not. With pauses of 98 ms in place of a busy machine the slow part took 4.03 s, and the same check failed: the stream ended after 4.06 s with 3.7 of 7.3 MB, while the plain answer, which the host had whole, arrived.

The time-out is 8 s now, as the callers' own deadline is, so that only the stop can cut the stream. Checks and sizes stay. With it the test passes also with pauses of 98 ms.

--- a/crates/hollywheel-gateway/tests/stop_unread_answer.rs
+++ b/crates/hollywheel-gateway/tests/stop_unread_answer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, raise};
-use support::{Fixture, RawRequest, RawStep};
+use support::{Fixture, RawRequest, RawStep, config};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
@@ -62,6 +62,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stop_cuts_answers_that_are_not_read_yet() {
     let fixture = Fixture::start("stop-unread").await;
+    // Slow reading must not reach the time-out of the pipeline, which ends a stream.
+    let patient = config(2, "k1").replace("\"timeout-ms\":4000", "\"timeout-ms\":8000");
+    fixture.store.set_config(&patient);
     fixture.replace_pool("plain", answer).await;
     fixture.replace_pool("model", answer).await;
     raise(Signal::SIGTERM).unwrap();
