--- a/crates/hollywheel-gateway/tests/endless_bytes.rs
+++ b/crates/hollywheel-gateway/tests/endless_bytes.rs
@@ -118,12 +118,25 @@
     calls.collect()
 }
 
+/// Checks that payments to sound servers are answered in time.
+async fn check_payments(fixture: &Fixture, mode: &str) {
+    for number in 0..10 {
+        let started = Instant::now();
+        let attempt = format!("{mode}{number}");
+        let status = fixture.call("POST", "/pay/ok", &attempt).await.status;
+        let elapsed = started.elapsed();
+        assert!(
+            status == 200 && elapsed < Duration::from_millis(500),
+            "{mode}: payment {number}: {status} after {elapsed:?}"
+        );
+    }
+}
+
 /// Payments to sound servers had no answer for seconds, while a model engine sent chunk sizes or
 /// interim answers without end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_framing_bytes_hold_up_other_requests() {
     const STREAMS: usize = 24;
-    const PAYMENTS: usize = 10;
     let _guard = MEASUREMENT.lock();
     let fixture = start("endless-framing").await;
     let model = fixture.replace_pool("model", script).await;
@@ -140,16 +153,7 @@
         let sent = model.repeated_bytes();
         let streams = begin_calls(&fixture, &format!("/draft/{mode}"), STREAMS);
         sleep(Duration::from_millis(200)).await;
-        for number in 0..PAYMENTS {
-            let started = Instant::now();
-            let attempt = format!("{mode}{number}");
-            let status = fixture.call("POST", "/pay/ok", &attempt).await.status;
-            let elapsed = started.elapsed();
-            assert!(
-                status == 200 && elapsed < Duration::from_millis(500),
-                "{mode}: payment {number}: {status} after {elapsed:?}"
-            );
-        }
+        check_payments(&fixture, mode).await;
         for stream in streams {
             // Some are refused by the stages, which these many requests fill.
             let status = stream.await.unwrap();
@@ -308,7 +312,6 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_framing_of_callers_holds_up_other_requests() {
     const UPLOADS: usize = 24;
-    const PAYMENTS: usize = 10;
     let _guard = MEASUREMENT.lock();
     let fixture = start("endless-callers").await;
     let padded = padded_chunk();
@@ -326,16 +329,7 @@
             })
             .collect();
         sleep(Duration::from_millis(200)).await;
-        for number in 0..PAYMENTS {
-            let started = Instant::now();
-            let attempt = format!("{mode}{number}");
-            let status = fixture.call("POST", "/pay/ok", &attempt).await.status;
-            let elapsed = started.elapsed();
-            assert!(
-                status == 200 && elapsed < Duration::from_millis(500),
-                "{mode}: payment {number}: {status} after {elapsed:?}"
-            );
-        }
+        check_payments(&fixture, mode).await;
         for upload in uploads {
             let (answer, elapsed) = upload.await.unwrap();
             assert!(
