Keep the port of a refusing address from other tests

The test listened on a port, closed it and expected that nobody would listen there; a test of another thread, or a host of the quickstart, can get the same port meanwhile. Which of them it was is not known.

The address now belongs to a socket that is bound and does not listen: it refuses connections, and nobody else can listen there, which the tests check (a check that fails with the closed listener, whose port is free). The same in the two other tests that did this: refused_connection_is_reported_as_no_effect and unreachable_host_exits_with_4.

--- a/crates/hollywheel-cli/tests/commands.rs
+++ b/crates/hollywheel-cli/tests/commands.rs
@@ -111,9 +111,11 @@
 
 #[test]
 fn unreachable_host_exits_with_4() {
-    let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // A socket that does not listen refuses connections and keeps its port from other tests.
+    let unused = tokio::net::TcpSocket::new_v4().unwrap();
+    unused.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = unused.local_addr().unwrap().to_string();
-    drop(unused);
+    assert!(std::net::TcpListener::bind(&address).is_err());
     let output = run(&address, &["hosts"]);
     assert_eq!(output.status.code(), Some(4));
 }
--- a/crates/hollywheel-daemon/tests/backend.rs
+++ b/crates/hollywheel-daemon/tests/backend.rs
@@ -14,7 +14,7 @@
 use hollywheel_node::{AttemptCall, AttemptEvent, NodeInput};
 use hollywheel_types::{AttemptNonce, MonoTime, RequestClass, RequestId, TokenCount, TokenIndex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
 /// Reaction of the listener to a request.
@@ -227,9 +227,11 @@
     let late = call_to(backend.address, StageKind::Call, caller.clock.now());
     assert_eq!(caller.run(late).await, [AttemptEvent::NotSent]);
     assert_eq!(backend.received.load(Ordering::SeqCst), 0);
-    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // A socket that does not listen refuses connections and keeps its port from other tests.
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = closed.local_addr().unwrap();
-    drop(closed);
+    assert!(TcpListener::bind(address).await.is_err());
     let call = call_to(address, StageKind::Call, caller.soon());
     assert_eq!(caller.run(call).await, [AttemptEvent::NotSent]);
 }
--- a/crates/hollywheel-platform/tests/client.rs
+++ b/crates/hollywheel-platform/tests/client.rs
@@ -8,7 +8,7 @@
 use hollywheel_platform::{PlatformClient, PlatformError, PlatformService, PlatformSettings};
 use hollywheel_store::{StoreFailure, StoreRequest, TableName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -89,9 +89,11 @@
 
 #[tokio::test]
 async fn refused_connection_is_reported_as_no_effect() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // A socket that does not listen refuses connections and keeps its port from other tests.
+    let unused = TcpSocket::new_v4().unwrap();
+    unused.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = unused.local_addr().unwrap();
+    assert!(TcpListener::bind(address).await.is_err());
     let result = new_client(address).table(read_config_head(), TIMEOUT).await;
     assert!(matches!(result, Err(StoreFailure::Refused { .. })));
 }
