Name the commit of the code in version texts and at the start of the log

The new crate hollywheel-build passes the commit of the checkout (vergen-gitcl, at build time); outside a repository it is `unknown`. Nothing else of the checkout enters a build: the hash is passed in full, since the length of an abbreviated one depends on the objects of the checkout.

--- a/crates/hollywheel-bench/src/command/run.rs
+++ b/crates/hollywheel-bench/src/command/run.rs
@@ -17,7 +17,7 @@
 fn root() -> Command {
     Command::new("hollywheel-bench")
         .about("Generates load, checks outcomes and runs experiments")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(hollywheel_build::version_text())
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(load::command())
--- a/crates/hollywheel-cli/src/app.rs
+++ b/crates/hollywheel-cli/src/app.rs
@@ -29,7 +29,7 @@
 pub fn build_command() -> Command {
     let mut command = Command::new("hollywheelctl")
         .about("Operates hollywheel: publishes objects and shows the state of the hosts")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(hollywheel_build::version_text())
         .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true)
--- a/crates/hollywheel-daemon/src/settings/flags.rs
+++ b/crates/hollywheel-daemon/src/settings/flags.rs
@@ -254,7 +254,7 @@
 /// Returns the definition of the command line.
 pub fn build_command() -> Command {
     let command = Command::new("hollywheeld")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(hollywheel_build::version_text())
         .about("Serves model pipelines and plain services within their latency targets")
         .after_help("Secrets are read from environment variables only; see docs/SETTINGS.md.")
         .arg(
--- a/crates/hollywheel-gateway/src/command.rs
+++ b/crates/hollywheel-gateway/src/command.rs
@@ -16,6 +16,7 @@
 
 fn build_command() -> Command {
     Command::new("hollywheeld gateway")
+        .version(hollywheel_build::version_text())
         .about("Serves callers on the users' platform")
         .arg(
             Arg::new("settings")
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -30,7 +30,7 @@
 }
 
 gateway_events! {
-    HostStarted, "HW7001", "The host has started.", "host, domain, incarnation, callers, peers";
+    HostStarted, "HW7001", "The host has started.", "host, domain, incarnation, commit, callers, peers";
     StopBegan, "HW7002", "The graceful stop has begun.", "grace_ms, requests";
     StopEnded, "HW7003", "The graceful stop has ended.", "requests, callers, took_ms";
     SettingsReloaded, "HW7004", "The settings file was reloaded.", "outcome, detail";
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use hollywheel_adapter::{HostSettings, StoreTable};
+use hollywheel_build::source_commit;
 use hollywheel_clock::HostClock;
 
 use crate::batch_coordinator::run_dispatch_timer;
@@ -144,6 +145,7 @@
         host = %settings.host,
         domain = %settings.domain,
         incarnation = host.incarnation,
+        commit = source_commit(),
         callers = %settings.caller_address,
         peers = %settings.peer_address
     );
