Bound a load report by what the server's slots and queue can hold

A server that once stated Server-Load: 4294967295,4294967295,4294967295 and was sound afterwards got no request for some 10 s: callers got 503 after 5 s and were served after 12 s (measured by the users; both servers of a service).

Cause: the reported number was kept as it came. Its weight is halved each 0.3 s, so 8.6e9 requests took thirty halvings to fall below the limit.

A report now counts for ten requests a slot at most; the slots are those of the server's entry, not of the report. A truthful report of a full server (20,30,6) is below that and counts as before.

Test: impossible_load_report_excludes_a_sound_server; before, the server was still full after 1 s.

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -390,8 +390,13 @@
     /// whether it is shutting down.
     pub(crate) fn apply_answer_facts(&self, server: &ServerId, facts: &ResponseHead) {
         let now = self.now();
-        if let Some(report) = facts.report {
-            self.loads.borrow_mut().note_report(now, server, report);
+        let registry = self.registry.borrow();
+        let slots = registry.usable(now, server).map(|record| record.slots);
+        drop(registry);
+        // A server that is not usable gets no requests, whatever its load.
+        if let (Some(report), Some(slots)) = (facts.report, slots) {
+            let mut loads = self.loads.borrow_mut();
+            loads.note_report(now, server, report, slots);
         }
         if let Some(pause) = facts.retry_after {
             self.loads.borrow_mut().note_pause(now, server, pause);
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -7,6 +7,9 @@
 /// The half-life of a load report. Requests of plain services end within about a tenth of a second,
 /// streams within about a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(300);
+/// The highest load that a report may state, as a multiple of the server's slots: about twice what a
+/// server queues before it refuses requests.
+const MAX_REPORTED_LOAD: f64 = 10.0;
 /// The number of consecutive failures after which a server is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
 /// The duration of the first ejection; doubles with each further consecutive failure.
@@ -109,10 +112,19 @@
         load.in_flight = load.in_flight.saturating_sub(1);
     }
 
-    /// Records a load report of a server.
-    pub fn note_report(&mut self, now: MonoTime, server: &ServerId, report: LoadReport) {
+    /// Records a load report of a server with a number of slots, as its entry states it. More than
+    /// its slots and its queue can hold counts as that: a report loses weight by halves, so an
+    /// impossible one would keep requests from a sound server for many seconds.
+    pub fn note_report(
+        &mut self,
+        now: MonoTime,
+        server: &ServerId,
+        report: LoadReport,
+        slots: u32,
+    ) {
         let load = self.load(server);
         let total = f64::from(report.running) + f64::from(report.waiting);
+        let total = total.min(f64::from(slots.max(1)) * MAX_REPORTED_LOAD);
         load.others = (total - f64::from(load.in_flight)).max(0.0);
         load.reported_at = now;
     }
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -324,6 +324,24 @@
     assert!(chosen.len() >= 5, "{chosen:?}");
 }
 
+/// A server that once reported more requests than it can hold got none for some 10 s.
+#[test]
+fn impossible_load_report_excludes_a_sound_server() {
+    let servers = servers(1, &["a"]);
+    let (name, record) = &servers[0];
+    let mut loads = LoadTable::new();
+    let report = LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: u32::MAX,
+    };
+    loads.note_report(at(0), name, report, record.slots);
+    let place =
+        |millis| choose_least_loaded(&placement_query(&servers, at(millis), 0), &loads, 4.5);
+    assert_eq!(place(0), PlacementVerdict::Full);
+    assert_eq!(place(1000), PlacementVerdict::Server(name.clone()));
+}
+
 #[test]
 fn failing_slow_and_full_servers_are_avoided() {
     let servers = servers(3, &["a"]);
@@ -342,7 +360,7 @@
             waiting: 24,
             slots: 4,
         };
-        loads.note_report(at(2), name, report);
+        loads.note_report(at(2), name, report, report.slots);
     }
     assert_eq!(
         choose_least_loaded(&placement_query(&servers, at(2), 0), &loads, 4.5),
