--- a/crates/hollywheel-gateway/src/caller_server.rs
+++ b/crates/hollywheel-gateway/src/caller_server.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::connect::{MAX_HEADER_LINES, accept};
+use crate::containment::TaskKind;
 use crate::host::{Host, StopPhase};
 use crate::metered_stream::MeteredStream;
 use crate::request::answer_request;
@@ -28,7 +29,8 @@
             // The caller sends a request again whose connection was closed before it was read.
             continue;
         }
-        tokio::task::spawn_local(serve_connection(host.clone(), stream));
+        let connection = serve_connection(host.clone(), stream);
+        host.panics.spawn(TaskKind::Connection, connection);
     }
 }
 
--- a/crates/hollywheel-gateway/src/command.rs
+++ b/crates/hollywheel-gateway/src/command.rs
@@ -6,6 +6,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
+use crate::containment::install_panic_hook;
 use crate::log::start_log;
 use crate::run::{RunOptions, run_host};
 
@@ -87,6 +88,7 @@
         return ExitCode::SUCCESS;
     }
     let level = matches.get_one::<String>("log-level");
+    install_panic_hook();
     let _guard = start_log(level.map_or("info", String::as_str));
     serve(settings, options)
 }
--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,6 +17,7 @@
 use hollywheel_types::{ServerId, SortedMap};
 
 use crate::connect::{MAX_HEADER_LINES, connect};
+use crate::containment::{PanicRecorder, TaskKind};
 use crate::metered_stream::{MeteredBody, MeteredStream, ReadMeter};
 
 /// Time-out of connecting. A server on the same network accepts within milliseconds; one that is
@@ -60,9 +62,9 @@
 }
 
 /// Idle connections by server.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: RefCell<SortedMap<ServerId, Vec<IdleConnection>>>,
+    panics: PanicRecorder,
 }
 
 /// A connection with a request in flight. Dropping it closes the connection.
@@ -108,6 +110,14 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections.
+    pub(crate) fn new(panics: PanicRecorder) -> Self {
+        Self {
+            idle: RefCell::default(),
+            panics,
+        }
+    }
+
     /// Sends a request on an idle or a new connection and returns the head of the answer.
     ///
     /// # Errors
@@ -167,9 +177,7 @@
             .await
             .map_err(|_| SendFailure::NotSent)?;
         // An error of the connection is also returned by the request in flight on it.
-        tokio::task::spawn_local(async move {
-            let _ = connection.await;
-        });
+        self.panics.spawn(TaskKind::Connection, connection);
         Ok(ActiveConnection {
             sender,
             meter,
@@ -181,6 +189,7 @@
 
     /// Takes the most recently used idle connection to a server that can be reused.
     fn take_idle(&self, server: &ServerId, address: SocketAddr) -> Option<ActiveConnection> {
+        fail_point!("connection.take");
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
@@ -209,6 +218,7 @@
 
     /// Returns a connection to the pool after its answer was read completely.
     pub(crate) fn give_back(&self, connection: ActiveConnection, idle_time: Option<Duration>) {
+        fail_point!("connection.give_back");
         if connection.sender.is_closed() {
             return;
         }
--- a/crates/hollywheel-gateway/src/crash_evidence.rs
+++ b/crates/hollywheel-gateway/src/crash_evidence.rs
@@ -14,6 +14,7 @@
 use hollywheel_types::{MonoTime, ServerId};
 use hollywheel_wire::serving::{self as wire, EvidenceEntry, EvidenceNews};
 
+use crate::containment::TaskKind;
 use crate::follow::list_readers;
 use crate::host::Host;
 use crate::log::{log_line, millis};
@@ -76,6 +77,22 @@
     note_crash(host, server, record, causes);
 }
 
+/// Records that the work on a request panicked. The request would meet the same fault on every host,
+/// so it is refused like one that crashes servers.
+pub(crate) fn record_panic(host: &Host, context: &RequestContext) {
+    let Ok(server) = host.settings().host.as_str().parse() else {
+        return;
+    };
+    // Each panic counts, although the process goes on.
+    let number = host.panics.count();
+    let start = ServerStart {
+        server,
+        born: Some(host.incarnation.wrapping_add(number)),
+    };
+    let causes = [CrashCause::Request(context.identity())];
+    note_start_crash(host, &start, causes);
+}
+
 /// Records that a server ended under a call for pieces, given as stages with the keys of their
 /// requests.
 pub(crate) fn record_call_crash<'a>(
@@ -95,10 +112,17 @@
     record: &ServerRecord,
     causes: impl IntoIterator<Item = CrashCause>,
 ) {
-    let start = server_start(server, record);
+    note_start_crash(host, &server_start(server, record), causes);
+}
+
+fn note_start_crash(
+    host: &Host,
+    start: &ServerStart,
+    causes: impl IntoIterator<Item = CrashCause>,
+) {
     let now = host.now();
     update(host, "request", |host| {
-        host.crashes.borrow_mut().note_crash(now, &start, causes)
+        host.crashes.borrow_mut().note_crash(now, start, causes)
     });
 }
 
@@ -185,8 +209,8 @@
         if reader.name == own {
             continue;
         }
-        let (host, body) = (host.clone(), body.clone());
-        tokio::task::spawn_local(async move {
+        let (panics, host, body) = (host.panics.clone(), host.clone(), body.clone());
+        panics.spawn(TaskKind::PeerNews, async move {
             let told = host.peers.call(&reader, EVIDENCE_PATH, body, NEWS_TIMEOUT);
             // Evidence is repeated by the next crash.
             let _ = told.await;
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -36,6 +36,7 @@
     SettingsReloaded, "HW7004", "The settings file was reloaded.", "outcome, detail";
     TaskFailed, "HW7005", "A task of the process failed and is restarted.", "part, detail";
     ReadyChanged, "HW7006", "The readiness of the host has changed.", "ready, reason";
+    WorkPanicked, "HW7007", "Work has panicked; the panic was contained.", "task, request, place, detail";
     DependencyLost, "HW7101", "A dependency does not answer.", "dependency, detail, age_ms";
     DependencyRecovered, "HW7102", "A dependency answers again.", "dependency, away_ms";
     ConfigInForce, "HW7103", "A configuration version has become active.", "version, before, source, pipelines, pools, bytes";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -21,6 +21,7 @@
 use crate::batch_coordinator::BatchCoordinator;
 use crate::config_fetch::ConfigNotice;
 use crate::connection_pool::ConnectionPool;
+use crate::containment::PanicRecorder;
 use crate::follow::ReaderRole;
 use crate::log::{LogLimiter, log_line, millis};
 use crate::memory_budget::MemoryBudget;
@@ -41,7 +42,8 @@
     pub(crate) clock: HostClock,
     /// Number that tells this run of the host apart from its earlier ones; rises with each start.
     pub(crate) incarnation: u64,
-    pub(crate) log: LogLimiter,
+    pub(crate) log: Rc<LogLimiter>,
+    pub(crate) panics: PanicRecorder,
     pub(crate) metrics: HostMetrics,
     installed: RefCell<Option<InstalledSet>>,
     /// Newer configuration that another host has.
@@ -128,9 +130,12 @@
             weight: host_weight(&settings.limits),
         };
         let body_memory = MemoryBudget::new(settings.limits.memory_mb);
+        let log = Rc::new(LogLimiter::new(clock));
+        let metrics = HostMetrics::new();
+        let panics = PanicRecorder::new(Rc::clone(&log), metrics.panics.clone());
         Rc::new(Self {
-            log: LogLimiter::new(clock),
-            metrics: HostMetrics::new(),
+            log,
+            metrics,
             installed: RefCell::default(),
             config_notice: watch::Sender::new(None),
             registry: RefCell::default(),
@@ -147,8 +152,9 @@
             forecast: RefCell::default(),
             patience: RefCell::default(),
             pool_waits: RefCell::default(),
-            connections: ConnectionPool::default(),
-            peers: PeerClient::new(body_memory.clone()),
+            connections: ConnectionPool::new(panics.clone()),
+            peers: PeerClient::new(body_memory.clone(), panics.clone()),
+            panics,
             body_memory,
             coordinator: BatchCoordinator::default(),
             release_queue: ReleaseQueue::default(),
@@ -165,6 +171,18 @@
         })
     }
 
+    /// Updates the metrics that are measured when they are asked for.
+    pub(crate) fn measure(&self) {
+        let gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        let metrics = &self.metrics;
+        metrics.open_requests.set(gauge(self.open_requests.get()));
+        let connections = self.caller_connections.get();
+        metrics.caller_connections.set(gauge(connections));
+        metrics
+            .body_bytes
+            .set(gauge(self.body_memory.used() as u64));
+    }
+
     /// Returns the current settings.
     pub(crate) fn settings(&self) -> Rc<HostSettings> {
         Rc::clone(&self.settings.borrow())
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod config_fetch;
 mod connect;
 mod connection_pool;
+mod containment;
 mod crash_evidence;
 mod events;
 mod follow;
--- a/crates/hollywheel-gateway/src/memory_budget.rs
+++ b/crates/hollywheel-gateway/src/memory_budget.rs
@@ -37,6 +37,11 @@
         }))
     }
 
+    /// Returns the memory that bodies take, in bytes.
+    pub(crate) fn used(&self) -> usize {
+        self.0.used.load(Ordering::Relaxed)
+    }
+
     /// Returns the share of a body that takes no memory yet.
     pub(crate) fn share(&self) -> MemoryShare {
         MemoryShare {
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -23,6 +23,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of the counter of panics.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct TaskLabel {
+    pub(crate) task: &'static str,
+}
+
 /// Label of a series per pipeline or pool.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct NameLabel {
@@ -47,6 +53,10 @@
     pub(crate) blocked_parts: Gauge,
     pub(crate) blocked_repetitions: Gauge,
     pub(crate) blocked_requests: Family<NameLabel, Counter>,
+    pub(crate) panics: Family<TaskLabel, Counter>,
+    pub(crate) open_requests: Gauge,
+    pub(crate) caller_connections: Gauge,
+    pub(crate) body_bytes: Gauge,
     pub(crate) store_calls: Counter,
     pub(crate) discarded_bytes: Counter,
     pub(crate) config_bytes: Gauge,
@@ -78,6 +88,10 @@
             blocked_parts: Gauge::default(),
             blocked_repetitions: Gauge::default(),
             blocked_requests: Family::default(),
+            panics: Family::default(),
+            open_requests: Gauge::default(),
+            caller_connections: Gauge::default(),
+            body_bytes: Gauge::default(),
             store_calls: Counter::default(),
             discarded_bytes: Counter::default(),
             config_bytes: Gauge::default(),
@@ -166,6 +180,26 @@
             "Requests refused since they crash servers, by pool",
             self.blocked_requests.clone(),
         );
+        registry.register(
+            "hollywheel_panics",
+            "Panics that were contained, by the kind of work that met them",
+            self.panics.clone(),
+        );
+        registry.register(
+            "hollywheel_open_requests",
+            "Requests being served",
+            self.open_requests.clone(),
+        );
+        registry.register(
+            "hollywheel_caller_connections",
+            "Open connections from callers",
+            self.caller_connections.clone(),
+        );
+        registry.register(
+            "hollywheel_body_bytes",
+            "Memory that bodies take",
+            self.body_bytes.clone(),
+        );
         registry.register(
             "hollywheel_store_calls",
             "Calls of the platform's store",
--- a/crates/hollywheel-gateway/src/peer_client.rs
+++ b/crates/hollywheel-gateway/src/peer_client.rs
@@ -18,6 +18,7 @@
 use hollywheel_types::{HostId, SortedMap};
 
 use crate::connect::connect;
+use crate::containment::{PanicRecorder, TaskKind};
 use crate::limited_body::{
     BodyFailure, DOCUMENT_LIMIT, PIECES_LIMIT, STALL_TIME, collect_steadily, collect_within,
 };
@@ -77,17 +78,15 @@
 }
 
 /// Executor that runs the tasks of an HTTP/2 connection on the thread of the process.
-#[derive(Clone, Copy)]
-pub(crate) struct LocalExecutor;
+#[derive(Clone)]
+pub(crate) struct LocalExecutor(pub(crate) PanicRecorder);
 
 impl<F> hyper::rt::Executor<F> for LocalExecutor
 where
     F: Future + 'static,
 {
     fn execute(&self, task: F) {
-        tokio::task::spawn_local(async move {
-            task.await;
-        });
+        self.0.spawn(TaskKind::Connection, task);
     }
 }
 
@@ -102,14 +101,16 @@
     links: RefCell<SortedMap<HostId, Rc<PeerLink>>>,
     /// Memory for answers.
     memory: MemoryBudget,
+    panics: PanicRecorder,
 }
 
 impl PeerClient {
     /// Creates a client without connections, whose answers take their memory from the budget.
-    pub(crate) fn new(memory: MemoryBudget) -> Self {
+    pub(crate) fn new(memory: MemoryBudget, panics: PanicRecorder) -> Self {
         Self {
             links: RefCell::default(),
             memory,
+            panics,
         }
     }
 
@@ -179,6 +180,7 @@
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
             StatusCode::SERVICE_UNAVAILABLE => Err(PeerFailure::Leaving),
+            StatusCode::INTERNAL_SERVER_ERROR => Err(PeerFailure::Broken),
             _ => Err(PeerFailure::Refused),
         }
     }
@@ -197,26 +199,25 @@
         {
             return Ok(sender.clone());
         }
-        let sender = open(peer).await?;
+        let sender = self.open(peer).await?;
         *kept = Some((peer.clone(), sender.clone()));
         Ok(sender)
     }
-}
 
-async fn open(peer: &HostRecord) -> Result<SendRequest<Full<Bytes>>, PeerFailure> {
-    let stream = connect(peer.address, CONNECT_TIMEOUT)
-        .await
-        .map_err(|_| PeerFailure::Unreachable)?;
-    let (sender, connection) = http2::Builder::new(LocalExecutor)
-        .timer(TokioTimer::new())
-        .keep_alive_interval(PROBE_INTERVAL)
-        .keep_alive_timeout(PROBE_TIMEOUT)
-        .handshake(TokioIo::new(MeteredStream::yielding(stream)))
-        .await
-        .map_err(|_| PeerFailure::Unreachable)?;
-    // An error of the connection is also returned by the calls in flight on it.
-    tokio::task::spawn_local(async move {
-        let _ = connection.await;
-    });
-    Ok(sender)
+    async fn open(&self, peer: &HostRecord) -> Result<SendRequest<Full<Bytes>>, PeerFailure> {
+        let stream = connect(peer.address, CONNECT_TIMEOUT)
+            .await
+            .map_err(|_| PeerFailure::Unreachable)?;
+        let executor = LocalExecutor(self.panics.clone());
+        let (sender, connection) = http2::Builder::new(executor)
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PROBE_INTERVAL)
+            .keep_alive_timeout(PROBE_TIMEOUT)
+            .handshake(TokioIo::new(MeteredStream::yielding(stream)))
+            .await
+            .map_err(|_| PeerFailure::Unreachable)?;
+        // An error of the connection is also returned by the calls in flight on it.
+        self.panics.spawn(TaskKind::Connection, connection);
+        Ok(sender)
+    }
 }
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,6 +22,7 @@
 use crate::batch_coordinator::{GroupOutcome, PieceGroup};
 use crate::config_fetch::answer_part;
 use crate::connect::accept;
+use crate::containment::{TaskKind, WorkPanicked};
 use crate::crash_evidence::receive_evidence;
 use crate::follow::answer_follow;
 use crate::host::Host;
@@ -42,11 +44,13 @@
 pub(crate) async fn serve_peers(host: Host, listener: Rc<TcpListener>) {
     loop {
         let stream = accept(&host, &listener).await;
+        let panics = host.panics.clone();
         let host = host.clone();
-        tokio::task::spawn_local(async move {
+        panics.spawn(TaskKind::Connection, async move {
+            let executor = LocalExecutor(host.panics.clone());
             let service = service_fn(move |request| answer(host.clone(), request));
             // The calling host sees the error of the connection too and calls another host.
-            let _ = http2::Builder::new(LocalExecutor)
+            let _ = http2::Builder::new(executor)
                 .timer(TokioTimer::new())
                 .keep_alive_interval(PROBE_INTERVAL)
                 .keep_alive_timeout(PROBE_TIMEOUT)
@@ -56,32 +60,46 @@
     }
 }
 
+/// Answers a message, with status 500 if that panics, so that the calling host goes to another one
+/// at once.
 async fn answer(
     host: Host,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    let answered = answer_message(&host, request);
+    let answered = host.panics.contain(TaskKind::PeerMessage, "", answered);
+    let answered = answered.await;
+    Ok(
+        answered
+            .unwrap_or_else(|WorkPanicked| reply(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())),
+    )
+}
+
+async fn answer_message(host: &Host, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     let body = match collect_within(request.into_body(), MAX_BODY, &host.body_memory).await {
         Ok(body) => body,
-        Err(_) => return Ok(reply(StatusCode::BAD_REQUEST, Vec::new())),
+        Err(_) => return reply(StatusCode::BAD_REQUEST, Vec::new()),
     };
     if [PIECES_PATH, PERMIT_PATH].contains(&path.as_str()) && host.is_stopping() {
-        return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()));
+        return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     }
+    fail_point!("peer.message");
     let answered = match path.as_str() {
-        PIECES_PATH => process_pieces(&host, &body).await,
-        FREE_PATH => release_results(&host, &body),
-        PERMIT_PATH => answer_permit(&host, &body).await,
-        LIMITS_PATH => receive_news(&host, &body),
-        EVIDENCE_PATH => receive_evidence(&host, &body),
-        CONFIG_PATH => answer_part(&host, &body),
-        FOLLOW_PATH => answer_follow(&host, &body).await,
+        PIECES_PATH => process_pieces(host, &body).await,
+        FREE_PATH => release_results(host, &body),
+        PERMIT_PATH => answer_permit(host, &body).await,
+        LIMITS_PATH => receive_news(host, &body),
+        EVIDENCE_PATH => receive_evidence(host, &body),
+        CONFIG_PATH => answer_part(host, &body),
+        FOLLOW_PATH => answer_follow(host, &body).await,
         _ => None,
     };
-    Ok(match answered {
+    fail_point!("peer.answered");
+    match answered {
         Some(body) => reply(StatusCode::OK, body),
         None => reply(StatusCode::BAD_REQUEST, Vec::new()),
-    })
+    }
 }
 
 fn reply(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -1,9 +1,11 @@
 //! Non-streaming requests: one call whose answer is read completely before it is forwarded.
 
+use std::cell::RefCell;
 use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
@@ -11,7 +13,8 @@
 use hollywheel_types::{ExecutionVerdict, ServerId};
 
 use crate::body::AnswerBody;
-use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
+use crate::containment::{TaskKind, WorkPanicked};
+use crate::crash_evidence::{blocked_wait, record_begun, record_crash, record_panic};
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::request::{RequestContext, RequestGuard};
@@ -47,14 +50,11 @@
     chosen: Option<(ServerId, f64)>,
     /// Attempts that may have reached a server.
     received_attempts: u32,
-    verdict: ExecutionVerdict,
-    /// Whether an attempt is in flight, so that the request may run if it is cancelled now.
-    sending: bool,
     reason: &'static str,
     /// Time after which the request may be retried, if it is refused since it crashes servers.
     blocked_wait: Option<Duration>,
     /// Answer of the last attempt that had one; forwarded if no later attempt replaces it.
-    last_answer: Option<WholeAnswer>,
+    last_answer: RefCell<Option<WholeAnswer>>,
 }
 
 /// Serves a non-streaming request.
@@ -68,25 +68,27 @@
         tries: 0,
         chosen: None,
         received_attempts: 0,
-        verdict: ExecutionVerdict::NotRun,
-        sending: false,
         reason: "",
         blocked_wait: None,
-        last_answer: None,
+        last_answer: RefCell::new(None),
     };
     let time_left = context.deadline.since(host.now());
+    let attempt_id = &context.head.attempt;
+    let tried = try_servers(host, context, &mut state);
+    let tried = host.panics.contain(TaskKind::Request, attempt_id, tried);
     let unanswered = tokio::select! {
-        answered = timeout(time_left, try_servers(host, context, &mut state)) => match answered {
-            Ok(()) => None,
+        answered = timeout(time_left, tried) => match answered {
+            Ok(Ok(())) => None,
+            Ok(Err(WorkPanicked)) => Some(WorkPanicked::REASON),
             Err(_) => Some("no complete answer before the deadline"),
         },
         () = host.wait_for_stop(StopPhase::Ending) => Some("the host stops"),
     };
     if let Some(reason) = unanswered {
-        if state.sending {
-            state.verdict = state.verdict.join(ExecutionVerdict::MayHaveRun);
-        }
         state.reason = reason;
+        if reason == WorkPanicked::REASON && state.last_answer.borrow().is_none() {
+            record_panic(host, context);
+        }
     }
     finish(host, context, guard, state)
 }
@@ -105,22 +107,27 @@
         state.tries += 1;
         state.chosen = Some((server.clone(), host.server_load(&server, &record)));
         let sent_at = host.now();
-        state.sending = true;
+        fail_point!("plain.chosen");
+        context.run.begin_attempt();
+        fail_point!("plain.sending");
         let ended = attempt_in_time(host, context, state, &server, &record).await;
-        state.sending = false;
+        let verdict = match &ended {
+            Ok(_) => ExecutionVerdict::Ran,
+            Err(failure) => failure.verdict,
+        };
+        context.run.end_attempt(verdict);
         match ended {
-            Ok(answer) => {
+            Ok(status) => {
                 state.received_attempts += 1;
-                state.verdict = ExecutionVerdict::Ran;
+                fail_point!("plain.answered");
                 record_begun(host, context);
-                let failed = answer.status.is_server_error();
+                let failed = status.is_server_error();
                 let now = host.now();
                 let elapsed = now.since(sent_at);
                 host.loads.borrow_mut().note_success(now, &server, elapsed);
                 let taken = now.since(context.arrived);
                 let name = &context.pipeline.name;
                 host.forecast.borrow_mut().learn_whole(name, taken);
-                state.last_answer = Some(answer);
                 if !failed || !may_retry(host, context, state) {
                     return;
                 }
@@ -131,8 +138,8 @@
                     record_crash(host, context, &server, &record);
                 }
                 state.received_attempts += u32::from(failure.received);
-                state.verdict = state.verdict.join(failure.verdict);
                 state.reason = failure.reason;
+                fail_point!("plain.failed");
                 if !may_retry(host, context, state) {
                     return;
                 }
@@ -150,7 +157,7 @@
     if state.tries >= MAX_TRIES {
         return false;
     }
-    if state.verdict != ExecutionVerdict::NotRun
+    if context.run.verdict() != ExecutionVerdict::NotRun
         && (!pipeline.may_repeat() || state.received_attempts >= pipeline.max_attempts)
     {
         return false;
@@ -218,15 +225,16 @@
 }
 
 /// Sends the request to one server and reads its answer, for as long as no other server could take
-/// its place: it may just be slow.
+/// its place: it may just be slow. Returns the status of the answer.
 async fn attempt_in_time(
     host: &Host,
     context: &RequestContext,
     state: &CallState,
     server: &ServerId,
     record: &ServerRecord,
-) -> Result<WholeAnswer, AttemptFailure> {
-    let mut attempt = pin!(attempt_whole(host, context, server, record));
+) -> Result<StatusCode, AttemptFailure> {
+    let attempt = attempt_whole(host, context, server, record, &state.last_answer);
+    let mut attempt = pin!(attempt);
     let limit = attempt_timeout(host, context, state);
     let mut ended = timeout(limit, attempt.as_mut()).await;
     if ended.is_err() && !can_replace(host, context, state, server) {
@@ -254,13 +262,17 @@
     }
 }
 
-/// Sends the request to one server and reads its answer completely.
+/// Sends the request to one server and reads its answer completely; returns the status.
+///
+/// The answer is stored as soon as it is complete: nothing that fails afterwards may keep it from
+/// its caller.
 async fn attempt_whole(
     host: &Host,
     context: &RequestContext,
     server: &ServerId,
     record: &ServerRecord,
-) -> Result<WholeAnswer, AttemptFailure> {
+    stored: &RefCell<Option<WholeAnswer>>,
+) -> Result<StatusCode, AttemptFailure> {
     let mut answer = send_attempt(host, context, server, record, AttemptExtras::default()).await?;
     let body = collect_within(&mut answer.body, ANSWER_LIMIT, &host.body_memory);
     let body = body.await.map_err(|failure| AttemptFailure {
@@ -269,13 +281,14 @@
         lost_server: failure == BodyFailure::Broken,
         reason: failure.name(),
     })?;
-    let whole = WholeAnswer {
-        status: answer.status,
+    let status = answer.status;
+    stored.replace(Some(WholeAnswer {
+        status,
         headers: hollywheel_adapter::caller_response_headers(&answer.headers),
         body,
-    };
+    }));
     answer.complete(host);
-    Ok(whole)
+    Ok(status)
 }
 
 /// Logs the end of the request and returns the last answer, or an error status if there is none.
@@ -286,7 +299,7 @@
     state: CallState,
 ) -> Response<AnswerBody> {
     let mut end = RequestEnd {
-        verdict: state.verdict,
+        verdict: context.run.verdict(),
         reason: state.reason,
         attempts: state.tries,
         server: state.chosen.as_ref().map(|(server, _)| server),
@@ -296,7 +309,7 @@
         remaining: context.deadline.since(host.now()),
         ..RequestEnd::default()
     };
-    if let Some(answer) = state.last_answer {
+    if let Some(answer) = state.last_answer.into_inner() {
         end.status = answer.status.as_u16();
         end.first_byte_time = Some(host.now().since(context.arrived));
         guard.end(&end);
@@ -307,7 +320,7 @@
             AnswerBody::whole(answer.body),
         );
     }
-    let (outcome, status, retry_after) = match state.verdict {
+    let (outcome, status, retry_after) = match context.run.verdict() {
         ExecutionVerdict::NotRun => (
             RequestOutcome::Refused,
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -1,10 +1,11 @@
 //! Handling of a caller's request: routing, authentication, deadlines and dispatch by kind.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
@@ -14,9 +15,10 @@
 use hollywheel_serving::{
     CallerAttempt, KeyHolder, PipelineRoute, RequestIdentity, RequestKind, RequestRank, ServingSet,
 };
-use hollywheel_types::{MonoTime, PoolId, WorkspaceId};
+use hollywheel_types::{ExecutionVerdict, MonoTime, PoolId, WorkspaceId};
 
 use crate::body::AnswerBody;
+use crate::containment::{TaskKind, WorkPanicked};
 use crate::host::{Host, HostState};
 use crate::limited_body::{BodyFailure, collect_within};
 use crate::memory_budget::MemoryBudget;
@@ -32,12 +34,17 @@
 /// `Retry-After` of a request whose body finds no memory; bodies that take it end within this time,
 /// and other hosts have their own.
 const NO_MEMORY_BACKOFF: Duration = Duration::from_millis(300);
+/// `Retry-After` of a request that has not run because the work on it panicked; the next attempt is
+/// probably served by another host.
+const PANIC_BACKOFF: Duration = Duration::from_millis(100);
 /// Part of the caller's time reserved for the answer's way back: the one-way network delay to
 /// callers and the transfer of the answer itself.
 const RETURN_MARGIN: Duration = Duration::from_millis(8);
 
 /// A request that was read and routed, with everything needed to serve it.
 pub(crate) struct RequestContext {
+    /// What may have run of the request so far.
+    pub(crate) run: Rc<RunRecord>,
     /// Configuration under which the request is served, also if a newer one becomes active.
     pub(crate) set: Rc<ServingSet>,
     pub(crate) pipeline: Rc<PipelineRoute>,
@@ -82,23 +89,78 @@
     }
 }
 
+/// What may have run of a request, over all its attempts. It outlives the work on the request, so
+/// that a caller is told the truth also if that work panics.
+#[derive(Debug)]
+pub(crate) struct RunRecord {
+    /// Id that the caller gave to its request, once it is decoded.
+    attempt_id: OnceCell<String>,
+    verdict: Cell<ExecutionVerdict>,
+    /// Whether an attempt is in flight, so that the request may run if it is cancelled now.
+    sending: Cell<bool>,
+}
+
+impl RunRecord {
+    fn new() -> Self {
+        Self {
+            attempt_id: OnceCell::new(),
+            verdict: Cell::new(ExecutionVerdict::NotRun),
+            sending: Cell::new(false),
+        }
+    }
+
+    fn attempt_id(&self) -> &str {
+        self.attempt_id.get().map_or("", String::as_str)
+    }
+
+    /// Returns the verdict on all attempts so far, the one in flight included.
+    pub(crate) fn verdict(&self) -> ExecutionVerdict {
+        match self.sending.get() {
+            true => self.verdict.get().join(ExecutionVerdict::MayHaveRun),
+            false => self.verdict.get(),
+        }
+    }
+
+    /// Records that an attempt is being sent.
+    pub(crate) fn begin_attempt(&self) {
+        self.sending.set(true);
+    }
+
+    /// Records the verdict on the attempt in flight.
+    pub(crate) fn end_attempt(&self, verdict: ExecutionVerdict) {
+        self.verdict.set(self.verdict.get().join(verdict));
+        self.sending.set(false);
+    }
+
+    /// Replaces the verdict on all attempts, as when a stream has begun or was cut.
+    pub(crate) fn replace(&self, verdict: ExecutionVerdict) {
+        self.verdict.set(verdict);
+        self.sending.set(false);
+    }
+
+    /// Returns whether an attempt is in flight.
+    pub(crate) fn is_sending(&self) -> bool {
+        self.sending.get()
+    }
+}
+
 /// Counts a request as open until dropped, and logs its end once: as cancelled if it is dropped
 /// before an end was recorded.
 pub(crate) struct RequestGuard {
     host: Host,
+    run: Rc<RunRecord>,
     ended: Cell<bool>,
-    attempt_id: String,
     pipeline: String,
     arrived: MonoTime,
 }
 
 impl RequestGuard {
-    fn new(host: &Host, attempt_id: &str, pipeline: &str, arrived: MonoTime) -> Self {
+    fn new(host: &Host, run: &Rc<RunRecord>, pipeline: &str, arrived: MonoTime) -> Self {
         host.open_requests.set(host.open_requests.get() + 1);
         Self {
             host: host.clone(),
+            run: Rc::clone(run),
             ended: Cell::new(false),
-            attempt_id: attempt_id.to_owned(),
             pipeline: pipeline.to_owned(),
             arrived,
         }
@@ -106,15 +168,16 @@
 
     /// Records how the request ended; later calls have no effect.
     pub(crate) fn end(&self, end: &RequestEnd<'_>) {
-        if !self.ended.replace(true) {
-            record_request_end(
-                &self.host,
-                &self.attempt_id,
-                &self.pipeline,
-                self.arrived,
-                end,
-            );
+        if self.ended.replace(true) {
+            return;
         }
+        let attempt_id = self.run.attempt_id();
+        let panics = &self.host.panics;
+        // The caller gets its answer also if the end cannot be recorded.
+        let _ = panics.contain_call(TaskKind::RequestEnd, attempt_id, || {
+            fail_point!("request.end");
+            record_request_end(&self.host, attempt_id, &self.pipeline, self.arrived, end);
+        });
     }
 }
 
@@ -123,7 +186,11 @@
         self.host
             .open_requests
             .set(self.host.open_requests.get() - 1);
-        self.end(&RequestEnd::cancelled());
+        let end = match std::thread::panicking() {
+            true => RequestEnd::panicked(self.run.verdict()),
+            false => RequestEnd::cancelled(),
+        };
+        self.end(&end);
     }
 }
 
@@ -167,35 +234,59 @@
     }
 }
 
-/// Serves a request and returns its response.
+/// Serves a request and returns its response, also if the work on it panics.
 pub(crate) async fn answer_request(host: Host, request: Request<Incoming>) -> Response<AnswerBody> {
+    let run = Rc::new(RunRecord::new());
+    let served = serve_request(&host, request, &run);
+    let served = host.panics.contain(TaskKind::Request, "", served).await;
+    served.unwrap_or_else(|WorkPanicked| {
+        let status = panic_status(run.verdict());
+        let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(PANIC_BACKOFF);
+        answer_locally(&host, run.attempt_id(), status, retry_after)
+    })
+}
+
+/// Returns the status of a request that met a panic: one that has not run may come back.
+pub(crate) const fn panic_status(verdict: ExecutionVerdict) -> StatusCode {
+    match verdict {
+        ExecutionVerdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => StatusCode::BAD_GATEWAY,
+    }
+}
+
+async fn serve_request(
+    host: &Host,
+    request: Request<Incoming>,
+    run: &Rc<RunRecord>,
+) -> Response<AnswerBody> {
     let arrived = host.now();
     let (parts, body) = request.into_parts();
+    fail_point!("request.head");
     let head = hollywheel_adapter::decode_request_head(&parts.headers);
-    let attempt_id = head
-        .as_ref()
-        .map_or("", |head| head.attempt.as_str())
-        .to_owned();
-    let guard = RequestGuard::new(&host, &attempt_id, "", arrived);
+    if let Ok(head) = &head {
+        run.attempt_id.get_or_init(|| head.attempt.clone());
+    }
+    let guard = RequestGuard::new(host, run, "", arrived);
     let read = match head {
-        Ok(head) => read_request(&host, parts, head, body, arrived).await,
+        Ok(head) => read_request(host, parts, head, body, arrived, run).await,
         Err(_) => Err(Rejection::BadHead),
     };
     let context = match read {
         Ok(context) => Rc::new(context),
-        Err(rejection) => return reject(&host, &guard, &attempt_id, &rejection),
+        Err(rejection) => return reject(host, &guard, run.attempt_id(), &rejection),
     };
     // From here on the end of the request is counted under its pipeline.
     guard.ended.set(true);
     let name = context.pipeline.name.as_str();
-    let guard = RequestGuard::new(&host, &attempt_id, name, arrived);
+    let guard = RequestGuard::new(host, run, name, arrived);
+    fail_point!("request.routed");
     host.count_request(&context.pool);
     let has_stages = !context.pipeline.stages.is_empty();
     match context.pipeline.kind {
         RequestKind::Idempotent | RequestKind::NonIdempotent if !has_stages => {
-            call_plain(&host, &context, &guard).await
+            call_plain(host, &context, &guard).await
         }
-        _ => call_stream(&host, context, guard).await,
+        _ => call_stream(host, context, guard).await,
     }
 }
 
@@ -227,6 +318,7 @@
     head: RequestHead,
     body: Incoming,
     arrived: MonoTime,
+    run: &Rc<RunRecord>,
 ) -> Result<RequestContext, Rejection> {
     let set = host.serving_set().ok_or(Rejection::NoConfig)?;
     let name = host_name(&parts).ok_or(Rejection::BadHead)?;
@@ -250,6 +342,7 @@
     )
     .await;
     let body = body.map_err(|_| Rejection::SlowBody)??;
+    fail_point!("request.body");
     check_stop(host, &pipeline, host.now())?;
     let tie_breaker = host.next_tie_breaker();
     let pool = pipeline
@@ -265,6 +358,7 @@
         start_deadline: arrived + time_budget.min(patience.saturating_sub(RETURN_MARGIN)),
         objective,
         deadline: arrived + time_budget,
+        run: Rc::clone(run),
         set,
         pipeline,
         pool,
--- a/crates/hollywheel-gateway/src/respond.rs
+++ b/crates/hollywheel-gateway/src/respond.rs
@@ -8,9 +8,11 @@
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
+use crate::containment::WorkPanicked;
 use crate::host::HostState;
 use crate::log::{log_line, millis};
 use crate::metrics::RequestLabels;
+use crate::request::panic_status;
 
 /// Outcome of a request as its caller sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -95,6 +97,20 @@
         }
     }
 
+    /// Returns the end of a request whose work panicked before it had an answer.
+    pub(crate) fn panicked(verdict: ExecutionVerdict) -> Self {
+        Self {
+            outcome: match verdict {
+                ExecutionVerdict::NotRun => RequestOutcome::Refused,
+                ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => RequestOutcome::Failed,
+            },
+            verdict,
+            status: panic_status(verdict).as_u16(),
+            reason: WorkPanicked::REASON,
+            ..Self::default()
+        }
+    }
+
     /// Returns the end of a request that was rejected before it was sent anywhere.
     pub(crate) fn rejected(status: StatusCode, reason: &'static str) -> Self {
         Self {
--- a/crates/hollywheel-gateway/src/results.rs
+++ b/crates/hollywheel-gateway/src/results.rs
@@ -9,6 +9,7 @@
 use hollywheel_types::{HostId, PoolId, SortedMap};
 use hollywheel_wire::serving::FreeResults;
 
+use crate::containment::TaskKind;
 use crate::host::Host;
 use crate::peer_client::FREE_PATH;
 use crate::stage_client::{FREE_TIMEOUT, free_at_servers};
@@ -63,7 +64,8 @@
                         .map(ToString::to_string)
                         .unwrap_or_default(),
                 };
-                tokio::task::spawn_local(send_release(host.clone(), owner.host.clone(), message));
+                let sent = send_release(host.clone(), owner.host.clone(), message);
+                host.panics.spawn(TaskKind::ResultRelease, sent);
             }
         }
         host.coordinator.free_unneeded(&host);
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 
@@ -124,6 +125,7 @@
             ..may_have_run("the connection closed before an answer")
         },
     })?;
+    fail_point!("attempt.head");
     let facts = hollywheel_adapter::decode_response_head(&answer, &context.head.attempt);
     if !facts.matches_attempt {
         return Err(may_have_run("the answer belongs to another request"));
--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -16,6 +16,7 @@
 use hollywheel_types::{MonoTime, PoolId, RequestRate, ServerId};
 use hollywheel_wire::serving::{LimitEntry, LimitNews, PermitReply, PermitRequest};
 
+use crate::containment::TaskKind;
 use crate::follow::list_readers;
 use crate::host::Host;
 use crate::peer_client::{LIMITS_PATH, PERMIT_PATH, PeerFailure};
@@ -84,8 +85,8 @@
     };
     let body = news.encode_to_vec();
     for target in targets {
-        let (host, body) = (host.clone(), body.clone());
-        tokio::task::spawn_local(async move {
+        let (panics, host, body) = (host.panics.clone(), host.clone(), body.clone());
+        panics.spawn(TaskKind::PeerNews, async move {
             // Hosts that this does not reach learn of the limit from responses or permits.
             let _ = host
                 .peers
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -12,6 +12,7 @@
 use hollywheel_types::{ServerId, SortedMap};
 
 use crate::connection_pool::SendFailure;
+use crate::containment::TaskKind;
 use crate::crash_evidence::record_answer;
 use crate::host::Host;
 use crate::limited_body::{BodyFailure, PIECES_LIMIT, SMALL_LIMIT, collect_within};
@@ -146,8 +147,9 @@
     }
     drop(registry);
     for (server, handles) in by_server.iter() {
-        let (host, server, handles) = (host.clone(), server.clone(), handles.clone());
-        tokio::task::spawn_local(async move {
+        let (panics, host) = (host.panics.clone(), host.clone());
+        let (server, handles) = (server.clone(), handles.clone());
+        panics.spawn(TaskKind::ResultRelease, async move {
             free_results(&host, &server, &handles).await;
         });
     }
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fail::fail_point;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use prost::Message;
@@ -102,6 +103,7 @@
         let Some(outcome) = running.next().await else {
             return Ok(graph.final_handles());
         };
+        fail_point!("stages.made");
         let pool = &context.pipeline.stages[outcome.stage].pool;
         let elapsed = host.now().since(outcome.started);
         let (coordinator, handles) = match outcome.result {
@@ -333,6 +335,7 @@
     host: &Host,
     group: PieceGroup,
 ) -> Result<(HostId, Vec<PieceHandle>), StageFailure> {
+    fail_point!("stages.order");
     let mut unanswered = 0;
     while unanswered < MAX_UNANSWERED_HOSTS {
         let record = find_coordinator(host, &group.pool, &group.shard);
--- a/crates/hollywheel-gateway/src/status_server.rs
+++ b/crates/hollywheel-gateway/src/status_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 
 use crate::connect::accept;
+use crate::containment::TaskKind;
 use crate::host::Host;
 use crate::metered_stream::MeteredStream;
 
@@ -33,8 +34,9 @@
 pub(crate) async fn serve_status(host: Host, listener: Rc<TcpListener>, kind: StatusEndpoint) {
     loop {
         let stream = accept(&host, &listener).await;
+        let panics = host.panics.clone();
         let host = host.clone();
-        tokio::task::spawn_local(async move {
+        panics.spawn(TaskKind::Status, async move {
             let service = service_fn(move |_: Request<Incoming>| {
                 let answer = answer(&host, kind);
                 async move { Ok::<_, Infallible>(answer) }
@@ -58,6 +60,7 @@
             }
         }
         StatusEndpoint::Metrics => {
+            host.measure();
             *response.body_mut() = Full::new(Bytes::from(host.metrics.text()));
         }
     }
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -15,6 +15,7 @@
 use hollywheel_adapter::{StoreCall, StoreRows};
 
 use crate::connect::connect;
+use crate::containment::TaskKind;
 use crate::host::Host;
 use crate::limited_body::{DOCUMENT_LIMIT, STALL_TIME, collect_steadily};
 use crate::metered_stream::{MeteredBody, MeteredStream, ReadMeter};
@@ -169,9 +170,7 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(refused)?;
         // An error of the connection is also returned by the call in flight on it.
-        tokio::task::spawn_local(async move {
-            let _ = connection.await;
-        });
+        self.host.panics.spawn(TaskKind::Connection, connection);
         Ok(StoreLink { sender, meter })
     }
 }
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use futures_util::stream;
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
@@ -15,7 +16,8 @@
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
-use crate::crash_evidence::{blocked_wait, record_begun, record_crash};
+use crate::containment::{TaskKind, WorkPanicked};
+use crate::crash_evidence::{blocked_wait, record_begun, record_crash, record_panic};
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::log_line;
@@ -83,9 +85,6 @@
     chosen: Option<(ServerId, f64)>,
     /// Attempts that may have reached a server.
     received_attempts: u32,
-    pub(crate) verdict: ExecutionVerdict,
-    /// Whether an attempt is in flight, so that the request may run if it is cancelled now.
-    sending: bool,
     pub(crate) reason: &'static str,
     stages_time: Duration,
     first_byte_time: Option<Duration>,
@@ -100,19 +99,25 @@
     guard: RequestGuard,
 ) -> Response<AnswerBody> {
     let mut job = StreamJob::new(host, context, guard);
-    let time_left = job.context.start_deadline.since(host.now());
+    let context = Rc::clone(&job.context);
+    let time_left = context.start_deadline.since(host.now());
+    let opened = host
+        .panics
+        .contain(TaskKind::Request, &context.head.attempt, job.open());
     let opened = tokio::select! {
-        opened = timeout(time_left, job.open()) => {
-            opened.map_err(|_| "the answer did not start before the deadline")
-        }
+        opened = timeout(time_left, opened) => match opened {
+            Ok(Ok(opened)) => Ok(opened),
+            Ok(Err(WorkPanicked)) => {
+                record_panic(host, &context);
+                Err(WorkPanicked::REASON)
+            }
+            Err(_) => Err("the answer did not start before the deadline"),
+        },
         () = host.wait_for_stop(StopPhase::Ending) => Err("the host stops"),
     };
     let opened = opened.unwrap_or_else(|reason| {
         job.reason = reason;
-        if job.sending {
-            job.verdict = job.verdict.join(ExecutionVerdict::MayHaveRun);
-        }
-        Err(match job.verdict {
+        Err(match context.run.verdict() {
             ExecutionVerdict::NotRun => OpenFailure::Refused {
                 retry_after: STAGE_BACKOFF,
             },
@@ -165,8 +170,6 @@
             tries: 0,
             chosen: None,
             received_attempts: 0,
-            verdict: ExecutionVerdict::NotRun,
-            sending: false,
             reason: "",
             stages_time: Duration::ZERO,
             first_byte_time: None,
@@ -183,7 +186,7 @@
         }
         self.guard.end(&RequestEnd {
             outcome,
-            verdict: self.verdict,
+            verdict: context.run.verdict(),
             status: status.as_u16(),
             reason: self.reason,
             attempts: self.tries,
@@ -211,11 +214,13 @@
             let load = self.host.server_load(&server, &record);
             self.chosen = Some((server.clone(), load));
             let sent_at = self.host.now();
-            self.sending = true;
+            fail_point!("stream.chosen");
+            self.context.run.begin_attempt();
+            fail_point!("stream.sending");
             let attempted = self.attempt_and_free(&server, &record).await;
-            self.sending = false;
             let failure = match attempted {
                 Ok(open) if open.answer.status.is_success() => {
+                    fail_point!("stream.begun");
                     self.record_first_event(sent_at);
                     record_begun(&self.host, &self.context);
                     return Ok(open);
@@ -223,6 +228,8 @@
                 Ok(open) => return Err(self.read_whole(open.answer).await),
                 Err(failure) => failure,
             };
+            self.context.run.end_attempt(failure.verdict);
+            fail_point!("stream.failed");
             record_attempt_failure(
                 &self.host,
                 &self.context,
@@ -235,7 +242,6 @@
                 record_crash(&self.host, &self.context, &server, &record);
             }
             self.received_attempts += u32::from(failure.received);
-            self.verdict = self.verdict.join(failure.verdict);
             self.reason = failure.reason;
             if !self.may_retry() {
                 return Err(self.give_up());
@@ -266,9 +272,10 @@
     /// server before it stays open.
     pub(crate) fn cancel_other_attempt(&mut self, chosen: Option<(ServerId, f64)>) {
         // The server may have received the request that was being sent.
-        self.received_attempts += u32::from(std::mem::take(&mut self.sending));
+        let run = &self.context.run;
+        self.received_attempts += u32::from(run.is_sending());
         self.chosen = chosen;
-        self.verdict = ExecutionVerdict::Ran;
+        run.replace(ExecutionVerdict::Ran);
         self.reason = "";
         self.restart_stages();
     }
@@ -302,7 +309,7 @@
             return Ok(());
         };
         self.reason = "the request crashes servers";
-        Err(match self.verdict {
+        Err(match self.context.run.verdict() {
             ExecutionVerdict::NotRun => OpenFailure::Refused { retry_after },
             ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
         })
@@ -377,7 +384,7 @@
 
     /// Returns the outcome of a request whose stages failed.
     fn stage_failure_outcome(&self, failure: StageFailure) -> OpenFailure {
-        if self.verdict != ExecutionVerdict::NotRun {
+        if self.context.run.verdict() != ExecutionVerdict::NotRun {
             return OpenFailure::Failed;
         }
         let retry_after = match failure {
@@ -389,7 +396,7 @@
 
     /// Returns the outcome of a request that is not sent to another engine.
     fn give_up(&self) -> OpenFailure {
-        match self.verdict {
+        match self.context.run.verdict() {
             ExecutionVerdict::NotRun => OpenFailure::Refused {
                 retry_after: self
                     .host
@@ -412,7 +419,7 @@
             return false;
         }
         let pipeline = &self.context.pipeline;
-        if self.verdict != ExecutionVerdict::NotRun
+        if self.context.run.verdict() != ExecutionVerdict::NotRun
             && (!pipeline.may_repeat() || self.received_attempts >= pipeline.max_attempts)
         {
             return false;
@@ -555,7 +562,7 @@
     /// its inputs.
     fn record_first_event(&mut self, sent_at: MonoTime) {
         self.received_attempts += 1;
-        self.verdict = ExecutionVerdict::Ran;
+        self.context.run.replace(ExecutionVerdict::Ran);
         self.reason = "";
         let now = self.host.now();
         self.first_byte_time
@@ -571,7 +578,7 @@
 
     /// Reads an answer that is not a stream completely.
     async fn read_whole(&mut self, answer: OpenAnswer) -> OpenFailure {
-        self.verdict = ExecutionVerdict::Ran;
+        self.context.run.replace(ExecutionVerdict::Ran);
         let OpenAnswer {
             status,
             headers,
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -1,10 +1,13 @@
 //! Forwards the complete events of a stream, and resumes a broken stream at another engine.
 
+use std::error::Error;
 use std::io;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fail::fail_point;
 use http::{StatusCode, header};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
@@ -12,6 +15,8 @@
 use hollywheel_serving::EventSplitter;
 use hollywheel_types::{ExecutionVerdict, MonoTime};
 
+use crate::containment::{TaskKind, WorkPanicked};
+use crate::crash_evidence::record_panic;
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::{log_line, millis};
 use crate::memory_budget::{MemoryBudget, MemoryShare};
@@ -122,6 +127,7 @@
                 self.ended = true;
                 return Ok((!rest.is_empty()).then_some(rest));
             };
+            fail_point!("stream.frame");
             let frame = frame.map_err(|_| StreamFailure::Broken)?;
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -179,19 +185,51 @@
     /// Returns the next bytes for the caller. An error closes the connection, so that the caller
     /// does not take a truncated answer for a complete one.
     pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        let job = &self.job;
+        let (host, context) = (job.host.clone(), Rc::clone(&job.context));
+        let attempt_id = context.head.attempt.as_str();
+        let chunk = self.next_chunk();
+        let chunk = host.panics.contain(TaskKind::Stream, attempt_id, chunk);
+        chunk.await.unwrap_or_else(|panicked| {
+            self.stream = None;
+            self.job.reason = WorkPanicked::REASON;
+            Some(Err(self.break_off(panicked)))
+        })
+    }
+
+    async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let stream = self.stream.as_mut()?;
-            if let Some(chunk) = stream.chunk.take() {
-                self.record_last_event(&chunk);
+            let chunk = stream.chunk.take();
+            let context = Rc::clone(&self.job.context);
+            let attempt_id = context.head.attempt.as_str();
+            let panics = self.job.host.panics.clone();
+            if let Some(chunk) = chunk {
+                let recorded = panics.contain_call(TaskKind::Stream, attempt_id, || {
+                    fail_point!("stream.chunk");
+                    self.record_last_event(&chunk);
+                });
+                if recorded.is_err() {
+                    // The stream cannot be resumed, since it is not known after which event.
+                    self.job.last_event = None;
+                }
                 return Some(Ok(chunk));
             }
             if stream.ended {
-                self.finish();
+                // The caller has every event; what fails here cannot make the answer incomplete.
+                let _ = panics.contain_call(TaskKind::Stream, attempt_id, || self.finish());
                 return None;
             }
-            match self.read_next().await {
-                Ok(()) => continue,
-                Err(reason) => self.job.reason = reason,
+            let read = panics.contain(TaskKind::Stream, attempt_id, self.read_next());
+            match read.await {
+                Ok(Ok(())) => continue,
+                Ok(Err(reason)) => self.job.reason = reason,
+                Err(WorkPanicked) => {
+                    record_panic(&self.job.host, &context);
+                    // The engine is not at fault; the stream may go on there.
+                    self.stream = None;
+                    self.job.reason = WorkPanicked::REASON;
+                }
             }
             if let Err(error) = self.continue_stream().await {
                 return Some(Err(error));
@@ -389,13 +427,21 @@
             self.asked_other = false;
             return Ok(());
         }
-        job.verdict = ExecutionVerdict::MayHaveRun;
+        let reason = job.reason;
+        Err(self.break_off(reason))
+    }
+
+    /// Records that the stream ends before its end; returns the error that closes the connection.
+    fn break_off(&self, error: impl Into<Box<dyn Error + Send + Sync>>) -> io::Error {
+        let job = &self.job;
+        job.context.run.replace(ExecutionVerdict::MayHaveRun);
         job.end(RequestOutcome::Broken, StatusCode::OK);
-        Err(io::Error::other(job.reason))
+        io::Error::other(error)
     }
 
     /// Ends a stream that was forwarded completely.
     fn finish(&mut self) {
+        fail_point!("stream.finish");
         if let Some(stream) = self.stream.take() {
             let host = &self.job.host;
             let now = host.now();
--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -28,6 +28,8 @@
     pub readiness_address: SocketAddr,
     /// The address on which the gateway accepts other hosts.
     pub peer_address: SocketAddr,
+    /// The address of the gateway's metrics.
+    pub metrics_address: SocketAddr,
     /// The stand-in for the platform's store.
     pub store: Arc<store::StoreStandin>,
     /// The events that the backend servers recorded.
@@ -126,25 +128,29 @@
         })
 }
 
-/// Starts a gateway with the default host name on a thread of this process.
-pub fn start_gateway(name: &str, addresses: &HostAddresses) {
-    start_named_gateway(name, "front-a-1", addresses);
+/// Starts a gateway with the default host name on a thread of this process; returns the port of its
+/// metrics.
+pub fn start_gateway(name: &str, addresses: &HostAddresses) -> u16 {
+    start_named_gateway(name, "front-a-1", addresses)
 }
 
-/// Starts a gateway with the given host name on a thread of this process.
-pub fn start_named_gateway(name: &str, host: &str, addresses: &HostAddresses) {
-    start_gateway_with(name, host, &settings(host, addresses));
+/// Starts a gateway with the given host name on a thread of this process; returns the port of its
+/// metrics.
+pub fn start_named_gateway(name: &str, host: &str, addresses: &HostAddresses) -> u16 {
+    start_gateway_with(name, host, &settings(host, addresses))
 }
 
-/// Starts a gateway with the given settings file on a thread of this process.
-pub fn start_gateway_with(name: &str, host: &str, text: &str) {
+/// Starts a gateway with the given settings file on a thread of this process; returns the port of
+/// its metrics.
+pub fn start_gateway_with(name: &str, host: &str, text: &str) -> u16 {
     let path =
         std::env::temp_dir().join(format!("hollywheel-{name}-{host}-{}", std::process::id()));
     std::fs::write(&path, text).unwrap();
     let settings = path.to_str().unwrap().to_owned();
+    // Port 0 could resolve to a port that `free_address` returned and nothing listens on yet.
+    let port = free_address().port();
     std::thread::spawn(move || {
-        // Port 0 could resolve to a port that `free_address` returned and nothing listens on yet.
-        let metrics_port = free_address().port().to_string();
+        let metrics_port = port.to_string();
         let arguments = [
             "gateway",
             "--settings",
@@ -155,6 +161,7 @@
         let arguments = arguments.into_iter().chain(["--log-level", "error"]);
         hollywheel_gateway::run_gateway(arguments.map(Into::into))
     });
+    port
 }
 
 impl Fixture {
@@ -162,10 +169,11 @@
     pub async fn start(name: &str) -> Self {
         let store = Arc::new(store::StoreStandin::default());
         let log = Arc::new(ServerLog::default());
-        let fixture = Self {
+        let mut fixture = Self {
             caller_address: free_address(),
             readiness_address: free_address(),
             peer_address: free_address(),
+            metrics_address: free_address(),
             store: Arc::clone(&store),
             log: Arc::clone(&log),
         };
@@ -187,11 +195,46 @@
             peer_address: fixture.peer_address,
             store: store_address,
         };
-        start_gateway(name, &addresses);
+        let metrics_port = start_gateway(name, &addresses);
+        fixture.metrics_address.set_port(metrics_port);
         fixture.wait_until_ready().await;
         fixture
     }
 
+    /// Returns the value of a metric: the sum of its series.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let request = request("GET", "/metrics", "x", "");
+        let response = send(self.metrics_address, request).await.unwrap();
+        let text = response.body.unwrap();
+        let series = text.lines().filter(|line| {
+            let rest = line.strip_prefix(name);
+            rest.is_some_and(|rest| rest.starts_with(['{', ' ']))
+        });
+        series
+            .map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+            .sum()
+    }
+
+    /// Checks that what requests held is given back within a second: counts of requests, connections
+    /// and memory are zero.
+    pub async fn check_counts(&self, case: &str) {
+        for name in [
+            "hollywheel_open_requests",
+            "hollywheel_caller_connections",
+            "hollywheel_body_bytes",
+        ] {
+            let mut value = f64::NAN;
+            for _ in 0..40 {
+                value = self.metric(name).await;
+                if value == 0.0 {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+            assert_eq!(value, 0.0, "after {case}: {name}");
+        }
+    }
+
     /// Waits until the gateway's readiness check succeeds.
     async fn wait_until_ready(&self) {
         for _ in 0..200 {
