Give back the pieces and the server of a stage call that panics

Cause: the call's task was spawned and nobody watched it, so the batcher was never told that the call had ended: its pieces, its place and the server's room were not given back. A panic in the batcher itself left it half changed.

Now a call that panics has failed, and its pieces are made again. The queue of a shard whose change panics is dropped: its groups fail, the next group starts a new queue, and results of calls that were still running are freed.

Evidence: panic_in_stage_call fires ten failpoints and their pairs beside four requests each; the next request is served within a second each time. With the containment taken out (a trial) it fails in the first cell. By reading, its last check did not wait until a request was given back; it now waits for the second that is allowed.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -7,6 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use fail::fail_point;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
@@ -18,6 +19,7 @@
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
+use crate::containment::TaskKind;
 use crate::crash_evidence::{record_call_crash, record_pieces_made};
 use crate::host::Host;
 use crate::log::{log_line, millis};
@@ -89,6 +91,8 @@
 
 /// Batcher of one pool shard and the groups that were admitted to it.
 struct ShardQueue {
+    /// Number of the queue, unique within the process; a call belongs to the queue that planned it.
+    number: u64,
     batcher: PoolBatcher,
     groups: SortedMap<GroupTicket, PendingGroup>,
     /// Change number of the server registry when the server list was last read.
@@ -103,6 +107,7 @@
 #[derive(Default)]
 pub(crate) struct BatchCoordinator {
     queues: RefCell<SortedMap<ShardKey, ShardQueue>>,
+    last_queue: Cell<u64>,
     last_ticket: Cell<u64>,
     group_added: Notify,
 }
@@ -117,15 +122,16 @@
 
 impl Drop for GroupGuard<'_> {
     fn drop(&mut self) {
-        if let Some(queue) = self.coordinator.queues.borrow_mut().get_mut(&self.key) {
-            queue.abandon(self.host.now(), self.ticket);
-        }
+        let (host, ticket) = (self.host, self.ticket);
+        let abandon = |queue: &mut ShardQueue| queue.abandon(host.now(), ticket);
+        self.coordinator.with_queue(host, &self.key, abandon);
     }
 }
 
 impl ShardQueue {
-    fn new(policy: BatchPolicy) -> Self {
+    fn new(number: u64, policy: BatchPolicy) -> Self {
         Self {
+            number,
             batcher: PoolBatcher::new(policy),
             groups: SortedMap::new(),
             listed_change: 0,
@@ -195,6 +201,44 @@
 }
 
 impl BatchCoordinator {
+    /// Adds the queue of a shard if it has none.
+    fn add_queue(&self, key: &ShardKey, policy: BatchPolicy) {
+        let mut queues = self.queues.borrow_mut();
+        queues.get_or_insert_with(key.clone(), || {
+            self.last_queue.set(self.last_queue.get() + 1);
+            ShardQueue::new(self.last_queue.get(), policy)
+        });
+    }
+
+    /// Calls a function with the queue of a shard, if it has one.
+    ///
+    /// A panic may leave the queue half changed: calls without an end would keep their servers busy
+    /// and their pieces waiting for good. Such a queue is dropped, which fails its groups; the next
+    /// group starts a new one.
+    fn with_queue<T>(
+        &self,
+        host: &Host,
+        key: &ShardKey,
+        act: impl FnOnce(&mut ShardQueue) -> T,
+    ) -> Option<T> {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.get_mut(key)?;
+        let panics = &host.panics;
+        let acted = panics.contain_call(TaskKind::BatchQueue, "", || act(queue));
+        if acted.is_err() {
+            let half_changed = queues.remove(key);
+            drop(queues);
+            drop(half_changed);
+        }
+        acted.ok()
+    }
+
+    /// Lists the shards that have queues.
+    fn shards(&self) -> Vec<ShardKey> {
+        let queues = self.queues.borrow();
+        queues.iter().map(|(key, _)| key.clone()).collect()
+    }
+
     /// Admits a group and waits for its outcome. Dropping the future withdraws the group.
     pub(crate) async fn produce_group(&self, host: &Host, group: PieceGroup) -> GroupOutcome {
         let key = (group.pool.clone(), group.shard.clone());
@@ -203,36 +247,19 @@
         };
         let ticket = GroupTicket(self.last_ticket.get() + 1);
         self.last_ticket.set(ticket.0);
-        let now = host.now();
         let (reply, outcome) = oneshot::channel();
-        {
-            let mut queues = self.queues.borrow_mut();
-            let queue = queues.get_or_insert_with(key.clone(), || ShardQueue::new(policy));
+        self.add_queue(&key, policy);
+        let admitted = self.with_queue(host, &key, |queue| {
             queue.batcher.set_policy(policy);
             refresh_servers(host, &key, queue);
-            let request = GroupRequest {
-                ticket,
-                kind: group.kind.clone(),
-                pieces: group.piece_count,
-                result_bytes: group.result_bytes,
-                goal: group.goal,
-                due: group.due,
-                expires: group.expires,
-                rank: group.rank,
-                holding: group.holding,
-                domain: group.domain.clone(),
-                pull_bytes: group.pull_bytes,
-            };
-            if let GroupVerdict::Refused { retry_after } = queue.batcher.offer(now, request) {
-                log_refusal(host, &queue.batcher, &group, retry_after);
+            admit_group(host, queue, ticket, group, reply)
+        });
+        match admitted {
+            Some(GroupVerdict::Queued { .. }) => {}
+            Some(GroupVerdict::Refused { retry_after }) => {
                 return GroupOutcome::Refused { retry_after };
             }
-            let pending = PendingGroup {
-                handles: vec![None; group.piece_count],
-                group,
-                reply,
-            };
-            queue.groups.insert(ticket, pending);
+            None => return GroupOutcome::Failed,
         }
         let _guard = GroupGuard {
             host,
@@ -266,43 +293,44 @@
         shard: &PoolShard,
         handles: &[PieceHandle],
     ) {
-        let mut queues = self.queues.borrow_mut();
-        match queues.get_mut(&(pool.clone(), shard.clone())) {
-            Some(queue) => free_at_servers(host, &queue.batcher.release(host.now(), handles)),
-            None => free_at_servers(host, handles),
-        }
+        let key = (pool.clone(), shard.clone());
+        let unknown = self.with_queue(host, &key, |queue| {
+            fail_point!("batch.release");
+            queue.batcher.release(host.now(), handles)
+        });
+        free_at_servers(host, unknown.as_deref().unwrap_or(handles));
     }
 
     /// Frees the released results that the batchers want freed now, such as those at servers that
     /// have little memory left.
     pub(crate) fn free_unneeded(&self, host: &Host) {
         let now = host.now();
-        for (key, queue) in self.queues.borrow_mut().iter_mut() {
-            for (server, handles) in queue.batcher.take_unneeded(now) {
+        for key in self.shards() {
+            let unneeded = self.with_queue(host, &key, |queue| queue.batcher.take_unneeded(now));
+            for (server, handles) in unneeded.into_iter().flatten() {
                 let free = free_and_confirm(host.clone(), key.clone(), server, handles);
-                tokio::task::spawn_local(free);
+                host.panics.spawn(TaskKind::ResultRelease, free);
             }
         }
     }
 
     /// Fails expired groups of a shard and sends every call that its batcher has ready.
     fn dispatch_calls(&self, host: &Host, key: &ShardKey) {
-        let mut queues = self.queues.borrow_mut();
-        let Some(queue) = queues.get_mut(key) else {
-            return;
-        };
-        let now = host.now();
-        let expired = queue.batcher.drop_expired(now);
-        queue.deliver(now, expired);
-        while let Some(plan) = queue.batcher.next_call(now) {
-            let pieces = plan_pieces(now, queue, &plan);
-            let label = host.metrics.label(key.0.as_str());
-            host.metrics.calls.get_or_create(&label).inc();
-            let count = u64::try_from(pieces.len()).unwrap_or(u64::MAX);
-            host.metrics.call_pieces.get_or_create(&label).inc_by(count);
-            let call = run_call(host.clone(), key.clone(), plan, pieces);
-            tokio::task::spawn_local(call);
-        }
+        self.with_queue(host, key, |queue| {
+            let now = host.now();
+            let expired = queue.batcher.drop_expired(now);
+            queue.deliver(now, expired);
+            while let Some(plan) = queue.batcher.next_call(now) {
+                fail_point!("batch.planned");
+                let pieces = plan_pieces(now, queue, &plan);
+                let label = host.metrics.label(key.0.as_str());
+                host.metrics.calls.get_or_create(&label).inc();
+                let count = u64::try_from(pieces.len()).unwrap_or(u64::MAX);
+                host.metrics.call_pieces.get_or_create(&label).inc_by(count);
+                let call = run_call(host.clone(), key.clone(), queue.number, plan, pieces);
+                tokio::task::spawn_local(call);
+            }
+        });
     }
 
     /// Records what the outcome of a call says about pieces that crash servers.
@@ -334,17 +362,60 @@
         }
     }
 
-    /// Reports the outcome of a call to its batcher and sends the calls that it makes possible.
-    fn finish(&self, host: &Host, key: &ShardKey, call: u64, outcome: CallOutcome) {
-        if let Some(queue) = self.queues.borrow_mut().get_mut(key) {
+    /// Reports the outcome of a call to its batcher and sends the calls that it makes possible. The
+    /// results of a call whose queue was dropped are freed.
+    fn finish(&self, host: &Host, key: &ShardKey, number: u64, call: u64, outcome: CallOutcome) {
+        let is_current = |queue: &ShardQueue| queue.number == number;
+        if !self.queues.borrow().get(key).is_some_and(is_current) {
+            free_at_servers(host, &outcome.into_handles());
+            return;
+        }
+        self.with_queue(host, key, |queue| {
+            fail_point!("batch.finish");
             let now = host.now();
             let deliveries = queue.batcher.finish_call(now, call, outcome);
             queue.deliver(now, deliveries);
-        }
+        });
         self.dispatch_calls(host, key);
     }
 }
 
+/// Offers a group to the batcher of a queue, and keeps it there if it is admitted.
+fn admit_group(
+    host: &Host,
+    queue: &mut ShardQueue,
+    ticket: GroupTicket,
+    group: PieceGroup,
+    reply: oneshot::Sender<GroupOutcome>,
+) -> GroupVerdict {
+    fail_point!("batch.offer");
+    let request = GroupRequest {
+        ticket,
+        kind: group.kind.clone(),
+        pieces: group.piece_count,
+        result_bytes: group.result_bytes,
+        goal: group.goal,
+        due: group.due,
+        expires: group.expires,
+        rank: group.rank,
+        holding: group.holding,
+        domain: group.domain.clone(),
+        pull_bytes: group.pull_bytes,
+    };
+    let verdict = queue.batcher.offer(host.now(), request);
+    if let GroupVerdict::Refused { retry_after } = verdict {
+        log_refusal(host, &queue.batcher, &group, retry_after);
+        return verdict;
+    }
+    let pending = PendingGroup {
+        handles: vec![None; group.piece_count],
+        group,
+        reply,
+    };
+    queue.groups.insert(ticket, pending);
+    verdict
+}
+
 fn log_refusal(host: &Host, batcher: &PoolBatcher, group: &PieceGroup, retry_after: Duration) {
     let now = host.now();
     log_line!(
@@ -411,17 +482,19 @@
 /// ends and no new group arrives.
 pub(crate) async fn run_dispatch_timer(host: Host) {
     loop {
-        let waiting: Vec<ShardKey> = {
-            let mut queues = host.coordinator.queues.borrow_mut();
-            queues
-                .iter_mut()
-                .filter(|(_, queue)| queue.batcher.waiting() > 0)
-                .map(|(key, queue)| {
+        fail_point!("batches.round");
+        let coordinator = &host.coordinator;
+        let mut waiting = coordinator.shards();
+        waiting.retain(|key| {
+            let has_work = coordinator.with_queue(&host, key, |queue| {
+                let has_work = queue.batcher.waiting() > 0;
+                if has_work {
                     refresh_servers(&host, key, queue);
-                    key.clone()
-                })
-                .collect()
-        };
+                }
+                has_work
+            });
+            has_work.unwrap_or(false)
+        });
         if waiting.is_empty() {
             host.coordinator.group_added.notified().await;
         }
@@ -432,14 +505,31 @@
     }
 }
 
-/// Performs one batched call within its time-out and reports its outcome.
-async fn run_call(host: Host, key: ShardKey, plan: CallPlan, pieces: Vec<StagePiece>) {
+/// Performs one batched call and reports its outcome to the queue with the given number. A call that
+/// panics has failed, so that its pieces are made again.
+async fn run_call(host: Host, key: ShardKey, number: u64, plan: CallPlan, pieces: Vec<StagePiece>) {
+    let call = perform_call(&host, &key, &plan, &pieces);
+    let outcome = host.panics.contain(TaskKind::StageCall, "", call).await;
+    let outcome = outcome.unwrap_or(CallOutcome::Failed);
+    host.coordinator
+        .finish(&host, &key, number, plan.call, outcome);
+}
+
+/// Sends one batched call and waits for its answer within its time-out.
+async fn perform_call(
+    host: &Host,
+    key: &ShardKey,
+    plan: &CallPlan,
+    pieces: &[StagePiece],
+) -> CallOutcome {
+    fail_point!("batch.call");
     let started = host.now();
-    let record = usable_server(&host, &plan.server);
-    let call = send_call(&host, &plan.server, record.clone(), &pieces);
+    let record = usable_server(host, &plan.server);
+    let call = send_call(host, &plan.server, record.clone(), pieces);
     let outcome = timeout(plan.timeout, call)
         .await
         .unwrap_or(CallOutcome::Failed);
+    fail_point!("batch.answered");
     let all_produced = matches!(&outcome, CallOutcome::Answered(results)
         if results.iter().all(|result| matches!(result, PieceResult::Made(_))));
     // A call that was not sent because of a limit is planned again, in most cases for another server.
@@ -459,9 +549,9 @@
     }
     if let Some(record) = record {
         host.coordinator
-            .record_evidence(&host, &key, &plan, &record, &outcome);
+            .record_evidence(host, key, plan, &record, &outcome);
     }
-    host.coordinator.finish(&host, &key, plan.call, outcome);
+    outcome
 }
 
 /// Returns the logged name of a call's outcome; an answered call is named by its first piece
@@ -488,14 +578,14 @@
 /// Frees results at a server; the batcher counts their memory as free once the server has
 /// confirmed it.
 async fn free_and_confirm(host: Host, key: ShardKey, server: ServerId, handles: Vec<PieceHandle>) {
+    fail_point!("release.call");
     let outcome = free_results(&host, &server, &handles).await;
-    if let Some(queue) = host.coordinator.queues.borrow_mut().get_mut(&key) {
-        match outcome {
+    host.coordinator
+        .with_queue(&host, &key, |queue| match outcome {
             FreeOutcome::Freed => queue.batcher.confirm_freed(&server, &handles),
             FreeOutcome::AtLimit => queue.batcher.defer_unneeded(&server, handles),
             FreeOutcome::Failed => {}
-        }
-    }
+        });
     if outcome != FreeOutcome::Freed {
         return;
     }
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -114,6 +114,23 @@
     ServerLost,
 }
 
+impl CallOutcome {
+    /// Returns the handles of the results that the call has produced.
+    pub fn into_handles(self) -> Vec<PieceHandle> {
+        let Self::Answered(results) = self else {
+            return Vec::new();
+        };
+        let made = results.into_iter().filter_map(|result| match result {
+            PieceResult::Made(handle) => Some(handle),
+            PieceResult::Late
+            | PieceResult::InputGone
+            | PieceResult::NoRoom
+            | PieceResult::Failed => None,
+        });
+        made.collect()
+    }
+}
+
 /// Reports the final outcome of one piece to its group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PieceDelivery {
