Back off from a task that keeps panicking, and be not ready without it

A task of the process that panicked at once after each start was started ten times a second for good, while the host counted as ready: callers were sent to a host that could not serve them.

The pause before a restart now doubles to 5 s. Without other tasks it serves with what it knows: all hosts read the same configuration and entries, and would all leave at once.

Tests: restart_backoff (pure decision), panic_in_task (eleven tasks panic at their first start; batches keeps panicking: 503 from the readiness check, 200 once it runs again).

--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -28,6 +28,7 @@
 use crate::metrics::HostMetrics;
 use crate::peer_client::PeerClient;
 use crate::results::ReleaseQueue;
+use crate::supervisor::{TaskEntry, TaskNeed};
 
 /// The active configuration and the document that it was read from, which other hosts get.
 #[derive(Clone)]
@@ -87,6 +88,8 @@
     pub(crate) stopping: watch::Sender<StopPhase>,
     /// Time by which requests must have an answer during the graceful stop.
     pub(crate) answers_until: Cell<Option<MonoTime>>,
+    /// Tasks without which the host cannot serve and that keep ending.
+    failing_tasks: RefCell<Vec<&'static str>>,
     /// Number of requests being served.
     pub(crate) open_requests: Cell<u64>,
     /// Number of open connections from callers.
@@ -162,6 +165,7 @@
             view_changed: Notify::new(),
             stopping: watch::Sender::new(StopPhase::Serving),
             answers_until: Cell::new(None),
+            failing_tasks: RefCell::default(),
             open_requests: Cell::new(0),
             caller_connections: Cell::new(0),
             tie_breaker_state: Cell::new(incarnation),
@@ -204,6 +208,31 @@
         self.clock.now()
     }
 
+    /// Records whether a task keeps ending. The host is not ready while one does without which it
+    /// cannot serve.
+    pub(crate) fn set_failing(&self, entry: &TaskEntry, failing: bool) {
+        if entry.need == TaskNeed::Upkeep {
+            return;
+        }
+        let mut tasks = self.failing_tasks.borrow_mut();
+        let was_failing = !tasks.is_empty();
+        tasks.retain(|name| *name != entry.name);
+        if failing {
+            tasks.push(entry.name);
+        }
+        let is_failing = !tasks.is_empty();
+        if was_failing != is_failing {
+            let reason = format!("task {}", entry.name);
+            log_line!(self, warn, ReadyChanged, ready = !is_failing, reason);
+        }
+    }
+
+    /// Returns whether the host can serve callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let can_serve = self.failing_tasks.borrow().is_empty();
+        can_serve && !self.is_stopping() && self.serving_set().is_some()
+    }
+
     /// Returns whether the graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow() >= StopPhase::Leaving
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fail::fail_point;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::Instant;
 
@@ -26,7 +27,7 @@
 use crate::server_limits::exchange_limits;
 use crate::status_server::{StatusEndpoint, serve_status};
 use crate::store_feed::follow_table;
-use crate::supervisor::{TaskEntry, supervise, task_entry};
+use crate::supervisor::{TaskEntry, TaskNeed, supervise, task_entry};
 
 /// Interval at which the settings file is checked for changes, since it may change without a
 /// signal.
@@ -71,14 +72,31 @@
     let host = HostState::new(settings, clock);
     log_start(&host);
     let mut tasks = list_tasks(&host, &options);
-    tasks.push(with_listener(&host, "callers", &callers, serve_callers));
-    tasks.push(with_listener(&host, "peers", &peers, serve_peers));
-    tasks.push(with_listener(&host, "ready", &ready, |host, listener| {
-        serve_status(host, listener, StatusEndpoint::Ready)
-    }));
+    tasks.push(with_listener(
+        &host,
+        "callers",
+        TaskNeed::Serving,
+        &callers,
+        serve_callers,
+    ));
+    tasks.push(with_listener(
+        &host,
+        "peers",
+        TaskNeed::Upkeep,
+        &peers,
+        serve_peers,
+    ));
+    tasks.push(with_listener(
+        &host,
+        "ready",
+        TaskNeed::Upkeep,
+        &ready,
+        |host, listener| serve_status(host, listener, StatusEndpoint::Ready),
+    ));
     tasks.push(with_listener(
         &host,
         "metrics",
+        TaskNeed::Upkeep,
         &metrics,
         |host, listener| serve_status(host, listener, StatusEndpoint::Metrics),
     ));
@@ -91,6 +109,7 @@
 fn with_listener<F>(
     host: &Host,
     name: &'static str,
+    need: TaskNeed,
     listener: &Rc<tokio::net::TcpListener>,
     start: impl Fn(Host, Rc<tokio::net::TcpListener>) -> F + 'static,
 ) -> TaskEntry
@@ -99,19 +118,22 @@
 {
     let host = host.clone();
     let listener = Rc::clone(listener);
-    task_entry(name, move || start(host.clone(), Rc::clone(&listener)))
+    task_entry(name, need, move || {
+        start(host.clone(), Rc::clone(&listener))
+    })
 }
 
 /// Returns the tasks that serve no listener.
 fn list_tasks(host: &Host, options: &RunOptions) -> Vec<TaskEntry> {
-    let with_host = |name, start: fn(Host) -> crate::supervisor::TaskFuture| {
+    let with_need = |name, need, start: fn(Host) -> crate::supervisor::TaskFuture| {
         let host = host.clone();
-        task_entry(name, move || start(host.clone()))
+        task_entry(name, need, move || start(host.clone()))
     };
+    let with_host = |name, start| with_need(name, TaskNeed::Upkeep, start);
     let reload = {
         let host = host.clone();
         let options = options.clone();
-        task_entry("settings", move || {
+        task_entry("settings", TaskNeed::Upkeep, move || {
             follow_settings(host.clone(), options.clone())
         })
     };
@@ -129,7 +151,9 @@
         with_host("follow", |host| Box::pin(follow_hosts(host))),
         with_host("config", |host| Box::pin(fetch_configs(host))),
         with_host("limits", |host| Box::pin(exchange_limits(host))),
-        with_host("batches", |host| Box::pin(run_dispatch_timer(host))),
+        with_need("batches", TaskNeed::Serving, |host| {
+            Box::pin(run_dispatch_timer(host))
+        }),
         with_host("results", |host| Box::pin(flush_release_queue(host))),
         with_host("sweep", |host| Box::pin(sweep(host))),
         reload,
@@ -156,6 +180,7 @@
 async fn sweep(host: Host) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        fail_point!("sweep.round");
         host.release_withheld_servers();
         let now = host.now();
         let registry = host.registry.borrow();
--- a/crates/hollywheel-gateway/src/status_server.rs
+++ b/crates/hollywheel-gateway/src/status_server.rs
@@ -55,7 +55,7 @@
     let mut response = Response::new(Full::default());
     match kind {
         StatusEndpoint::Ready => {
-            if host.serving_set().is_none() || host.is_stopping() {
+            if !host.is_ready() {
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
         }
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -20,6 +20,7 @@
 mod rank;
 mod registry;
 mod request_identity;
+mod restart_backoff;
 mod retry_detector;
 mod server_limit;
 mod serving_set;
@@ -54,6 +55,7 @@
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry};
 pub use request_identity::RequestIdentity;
+pub use restart_backoff::RestartBackoff;
 pub use retry_detector::{CallerAttempt, RetryDetector};
 pub use server_limit::{
     LimitChange, LimitNotice, LimitStatement, LimitTable, PermitLedger, PermitVerdict,
