--- a/crates/hollywheel-gateway/src/crash_evidence.rs
+++ b/crates/hollywheel-gateway/src/crash_evidence.rs
@@ -3,6 +3,14 @@
 //! The host that sees a crash tells the readers of the store, and followers get the evidence with
 //! their long poll.
 
+// Numbers of other hosts are decoded here.
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::unwrap_used
+)]
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -191,7 +199,7 @@
     }
     let is_part = |cause: &&CrashCause| matches!(cause, CrashCause::Part(_));
     let part_count = blocked.iter().filter(is_part).count();
-    let other_count = blocked.len() - part_count;
+    let other_count = blocked.len().saturating_sub(part_count);
     let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     host.metrics.blocked_parts.set(gauge(part_count));
     host.metrics.blocked_repetitions.set(gauge(other_count));
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -4,6 +4,14 @@
 //! long-poll a reader for changes, which also reaches hosts that the store refuses to serve. A
 //! follower that finds no host with a fresh view reads the store itself.
 
+// Numbers of other hosts are decoded here.
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::unwrap_used
+)]
+
 use std::pin::pin;
 use std::time::Duration;
 
@@ -246,7 +254,7 @@
         limit_change: Some(cursor.limit_change),
         evidence_change: Some(cursor.evidence_change),
     };
-    let limit = FOLLOW_WAIT + ANSWER_SLACK;
+    let limit = FOLLOW_WAIT.saturating_add(ANSWER_SLACK);
     let body = message.encode_to_vec();
     match host.peers.download(source, FOLLOW_PATH, body, limit).await {
         Ok(reply) => {
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -1,5 +1,13 @@
 //! Server side of calls between hosts.
 
+// Numbers of other hosts are decoded here.
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::unwrap_used
+)]
+
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -5,6 +5,14 @@
 //! the store, whose followers learn of it with the other changes that they poll for. Readers compare
 //! what they know at an interval, since one may have started, or have been cut off, after the news.
 
+// Numbers of other hosts are decoded here.
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::unwrap_used
+)]
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -264,12 +272,11 @@
         let own = host.hosts.borrow().own().clone();
         let mut others = list_readers(&host);
         others.retain(|other| other.name != own);
-        if others.is_empty() {
-            continue;
-        }
         let count = u64::try_from(others.len()).unwrap_or(u64::MAX);
-        let index = usize::try_from(host.next_tie_breaker() % count).unwrap_or(0);
-        let other = others.swap_remove(index);
+        let Some(index) = host.next_tie_breaker().checked_rem(count) else {
+            continue;
+        };
+        let other = others.swap_remove(usize::try_from(index).unwrap_or(0));
         let body = known_limits(&host).encode_to_vec();
         let reply = host.peers.call(&other, LIMITS_PATH, body, NEWS_TIMEOUT);
         match reply.await {
