Send several messages of other hosts at once in long runs

The property test of other hosts' messages waits up to 5 ms for each; with FUZZ_PARALLEL it keeps several connections busy. By default it sends the same messages one after the other as before.

On one connection the library closes it after too many cancelled calls (ChannelClosed in a trial), so each lane has its own.

--- a/crates/hollywheel-gateway/tests/peer_messages.rs
+++ b/crates/hollywheel-gateway/tests/peer_messages.rs
@@ -1,5 +1,6 @@
 //! Property tests of the messages and answers of other hosts. The environment variable `FUZZ_INPUTS`
-//! sets the number of messages of each type, and `FUZZ_SEED` the first seed.
+//! sets the number of messages of each type, `FUZZ_SEED` the first seed and `FUZZ_PARALLEL` how many are
+//! sent at once, for long runs by hand.
 
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 #[path = "support/message_generator.rs"]
@@ -10,11 +11,13 @@
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http2;
@@ -72,32 +75,57 @@
 async fn arbitrary_messages_of_another_host_end_requests() {
     count_panics();
     let fixture = Fixture::start("peer-messages").await;
-    let stream = TcpStream::connect(fixture.peer_address).await.unwrap();
-    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.unwrap();
-    tokio::spawn(connection);
     let first = environment("FUZZ_SEED", 0);
-    for seed in first..first + environment("FUZZ_INPUTS", 300) {
-        let mut generator = MessageGenerator::new(seed);
-        for (path, message, _) in CALLS {
-            let body = Full::new(Bytes::from(generator.message(message)));
-            let uri = format!("http://{}{path}", fixture.peer_address);
-            let request = Request::post(uri).body(body).unwrap();
-            sender.ready().await.unwrap();
-            // Some calls are answered only after changes; the caller leaves them.
-            let answer = timeout(Duration::from_millis(5), sender.send_request(request)).await;
-            if let Ok(answer) = answer {
-                let status = answer.unwrap().status().as_u16();
-                assert!(matches!(status, 200..500), "{path}, seed {seed}: {status}");
-            }
-        }
-        if seed % 100 == 99 {
-            check_requests(&fixture, seed).await;
+    let last = first + environment("FUZZ_INPUTS", 300);
+    let mut senders = Vec::new();
+    for _ in 0..environment("FUZZ_PARALLEL", 1) {
+        senders.push(connect(fixture.peer_address).await);
+    }
+    let mut seed = first;
+    while seed < last {
+        let sent = senders.iter_mut().zip(seed..last);
+        let sent: Vec<()> =
+            join_all(sent.map(|(sender, seed)| send_messages(fixture.peer_address, sender, seed)))
+                .await;
+        let end = seed + sent.len() as u64;
+        if seed / 100 != end / 100 {
+            check_requests(&fixture, end).await;
         }
+        seed = end;
     }
     check_requests(&fixture, u64::MAX).await;
 }
 
+/// Connects to a host as another one does.
+async fn connect(address: SocketAddr) -> http2::SendRequest<Full<Bytes>> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+/// Sends one message of each type to a host.
+async fn send_messages(
+    address: SocketAddr,
+    sender: &mut http2::SendRequest<Full<Bytes>>,
+    seed: u64,
+) {
+    let mut generator = MessageGenerator::new(seed);
+    for (path, message, _) in CALLS {
+        let body = Full::new(Bytes::from(generator.message(message)));
+        let uri = format!("http://{address}{path}");
+        let request = Request::post(uri).body(body).unwrap();
+        sender.ready().await.unwrap();
+        // Some calls are answered only after changes; the caller leaves them.
+        let answer = timeout(Duration::from_millis(5), sender.send_request(request)).await;
+        if let Ok(answer) = answer {
+            let status = answer.unwrap().status().as_u16();
+            assert!(matches!(status, 200..500), "{path}, seed {seed}: {status}");
+        }
+    }
+}
+
 /// Answers that are valid for their types but from no sound host, which has all duties.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn arbitrary_answers_of_another_host_end_requests() {
@@ -122,8 +150,10 @@
     let last = first + environment("FUZZ_INPUTS", 200);
     let start = Instant::now();
     let limit = Duration::from_secs(environment("FUZZ_SECONDS", 10));
+    let parallel = environment("FUZZ_PARALLEL", 1);
     while seed.load(Ordering::SeqCst) < last && start.elapsed() < limit {
-        check_requests(&fixture, seed.load(Ordering::SeqCst)).await;
+        let input = seed.load(Ordering::SeqCst);
+        join_all((0..parallel).map(|_| check_requests(&fixture, input))).await;
     }
     let count = seed.load(Ordering::SeqCst);
     assert!(count > first, "the host got no calls");
