--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -467,6 +467,7 @@
                 ServerPhase::Ready
             },
             born: entry.born,
+            cold_left: None,
         })
     };
     Some(RowChange {
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -50,7 +50,7 @@
     DocumentAssembly, DocumentError, DocumentId, DocumentPart, PART_BYTES, PackedDocument,
 };
 pub use placement::{
-    PlacementQuery, PlacementVerdict, PromptPart, choose_engine, choose_least_loaded,
+    PlacementQuery, PlacementVerdict, PromptPart, TokenCounts, choose_engine, choose_least_loaded,
 };
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry};
@@ -61,8 +61,8 @@
     LimitChange, LimitNotice, LimitStatement, LimitTable, PermitLedger, PermitVerdict,
 };
 pub use serving_set::{
-    CallerLimits, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings, PoolWeight,
-    PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
+    CallerLimits, ColdLimit, KeyHolder, ModelPool, PiecePool, PipelineRoute, PoolSettings,
+    PoolWeight, PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
 };
 pub use shards::{PoolShard, ShardWaits, choose_shard, least_wait, split_into_shards};
 pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput, stage_order};
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -22,7 +22,7 @@
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Holds the load that a server reported.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
     /// The number of requests in execution.
     pub running: u32,
@@ -30,6 +30,9 @@
     pub waiting: u32,
     /// The number of requests that the server can execute at once.
     pub slots: u32,
+    /// How long work takes on the server at this moment, as a multiple of the usual time; none if the
+    /// server does not say.
+    pub slowdown: Option<f64>,
 }
 
 /// Holds the mean latency of a server's responses.
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -27,6 +27,15 @@
     pub tokens: u32,
 }
 
+/// Holds the size of a generation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TokenCounts {
+    /// The number of tokens of the whole prompt.
+    pub prompt: u32,
+    /// The largest number of tokens that may be generated.
+    pub output: u32,
+}
+
 /// Describes a request to place and the servers that may take it.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
--- a/crates/hollywheel-serving/src/registry.rs
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -43,6 +43,8 @@
     pub phase: ServerPhase,
     /// The start time of the server's process, if the server reports it.
     pub born: Option<u64>,
+    /// How much longer the server stays cold, as of when it wrote its row; none if it is warm.
+    pub cold_left: Option<Duration>,
 }
 
 /// Describes a complete listing of the rows of the servers.
--- a/crates/hollywheel-serving/src/serving_set.rs
+++ b/crates/hollywheel-serving/src/serving_set.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use hollywheel_types::{ConfigVersion, PipelineId, PoolId, SortedMap, WorkspaceId};
+use hollywheel_types::{ConfigVersion, PipelineId, PoolId, RequestRate, SortedMap, WorkspaceId};
 
 use crate::stage_graph::stage_order;
 
@@ -159,6 +159,17 @@
     pub max_connections: u32,
     /// The kind of work, with its limits.
     pub work: PoolWork,
+    /// What a server tolerates while it is cold; none if servers of the pool have no such limit.
+    pub cold: Option<ColdLimit>,
+}
+
+/// Holds what a server of a pool tolerates directly after its start, while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// The time for which a server stays cold after its start.
+    pub start: Duration,
+    /// The requests that a cold server tolerates from all hosts together.
+    pub rate: RequestRate,
 }
 
 /// Holds the limits on the requests and connections of callers.
--- a/crates/hollywheel-serving/tests/hosts.rs
+++ b/crates/hollywheel-serving/tests/hosts.rs
@@ -220,6 +220,7 @@
         slots: 4,
         phase: ServerPhase::Ready,
         born: None,
+        cold_left: None,
     };
     (name.parse().unwrap(), record)
 }
@@ -334,6 +335,7 @@
         running: u32::MAX,
         waiting: u32::MAX,
         slots: u32::MAX,
+        slowdown: None,
     };
     loads.note_report(at(0), name, report, record.slots);
     let place =
@@ -359,6 +361,7 @@
             running: 4,
             waiting: 24,
             slots: 4,
+            slowdown: None,
         };
         loads.note_report(at(2), name, report, report.slots);
     }
--- a/crates/hollywheel-serving/tests/registry.rs
+++ b/crates/hollywheel-serving/tests/registry.rs
@@ -20,6 +20,7 @@
         slots: 4,
         phase,
         born: Some(born),
+        cold_left: None,
     }
 }
 
--- a/crates/hollywheel-serving/tests/request_parts.rs
+++ b/crates/hollywheel-serving/tests/request_parts.rs
@@ -42,6 +42,7 @@
         name: "engines".parse().unwrap(),
         max_connections: 10,
         work: PoolWork::Plain,
+        cold: None,
     };
     ServingSet {
         version: ConfigVersion(3),
--- a/crates/hollywheel-serving/tests/server_pause.rs
+++ b/crates/hollywheel-serving/tests/server_pause.rs
@@ -21,6 +21,7 @@
         slots: 4,
         phase: ServerPhase::Ready,
         born: Some(1),
+        cold_left: None,
     };
     (name.parse().unwrap(), record)
 }
--- a/crates/hollywheel-serving/tests/slow_servers.rs
+++ b/crates/hollywheel-serving/tests/slow_servers.rs
@@ -27,6 +27,7 @@
         slots: 1,
         phase: ServerPhase::Ready,
         born: Some(1),
+        cold_left: None,
     };
     (name.parse().unwrap(), record)
 }
--- a/crates/hollywheel-serving/tests/store_eras.rs
+++ b/crates/hollywheel-serving/tests/store_eras.rs
@@ -22,6 +22,7 @@
         slots: 4,
         phase,
         born: Some(born),
+        cold_left: None,
     }
 }
 
