Prefer servers whose shared machines are not busy at the moment

Cause: servers on shared machines report a slowdown that changes many times a second. Placement compared only loads and mean latencies, which tell of the moment seconds too late.

It scales the load that choose_least_loaded compares; whether a server is full is decided by its load alone, since a queue holds a number of requests whatever the speed. Mean latencies are divided by the slowdown reported with them, so that the same slowness does not count twice. The batcher expects the next call to take its server's own slowness times the slowdown; throughput and time-outs use the whole mean ratio as before. hollywheel_server_slowdown is a histogram of the reports by pool.

Ruled out: an effect on servers without the fourth value.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -364,7 +364,15 @@
 
     /// Reports the outcome of a call to its batcher and sends the calls that it makes possible. The
     /// results of a call whose queue was dropped are freed.
-    fn finish(&self, host: &Host, key: &ShardKey, number: u64, call: u64, outcome: CallOutcome) {
+    fn finish(
+        &self,
+        host: &Host,
+        key: &ShardKey,
+        number: u64,
+        plan: &CallPlan,
+        outcome: CallOutcome,
+    ) {
+        let (call, server) = (plan.call, &plan.server);
         let is_current = |queue: &ShardQueue| queue.number == number;
         if !self.queues.borrow().get(key).is_some_and(is_current) {
             free_at_servers(host, &outcome.into_handles());
@@ -373,6 +381,7 @@
         self.with_queue(host, key, |queue| {
             fail_point!("batch.finish");
             let now = host.now();
+            note_slowdown(host, queue, server);
             let deliveries = queue.batcher.finish_call(now, call, outcome);
             queue.deliver(now, deliveries);
         });
@@ -461,6 +470,12 @@
         .set_servers(servers.map(|(server, record)| (server, record.domain, record.born)));
 }
 
+/// Passes the slowdown that a server reported last to the batcher.
+fn note_slowdown(host: &Host, queue: &mut ShardQueue, server: &ServerId) {
+    let reported = host.loads.borrow().reported_slowdown(server);
+    queue.batcher.note_slowdown(server, reported);
+}
+
 /// Builds the request entries for the pieces of a planned call.
 fn plan_pieces(now: MonoTime, queue: &ShardQueue, plan: &CallPlan) -> Vec<StagePiece> {
     let pieces = plan.pieces.iter().filter_map(|piece| {
@@ -511,8 +526,7 @@
     let call = perform_call(&host, &key, &plan, &pieces);
     let outcome = host.panics.contain(TaskKind::StageCall, "", call).await;
     let outcome = outcome.unwrap_or(CallOutcome::Failed);
-    host.coordinator
-        .finish(&host, &key, number, plan.call, outcome);
+    host.coordinator.finish(&host, &key, number, &plan, outcome);
 }
 
 /// Sends one batched call and waits for its answer within its time-out.
@@ -580,12 +594,14 @@
 async fn free_and_confirm(host: Host, key: ShardKey, server: ServerId, handles: Vec<PieceHandle>) {
     fail_point!("release.call");
     let outcome = free_results(&host, &server, &handles).await;
-    host.coordinator
-        .with_queue(&host, &key, |queue| match outcome {
+    host.coordinator.with_queue(&host, &key, |queue| {
+        note_slowdown(&host, queue, &server);
+        match outcome {
             FreeOutcome::Freed => queue.batcher.confirm_freed(&server, &handles),
             FreeOutcome::AtLimit => queue.batcher.defer_unneeded(&server, handles),
             FreeOutcome::Failed => {}
-        });
+        }
+    });
     if outcome != FreeOutcome::Freed {
         return;
     }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -438,13 +438,17 @@
     pub(crate) fn apply_answer_facts(&self, server: &ServerId, facts: &ResponseHead) {
         let now = self.now();
         let registry = self.registry.borrow();
-        let slots = registry.usable(now, server).map(|record| record.slots);
-        drop(registry);
         // A server that is not usable gets no requests, whatever its load.
-        if let (Some(report), Some(slots)) = (facts.report, slots) {
+        if let (Some(report), Some(record)) = (facts.report, registry.usable(now, server)) {
             let mut loads = self.loads.borrow_mut();
-            loads.note_report(now, server, report, slots);
+            loads.note_report(now, server, report, record.slots);
+            if let Some(slowdown) = report.slowdown {
+                let label = self.metrics.label(record.pool.as_str());
+                let histogram = self.metrics.slowdown.get_or_create(&label);
+                histogram.observe(slowdown);
+            }
         }
+        drop(registry);
         if let Some(pause) = facts.retry_after {
             self.loads.borrow_mut().note_pause(now, server, pause);
             log_line!(self, info, ServerPaused, server = %server, pause_ms = millis(pause));
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -13,6 +13,8 @@
 const LATENCY_BUCKETS: [f64; 12] = [
     0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
+/// Upper bounds of the buckets of reported slowdowns, as multiples of the usual time.
+const SLOWDOWN_BUCKETS: [f64; 9] = [0.8, 1.0, 1.25, 1.6, 2.0, 3.0, 5.0, 10.0, 30.0];
 /// Maximum number of distinct label values; further pipelines and pools are counted as `other`.
 const MAX_SERIES: usize = 256;
 
@@ -50,6 +52,7 @@
     pub(crate) limited_sends: Family<NameLabel, Counter>,
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
+    pub(crate) slowdown: Family<NameLabel, Histogram>,
     pub(crate) blocked_parts: Gauge,
     pub(crate) blocked_repetitions: Gauge,
     pub(crate) blocked_requests: Family<NameLabel, Counter>,
@@ -69,6 +72,10 @@
     Histogram::new(LATENCY_BUCKETS)
 }
 
+fn slowdown_histogram() -> Histogram {
+    Histogram::new(SLOWDOWN_BUCKETS)
+}
+
 impl HostMetrics {
     pub(crate) fn new() -> Self {
         let metrics = Self {
@@ -85,6 +92,7 @@
             limited_sends: Family::default(),
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
+            slowdown: Family::new_with_constructor(slowdown_histogram),
             blocked_parts: Gauge::default(),
             blocked_repetitions: Gauge::default(),
             blocked_requests: Family::default(),
@@ -165,6 +173,11 @@
             "Servers that have named a limit on their requests",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "hollywheel_server_slowdown",
+            "Slowdown that servers on shared machines report, as a multiple of the usual time, by pool",
+            self.slowdown.clone(),
+        );
         registry.register(
             "hollywheel_blocked_parts",
             "Prompt parts that count as the cause of crashes of servers",
--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -39,12 +39,12 @@
                 fits.then_some((server, state))
             });
             let best = fits.min_by(|(_, left), (_, right)| {
-                let is_slow = |state: &PieceServer| state.slowness() > SLOW_RATIO;
+                let is_slow = |state: &PieceServer| state.slowness_at(now) > SLOW_RATIO;
                 let in_other_domain = |state: &PieceServer| !group.prefers(&state.domain);
                 is_slow(left)
                     .cmp(&is_slow(right))
                     .then_with(|| in_other_domain(left).cmp(&in_other_domain(right)))
-                    .then_with(|| left.slowness().total_cmp(&right.slowness()))
+                    .then_with(|| left.slowness_at(now).total_cmp(&right.slowness_at(now)))
             });
             best.map(|(server, _)| server.clone())
         })
@@ -100,13 +100,14 @@
     /// Returns whether a server may take a group. A slow server, or one in another failure domain
     /// than the group's data, may take it only if waiting for a better server is not worthwhile.
     fn may_assign(&self, now: MonoTime, server: &PieceServer, group: &QueuedGroup) -> bool {
-        let is_slow = server.slowness() > SLOW_RATIO;
+        let slowness = server.slowness_at(now);
+        let is_slow = slowness > SLOW_RATIO;
         let is_remote = group.pull_bytes >= MIN_PULL_BYTES && !group.prefers(&server.domain);
         if !is_slow && !is_remote {
             return true;
         }
         let call_time = self.times.call([(group.kind.as_str(), group.waiting())]);
-        let finish = now + call_time.mul_f64(server.slowness());
+        let finish = now + call_time.mul_f64(slowness);
         if is_slow
             && finish > group.due
             && !self.is_slow_server_acceptable(now, group, call_time, finish)
@@ -128,7 +129,7 @@
         let fast_servers = self
             .servers
             .values()
-            .filter(|other| other.is_present() && other.slowness() <= SLOW_RATIO);
+            .filter(|other| other.is_present() && other.is_fast_when_free(now));
         let next_free = fast_servers.map(|other| other.free_at(now)).min();
         let fast_finish = next_free.map(|at| at + call_time);
         fast_finish.is_none_or(|at| at > finish)
@@ -142,7 +143,7 @@
             return false;
         }
         let local = self.servers.values().filter(|other| {
-            other.is_present() && other.slowness() <= SLOW_RATIO && group.prefers(&other.domain)
+            other.is_present() && other.is_fast_when_free(now) && group.prefers(&other.domain)
         });
         let next_free = local.map(|other| other.free_at(now)).min();
         next_free.is_some_and(|at| at + call_time + LOCAL_MARGIN <= group.due)
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -27,6 +27,7 @@
 use crate::call_time::CallTimes;
 use crate::retry_detector::CallerAttempt;
 use crate::serving_set::PiecePool;
+use crate::slowdown::ReportedSlowdown;
 use crate::stage_graph::PieceHandle;
 
 /// The retry delay given to a request while the pool has no known server. Server entries are read
@@ -74,6 +75,8 @@
     started: MonoTime,
     /// The expected duration on a server of normal speed.
     expected: Duration,
+    /// The slowdown that the server had reported before the call.
+    slowdown_before: Option<ReportedSlowdown>,
 }
 
 /// Decides which pieces go into which call, for one pool or one of its shards.
@@ -145,6 +148,13 @@
         }
     }
 
+    /// Records the slowdown that a server reported last, before the end of the call that it came with.
+    pub fn note_slowdown(&mut self, server: &ServerId, reported: Option<ReportedSlowdown>) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.set_reported_slowdown(reported);
+        }
+    }
+
     /// Admits a group of pieces, or refuses it if it would expire before it is executed or if the
     /// backlog of late work is full.
     ///
@@ -273,14 +283,18 @@
         }
         let counts = kinds.iter().map(|(kind, count)| (kind.as_str(), *count));
         let expected = self.times.call(counts);
-        let mut slowness = 1.0;
+        let mut longest = 1.0_f64;
+        let mut slowdown_before = None;
         if let Some(state) = self.servers.get_mut(&server) {
-            slowness = state.slowness().max(1.0);
+            let slowness = state.slowness_at(now).max(1.0);
+            // The slowdown of the last calls may return at any time.
+            longest = slowness.max(state.slowness());
+            slowdown_before = state.reported_slowdown();
             state.begin_call(now + expected.mul_f64(slowness), bytes.iter().sum());
         }
         self.last_call += 1;
         self.last_start = now;
-        let scaled = expected.mul_f64(slowness);
+        let scaled = expected.mul_f64(longest);
         let plan = CallPlan {
             call: self.last_call,
             server: server.clone(),
@@ -294,6 +308,7 @@
             bytes,
             started: now,
             expected,
+            slowdown_before,
         };
         self.calls.insert(self.last_call, running);
         plan
@@ -312,18 +327,23 @@
         let taken = now.since(running.started);
         if let Some(state) = self.servers.get_mut(&running.server) {
             state.end_call(running.bytes.iter().sum());
+            let slowdown = ReportedSlowdown::during_call(
+                running.started,
+                running.slowdown_before,
+                state.reported_slowdown(),
+            );
             match &outcome {
-                CallOutcome::Answered(_) => state.note_answer(taken, running.expected),
+                CallOutcome::Answered(_) => state.note_answer(taken, running.expected, slowdown),
                 CallOutcome::Refused { pause } => state.note_refused(now, *pause),
                 CallOutcome::AtLimit { wait } => state.note_at_limit(now, *wait),
                 CallOutcome::Failed | CallOutcome::ServerLost => {
-                    state.note_answer(taken.max(running.expected), running.expected);
+                    state.note_answer(taken.max(running.expected), running.expected, slowdown);
                     state.note_failed(now);
                 }
             }
-            let ordinary = (0.6..=SLOW_RATIO).contains(&state.slowness());
+            let ordinary = (0.6..=SLOW_RATIO).contains(&state.unexplained_slowness());
             if ordinary && matches!(outcome, CallOutcome::Answered(_)) {
-                self.times.learn(&running.kinds, taken);
+                self.times.learn(&running.kinds, taken.div_f64(slowdown));
             }
         }
         match outcome {
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -5,6 +5,8 @@
 
 use hollywheel_types::{DomainId, MonoTime, RequestRate, ServerId, SortedMap};
 
+use super::choose::SLOW_RATIO;
+use crate::slowdown::ReportedSlowdown;
 use crate::stage_graph::PieceHandle;
 
 /// Weight of the most recent call in the moving average of a server's slowness.
@@ -41,6 +43,11 @@
     pub(super) busy_until: Option<MonoTime>,
     /// The mean ratio of the actual to the expected time of calls.
     slowness: f64,
+    /// The mean of this ratio divided by the slowdown that the server reported during the calls;
+    /// equal to `slowness` without reports.
+    unexplained_slowness: f64,
+    /// The slowdown that the server reported last.
+    reported: Option<ReportedSlowdown>,
     /// The number of consecutive failures.
     failures: u32,
     paused_until: MonoTime,
@@ -62,6 +69,8 @@
             born,
             busy_until: None,
             slowness: 1.0,
+            unexplained_slowness: 1.0,
+            reported: None,
             failures: 0,
             paused_until: MonoTime::default(),
             limit: None,
@@ -104,6 +113,33 @@
         self.slowness
     }
 
+    /// Returns the mean ratio of the actual to the expected time of calls that the reported slowdown
+    /// does not explain.
+    pub(super) const fn unexplained_slowness(&self) -> f64 {
+        self.unexplained_slowness
+    }
+
+    /// Returns the expected ratio of the actual to the expected time of a call that starts at a time:
+    /// the mean ratio, scaled by the slowdown that the server reported.
+    pub(super) fn slowness_at(&self, start: MonoTime) -> f64 {
+        let slowdown = self.reported.map_or(1.0, |reported| reported.at(start));
+        self.unexplained_slowness * slowdown
+    }
+
+    /// Returns whether the server is expected to be fast when it takes its next call.
+    pub(super) fn is_fast_when_free(&self, now: MonoTime) -> bool {
+        self.slowness_at(self.free_at(now)) <= SLOW_RATIO
+    }
+
+    /// Returns the slowdown that the server reported last; none if its last report stated none.
+    pub(super) const fn reported_slowdown(&self) -> Option<ReportedSlowdown> {
+        self.reported
+    }
+
+    pub(super) const fn set_reported_slowdown(&mut self, reported: Option<ReportedSlowdown>) {
+        self.reported = reported;
+    }
+
     /// Returns the earliest time at which the server is expected to take a call.
     pub(super) fn free_at(&self, now: MonoTime) -> MonoTime {
         let busy = self.busy_until.unwrap_or(now);
@@ -137,11 +173,16 @@
         self.reserved_bytes = self.reserved_bytes.saturating_sub(reserved);
     }
 
-    pub(super) fn note_answer(&mut self, taken: Duration, expected: Duration) {
+    /// Records the time of a call and the mean slowdown that the server reported during it.
+    pub(super) fn note_answer(&mut self, taken: Duration, expected: Duration, slowdown: f64) {
         self.failures = 0;
         let ratio = taken.as_secs_f64() / expected.as_secs_f64().max(f64::MIN_POSITIVE);
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness);
-        self.slowness = self.slowness.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
+        let add = |mean: &mut f64, ratio: f64| {
+            *mean += SLOWNESS_WEIGHT * (ratio - *mean);
+            *mean = mean.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
+        };
+        add(&mut self.slowness, ratio);
+        add(&mut self.unexplained_slowness, ratio / slowdown);
     }
 
     /// Records that the server refused a call, and for how long it asked for no further call.
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -25,6 +25,7 @@
 mod server_limit;
 mod serving_set;
 mod shards;
+mod slowdown;
 mod stage_graph;
 mod stage_plan;
 mod store_place;
@@ -65,6 +66,7 @@
     PoolWeight, PoolWork, RequestKind, ServingSet, ServingSetError, StageStep,
 };
 pub use shards::{PoolShard, ShardWaits, choose_shard, least_wait, split_into_shards};
+pub use slowdown::ReportedSlowdown;
 pub use stage_graph::{MAX_STAGE_PIECES, PieceHandle, StageGraph, StageInput, stage_order};
 pub use stage_plan::{StagePlan, StageTimes};
 pub use store_place::{PlaceError, StoreEra, StorePlace};
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -4,6 +4,8 @@
 
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
+use crate::slowdown::ReportedSlowdown;
+
 /// The half-life of a load report. Requests of plain services end within about a tenth of a second,
 /// streams within about a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(300);
@@ -40,15 +42,18 @@
 pub struct MeanLatency {
     /// The mean, in seconds.
     pub seconds: f64,
+    /// The mean of the slowdown that the server reported with these responses; 1.0 without reports.
+    slowdown: f64,
     /// The time of the last response.
     updated_at: MonoTime,
 }
 
 impl MeanLatency {
     /// Creates the mean of one response.
-    const fn new(now: MonoTime, seconds: f64) -> Self {
+    const fn new(now: MonoTime, seconds: f64, slowdown: f64) -> Self {
         Self {
             seconds,
+            slowdown,
             updated_at: now,
         }
     }
@@ -63,10 +68,17 @@
         0.5f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
     }
 
+    /// Returns the part of the mean, in seconds, that the reported slowdown does not explain, so that
+    /// the same slowness is not counted twice.
+    pub(crate) fn unexplained_seconds(&self) -> f64 {
+        self.seconds / self.slowdown.max(1.0)
+    }
+
     /// Adds a response. The longer the last one was ago, the more this one counts.
-    fn add(&mut self, now: MonoTime, seconds: f64) {
+    fn add(&mut self, now: MonoTime, seconds: f64, slowdown: f64) {
         let weight = 1.0 - (1.0 - LATENCY_WEIGHT) * self.confidence(now);
         self.seconds += weight * (seconds - self.seconds);
+        self.slowdown += weight * (slowdown - self.slowdown);
         self.updated_at = now;
     }
 }
@@ -85,6 +97,20 @@
     /// The end of the pause that the server asked for.
     paused_until: Option<MonoTime>,
     latency: Option<MeanLatency>,
+    /// The slowdown of the last report; none if it stated none.
+    slowdown: Option<ReportedSlowdown>,
+}
+
+impl ServerLoad {
+    fn estimate(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.reported_at).as_secs_f64();
+        let decayed = self.others * 0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
+        f64::from(self.in_flight) + decayed
+    }
+
+    fn slowdown(&self, now: MonoTime) -> f64 {
+        self.slowdown.map_or(1.0, |reported| reported.at(now))
+    }
 }
 
 /// Tracks the load and health of the servers to which this host sends requests.
@@ -130,6 +156,9 @@
         let total = total.min(f64::from(slots.max(1)) * MAX_REPORTED_LOAD);
         load.others = (total - f64::from(load.in_flight)).max(0.0);
         load.reported_at = now;
+        load.slowdown = report
+            .slowdown
+            .map(|value| ReportedSlowdown::new(now, value));
     }
 
     /// Records a successful response and its latency.
@@ -138,9 +167,10 @@
         load.failures = 0;
         load.ejected_until = None;
         let taken = taken.as_secs_f64();
+        let slowdown = load.slowdown(now);
         match &mut load.latency {
-            Some(mean) => mean.add(now, taken),
-            None => load.latency = Some(MeanLatency::new(now, taken)),
+            Some(mean) => mean.add(now, taken, slowdown),
+            None => load.latency = Some(MeanLatency::new(now, taken, slowdown)),
         }
     }
 
@@ -158,12 +188,26 @@
     /// Returns the estimated number of requests on a server: those of this host plus those of other
     /// hosts from the last report, whose weight decays with its age.
     pub fn estimate(&self, now: MonoTime, server: &ServerId) -> f64 {
-        let Some(load) = self.servers.get(server) else {
-            return 0.0;
-        };
-        let age = now.since(load.reported_at).as_secs_f64();
-        let decayed = load.others * 0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
-        f64::from(load.in_flight) + decayed
+        let load = self.servers.get(server);
+        load.map_or(0.0, |load| load.estimate(now))
+    }
+
+    /// Returns how long work takes on a server, as a multiple of the usual time: as last reported,
+    /// decaying towards 1.0; 1.0 if the server reports no slowdown.
+    pub fn slowdown(&self, now: MonoTime, server: &ServerId) -> f64 {
+        let load = self.servers.get(server);
+        load.map_or(1.0, |load| load.slowdown(now))
+    }
+
+    /// Returns the slowdown that a server reported last; none if its last report stated none.
+    pub fn reported_slowdown(&self, server: &ServerId) -> Option<ReportedSlowdown> {
+        self.servers.get(server)?.slowdown
+    }
+
+    /// Returns the estimated number of requests on a server and its slowdown.
+    pub(crate) fn estimate_and_slowdown(&self, now: MonoTime, server: &ServerId) -> (f64, f64) {
+        let load = self.servers.get(server);
+        load.map_or((0.0, 1.0), |load| (load.estimate(now), load.slowdown(now)))
     }
 
     /// Returns the number of requests that this host has in flight on a server.
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -68,6 +68,15 @@
     record: &'a ServerRecord,
     /// The requests on the server, including the one to place, divided by its slots.
     load: f64,
+    /// How long work takes on the server at this moment, as a multiple of the usual time.
+    slowdown: f64,
+}
+
+impl Candidate<'_> {
+    /// Returns a measure of the time after which the request would end on this server.
+    const fn expected_time(&self) -> f64 {
+        self.load * self.slowdown
+    }
 }
 
 /// Returns a pseudo-random weight of a pair, for rendezvous hashing and for breaking ties.
@@ -86,10 +95,14 @@
         .iter()
         .filter(|(server, _)| !query.exclude.contains(server))
         .filter(|(server, _)| loads.pause_left(query.now, server).is_none())
-        .map(|(server, record)| Candidate {
-            server,
-            record,
-            load: (loads.estimate(query.now, server) + 1.0) / f64::from(record.slots.max(1)),
+        .map(|(server, record)| {
+            let (requests, slowdown) = loads.estimate_and_slowdown(query.now, server);
+            Candidate {
+                server,
+                record,
+                load: (requests + 1.0) / f64::from(record.slots.max(1)),
+                slowdown,
+            }
         });
     let (healthy, ejected): (Vec<_>, Vec<_>) =
         available.partition(|candidate| !loads.is_ejected(query.now, candidate.server));
@@ -99,7 +112,8 @@
 }
 
 /// Scales up the load of servers whose mean latency is far above the median of the candidates, by
-/// less the longer they have not responded.
+/// less the longer they have not responded. Latency that a server's reported slowdown explains does
+/// not count: the slowdown is applied by itself, as of now.
 fn weigh_latency(now: MonoTime, candidates: &mut [Candidate<'_>], loads: &LoadTable) {
     let mut times: Vec<f64> = candidates
         .iter()
@@ -115,7 +129,7 @@
         let Some(latency) = loads.latency(candidate.server) else {
             continue;
         };
-        let excess = latency.seconds - median;
+        let excess = latency.unexplained_seconds() - median;
         let ratio = 1.0 + excess / median * latency.confidence(now);
         if excess > MIN_SLOW_EXCESS && ratio > SLOW_RATIO {
             candidate.load *= ratio;
@@ -123,8 +137,10 @@
     }
 }
 
-/// Chooses the server with the least load, unless that load exceeds `full_load`. Equal servers are
-/// chosen by the tie number, so that hosts with the same information spread their requests.
+/// Chooses the server with the least load, scaled by its slowdown, among those whose load does not
+/// exceed `full_load`. Equal servers are chosen by the tie number, so that hosts with the same
+/// information spread their requests. The limit compares the load without the slowdown, since a
+/// server's queue holds a number of requests whatever its speed.
 ///
 /// Suited to bursts on a small pool of plain services, where a host's own requests and the load
 /// reports in responses are a better estimate of the load than periodic reports.
@@ -137,7 +153,10 @@
     if candidates.is_empty() {
         return PlacementVerdict::NoServer;
     }
-    let least = candidates.iter().min_by(|left, right| {
+    let available = candidates
+        .iter()
+        .filter(|candidate| candidate.load <= full_load);
+    let least = available.min_by(|left, right| {
         let tie_rank =
             |candidate: &Candidate<'_>| pair_weight(query.tie, candidate.server.as_str());
         let in_other_domain = |candidate: &Candidate<'_>| {
@@ -145,17 +164,14 @@
                 .domain
                 .is_some_and(|domain| candidate.record.domain != *domain)
         };
-        left.load
-            .total_cmp(&right.load)
+        left.expected_time()
+            .total_cmp(&right.expected_time())
             .then_with(|| in_other_domain(left).cmp(&in_other_domain(right)))
             .then_with(|| tie_rank(left).cmp(&tie_rank(right)))
     });
     match least {
-        Some(candidate) if candidate.load <= full_load => {
-            PlacementVerdict::Server(candidate.server.clone())
-        }
-        Some(_) => PlacementVerdict::Full,
-        None => PlacementVerdict::NoServer,
+        Some(candidate) => PlacementVerdict::Server(candidate.server.clone()),
+        None => PlacementVerdict::Full,
     }
 }
 
