Keep a table of evacuated failure domains

Cause: an operator who evacuates a failure domain had no effect. Draining the servers in the registry was ruled out: draining is final for an incarnation, and an evacuation is revoked.

Change: EvacuationTable orders rows and listings by their places in the store's history, so that a stale reply changes nothing, and accepts nothing before a complete listing. Prompts leave and return over 1 s by hash of their last shared part, other work at once. An evacuation that a restored store lacks stays in force. 1,024 domains at most.

--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget_share;
 mod call_time;
 mod crash_table;
+mod evacuation;
 mod events;
 mod feed_plan;
 mod hosts;
@@ -41,6 +42,7 @@
 pub use crash_table::{
     CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
 };
+pub use evacuation::{EvacuationChange, EvacuationListing, EvacuationRow, EvacuationTable};
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
 pub use hosts::{HostChange, HostRecord, HostTable};
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -71,7 +71,7 @@
 }
 
 /// Returns a pseudo-random weight of a pair, for rendezvous hashing and for breaking ties.
-fn pair_weight(left: u64, right: &str) -> u64 {
+pub(crate) fn pair_weight(left: u64, right: &str) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(&left.to_le_bytes());
     hasher.update(right.as_bytes());
--- a/crates/hollywheel-serving/src/registry.rs
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -359,6 +359,15 @@
         })
     }
 
+    /// Returns whether a failure domain has a server that has a row.
+    pub fn has_domain(&self, domain: &DomainId) -> bool {
+        let mut records = self
+            .entries
+            .values()
+            .filter_map(|entry| entry.record.as_ref());
+        records.any(|record| record.domain == *domain)
+    }
+
     /// Finds the server that has an address.
     pub fn find_address(&self, address: SocketAddr) -> Option<(&ServerId, &ServerRecord)> {
         self.entries.iter().find_map(|(server, entry)| {
