Send nothing to the servers of an evacuated failure domain

Cause: hosts read the operator's table for the configuration only.

Change: with bounds.evacuation-ms in the settings, pool_servers and usable_server leave out servers of evacuated domains, for requests, retries, resumed streams, permits, pieces and releases of results. Pieces that wait in the shard of an evacuated domain go to the other servers of the pool. Hosts learn the rows from the store or with the follow protocol (evacuation_change, evacuations), take only sources as fresh that tell them, and are not ready before a complete listing. A listing from a host with an old view counts only 2 s after the start. Without the bound, nothing is left out and followers ask for nothing more.

Result: the four new gateway tests pass.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -96,7 +96,7 @@
     batcher: PoolBatcher,
     groups: SortedMap<GroupTicket, PendingGroup>,
     /// Change number of the server registry when the server list was last read.
-    listed_change: u64,
+    listed_change: (u64, u64),
     listed_at: MonoTime,
 }
 
@@ -134,7 +134,7 @@
             number,
             batcher: PoolBatcher::new(policy),
             groups: SortedMap::new(),
-            listed_change: 0,
+            listed_change: (0, 0),
             listed_at: MonoTime::default(),
         }
     }
@@ -447,15 +447,22 @@
 fn refresh_servers(host: &Host, key: &ShardKey, queue: &mut ShardQueue) {
     let limits = host.limits.borrow();
     queue.batcher.set_limits(|server| limits.limit(server));
-    let change = host.registry.borrow().change();
+    let change = (
+        host.registry.borrow().change(),
+        host.evacuations.borrow().change(),
+    );
     let now = host.now();
     if queue.listed_change == change && now.since(queue.listed_at) < SERVER_REFRESH_INTERVAL {
         return;
     }
     queue.listed_change = change;
     queue.listed_at = now;
-    let servers = host.pool_servers(&key.0).into_iter();
-    let servers = servers.filter(|(_, record)| key.1.holds(record));
+    // The shard of an evacuated failure domain gets no new pieces; those that wait are sent to the
+    // other servers of the pool.
+    let shard_domain = key.1.domain();
+    let is_evacuated = shard_domain.is_some_and(|domain| host.is_evacuated(domain));
+    let servers = host.pool_servers(&key.0, None).into_iter();
+    let servers = servers.filter(|(_, record)| is_evacuated || key.1.holds(record));
     queue
         .batcher
         .set_servers(servers.map(|(server, record)| (server, record.domain, record.born)));
@@ -524,7 +531,7 @@
 ) -> CallOutcome {
     fail_point!("batch.call");
     let started = host.now();
-    let record = usable_server(host, &plan.server);
+    let record = usable_server(host, &plan.server, None);
     let call = send_call(host, &plan.server, record.clone(), pieces);
     let outcome = timeout(plan.timeout, call)
         .await
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -59,6 +59,11 @@
     CauseBlocked, "HW7120", "A prompt part, the pieces of a stage or a request were present in several crashes of backend servers; such requests are refused, unless another cause explains the crashes as well.", "cause, source";
     CauseUnblocked, "HW7121", "A prompt part, the pieces of a stage or a request no longer count as the cause of crashes.", "cause, source";
     NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
+    EvacuationChanged, "HW7123", "The operator has evacuated a failure domain, or has ended its evacuation.", "domain, evacuated, place, shift_ms, source";
+    EvacuationRetained, "HW7124", "The restored store lacks the evacuation of a failure domain; it stays in force until a row or a removal of the new era is seen.", "domain, place, source";
+    EvacuationInvalid, "HW7125", "A row of an evacuation is invalid and is ignored.", "key, place, detail";
+    EvacuationUnmatched, "HW7126", "An evacuated failure domain has no backend server.", "domain, place";
+    PoolEvacuated, "HW7127", "All servers of a pool are in evacuated failure domains, so that its requests are refused, or no longer.", "pool, evacuated";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -25,12 +25,11 @@
     StorePlace, ViewPart, reader_count,
 };
 use hollywheel_types::{ConfigVersion, MonoTime};
-use hollywheel_wire::serving::{
-    FollowReply, FollowRequest, HostEntry, ServerEntry, StorePlace as PlaceMessage,
-};
+use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
 
 use crate::config_fetch::ConfigNotice;
 use crate::crash_evidence::{self, apply_entries};
+use crate::evacuations::{decode_place, encode_place};
 use crate::host::Host;
 use crate::log::{log_line, millis};
 use crate::peer_client::{FOLLOW_PATH, PeerFailure};
@@ -117,6 +116,7 @@
     host_change: u64,
     limit_change: u64,
     evidence_change: u64,
+    evacuation_change: u64,
 }
 
 /// Decides whether this host reads the store. Follows another host if it does not, or if its own
@@ -219,9 +219,10 @@
         if let Some(reply) = request_changes(host, source, *cursor).await {
             let age = reply.age_us.map(Duration::from_micros);
             let era = reply.store_era.map(StoreEra);
+            let tells_all = host.tells_evacuations(&reply);
             apply_reply(host, source, reply, cursor, asked_at);
             let in_era = era.is_some() && era == host.store_era();
-            if in_era && age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
+            if in_era && tells_all && age.is_some_and(|age| age <= host.feed_plan().fresh_view) {
                 if failed > 0 {
                     log_resumed(host, source.name.as_str(), started, failed);
                 }
@@ -253,6 +254,7 @@
         wait_ms: u32::try_from(FOLLOW_WAIT.as_millis()).unwrap_or(u32::MAX),
         limit_change: Some(cursor.limit_change),
         evidence_change: Some(cursor.evidence_change),
+        evacuation_change: host.obeys_evacuations().then_some(cursor.evacuation_change),
     };
     let limit = FOLLOW_WAIT.saturating_add(ANSWER_SLACK);
     let body = message.encode_to_vec();
@@ -318,12 +320,19 @@
     }
     apply_entries(host, &reply.evidence, name);
     let in_era = reply.store_era.map(StoreEra) == host.store_era();
+    let age = reply.age_us.map(Duration::from_micros);
+    let is_fresh = in_era && age.is_some_and(|age| age <= host.feed_plan().fresh_view);
+    let known = match cursor.incarnation == reply.incarnation {
+        true => cursor.evacuation_change,
+        false => 0,
+    };
+    let evacuation_change = host.apply_evacuation_reply(&reply, known, is_fresh, name);
     if let Some(age) = reply.age_us.filter(|_| in_era) {
         let confirmed_at = asked_at - Duration::from_micros(age);
         let mut view = host.view.borrow_mut();
         view.confirm(ViewPart::Servers, confirmed_at);
         // A version that is known and not yet fetched leaves the configuration out of date.
-        if reply.config_version <= host.config_version().0 {
+        if reply.config_version <= host.config_version().0 && host.tells_evacuations(&reply) {
             view.confirm(ViewPart::Config, confirmed_at);
         }
     }
@@ -333,6 +342,7 @@
         host_change: reply.host_change,
         limit_change: reply.limit_change,
         evidence_change: reply.evidence_change,
+        evacuation_change,
     };
 }
 
@@ -370,6 +380,7 @@
         || request
             .evidence_change
             .is_some_and(|change| change != host.crashes.borrow().change())
+        || host.has_evacuation_changes(request)
 }
 
 /// Builds the answer to a follower: all rows if its cursor belongs to another incarnation of this
@@ -388,7 +399,7 @@
     let limits_after = request.limit_change.filter(|_| same).unwrap_or(0);
     let crashes = host.crashes.borrow();
     let evidence_after = request.evidence_change.filter(|_| same).unwrap_or(0);
-    FollowReply {
+    let mut reply = FollowReply {
         incarnation: host.incarnation,
         server_change: registry.change(),
         host_change: hosts.change(),
@@ -412,13 +423,7 @@
         age_us: host.view.borrow().age(now).map(micros),
         store_returned_us: registry.store_returned_at().map(|at| micros(now.since(at))),
         store_era: host.store_era().map(|era| era.0),
-        servers_place: registry
-            .listed_place()
-            .filter(|_| !same)
-            .map(|place| PlaceMessage {
-                era: place.era.0,
-                revision: place.revision,
-            }),
+        servers_place: registry.listed_place().filter(|_| !same).map(encode_place),
         limits: limits
             .changes_after(limits_after)
             .map(|(server, notice)| encode_limit(now, server, notice))
@@ -429,7 +434,10 @@
             .map(|evidence| crash_evidence::encode(now, &evidence))
             .collect(),
         evidence_change: crashes.change(),
-    }
+        ..FollowReply::default()
+    };
+    host.add_evacuations(request, &mut reply);
+    reply
 }
 
 fn encode_server(change: &RowChange) -> ServerEntry {
@@ -479,10 +487,3 @@
         record,
     })
 }
-
-const fn decode_place(place: &PlaceMessage) -> StorePlace {
-    StorePlace {
-        era: StoreEra(place.era),
-        revision: place.revision,
-    }
-}
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,10 +9,10 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    BudgetShare, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable, LatencyForecast,
-    LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget,
-    RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet, ShardWaits,
-    SlackShare, StoreEra, StorePlace, StoreView,
+    BudgetShare, CrashCause, CrashTable, EvacuationTable, FeedPlan, HostRecord, HostTable,
+    LatencyForecast, LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger,
+    RetryBudget, RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet,
+    ShardWaits, SlackShare, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -22,6 +22,7 @@
 use crate::config_fetch::ConfigNotice;
 use crate::connection_pool::ConnectionPool;
 use crate::containment::PanicRecorder;
+use crate::evacuations::EvacuationReview;
 use crate::follow::ReaderRole;
 use crate::log::{LogLimiter, log_line, millis};
 use crate::memory_budget::MemoryBudget;
@@ -41,6 +42,7 @@
 pub(crate) struct HostState {
     settings: RefCell<Rc<HostSettings>>,
     pub(crate) clock: HostClock,
+    pub(crate) started_at: MonoTime,
     /// Number that tells this run of the host apart from its earlier ones; rises with each start.
     pub(crate) incarnation: u64,
     pub(crate) log: Rc<LogLimiter>,
@@ -65,6 +67,9 @@
     pub(crate) crashes: RefCell<CrashTable>,
     /// Causes that were blocked when the evidence last changed.
     pub(crate) blocked_causes: RefCell<Vec<CrashCause>>,
+    /// Failure domains that the operator has evacuated.
+    pub(crate) evacuations: RefCell<EvacuationTable>,
+    pub(crate) evacuation_review: RefCell<EvacuationReview>,
     /// Retry budgets of the pools.
     budgets: RefCell<SortedMap<PoolId, RetryBudget>>,
     /// This host's share in the slack of the retry budgets.
@@ -150,6 +155,8 @@
             permits: RefCell::default(),
             crashes: RefCell::default(),
             blocked_causes: RefCell::default(),
+            evacuations: RefCell::new(EvacuationTable::new(settings.bounds.evacuation)),
+            evacuation_review: RefCell::default(),
             budgets: RefCell::default(),
             budget_share: RefCell::new(BudgetShare::new(clock.now(), settings.bounds.retry_window)),
             forecast: RefCell::default(),
@@ -170,6 +177,7 @@
             caller_connections: Cell::new(0),
             tie_breaker_state: Cell::new(incarnation),
             settings: RefCell::new(Rc::new(settings)),
+            started_at: clock.now(),
             clock,
             incarnation,
         })
@@ -185,6 +193,7 @@
         metrics
             .body_bytes
             .set(gauge(self.body_memory.used() as u64));
+        self.measure_evacuations();
     }
 
     /// Returns the current settings.
@@ -194,6 +203,8 @@
 
     /// Replaces the settings. Listeners keep the addresses that they are bound to.
     pub(crate) fn replace_settings(&self, settings: HostSettings) {
+        let bound = settings.bounds.evacuation;
+        self.evacuations.borrow_mut().set_bound(bound);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -230,7 +241,8 @@
     /// Returns whether the host can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let can_serve = self.failing_tasks.borrow().is_empty();
-        can_serve && !self.is_stopping() && self.serving_set().is_some()
+        let is_informed = self.serving_set().is_some() && self.knows_evacuations();
+        can_serve && !self.is_stopping() && is_informed
     }
 
     /// Returns whether the graceful stop has begun.
@@ -424,13 +436,22 @@
         );
     }
 
-    /// Returns the servers of a pool to which requests may be sent now.
-    pub(crate) fn pool_servers(&self, pool: &PoolId) -> Vec<(ServerId, ServerRecord)> {
+    /// Returns the servers of a pool to which a request may be sent now. `prompt` is the last shared
+    /// part of its prompt, by which prompts leave and rejoin an evacuated failure domain gradually;
+    /// work without one leaves at once.
+    pub(crate) fn pool_servers(
+        &self,
+        pool: &PoolId,
+        prompt: Option<u64>,
+    ) -> Vec<(ServerId, ServerRecord)> {
         let registry = self.registry.borrow();
-        registry
-            .pool_servers(self.now(), pool)
+        let servers = registry.pool_servers(self.now(), pool);
+        let mut servers: Vec<(ServerId, ServerRecord)> = servers
             .map(|(server, record)| (server.clone(), record.clone()))
-            .collect()
+            .collect();
+        drop(registry);
+        self.retain_accepting(&mut servers, prompt);
+        servers
     }
 
     /// Applies what the head of an answer reports about its server: load, a requested pause, and
@@ -507,7 +528,8 @@
         let loads = self.loads.borrow();
         let mut limits = self.limits.borrow_mut();
         let mut first: Option<(Duration, &ServerId)> = None;
-        for (server, _) in registry.pool_servers(now, pool) {
+        let servers = registry.pool_servers(now, pool);
+        for (server, _) in servers.filter(|(_, record)| self.accepts_sends(record, None)) {
             let pause = loads.pause_left(now, server);
             let wait = pause.max(limits.announced_wait(now, server))?;
             if first.is_none_or(|(least, _)| wait < least) {
@@ -524,7 +546,9 @@
     pub(crate) fn pool_pause(&self, pool: &PoolId) -> Option<Duration> {
         let now = self.now();
         let registry = self.registry.borrow();
-        let servers = registry.pool_servers(now, pool).map(|(server, _)| server);
+        let servers = registry.pool_servers(now, pool);
+        let servers = servers.filter(|(_, record)| self.accepts_sends(record, None));
+        let servers = servers.map(|(server, _)| server);
         self.loads.borrow().pool_pause(now, servers)
     }
 
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_pool;
 mod containment;
 mod crash_evidence;
+mod evacuations;
 mod events;
 mod follow;
 mod host;
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -62,6 +62,9 @@
     pub(crate) config_bytes: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
+    pub(crate) evacuated_domains: Gauge,
+    pub(crate) evacuated_pools: Gauge,
+    pub(crate) evacuations_known: Gauge,
     known_names: std::cell::RefCell<Vec<String>>,
 }
 
@@ -97,6 +100,9 @@
             config_bytes: Gauge::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_pools: Gauge::default(),
+            evacuations_known: Gauge::default(),
             known_names: std::cell::RefCell::default(),
         };
         metrics.registered()
@@ -225,6 +231,21 @@
             "Latest era of the platform's store that is known; it rises when the store comes back older",
             self.store_era.clone(),
         );
+        registry.register(
+            "hollywheel_evacuated_domains",
+            "Failure domains that the operator has evacuated",
+            self.evacuated_domains.clone(),
+        );
+        registry.register(
+            "hollywheel_evacuated_pools",
+            "Pools all of whose servers are in evacuated failure domains",
+            self.evacuated_pools.clone(),
+        );
+        registry.register(
+            "hollywheel_evacuations_known",
+            "1 if all evacuations are known; 0 before, and where the settings have no bound on evacuations",
+            self.evacuations_known.clone(),
+        );
         self
     }
 
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -171,7 +171,7 @@
 /// Returns whether another server could take the place of one that is slow to answer: one has
 /// capacity, and the pool's retry budget allows another attempt.
 fn can_replace(host: &Host, context: &RequestContext, state: &CallState, slow: &ServerId) -> bool {
-    let mut servers = host.pool_servers(&context.pool);
+    let mut servers = host.pool_servers(&context.pool, None);
     servers.retain(|(name, _)| name != slow);
     let verdict = place(host, context, state, &servers);
     matches!(verdict, PlacementVerdict::Server(_)) && host.has_repeat(&context.pool)
@@ -201,7 +201,7 @@
     state: &mut CallState,
 ) -> Option<(ServerId, ServerRecord)> {
     let place = |servers: &[(ServerId, ServerRecord)]| place(host, context, state, servers);
-    let choice = choose_permitted(host, &context.pool, place).await;
+    let choice = choose_permitted(host, &context.pool, None, place).await;
     match choice {
         PermittedChoice::Server(server, record) => Some((server, record)),
         PermittedChoice::Full => {
--- a/crates/hollywheel-gateway/src/request.rs
+++ b/crates/hollywheel-gateway/src/request.rs
@@ -19,6 +19,7 @@
 
 use crate::body::AnswerBody;
 use crate::containment::{TaskKind, WorkPanicked};
+use crate::crash_evidence::shared_parts;
 use crate::host::{Host, HostState};
 use crate::limited_body::{BodyFailure, collect_within};
 use crate::memory_budget::MemoryBudget;
@@ -72,6 +73,13 @@
 }
 
 impl RequestContext {
+    /// Returns the last prompt part that other requests may share, if such requests are placed
+    /// together.
+    pub(crate) fn prompt_key(&self) -> Option<u64> {
+        let parts = shared_parts(&self.head.parts);
+        parts.last().filter(|_| self.pipeline.prompt_affinity)
+    }
+
     /// Returns a digest that is equal for all attempts of a caller at the same request.
     pub(crate) fn identity(&self) -> u64 {
         let parts: Vec<u64> = self.head.parts.iter().map(|part| part.id).collect();
@@ -197,6 +205,7 @@
 /// Reason why a request is rejected before it is served.
 enum Rejection {
     NoConfig,
+    NoEvacuations,
     Stopping,
     BadHead,
     NoRoute,
@@ -210,7 +219,9 @@
 impl Rejection {
     const fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::Stopping | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::NoEvacuations | Self::Stopping | Self::NoMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadKey => StatusCode::UNAUTHORIZED,
@@ -222,6 +233,7 @@
     const fn reason(&self) -> &'static str {
         match self {
             Self::NoConfig => "no configuration has been read yet",
+            Self::NoEvacuations => "the evacuated failure domains are not known yet",
             Self::Stopping => "the host stops before the request would end",
             Self::BadHead => "a header is missing or invalid",
             Self::NoRoute => "no pipeline matches the host name and path",
@@ -299,7 +311,7 @@
     let status = rejection.status();
     guard.end(&RequestEnd::rejected(status, rejection.reason()));
     let retry_after = match rejection {
-        Rejection::NoConfig => Some(NO_CONFIG_BACKOFF),
+        Rejection::NoConfig | Rejection::NoEvacuations => Some(NO_CONFIG_BACKOFF),
         Rejection::Stopping => Some(STOP_BACKOFF),
         Rejection::NoMemory => Some(NO_MEMORY_BACKOFF),
         _ => None,
@@ -321,6 +333,9 @@
     run: &Rc<RunRecord>,
 ) -> Result<RequestContext, Rejection> {
     let set = host.serving_set().ok_or(Rejection::NoConfig)?;
+    if !host.knows_evacuations() {
+        return Err(Rejection::NoEvacuations);
+    }
     let name = host_name(&parts).ok_or(Rejection::BadHead)?;
     let pipeline = set.find_pipeline(&name, parts.uri.path());
     let pipeline = Rc::new(pipeline.ok_or(Rejection::NoRoute)?.clone());
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -182,6 +182,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         fail_point!("sweep.round");
         host.release_withheld_servers();
+        host.review_evacuations();
         let now = host.now();
         let registry = host.registry.borrow();
         host.connections
--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -331,32 +331,34 @@
 ///
 /// Servers with a limit are asked for first, so that they get the work that they accept; then one
 /// without a limit is chosen. Only if there is none, a place at a server with a limit is awaited.
+/// `prompt` is the last shared part of the request's prompt.
 pub(crate) async fn choose_permitted(
     host: &Host,
     pool: &PoolId,
+    prompt: Option<u64>,
     place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
 ) -> PermittedChoice {
     if host.limits.borrow().limited_count() == 0 {
-        let servers = host.pool_servers(pool);
+        let servers = host.pool_servers(pool, prompt);
         return match place(&servers) {
             PlacementVerdict::Server(server) => find_choice(servers, &server),
             PlacementVerdict::Full => PermittedChoice::Full,
             PlacementVerdict::NoServer => PermittedChoice::NoServer,
         };
     }
-    if let Some(chosen) = choose_with_patience(host, pool, Duration::ZERO, &place).await {
+    if let Some(chosen) = choose_with_patience(host, pool, prompt, Duration::ZERO, &place).await {
         return chosen;
     }
-    let mut unlimited = host.pool_servers(pool);
+    let mut unlimited = host.pool_servers(pool, prompt);
     unlimited.retain(|(server, _)| host.limits.borrow().limit(server).is_none());
     let verdict = place(&unlimited);
     if let PlacementVerdict::Server(server) = &verdict {
         return find_choice(unlimited, server);
     }
-    if let Some(chosen) = choose_with_patience(host, pool, PLACE_PATIENCE, &place).await {
+    if let Some(chosen) = choose_with_patience(host, pool, prompt, PLACE_PATIENCE, &place).await {
         return chosen;
     }
-    match place(&host.pool_servers(pool)) {
+    match place(&host.pool_servers(pool, prompt)) {
         PlacementVerdict::Full => PermittedChoice::Full,
         PlacementVerdict::NoServer => PermittedChoice::NoServer,
         PlacementVerdict::Server(_) if verdict == PlacementVerdict::Full => PermittedChoice::Full,
@@ -377,11 +379,12 @@
 async fn choose_with_patience(
     host: &Host,
     pool: &PoolId,
+    prompt: Option<u64>,
     patience: Duration,
     place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
 ) -> Option<PermittedChoice> {
     for _ in 0..MAX_PERMIT_REQUESTS {
-        let mut servers = host.pool_servers(pool);
+        let mut servers = host.pool_servers(pool, prompt);
         let now = host.now();
         servers.retain(|(server, _)| {
             let wait = host.limits.borrow().place_wait(now, server);
@@ -395,7 +398,7 @@
                 tokio::time::sleep(wait).await;
             }
             // The server may have left or asked for a pause in the meantime.
-            if let Some(record) = unpaused_server(host, &server) {
+            if let Some(record) = unpaused_server(host, &server, prompt) {
                 return Some(PermittedChoice::Server(server, record));
             }
         } else {
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -23,16 +23,26 @@
 /// freed at the end of their lifetime.
 pub(crate) const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Returns the record of a server if requests may be sent to it now.
-pub(crate) fn usable_server(host: &Host, server: &ServerId) -> Option<ServerRecord> {
+/// Returns the record of a server if a request may be sent to it now, as
+/// [`HostState::pool_servers`](crate::host::HostState::pool_servers) lists them.
+pub(crate) fn usable_server(
+    host: &Host,
+    server: &ServerId,
+    prompt: Option<u64>,
+) -> Option<ServerRecord> {
     let registry = host.registry.borrow();
-    registry.usable(host.now(), server).cloned()
+    let record = registry.usable(host.now(), server)?;
+    host.accepts_sends(record, prompt).then(|| record.clone())
 }
 
-/// Returns the record of a server if requests may be sent to it now and it has not asked for a pause.
-pub(crate) fn unpaused_server(host: &Host, server: &ServerId) -> Option<ServerRecord> {
+/// Returns the record of a server if a request may be sent to it now and it has not asked for a pause.
+pub(crate) fn unpaused_server(
+    host: &Host,
+    server: &ServerId,
+    prompt: Option<u64>,
+) -> Option<ServerRecord> {
     let pause = host.loads.borrow().pause_left(host.now(), server);
-    usable_server(host, server).filter(|_| pause.is_none())
+    usable_server(host, server, prompt).filter(|_| pause.is_none())
 }
 
 /// Sends a batched call to a stage server and reads the result of each piece.
@@ -173,7 +183,8 @@
     server: &ServerId,
     handles: &[PieceHandle],
 ) -> FreeOutcome {
-    let Some(record) = usable_server(host, server) else {
+    // Results at servers of an evacuated failure domain expire on their own.
+    let Some(record) = usable_server(host, server, None) else {
         return FreeOutcome::Failed;
     };
     if host.loads.borrow().pause_left(host.now(), server).is_some() {
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -227,7 +227,7 @@
         },
     );
     let step = &context.pipeline.stages[stage];
-    let servers = host.pool_servers(&step.pool);
+    let servers = host.pool_servers(&step.pool, None);
     let input = graph.input(stage);
     let placement = choose_placement(host, context, graph, stage, &input);
     let shard = choose_shard(
--- a/crates/hollywheel-gateway/src/store_feed.rs
+++ b/crates/hollywheel-gateway/src/store_feed.rs
@@ -127,8 +127,10 @@
         let place = answer.place.max(after);
         self.cursor = Some(place);
         self.newest = self.newest.max(place);
-        if self.table == StoreTable::Servers {
-            self.host.registry.borrow_mut().note_place(place);
+        match self.table {
+            StoreTable::Operator => self.host.evacuations.borrow_mut().note_place(place),
+            StoreTable::Servers => self.host.registry.borrow_mut().note_place(place),
+            StoreTable::Hosts => {}
         }
         self.confirm_view(answered_at);
         Ok(match self.table {
@@ -241,15 +243,19 @@
             self.host.apply_server_listing(listing, "store");
             return;
         }
+        self.host.apply_operator_listing(place, &rows);
         for row in rows {
-            self.apply(row);
+            self.apply_config(row);
         }
     }
 
     /// Applies one changed row.
     fn apply(&self, row: StoreRow) {
         match self.table {
-            StoreTable::Operator => self.apply_config(row),
+            StoreTable::Operator => {
+                self.host.apply_evacuation(&row, "store");
+                self.apply_config(row);
+            }
             StoreTable::Servers => {
                 if let Some(ServerRow::Own(change)) = self.read_server_row(row) {
                     self.host.apply_server(change, "store");
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -318,7 +318,7 @@
     /// Takes a permit for an engine before the stages run if every engine has named a limit;
     /// refuses the request if none is granted, since its stages would be run in vain.
     async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
-        let servers = self.host.pool_servers(&self.context.pool);
+        let servers = self.pool_servers();
         let has_unlimited = servers.iter().any(|(server, _)| {
             let is_limited = self.host.limits.borrow().limit(server).is_some();
             !is_limited && !self.excluded.contains(server)
@@ -335,7 +335,7 @@
     pub(crate) fn can_continue(&self, server: &ServerId) -> bool {
         let pipeline = &self.context.pipeline;
         let has_tries = self.tries < MAX_TRIES && self.received_attempts < pipeline.max_attempts;
-        let mut servers = self.host.pool_servers(&self.context.pool);
+        let mut servers = self.pool_servers();
         let limits = self.host.limits.borrow();
         servers.retain(|(name, _)| name != server && limits.limit(name).is_none());
         let has_room = matches!(self.place(&servers), PlacementVerdict::Server(_));
@@ -437,6 +437,12 @@
         self.host.take_repeat(&self.context.pool)
     }
 
+    /// Returns the engines to which the final call may be sent now.
+    fn pool_servers(&self) -> Vec<(ServerId, ServerRecord)> {
+        let prompt = self.context.prompt_key();
+        self.host.pool_servers(&self.context.pool, prompt)
+    }
+
     /// Chooses an engine for the final call among the given servers.
     fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
         let settings = self.host.settings();
@@ -458,7 +464,7 @@
     /// Returns the failure domain of the engine that would be chosen now, so that results are
     /// produced close to where they are read.
     fn choose_domain(&self) -> Option<DomainId> {
-        let servers = self.host.pool_servers(&self.context.pool);
+        let servers = self.pool_servers();
         let placed = match &self.reserved {
             Some(server) => PlacementVerdict::Server(server.clone()),
             None => self.place(&servers),
@@ -475,12 +481,13 @@
     /// Chooses an engine of the pool for the final call; fails if none has capacity.
     async fn choose_server(&mut self) -> Result<(ServerId, ServerRecord), OpenFailure> {
         if let Some(server) = self.reserved.take()
-            && let Some(record) = unpaused_server(&self.host, &server)
+            && let Some(record) = unpaused_server(&self.host, &server, self.context.prompt_key())
         {
             return Ok((server, record));
         }
+        let prompt = self.context.prompt_key();
         let place = |servers: &[(ServerId, ServerRecord)]| self.place(servers);
-        let choice = choose_permitted(&self.host, &self.context.pool, place).await;
+        let choice = choose_permitted(&self.host, &self.context.pool, prompt, place).await;
         let reason = match choice {
             PermittedChoice::Server(server, record) => return Ok((server, record)),
             PermittedChoice::Full => "every engine is full",
--- a/crates/hollywheel-gateway/tests/support/peer_host.rs
+++ b/crates/hollywheel-gateway/tests/support/peer_host.rs
@@ -114,31 +114,47 @@
     entry.encode_to_vec()
 }
 
+/// Returns the reply of a host that has a fresh view of the store and reports no changes.
+pub fn reply_without_changes() -> FollowReply {
+    FollowReply {
+        incarnation: 1,
+        age_us: Some(0),
+        store_era: Some(0),
+        ..FollowReply::default()
+    }
+}
+
 /// Serves a host that has a fresh view of the store and reports no changes. Once `silent` is set it
 /// accepts calls and answers none.
 pub async fn serve_source(silent: Arc<AtomicBool>) -> SocketAddr {
+    serve_source_with(silent, reply_without_changes).await
+}
+
+/// Serves a host that gives replies to its followers. Once `silent` is set it accepts calls and
+/// answers none.
+pub async fn serve_source_with(
+    silent: Arc<AtomicBool>,
+    reply: impl Fn() -> FollowReply + Send + Sync + 'static,
+) -> SocketAddr {
     /// Time for which a long poll without changes is held.
     const FOLLOW_WAIT: Duration = Duration::from_millis(300);
+    let reply = Arc::new(reply);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             let silent = Arc::clone(&silent);
+            let reply = Arc::clone(&reply);
             let service = service_fn(move |_: Request<Incoming>| {
                 let silent = Arc::clone(&silent);
+                let reply = Arc::clone(&reply);
                 async move {
                     tokio::time::sleep(FOLLOW_WAIT).await;
                     if silent.load(Ordering::SeqCst) {
                         std::future::pending::<()>().await;
                     }
-                    let reply = FollowReply {
-                        incarnation: 1,
-                        age_us: Some(0),
-                        store_era: Some(0),
-                        ..FollowReply::default()
-                    };
-                    let body = Full::new(Bytes::from(reply.encode_to_vec()));
+                    let body = Full::new(Bytes::from(reply().encode_to_vec()));
                     Ok::<_, Infallible>(Response::new(body))
                 }
             });
--- a/crates/hollywheel-gateway/tests/support/store.rs
+++ b/crates/hollywheel-gateway/tests/support/store.rs
@@ -90,7 +90,19 @@
         self.set_row("op", "config", Some(encode_base64(text.as_bytes())));
     }
 
-    /// Writes the registration entry of a backend server. `born` identifies its incarnation.
+    /// Writes the row of the evacuation of a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        let key = format!("evacuate/{domain}");
+        self.set_row("op", &key, Some(encode_base64(b"{}")));
+    }
+
+    /// Removes the row of the evacuation of a failure domain.
+    pub fn end_evacuation(&self, domain: &str) {
+        self.set_row("op", &format!("evacuate/{domain}"), None);
+    }
+
+    /// Writes the registration entry of a backend server in the failure domain `a`. `born`
+    /// identifies its incarnation.
     pub fn set_server(
         &self,
         server: &str,
@@ -98,9 +110,22 @@
         address: SocketAddr,
         state: &str,
         born: u64,
+    ) {
+        self.set_server_in("a", server, pool, address, state, born);
+    }
+
+    /// Writes the registration entry of a backend server in a failure domain.
+    pub fn set_server_in(
+        &self,
+        domain: &str,
+        server: &str,
+        pool: &str,
+        address: SocketAddr,
+        state: &str,
+        born: u64,
     ) {
         let entry = format!(
-            r#"{{"service":"{pool}","address":"{address}","zone":"a","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":{born}}}"#
+            r#"{{"service":"{pool}","address":"{address}","zone":"{domain}","version":"v1","slots":4,"state":"{state}","cold-remaining-ms":0,"sequence":1,"born":{born}}}"#
         );
         self.set_row("servers", server, Some(encode_base64(entry.as_bytes())));
     }
