Decide which servers are cold and what they get

Cause: a server that has just started is slow, has an empty cache and crashes above a small rate, and was sent its whole share at once.

A newer entry that states a cold time counts as a change, since the time is relative. Nothing changes for servers that never were cold.

--- a/crates/hollywheel-serving/src/batch/choose.rs
+++ b/crates/hollywheel-serving/src/batch/choose.rs
@@ -23,6 +23,14 @@
 const LOCAL_MARGIN: Duration = Duration::from_millis(200);
 
 impl PoolBatcher {
+    /// Updates which servers are cold. A cold server gets a call only if no warm one is expected to
+    /// finish the work in time.
+    pub fn set_cold(&mut self, is_cold: impl Fn(&ServerId) -> bool) {
+        for (server, state) in self.servers.iter_mut() {
+            state.is_cold = is_cold(server);
+        }
+    }
+
     /// Chooses the server for the most urgent group that an idle server can take: fast servers
     /// before slow ones, then servers in the failure domain that the group prefers.
     pub(super) fn choose_server(
@@ -41,8 +49,9 @@
             let best = fits.min_by(|(_, left), (_, right)| {
                 let is_slow = |state: &PieceServer| state.slowness() > SLOW_RATIO;
                 let in_other_domain = |state: &PieceServer| !group.prefers(&state.domain);
-                is_slow(left)
-                    .cmp(&is_slow(right))
+                left.is_cold
+                    .cmp(&right.is_cold)
+                    .then_with(|| is_slow(left).cmp(&is_slow(right)))
                     .then_with(|| in_other_domain(left).cmp(&in_other_domain(right)))
                     .then_with(|| left.slowness().total_cmp(&right.slowness()))
             });
@@ -100,6 +109,9 @@
     /// Returns whether a server may take a group. A slow server, or one in another failure domain
     /// than the group's data, may take it only if waiting for a better server is not worthwhile.
     fn may_assign(&self, now: MonoTime, server: &PieceServer, group: &QueuedGroup) -> bool {
+        if server.is_cold && self.can_wait_for_warm(now, group) {
+            return false;
+        }
         let is_slow = server.slowness() > SLOW_RATIO;
         let is_remote = group.pull_bytes >= MIN_PULL_BYTES && !group.prefers(&server.domain);
         if !is_slow && !is_remote {
@@ -148,6 +160,21 @@
         next_free.is_some_and(|at| at + call_time + LOCAL_MARGIN <= group.due)
     }
 
+    /// Returns whether a warm server becomes free early enough for the group to meet its objective;
+    /// false while the pool has a backlog.
+    fn can_wait_for_warm(&self, now: MonoTime, group: &QueuedGroup) -> bool {
+        if self.has_backlog() {
+            return false;
+        }
+        let call_time = self.times.call([(group.kind.as_str(), group.waiting())]);
+        let warm = self
+            .servers
+            .values()
+            .filter(|other| other.is_present() && !other.is_cold);
+        let finish = warm.map(|other| other.free_at(now) + call_time.mul_f64(other.slowness()));
+        finish.min().is_some_and(|at| at <= group.due)
+    }
+
     /// Returns whether more pieces wait than half of what one full call on each server takes.
     fn has_backlog(&self) -> bool {
         let present = self.servers.values().filter(|server| server.is_present());
--- a/crates/hollywheel-serving/src/batch/servers.rs
+++ b/crates/hollywheel-serving/src/batch/servers.rs
@@ -46,6 +46,8 @@
     paused_until: MonoTime,
     /// The limit on requests that the server has named.
     pub(super) limit: Option<RequestRate>,
+    /// Whether the server is cold.
+    pub(super) is_cold: bool,
     /// The memory reserved for the results of the call in progress.
     reserved_bytes: u64,
     results: SortedMap<PieceHandle, StoredResult>,
@@ -65,6 +67,7 @@
             failures: 0,
             paused_until: MonoTime::default(),
             limit: None,
+            is_cold: false,
             reserved_bytes: 0,
             results: SortedMap::new(),
             room_cap: None,
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod budget_share;
 mod call_time;
+mod cold_start;
 mod crash_table;
 mod events;
 mod feed_plan;
@@ -38,6 +39,7 @@
 pub use budget::RetryBudget;
 pub use budget_share::{BudgetShare, SlackShare};
 pub use call_time::CallTimes;
+pub use cold_start::{ColdTable, ColdUpdate, cold_permit_rate};
 pub use crash_table::{
     CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
 };
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -4,6 +4,8 @@
 
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
+use crate::cold_start::ramp_load_factor;
+
 /// The half-life of a load report. Requests of plain services end within about a tenth of a second,
 /// streams within about a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(300);
@@ -85,6 +87,8 @@
     /// The end of the pause that the server asked for.
     paused_until: Option<MonoTime>,
     latency: Option<MeanLatency>,
+    /// The end of the cold time of the server, after which it gets its share step by step.
+    warm_at: Option<MonoTime>,
 }
 
 /// Tracks the load and health of the servers to which this host sends requests.
@@ -213,6 +217,18 @@
         self.servers.get(server)?.latency
     }
 
+    /// Records until when a server is cold.
+    pub fn note_warm_at(&mut self, server: &ServerId, warm_at: MonoTime) {
+        self.load(server).warm_at = Some(warm_at);
+    }
+
+    /// Returns the factor by which the load of a server counts when servers are compared: above 1 while
+    /// the server is cold and for some seconds after.
+    pub fn ramp_factor(&self, now: MonoTime, server: &ServerId) -> f64 {
+        let warm_at = self.servers.get(server).and_then(|load| load.warm_at);
+        warm_at.map_or(1.0, |warm_at| ramp_load_factor(now, warm_at))
+    }
+
     /// Removes the servers for which the predicate is false, unless they have requests in flight or
     /// are paused.
     pub fn retain(&mut self, now: MonoTime, mut predicate: impl FnMut(&ServerId) -> bool) {
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -68,6 +68,8 @@
     record: &'a ServerRecord,
     /// The requests on the server, including the one to place, divided by its slots.
     load: f64,
+    /// The factor by which the load counts in comparisons, above 1 after the server was cold.
+    ramp: f64,
 }
 
 /// Returns a pseudo-random weight of a pair, for rendezvous hashing and for breaking ties.
@@ -90,6 +92,7 @@
             server,
             record,
             load: (loads.estimate(query.now, server) + 1.0) / f64::from(record.slots.max(1)),
+            ramp: loads.ramp_factor(query.now, server),
         });
     let (healthy, ejected): (Vec<_>, Vec<_>) =
         available.partition(|candidate| !loads.is_ejected(query.now, candidate.server));
@@ -126,6 +129,9 @@
 /// Chooses the server with the least load, unless that load exceeds `full_load`. Equal servers are
 /// chosen by the tie number, so that hosts with the same information spread their requests.
 ///
+/// A server that was cold gets its share step by step: its load counts several times in comparisons, but
+/// not against `full_load`, so that its capacity is used when the others are full.
+///
 /// Suited to bursts on a small pool of plain services, where a host's own requests and the load
 /// reports in responses are a better estimate of the load than periodic reports.
 pub fn choose_least_loaded(
@@ -137,7 +143,10 @@
     if candidates.is_empty() {
         return PlacementVerdict::NoServer;
     }
-    let least = candidates.iter().min_by(|left, right| {
+    let not_full = candidates
+        .iter()
+        .filter(|candidate| candidate.load <= full_load);
+    let least = not_full.min_by(|left, right| {
         let tie_rank =
             |candidate: &Candidate<'_>| pair_weight(query.tie, candidate.server.as_str());
         let in_other_domain = |candidate: &Candidate<'_>| {
@@ -145,17 +154,14 @@
                 .domain
                 .is_some_and(|domain| candidate.record.domain != *domain)
         };
-        left.load
-            .total_cmp(&right.load)
+        (left.load * left.ramp)
+            .total_cmp(&(right.load * right.ramp))
             .then_with(|| in_other_domain(left).cmp(&in_other_domain(right)))
             .then_with(|| tie_rank(left).cmp(&tie_rank(right)))
     });
     match least {
-        Some(candidate) if candidate.load <= full_load => {
-            PlacementVerdict::Server(candidate.server.clone())
-        }
-        Some(_) => PlacementVerdict::Full,
-        None => PlacementVerdict::NoServer,
+        Some(candidate) => PlacementVerdict::Server(candidate.server.clone()),
+        None => PlacementVerdict::Full,
     }
 }
 
--- a/crates/hollywheel-serving/src/registry.rs
+++ b/crates/hollywheel-serving/src/registry.rs
@@ -43,7 +43,8 @@
     pub phase: ServerPhase,
     /// The start time of the server's process, if the server reports it.
     pub born: Option<u64>,
-    /// How much longer the server stays cold, as of when it wrote its row; none if it is warm.
+    /// How much longer the server stays cold, as of when its entry was read; none if the entry does not
+    /// say, zero if another host says that it is warm.
     pub cold_left: Option<Duration>,
 }
 
@@ -221,7 +222,7 @@
             (None, Some(entry)) => entry.removed_incarnation(change.place),
             (None, None) => None,
         };
-        let is_changed = record != known_record;
+        let is_changed = states_change(known_record.as_ref(), record.as_ref());
         if is_changed {
             self.change += 1;
         }
@@ -431,6 +432,20 @@
     })
 }
 
+/// Returns whether a newer record of a server says something new. A cold time is relative to when the
+/// entry was read, so it is new also if it is equal to the one before.
+fn states_change(known: Option<&ServerRecord>, newer: Option<&ServerRecord>) -> bool {
+    let (Some(known), Some(newer)) = (known, newer) else {
+        return known.is_some() || newer.is_some();
+    };
+    let is_cold = |record: &ServerRecord| record.cold_left.is_some_and(|left| !left.is_zero());
+    let without_cold = |record: &ServerRecord| ServerRecord {
+        cold_left: None,
+        ..record.clone()
+    };
+    is_cold(known) || is_cold(newer) || without_cold(known) != without_cold(newer)
+}
+
 /// Marks a record as draining if its incarnation is known to drain.
 fn keep_draining(
     leaving: Option<ServerIncarnation>,
