Spare cold servers in all hosts together

Change: cold servers are left out of the candidates while warm ones take the request; beyond that each request, call for pieces and release of results takes a permit from the host that grants those for named limits, at the smaller of the two rates. Entries carry the cold time left to followers, requests for permits the rate, so that the granting host need not know that the server is cold. Servers that were cold get a growing fraction of prompt parts.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -19,6 +19,7 @@
 };
 use hollywheel_types::{DomainId, MonoTime, PoolId, ServerId, SortedMap};
 
+use crate::cold_servers::least_rate;
 use crate::containment::TaskKind;
 use crate::crash_evidence::{record_call_crash, record_pieces_made};
 use crate::host::Host;
@@ -446,7 +447,11 @@
 /// Passes the usable servers of a shard to its batcher if the list may have changed.
 fn refresh_servers(host: &Host, key: &ShardKey, queue: &mut ShardQueue) {
     let limits = host.limits.borrow();
-    queue.batcher.set_limits(|server| limits.limit(server));
+    queue
+        .batcher
+        .set_limits(|server| least_rate(limits.limit(server), host.cold_rate(server)));
+    let is_cold = |server: &ServerId| host.cold_rate(server).is_some();
+    queue.batcher.set_cold(is_cold);
     let change = host.registry.borrow().change();
     let now = host.now();
     if queue.listed_change == change && now.since(queue.listed_at) < SERVER_REFRESH_INTERVAL {
@@ -459,6 +464,8 @@
     queue
         .batcher
         .set_servers(servers.map(|(server, record)| (server, record.domain, record.born)));
+    // A server that was just added may be cold.
+    queue.batcher.set_cold(is_cold);
 }
 
 /// Builds the request entries for the pieces of a planned call.
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -29,6 +29,7 @@
     FollowReply, FollowRequest, HostEntry, ServerEntry, StorePlace as PlaceMessage,
 };
 
+use crate::cold_servers::encode_cold_left;
 use crate::config_fetch::ConfigNotice;
 use crate::crash_evidence::{self, apply_entries};
 use crate::host::Host;
@@ -392,7 +393,10 @@
         incarnation: host.incarnation,
         server_change: registry.change(),
         host_change: hosts.change(),
-        servers: servers.iter().map(encode_server).collect(),
+        servers: servers
+            .iter()
+            .map(|change| encode_server(host, change))
+            .collect(),
         hosts: hosts
             .changes_after(hosts_after)
             .map(|change| HostEntry {
@@ -432,7 +436,7 @@
     }
 }
 
-fn encode_server(change: &RowChange) -> ServerEntry {
+fn encode_server(host: &Host, change: &RowChange) -> ServerEntry {
     let mut entry = ServerEntry {
         server: change.server.to_string(),
         revision: change.place.revision,
@@ -448,6 +452,7 @@
         entry.slots = record.slots;
         entry.draining = record.phase == ServerPhase::Draining;
         entry.born = record.born;
+        encode_cold_left(host, change, &mut entry);
     }
     entry
 }
@@ -467,7 +472,7 @@
                 ServerPhase::Ready
             },
             born: entry.born,
-            cold_left: None,
+            cold_left: entry.cold_left_us.map(Duration::from_micros),
         })
     };
     Some(RowChange {
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,16 +9,17 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    BudgetShare, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable, LatencyForecast,
-    LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget,
-    RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet, ShardWaits,
-    SlackShare, StoreEra, StorePlace, StoreView,
+    BudgetShare, ColdTable, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable,
+    LatencyForecast, LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger,
+    RetryBudget, RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet,
+    ShardWaits, SlackShare, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
 };
 
 use crate::batch_coordinator::BatchCoordinator;
+use crate::cold_servers::has_other_server;
 use crate::config_fetch::ConfigNotice;
 use crate::connection_pool::ConnectionPool;
 use crate::containment::PanicRecorder;
@@ -61,6 +62,8 @@
     pub(crate) limits: RefCell<LimitTable>,
     /// Permits that this host has granted for servers with a limit.
     pub(crate) permits: RefCell<PermitLedger>,
+    /// Servers that are cold, or were until a short time ago.
+    pub(crate) cold: RefCell<ColdTable>,
     /// Causes of crashes of servers.
     pub(crate) crashes: RefCell<CrashTable>,
     /// Causes that were blocked when the evidence last changed.
@@ -148,6 +151,7 @@
             loads: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
+            cold: RefCell::default(),
             crashes: RefCell::default(),
             blocked_causes: RefCell::default(),
             budgets: RefCell::default(),
@@ -185,6 +189,7 @@
         metrics
             .body_bytes
             .set(gauge(self.body_memory.used() as u64));
+        metrics.cold_servers.set(gauge(self.cold_count() as u64));
     }
 
     /// Returns the current settings.
@@ -368,9 +373,11 @@
     pub(crate) fn apply_server_listing(&self, listing: ServerListing, source: &str) {
         let now = self.now();
         let before = self.registry.borrow().change();
+        let known = self.known_pools();
         self.registry.borrow_mut().apply_listing(now, listing);
         let changed = self.registry.borrow().changes_after(before);
         for change in &changed {
+            self.note_cold_entry(change, has_other_server(&known, change), source);
             self.log_server_change(&change.server, change.place, source);
         }
         if !changed.is_empty() {
@@ -395,8 +402,11 @@
     pub(crate) fn apply_server(&self, change: RowChange, source: &str) {
         let (server, place) = (change.server.clone(), change.place);
         let now = self.now();
+        let known = self.known_pools();
+        let noted = change.clone();
         let differs = self.registry.borrow_mut().apply(now, change);
         if differs {
+            self.note_cold_entry(&noted, has_other_server(&known, &noted), source);
             self.log_server_change(&server, place, source);
             self.view_changed.notify_waiters();
         }
@@ -445,6 +455,7 @@
             let mut loads = self.loads.borrow_mut();
             loads.note_report(now, server, report, slots);
         }
+        self.note_cold_response(server, facts);
         if let Some(pause) = facts.retry_after {
             self.loads.borrow_mut().note_pause(now, server, pause);
             log_line!(self, info, ServerPaused, server = %server, pause_ms = millis(pause));
@@ -503,13 +514,16 @@
     /// told at a server with a limit. `None` if a server accepts requests or the pool has none.
     pub(crate) fn retry_wait(&self, pool: &PoolId) -> Option<Duration> {
         let now = self.now();
+        let has_cold_limit = self.has_cold_limit(pool);
         let registry = self.registry.borrow();
         let loads = self.loads.borrow();
+        let cold = self.cold.borrow();
         let mut limits = self.limits.borrow_mut();
         let mut first: Option<(Duration, &ServerId)> = None;
         for (server, _) in registry.pool_servers(now, pool) {
             let pause = loads.pause_left(now, server);
-            let wait = pause.max(limits.announced_wait(now, server))?;
+            let place = cold.place_wait(now, server).filter(|_| has_cold_limit);
+            let wait = pause.max(limits.announced_wait(now, server)).max(place)?;
             if first.is_none_or(|(least, _)| wait < least) {
                 first = Some((wait, server));
             }
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch_coordinator;
 mod body;
 mod caller_server;
+mod cold_servers;
 mod command;
 mod config_fetch;
 mod connect;
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -50,6 +50,9 @@
     pub(crate) limited_sends: Family<NameLabel, Counter>,
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
+    pub(crate) cold_servers: Gauge,
+    pub(crate) cold_permits: Family<NameLabel, Counter>,
+    pub(crate) cold_denials: Family<NameLabel, Counter>,
     pub(crate) blocked_parts: Gauge,
     pub(crate) blocked_repetitions: Gauge,
     pub(crate) blocked_requests: Family<NameLabel, Counter>,
@@ -85,6 +88,9 @@
             limited_sends: Family::default(),
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
+            cold_servers: Gauge::default(),
+            cold_permits: Family::default(),
+            cold_denials: Family::default(),
             blocked_parts: Gauge::default(),
             blocked_repetitions: Gauge::default(),
             blocked_requests: Family::default(),
@@ -165,6 +171,21 @@
             "Servers that have named a limit on their requests",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "hollywheel_cold_servers",
+            "Servers that are cold",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "hollywheel_cold_permits",
+            "Permits to send to a cold server that this host was granted, by pool",
+            self.cold_permits.clone(),
+        );
+        registry.register(
+            "hollywheel_cold_denials",
+            "Permits to send to a cold server that this host was denied, by pool",
+            self.cold_denials.clone(),
+        );
         registry.register(
             "hollywheel_blocked_parts",
             "Prompt parts that count as the cause of crashes of servers",
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -171,7 +171,7 @@
 /// Returns whether another server could take the place of one that is slow to answer: one has
 /// capacity, and the pool's retry budget allows another attempt.
 fn can_replace(host: &Host, context: &RequestContext, state: &CallState, slow: &ServerId) -> bool {
-    let mut servers = host.pool_servers(&context.pool);
+    let mut servers = host.warm_servers(&context.pool);
     servers.retain(|(name, _)| name != slow);
     let verdict = place(host, context, state, &servers);
     matches!(verdict, PlacementVerdict::Server(_)) && host.has_repeat(&context.pool)
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -182,6 +182,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         fail_point!("sweep.round");
         host.release_withheld_servers();
+        host.report_warm_servers();
         let now = host.now();
         let registry = host.registry.borrow();
         host.connections
@@ -190,6 +191,8 @@
         loads.retain(now, |server| registry.usable(now, server).is_some());
         let mut limits = host.limits.borrow_mut();
         limits.retain(now, |server| registry.usable(now, server).is_some());
+        let mut cold = host.cold.borrow_mut();
+        cold.retain(now, |server| registry.usable(now, server).is_some());
         let mut permits = host.permits.borrow_mut();
         permits.retain(now, |server| registry.usable(now, server).is_some());
         host.crashes.borrow_mut().expire(now);
--- a/crates/hollywheel-gateway/src/server_limits.rs
+++ b/crates/hollywheel-gateway/src/server_limits.rs
@@ -24,6 +24,7 @@
 use hollywheel_types::{MonoTime, PoolId, RequestRate, ServerId};
 use hollywheel_wire::serving::{LimitEntry, LimitNews, PermitReply, PermitRequest};
 
+use crate::cold_servers::{ServerClass, encode_cold, joint_cold_rate, least_rate};
 use crate::containment::TaskKind;
 use crate::follow::list_readers;
 use crate::host::Host;
@@ -47,7 +48,7 @@
 /// Time for which no permit is requested for a server after its host did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// The longest wait for a place of a server if no other server of the pool takes the request.
-const PLACE_PATIENCE: Duration = Duration::from_millis(150);
+pub(crate) const PLACE_PATIENCE: Duration = Duration::from_millis(150);
 /// Number of servers with a limit for which a request asks for permits in turn.
 const MAX_PERMIT_REQUESTS: usize = 4;
 
@@ -111,33 +112,58 @@
     (holder.name != *hosts.own()).then(|| holder.clone())
 }
 
-/// Takes a permit to send one request to a server; granted at once if the server names no limit.
+/// Returns the time until a server may have a free place; none if it has no limit and is not cold.
+fn place_wait(host: &Host, server: &ServerId) -> Option<Duration> {
+    let now = host.now();
+    let limited = host.limits.borrow().place_wait(now, server);
+    match host.cold_rate(server) {
+        Some(_) => limited.max(host.cold.borrow().place_wait(now, server)),
+        None => limited,
+    }
+}
+
+/// Records when a server may next have a free place.
+fn note_next_place(host: &Host, server: &ServerId, place: MonoTime) {
+    host.limits.borrow_mut().note_next_place(server, place);
+    host.cold.borrow_mut().note_next_place(server, place);
+}
+
+/// Takes a permit to send one request to a server; granted at once if the server names no limit and is
+/// not cold.
 pub(crate) async fn take_permit(
     host: &Host,
     server: &ServerId,
     patience: Duration,
 ) -> PermitVerdict {
-    let wait = host.limits.borrow().place_wait(host.now(), server);
-    let Some(wait) = wait else {
+    let Some(wait) = place_wait(host, server) else {
         return PERMITTED;
     };
+    let is_cold = host.cold_rate(server).is_some();
+    let verdict = match wait > patience {
+        true => PermitVerdict::Denied { wait },
+        false => obtain_permit(host, server, patience).await,
+    };
+    if is_cold {
+        let granted = matches!(verdict, PermitVerdict::Granted { .. });
+        host.count_cold_permit(server, granted);
+    }
     if wait > patience {
-        return PermitVerdict::Denied { wait };
+        return verdict;
     }
-    let verdict = obtain_permit(host, server, patience).await;
     let next_place = match verdict {
         PermitVerdict::Granted { .. } => host.now(),
         PermitVerdict::Denied { wait } => host.now() + wait,
     };
-    host.limits.borrow_mut().note_next_place(server, next_place);
+    note_next_place(host, server, next_place);
     verdict
 }
 
 /// Takes a permit from the host that grants those for a server, which may be this one.
 async fn obtain_permit(host: &Host, server: &ServerId, patience: Duration) -> PermitVerdict {
     loop {
-        let notice = host.limits.borrow().notice(server);
-        let Some((notice, rate)) = notice.and_then(|notice| Some((notice, notice.rate?))) else {
+        let limit = host.limits.borrow().limit(server);
+        let cold = host.cold_rate(server);
+        let Some(rate) = least_rate(limit, cold) else {
             return PERMITTED;
         };
         let now = host.now();
@@ -146,13 +172,20 @@
             return take_own();
         };
         let spacing = now + REQUEST_SPACING;
-        host.limits.borrow_mut().note_next_place(server, spacing);
-        match request_permit(host, &granting, server, notice, patience, false).await {
+        note_next_place(host, server, spacing);
+        match request_permit(host, &granting, permit_request(host, server, patience)).await {
             Ok(reply) => return decode_reply(host, &granting, &reply),
             // Another host grants the permits from now on.
             Err(PeerFailure::Leaving) => host.mark_host_leaving(&granting.name),
-            // A host of an earlier software version grants no permits.
-            Err(PeerFailure::Refused) => return take_own(),
+            // A host of an earlier software version grants no permits, or none for cold servers. A
+            // limit that the server names leaves room for the requests of each host; the bound on cold
+            // servers does not.
+            Err(PeerFailure::Refused) if cold.is_none() => return take_own(),
+            Err(PeerFailure::Refused) => {
+                return PermitVerdict::Denied {
+                    wait: FAILURE_PAUSE,
+                };
+            }
             Err(failure) => {
                 host.mark_unreachable(&granting.name, "limit", failure.name());
                 return PermitVerdict::Denied {
@@ -163,25 +196,28 @@
     }
 }
 
+/// Returns the request for a permit with what this host knows about the server.
+fn permit_request(host: &Host, server: &ServerId, patience: Duration) -> PermitRequest {
+    let notice = host.limits.borrow().notice(server);
+    PermitRequest {
+        limit: notice.map(|notice| encode_limit(host.now(), server, notice)),
+        patience_us: micros(patience),
+        forwarded: false,
+        cold: encode_cold(host, server),
+    }
+}
+
 /// Requests a permit from another host.
 async fn request_permit(
     host: &Host,
     granting: &HostRecord,
-    server: &ServerId,
-    notice: LimitNotice,
-    patience: Duration,
-    forwarded: bool,
+    message: PermitRequest,
 ) -> Result<PermitReply, PeerFailure> {
-    let message = PermitRequest {
-        limit: Some(encode_limit(host.now(), server, notice)),
-        patience_us: micros(patience),
-        forwarded,
-    };
-    let body = message.encode_to_vec();
-    let limit = match forwarded {
+    let limit = match message.forwarded {
         true => FORWARD_TIMEOUT,
         false => PERMIT_TIMEOUT,
     };
+    let body = message.encode_to_vec();
     let reply = host.peers.call(granting, PERMIT_PATH, body, limit).await?;
     host.hosts.borrow_mut().note_answer(&granting.name);
     PermitReply::decode(reply).map_err(|_| PeerFailure::Broken)
@@ -203,21 +239,34 @@
 /// passes the request on, so that two hosts do not grant permits for one server.
 pub(crate) async fn answer_permit(host: &Host, body: &Bytes) -> Option<Vec<u8>> {
     let request = PermitRequest::decode(body.clone()).ok()?;
-    let entry = request.limit?;
-    let server: ServerId = entry.server.parse().ok()?;
-    apply_entry(host, &entry, "permit");
+    let named = request.limit.as_ref().map(|entry| &entry.server);
+    let named = named.or(request.cold.as_ref().map(|entry| &entry.server))?;
+    let server: ServerId = named.parse().ok()?;
+    if let Some(entry) = &request.limit {
+        apply_entry(host, entry, "permit");
+    }
     let patience = Duration::from_micros(request.patience_us);
-    let notice = host.limits.borrow().notice(&server)?;
+    let notice = host.limits.borrow().notice(&server);
+    let cold = joint_cold_rate(host, &server, request.cold.as_ref());
+    if notice.is_none() && request.cold.is_none() {
+        return None;
+    }
     let granting = permit_host(host, &server).filter(|_| !request.forwarded);
     if let Some(granting) = granting {
-        match request_permit(host, &granting, &server, notice, patience, true).await {
+        let own = permit_request(host, &server, patience);
+        let passed_on = PermitRequest {
+            forwarded: true,
+            cold: request.cold.clone().or(own.cold),
+            ..own
+        };
+        match request_permit(host, &granting, passed_on).await {
             Ok(reply) => return Some(reply.encode_to_vec()),
             Err(PeerFailure::Leaving) => host.mark_host_leaving(&granting.name),
             Err(failure) => host.mark_unreachable(&granting.name, "limit", failure.name()),
         }
     }
     let now = host.now();
-    let verdict = match notice.rate {
+    let verdict = match least_rate(notice.and_then(|notice| notice.rate), cold) {
         Some(rate) => host.permits.borrow_mut().take(now, &server, rate, patience),
         None => PERMITTED,
     };
@@ -228,7 +277,7 @@
     let reply = PermitReply {
         granted,
         wait_us: micros(wait),
-        limit: Some(encode_limit(now, &server, notice)),
+        limit: notice.map(|notice| encode_limit(now, &server, notice)),
     };
     Some(reply.encode_to_vec())
 }
@@ -327,36 +376,64 @@
     NoServer,
 }
 
-/// Chooses a server by `place` and takes a permit for it if it names a limit.
+/// Chooses a server by `place` and takes a permit for it if it names a limit or is cold.
+///
+/// A cold server is chosen only if no warm one takes the request: it is slow, and a request that waits
+/// there is late.
+pub(crate) async fn choose_permitted(
+    host: &Host,
+    pool: &PoolId,
+    place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
+) -> PermittedChoice {
+    let warm = choose_warm(host, pool, &place).await;
+    let cold = host.class_servers(pool, ServerClass::Cold);
+    if cold.is_empty() || matches!(warm, PermittedChoice::Server(..)) {
+        return warm;
+    }
+    for patience in [Duration::ZERO, PLACE_PATIENCE] {
+        let class = ServerClass::Cold;
+        if let Some(chosen) = choose_with_patience(host, pool, class, patience, &place).await {
+            return chosen;
+        }
+    }
+    match (warm, place(&cold)) {
+        (PermittedChoice::NoServer, PlacementVerdict::Server(_)) => PermittedChoice::AtLimit,
+        (PermittedChoice::NoServer, PlacementVerdict::Full) => PermittedChoice::Full,
+        (warm, _) => warm,
+    }
+}
+
+/// Chooses among the warm servers of a pool.
 ///
 /// Servers with a limit are asked for first, so that they get the work that they accept; then one
 /// without a limit is chosen. Only if there is none, a place at a server with a limit is awaited.
-pub(crate) async fn choose_permitted(
+async fn choose_warm(
     host: &Host,
     pool: &PoolId,
     place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
 ) -> PermittedChoice {
+    let class = ServerClass::Warm;
     if host.limits.borrow().limited_count() == 0 {
-        let servers = host.pool_servers(pool);
+        let servers = host.warm_servers(pool);
         return match place(&servers) {
             PlacementVerdict::Server(server) => find_choice(servers, &server),
             PlacementVerdict::Full => PermittedChoice::Full,
             PlacementVerdict::NoServer => PermittedChoice::NoServer,
         };
     }
-    if let Some(chosen) = choose_with_patience(host, pool, Duration::ZERO, &place).await {
+    if let Some(chosen) = choose_with_patience(host, pool, class, Duration::ZERO, &place).await {
         return chosen;
     }
-    let mut unlimited = host.pool_servers(pool);
+    let mut unlimited = host.warm_servers(pool);
     unlimited.retain(|(server, _)| host.limits.borrow().limit(server).is_none());
     let verdict = place(&unlimited);
     if let PlacementVerdict::Server(server) = &verdict {
         return find_choice(unlimited, server);
     }
-    if let Some(chosen) = choose_with_patience(host, pool, PLACE_PATIENCE, &place).await {
+    if let Some(chosen) = choose_with_patience(host, pool, class, PLACE_PATIENCE, &place).await {
         return chosen;
     }
-    match place(&host.pool_servers(pool)) {
+    match place(&host.warm_servers(pool)) {
         PlacementVerdict::Full => PermittedChoice::Full,
         PlacementVerdict::NoServer => PermittedChoice::NoServer,
         PlacementVerdict::Server(_) if verdict == PlacementVerdict::Full => PermittedChoice::Full,
@@ -373,18 +450,18 @@
     }
 }
 
-/// Chooses among the servers that may have a place within `patience`, until a permit is granted.
+/// Chooses among the servers of a class that may have a place within `patience`, until a permit is granted.
 async fn choose_with_patience(
     host: &Host,
     pool: &PoolId,
+    class: ServerClass,
     patience: Duration,
     place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
 ) -> Option<PermittedChoice> {
     for _ in 0..MAX_PERMIT_REQUESTS {
-        let mut servers = host.pool_servers(pool);
-        let now = host.now();
+        let mut servers = host.class_servers(pool, class);
         servers.retain(|(server, _)| {
-            let wait = host.limits.borrow().place_wait(now, server);
+            let wait = place_wait(host, server);
             wait.is_none_or(|wait| wait <= patience)
         });
         let PlacementVerdict::Server(server) = place(&servers) else {
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -16,6 +16,7 @@
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
+use crate::cold_servers::place_by_share;
 use crate::containment::{TaskKind, WorkPanicked};
 use crate::crash_evidence::{blocked_wait, record_begun, record_crash, record_panic};
 use crate::host::{Host, StopPhase};
@@ -27,7 +28,7 @@
 use crate::server_attempt::{
     AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, send_attempt,
 };
-use crate::server_limits::{PermittedChoice, choose_permitted};
+use crate::server_limits::{PLACE_PATIENCE, PermittedChoice, choose_permitted};
 use crate::stage_client::unpaused_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages, stage_times};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
@@ -318,6 +319,15 @@
     /// Takes a permit for an engine before the stages run if every engine has named a limit;
     /// refuses the request if none is granted, since its stages would be run in vain.
     async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
+        if self
+            .host
+            .has_only_busy_cold(&self.context.pool, PLACE_PATIENCE)
+        {
+            if self.reason.is_empty() {
+                self.reason = "every engine is cold";
+            }
+            return Err(self.give_up());
+        }
         let servers = self.host.pool_servers(&self.context.pool);
         let has_unlimited = servers.iter().any(|(server, _)| {
             let is_limited = self.host.limits.borrow().limit(server).is_some();
@@ -335,7 +345,7 @@
     pub(crate) fn can_continue(&self, server: &ServerId) -> bool {
         let pipeline = &self.context.pipeline;
         let has_tries = self.tries < MAX_TRIES && self.received_attempts < pipeline.max_attempts;
-        let mut servers = self.host.pool_servers(&self.context.pool);
+        let mut servers = self.host.warm_servers(&self.context.pool);
         let limits = self.host.limits.borrow();
         servers.retain(|(name, _)| name != server && limits.limit(name).is_none());
         let has_room = matches!(self.place(&servers), PlacementVerdict::Server(_));
@@ -449,7 +459,12 @@
         };
         let loads = self.host.loads.borrow();
         if self.context.pipeline.prompt_affinity {
-            choose_engine(&query, &loads, &self.context.head.parts, FULL_LOAD)
+            let parts = &self.context.head.parts;
+            let choose = |servers: &[(ServerId, ServerRecord)]| {
+                let query = PlacementQuery { servers, ..query };
+                choose_engine(&query, &loads, parts, FULL_LOAD)
+            };
+            place_by_share(&self.host, &self.context.pool, parts, servers, choose)
         } else {
             choose_least_loaded(&query, &loads, FULL_LOAD)
         }
@@ -458,7 +473,7 @@
     /// Returns the failure domain of the engine that would be chosen now, so that results are
     /// produced close to where they are read.
     fn choose_domain(&self) -> Option<DomainId> {
-        let servers = self.host.pool_servers(&self.context.pool);
+        let servers = self.host.warm_servers(&self.context.pool);
         let placed = match &self.reserved {
             Some(server) => PlacementVerdict::Server(server.clone()),
             None => self.place(&servers),
@@ -474,7 +489,10 @@
 
     /// Chooses an engine of the pool for the final call; fails if none has capacity.
     async fn choose_server(&mut self) -> Result<(ServerId, ServerRecord), OpenFailure> {
+        // The permit for a cold server is used at once or not at all: permits that are kept while stages
+        // run would let more requests arrive in one second than the bound allows.
         if let Some(server) = self.reserved.take()
+            && self.host.cold_rate(&server).is_none()
             && let Some(record) = unpaused_server(&self.host, &server)
         {
             return Ok((server, record));
--- a/crates/hollywheel-wire/src/lib.rs
+++ b/crates/hollywheel-wire/src/lib.rs
@@ -21,9 +21,9 @@
 /// The generated types of the messages between hosts on the users' platform.
 pub mod serving {
     pub use crate::generated::{
-        CauseKind, ConfigPart, ConfigPartRequest, EvidenceEntry, EvidenceNews, FollowReply,
-        FollowRequest, FreeResults, HostEntry, LimitEntry, LimitNews, PermitReply, PermitRequest,
-        PieceAnswer, PieceEnd, PieceOrder, ServerEntry, StorePlace,
+        CauseKind, ColdEntry, ConfigPart, ConfigPartRequest, EvidenceEntry, EvidenceNews,
+        FollowReply, FollowRequest, FreeResults, HostEntry, LimitEntry, LimitNews, PermitReply,
+        PermitRequest, PieceAnswer, PieceEnd, PieceOrder, ServerEntry, StorePlace,
     };
 }
 
