--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -64,6 +64,8 @@
     EvacuationInvalid, "HW7125", "A row of an evacuation is invalid and is ignored.", "key, place, detail";
     EvacuationUnmatched, "HW7126", "An evacuated failure domain has no backend server.", "domain, place";
     PoolEvacuated, "HW7127", "All servers of a pool are in evacuated failure domains, so that its requests are refused, or no longer.", "pool, evacuated";
+    ServerCold, "HW7130", "A backend server is cold; it gets requests only if the warm servers of its pool take none, within the bound on cold servers.", "server, cold_ms, source";
+    ServerWarm, "HW7131", "A backend server is no longer cold; it gets its share of requests step by step.", "server, source";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/follow.rs
+++ b/crates/hollywheel-gateway/src/follow.rs
@@ -27,6 +27,7 @@
 use hollywheel_types::{ConfigVersion, MonoTime};
 use hollywheel_wire::serving::{FollowReply, FollowRequest, HostEntry, ServerEntry};
 
+use crate::cold_servers::encode_cold_left;
 use crate::config_fetch::ConfigNotice;
 use crate::crash_evidence::{self, apply_entries};
 use crate::evacuations::{decode_place, encode_place};
@@ -403,7 +404,10 @@
         incarnation: host.incarnation,
         server_change: registry.change(),
         host_change: hosts.change(),
-        servers: servers.iter().map(encode_server).collect(),
+        servers: servers
+            .iter()
+            .map(|change| encode_server(host, change))
+            .collect(),
         hosts: hosts
             .changes_after(hosts_after)
             .map(|change| HostEntry {
@@ -440,7 +444,7 @@
     reply
 }
 
-fn encode_server(change: &RowChange) -> ServerEntry {
+fn encode_server(host: &Host, change: &RowChange) -> ServerEntry {
     let mut entry = ServerEntry {
         server: change.server.to_string(),
         revision: change.place.revision,
@@ -456,6 +460,7 @@
         entry.slots = record.slots;
         entry.draining = record.phase == ServerPhase::Draining;
         entry.born = record.born;
+        encode_cold_left(host, change, &mut entry);
     }
     entry
 }
@@ -475,7 +480,7 @@
                 ServerPhase::Ready
             },
             born: entry.born,
-            cold_left: None,
+            cold_left: entry.cold_left_us.map(Duration::from_micros),
         })
     };
     Some(RowChange {
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -4,6 +4,7 @@
 
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
+use crate::cold_start::ramp_load_factor;
 use crate::slowdown::ReportedSlowdown;
 
 /// The half-life of a load report. Requests of plain services end within about a tenth of a second,
@@ -99,6 +100,8 @@
     latency: Option<MeanLatency>,
     /// The slowdown of the last report; none if it stated none.
     slowdown: Option<ReportedSlowdown>,
+    /// The end of the cold time of the server, after which it gets its share step by step.
+    warm_at: Option<MonoTime>,
 }
 
 impl ServerLoad {
@@ -257,6 +260,18 @@
         self.servers.get(server)?.latency
     }
 
+    /// Records until when a server is cold.
+    pub fn note_warm_at(&mut self, server: &ServerId, warm_at: MonoTime) {
+        self.load(server).warm_at = Some(warm_at);
+    }
+
+    /// Returns the factor by which the load of a server counts when servers are compared: above 1 while
+    /// the server is cold and for some seconds after.
+    pub fn ramp_factor(&self, now: MonoTime, server: &ServerId) -> f64 {
+        let warm_at = self.servers.get(server).and_then(|load| load.warm_at);
+        warm_at.map_or(1.0, |warm_at| ramp_load_factor(now, warm_at))
+    }
+
     /// Removes the servers for which the predicate is false, unless they have requests in flight or
     /// are paused.
     pub fn retain(&mut self, now: MonoTime, mut predicate: impl FnMut(&ServerId) -> bool) {
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -70,12 +70,14 @@
     load: f64,
     /// How long work takes on the server at this moment, as a multiple of the usual time.
     slowdown: f64,
+    /// The factor by which the load counts in comparisons, above 1 after the server was cold.
+    ramp: f64,
 }
 
 impl Candidate<'_> {
     /// Returns a measure of the time after which the request would end on this server.
     const fn expected_time(&self) -> f64 {
-        self.load * self.slowdown
+        self.load * self.slowdown * self.ramp
     }
 }
 
@@ -102,6 +104,7 @@
                 record,
                 load: (requests + 1.0) / f64::from(record.slots.max(1)),
                 slowdown,
+                ramp: loads.ramp_factor(query.now, server),
             }
         });
     let (healthy, ejected): (Vec<_>, Vec<_>) =
@@ -142,6 +145,9 @@
 /// information spread their requests. The limit compares the load without the slowdown, since a
 /// server's queue holds a number of requests whatever its speed.
 ///
+/// A server that was cold gets its share step by step: its load counts several times in comparisons, but
+/// not against `full_load`, so that its capacity is used when the others are full.
+///
 /// Suited to bursts on a small pool of plain services, where a host's own requests and the load
 /// reports in responses are a better estimate of the load than periodic reports.
 pub fn choose_least_loaded(
