Check evacuations once per server without asking for the settings

Cause: the pauses of a pool are looked up for every streaming request, and each server's check cloned the settings and read the clock, also on deployments without a bound on evacuations. Found by reading; not measured.

Change: the table knows whether it is enabled, and the caller passes the time. Two more gateway tests: a listing from a host with an old view does not count in the first 2 s after the start, and rows have no effect without a bound.

--- a/crates/hollywheel-gateway/src/evacuations.rs
+++ b/crates/hollywheel-gateway/src/evacuations.rs
@@ -18,7 +18,7 @@
 use hollywheel_serving::{
     EvacuationChange, EvacuationListing, EvacuationRow, ServerRecord, StoreEra, StorePlace,
 };
-use hollywheel_types::{DomainId, PoolId};
+use hollywheel_types::{DomainId, MonoTime, PoolId};
 use hollywheel_wire::serving::{
     EvacuationEntry, EvacuationList, FollowReply, FollowRequest, StorePlace as PlaceMessage,
 };
@@ -26,7 +26,7 @@
 use crate::host::HostState;
 use crate::log::{log_line, millis};
 
-/// Time after the start of the host for which a listing from a host without a fresh view is not
+/// Time after the start of the host, and of its clock, for which a listing from a host without a fresh view is not
 /// taken as complete. An own listing of the store takes 1.1 s at most, and a host that the store
 /// refuses may have missed an evacuation. After this time nobody has a fresher view, and the host
 /// serves as the others do.
@@ -59,7 +59,7 @@
 impl HostState {
     /// Returns whether evacuations have an effect: the platform states a bound on them.
     pub(crate) fn obeys_evacuations(&self) -> bool {
-        self.settings().bounds.evacuation.is_some()
+        self.evacuations.borrow().is_enabled()
     }
 
     /// Returns whether all evacuations that concern this host are known. Until then it is not ready
@@ -89,10 +89,14 @@
     }
 
     /// Returns whether a request may be sent to a server as far as evacuations are concerned.
-    pub(crate) fn accepts_sends(&self, record: &ServerRecord, prompt: Option<u64>) -> bool {
-        let now = self.now();
+    pub(crate) fn accepts_sends(
+        &self,
+        now: MonoTime,
+        record: &ServerRecord,
+        prompt: Option<u64>,
+    ) -> bool {
         let table = self.evacuations.borrow();
-        !self.obeys_evacuations() || table.accepts(now, &record.domain, prompt)
+        table.accepts(now, &record.domain, prompt)
     }
 
     /// Applies a change of the operator's table as far as it is an evacuation.
@@ -301,7 +305,7 @@
             // The number belongs to another incarnation if the reply has no list.
             return known.min(reply.evacuation_change);
         };
-        let has_waited = self.now().since(self.started_at) >= STALE_LISTING_WAIT;
+        let has_waited = self.now().since(MonoTime::default()) >= STALE_LISTING_WAIT;
         if !is_fresh && !has_waited && self.evacuations.borrow().listed_place().is_none() {
             return 0;
         }
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -42,7 +42,6 @@
 pub(crate) struct HostState {
     settings: RefCell<Rc<HostSettings>>,
     pub(crate) clock: HostClock,
-    pub(crate) started_at: MonoTime,
     /// Number that tells this run of the host apart from its earlier ones; rises with each start.
     pub(crate) incarnation: u64,
     pub(crate) log: Rc<LogLimiter>,
@@ -177,7 +176,6 @@
             caller_connections: Cell::new(0),
             tie_breaker_state: Cell::new(incarnation),
             settings: RefCell::new(Rc::new(settings)),
-            started_at: clock.now(),
             clock,
             incarnation,
         })
@@ -529,7 +527,7 @@
         let mut limits = self.limits.borrow_mut();
         let mut first: Option<(Duration, &ServerId)> = None;
         let servers = registry.pool_servers(now, pool);
-        for (server, _) in servers.filter(|(_, record)| self.accepts_sends(record, None)) {
+        for (server, _) in servers.filter(|(_, record)| self.accepts_sends(now, record, None)) {
             let pause = loads.pause_left(now, server);
             let wait = pause.max(limits.announced_wait(now, server))?;
             if first.is_none_or(|(least, _)| wait < least) {
@@ -547,7 +545,7 @@
         let now = self.now();
         let registry = self.registry.borrow();
         let servers = registry.pool_servers(now, pool);
-        let servers = servers.filter(|(_, record)| self.accepts_sends(record, None));
+        let servers = servers.filter(|(_, record)| self.accepts_sends(now, record, None));
         let servers = servers.map(|(server, _)| server);
         self.loads.borrow().pool_pause(now, servers)
     }
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -31,8 +31,10 @@
     prompt: Option<u64>,
 ) -> Option<ServerRecord> {
     let registry = host.registry.borrow();
-    let record = registry.usable(host.now(), server)?;
-    host.accepts_sends(record, prompt).then(|| record.clone())
+    let now = host.now();
+    let record = registry.usable(now, server)?;
+    let accepts = host.accepts_sends(now, record, prompt);
+    accepts.then(|| record.clone())
 }
 
 /// Returns the record of a server if a request may be sent to it now and it has not asked for a pause.
--- a/crates/hollywheel-gateway/tests/evacuation.rs
+++ b/crates/hollywheel-gateway/tests/evacuation.rs
@@ -322,3 +322,49 @@
     assert_eq!(response.status, 200, "{response:?}");
     assert_eq!(deployment.arrivals("a", start), [0; 3]);
 }
+
+/// A starting host took the listing of a host that the store refuses for complete, although its own
+/// would have followed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn listing_of_a_host_with_an_old_view_does_not_count_at_once() {
+    let deployment = Deployment::prepare().await;
+    deployment.store.silence_table("op");
+    let reply = || FollowReply {
+        age_us: Some(60_000_000),
+        config_version: 1,
+        config: config(1, "k1").into(),
+        ..reply_with_evacuations(1, None)
+    };
+    deployment.start_sources(reply).await;
+    let start = Instant::now();
+    deployment.start_host("evacuated-old-view");
+    while start.elapsed() < Duration::from_millis(1900) {
+        let ready = deployment.is_ready().await;
+        assert!(!ready || start.elapsed() >= Duration::from_secs(2));
+        sleep(Duration::from_millis(25)).await;
+    }
+    // Nobody has a fresher view, and the host serves as the others do.
+    deployment.wait_until_ready().await;
+    let response = deployment.call("/pay/ok", "old", 1).await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
+/// Deployments without a bound must serve as before, whatever the operator's table holds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rows_of_evacuations_have_no_effect_without_a_bound() {
+    let deployment = Deployment::prepare().await;
+    deployment.store.evacuate("a");
+    deployment.store.evacuate("b");
+    let text = settings("front-a-1", &deployment.addresses);
+    start_gateway_with("evacuated-unbound", "front-a-1", &text);
+    deployment.wait_until_ready().await;
+    let start = Instant::now();
+    let responses = deployment
+        .call_for(&ALL_PATHS, Duration::from_secs(2))
+        .await;
+    assert_all_answered(&responses);
+    for domain in ["a", "b"] {
+        let used = deployment.arrivals(domain, start);
+        assert!(used.iter().all(|count| *count > 0), "{domain}: {used:?}");
+    }
+}
--- a/crates/hollywheel-serving/src/evacuation.rs
+++ b/crates/hollywheel-serving/src/evacuation.rs
@@ -92,6 +92,8 @@
 pub struct EvacuationTable {
     /// Evacuated domains, and the removals of their rows.
     domains: SortedMap<DomainId, DomainState>,
+    /// Whether the platform evacuates domains.
+    enabled: bool,
     /// The time over which prompts are moved.
     shift: Duration,
     /// The position up to which all changes are known; none before a complete listing.
@@ -113,10 +115,16 @@
 
     /// Replaces the bound within which an evacuated domain must get no more requests.
     pub fn set_bound(&mut self, bound: Option<Duration>) {
+        self.enabled = bound.is_some();
         let longest = bound.unwrap_or_default().saturating_sub(NEWS_TIME);
         self.shift = SHIFT_TIME.min(longest);
     }
 
+    /// Returns whether evacuations have an effect: the platform states a bound on them.
+    pub const fn is_enabled(&self) -> bool {
+        self.enabled
+    }
+
     /// Returns the time over which prompts are moved.
     pub const fn shift_time(&self) -> Duration {
         self.shift
@@ -263,8 +271,12 @@
     /// Returns whether requests may be sent to the servers of a domain: `prompt` is the last shared
     /// part of a request's prompt, and none for work without one, which moves at once.
     ///
-    /// Nothing may be sent before a complete listing is known.
+    /// Nothing may be sent before a complete listing is known. If the platform evacuates no domains,
+    /// requests may be sent to all of them.
     pub fn accepts(&self, now: MonoTime, domain: &DomainId, prompt: Option<u64>) -> bool {
+        if !self.enabled {
+            return true;
+        }
         if self.listed.is_none() {
             return false;
         }
--- a/crates/hollywheel-serving/tests/evacuation.rs
+++ b/crates/hollywheel-serving/tests/evacuation.rs
@@ -88,6 +88,17 @@
     assert_eq!(accepted(&table, at(20)), "bc", "at once after a restart");
 }
 
+/// Deployments without a bound must not change, whatever the operator's table holds.
+#[test]
+fn evacuations_have_no_effect_without_a_bound() {
+    let mut table = EvacuationTable::new(None);
+    assert_eq!(accepted(&table, at(0)), "abc");
+    table.apply_listing(at(0), listing("1/9", &[evacuated("a", "1/8")]));
+    assert_eq!(accepted(&table, at(0)), "abc");
+    table.set_bound(Some(BOUND));
+    assert_eq!(accepted(&table, at(0)), "bc", "a reload sets the bound");
+}
+
 /// A whole domain's prompts processed again at the same time would delay those of the others.
 #[test]
 fn prompts_move_once_over_a_second_and_plain_requests_at_once() {
