Test that results at evacuated servers are not released

Change: a test in which a request holds results while their domain is evacuated. Its first forms failed for faults of its stage server: repeated handles count as a duplicate answer, so that the request was refused.

--- a/crates/hollywheel-gateway/tests/evacuation.rs
+++ b/crates/hollywheel-gateway/tests/evacuation.rs
@@ -14,8 +14,8 @@
 use hollywheel_wire::serving::{EvacuationEntry, EvacuationList, FollowReply, StorePlace};
 use support::store::StoreStandin;
 use support::{
-    CallerResponse, HostAddresses, ServerLog, config, free_address, request, send, servers,
-    settings, start_gateway_with, store,
+    CallerResponse, HostAddresses, RawStep, ServerLog, config, free_address, request, send,
+    serve_raw, servers, settings, start_gateway_with, store,
 };
 use tokio::time::sleep;
 
@@ -368,3 +368,56 @@
         assert!(used.iter().all(|count| *count > 0), "{domain}: {used:?}");
     }
 }
+
+/// Results that a request held when their domain was evacuated were released there afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn results_at_evacuated_servers_are_not_released() {
+    let deployment = Deployment::prepare().await;
+    /// Duration of a call for pieces, in which the host learns of the evacuation.
+    const CALL_TIME: Duration = Duration::from_millis(300);
+    let slow_calls = config(1, "k1").replace(r#""call-ms":20"#, r#""call-ms":300"#);
+    deployment.store.set_config(&slow_calls);
+    // The only stage server is in the domain a.
+    let calls = AtomicU64::new(0);
+    let (address, stage_log) = serve_raw(move |request| {
+        if request.path == "/stage-free" {
+            return vec![RawStep::Send(request.response("200 OK", "", "{}"))];
+        }
+        let call = calls.fetch_add(1, Ordering::SeqCst);
+        let pieces = request.body.matches("\"stage\":").count();
+        let handles = (0..pieces)
+            .map(|piece| format!(r#"{{"handle":"{}/r{call}-{piece}"}}"#, request.authority));
+        let items = handles.collect::<Vec<String>>().join(",");
+        let response = request.response("200 OK", "", &format!(r#"{{"items":[{items}]}}"#));
+        vec![RawStep::Pause(CALL_TIME), RawStep::Send(response)]
+    })
+    .await;
+    for server in ["s-a", "s-b", "s-b2"] {
+        deployment.store.remove_server(server);
+    }
+    deployment
+        .store
+        .set_server("s-raw", "stage", address, "ready", 1);
+    deployment.start_host("evacuated-results");
+    deployment.wait_until_ready().await;
+    sleep(Duration::from_millis(700)).await;
+
+    let count = |path: &str| stage_log.paths().iter().filter(|one| *one == path).count();
+    let response = deployment.call("/draft/ok", "freed", 1).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    sleep(Duration::from_millis(500)).await;
+    assert!(count("/stage-free") > 0, "results are released otherwise");
+
+    let (freed, runs) = (count("/stage-free"), count("/stage-run"));
+    let evacuate = async {
+        while count("/stage-run") < runs + 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        deployment.store.evacuate("a");
+    };
+    let call = deployment.call("/draft/ok", "held", 2);
+    let (response, ()) = tokio::join!(call, evacuate);
+    assert_eq!(response.status, 200, "calls in progress end: {response:?}");
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(count("/stage-free"), freed, "releases after the evacuation");
+}
