Choose engines by an estimate of when they can begin a request

Cause: `choose_engine` sends a prompt part to one engine until this host alone has overloaded it. Hosts that each see a few requests per second never do, so a part with 109 requests per second met one engine that prefills 30 of them per second.

Change: with `memory_pressure` and a pool that states its memory, `rank_engines` and `choose_ranked` compare engines in milliseconds: queued prefill, prefill of what is not cached, memory in use, network. A part has as many holders as its rate over all hosts needs; requests draw two of them. Requests that no engine can begin in time, or that exceed every memory, are refused at once. Elsewhere `choose_engine` is unchanged.

The tests of the gateway have not been run on this commit.

--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -59,6 +59,8 @@
     CauseBlocked, "HW7120", "A prompt part, the pieces of a stage or a request were present in several crashes of backend servers; such requests are refused, unless another cause explains the crashes as well.", "cause, source";
     CauseUnblocked, "HW7121", "A prompt part, the pieces of a stage or a request no longer count as the cause of crashes.", "cause, source";
     NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
+    PartPopular, "HW7130", "A prompt part is so popular that several engines hold it.", "part, pool, holders, hosts";
+    PartUsual, "HW7131", "A prompt part that several engines held needs one engine again.", "part, pool";
     RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,10 +9,10 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    BudgetShare, CrashCause, CrashTable, FeedPlan, HostRecord, HostTable, LatencyForecast,
-    LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger, RetryBudget,
-    RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet, ShardWaits,
-    SlackShare, StoreEra, StorePlace, StoreView,
+    BudgetShare, CrashCause, CrashTable, EngineTable, FeedPlan, HostRecord, HostTable,
+    LatencyForecast, LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument, PermitLedger,
+    RetryBudget, RetryDetector, RowChange, ServerListing, ServerRecord, ServerRegistry, ServingSet,
+    ShardWaits, SlackShare, StoreEra, StorePlace, StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -57,6 +57,8 @@
     era: watch::Sender<Option<StoreEra>>,
     /// Load, pauses and failures of the backend servers.
     pub(crate) loads: RefCell<LoadTable>,
+    /// What runs on the engines of pools whose engines are chosen by an estimate.
+    pub(crate) engines: RefCell<SortedMap<PoolId, EngineTable>>,
     /// Limits that backend servers have named on their requests.
     pub(crate) limits: RefCell<LimitTable>,
     /// Permits that this host has granted for servers with a limit.
@@ -146,6 +148,7 @@
             view: RefCell::default(),
             era: watch::Sender::new(None),
             loads: RefCell::default(),
+            engines: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
             crashes: RefCell::default(),
@@ -371,6 +374,7 @@
         self.registry.borrow_mut().apply_listing(now, listing);
         let changed = self.registry.borrow().changes_after(before);
         for change in &changed {
+            self.note_engine_change(&change.server);
             self.log_server_change(&change.server, change.place, source);
         }
         if !changed.is_empty() {
@@ -397,6 +401,7 @@
         let now = self.now();
         let differs = self.registry.borrow_mut().apply(now, change);
         if differs {
+            self.note_engine_change(&server);
             self.log_server_change(&server, place, source);
             self.view_changed.notify_waiters();
         }
@@ -444,6 +449,8 @@
         if let (Some(report), Some(slots)) = (facts.report, slots) {
             let mut loads = self.loads.borrow_mut();
             loads.note_report(now, server, report, slots);
+            drop(loads);
+            self.note_engine_report(server, report);
         }
         if let Some(pause) = facts.retry_after {
             self.loads.borrow_mut().note_pause(now, server, pause);
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod store_feed;
 mod stream_call;
 mod stream_forward;
+mod stream_place;
 mod supervisor;
 
 pub use command::run_gateway;
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -35,6 +35,13 @@
     pub(crate) name: String,
 }
 
+/// Labels of the counter of shared tokens that are prefilled again.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct PrefillLabels {
+    pub(crate) name: String,
+    pub(crate) cause: &'static str,
+}
+
 /// Metrics of a host and the registry that encodes them.
 pub(crate) struct HostMetrics {
     registry: Registry,
@@ -47,6 +54,10 @@
     pub(crate) budget_hosts: Gauge,
     pub(crate) calls: Family<NameLabel, Counter>,
     pub(crate) call_pieces: Family<NameLabel, Counter>,
+    pub(crate) saved_tokens: Family<NameLabel, Counter>,
+    pub(crate) prefilled_tokens: Family<PrefillLabels, Counter>,
+    pub(crate) reuse_wait_seconds: Family<NameLabel, Histogram>,
+    pub(crate) popular_holders: Family<NameLabel, Gauge>,
     pub(crate) limited_sends: Family<NameLabel, Counter>,
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
@@ -82,6 +93,10 @@
             budget_hosts: Gauge::default(),
             calls: Family::default(),
             call_pieces: Family::default(),
+            saved_tokens: Family::default(),
+            prefilled_tokens: Family::default(),
+            reuse_wait_seconds: Family::new_with_constructor(latency_histogram),
+            popular_holders: Family::default(),
             limited_sends: Family::default(),
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
@@ -150,6 +165,26 @@
             "Pieces in calls by pool",
             self.call_pieces.clone(),
         );
+        registry.register(
+            "hollywheel_saved_tokens",
+            "Shared prompt tokens that were estimated to need no prefill, by pool",
+            self.saved_tokens.clone(),
+        );
+        registry.register(
+            "hollywheel_prefilled_tokens",
+            "Shared prompt tokens that were estimated to be prefilled again, by pool and cause",
+            self.prefilled_tokens.clone(),
+        );
+        registry.register(
+            "hollywheel_reuse_wait_seconds",
+            "Expected wait accepted to use a cached prompt, by pool",
+            self.reuse_wait_seconds.clone(),
+        );
+        registry.register(
+            "hollywheel_popular_holders",
+            "Engines that hold the most popular prompt part, by pool",
+            self.popular_holders.clone(),
+        );
         registry.register(
             "hollywheel_limited_sends",
             "Requests, stage calls and releases of results sent to servers with a limit, by pool",
--- a/crates/hollywheel-gateway/src/run.rs
+++ b/crates/hollywheel-gateway/src/run.rs
@@ -193,6 +193,8 @@
         let mut permits = host.permits.borrow_mut();
         permits.retain(now, |server| registry.usable(now, server).is_some());
         host.crashes.borrow_mut().expire(now);
+        drop((registry, loads, limits, permits));
+        host.sweep_engines();
     }
 }
 
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -1,5 +1,6 @@
 //! Streaming requests and others with stages: runs the stages, then sends the final call.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
 use crate::stage_client::unpaused_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages, stage_times};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
+use crate::stream_place::{
+    ChosenEngine, EngineGuard, EstimatedPlace, estimated_memory, place_by_estimate,
+};
 
 /// Load, as a multiple of an engine's slots, from which it gets no requests. An engine runs one
 /// request per slot and queues about as many; a request that waits behind those misses its
@@ -45,6 +49,8 @@
 /// megabytes per millisecond, and refuses before that. An engine that was too slow reports that
 /// an input is no longer stored.
 const INPUT_READ_TIME: Duration = Duration::from_millis(100);
+/// Reason for the log of a request that no engine can begin in time.
+const LATE_REASON: &str = "no engine can begin before the caller gives up";
 /// Maximum number of servers tried, including those that did not receive the request.
 const MAX_TRIES: u32 = 5;
 /// Maximum number of times that the stages of a request run.
@@ -54,6 +60,8 @@
 pub(crate) enum OpenFailure {
     /// The request has not run; the caller may retry it.
     Refused { retry_after: Duration },
+    /// The request is larger than the memory of every engine; it has not run and never can.
+    TooLarge,
     /// The request may have run.
     Failed,
     /// The server gave a complete answer whose status is not a success.
@@ -83,6 +91,12 @@
     pub(crate) tries: u32,
     /// Server of the last attempt and its load when it was chosen.
     chosen: Option<(ServerId, f64)>,
+    /// Last choice by the estimate, and the time after which an engine could begin if none can
+    /// before the caller gives up.
+    estimated: RefCell<Option<ChosenEngine>>,
+    late_wait: Cell<Option<Duration>>,
+    /// Whether the request was counted towards the demand for its prompt parts.
+    is_counted: bool,
     /// Attempts that may have reached a server.
     received_attempts: u32,
     pub(crate) reason: &'static str,
@@ -140,6 +154,13 @@
             job.end(RequestOutcome::Refused, status);
             answer_locally(host, &job.context.head.attempt, status, Some(retry_after))
         }
+        Err(OpenFailure::TooLarge) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            job.end(RequestOutcome::Rejected, status);
+            let headers = hollywheel_adapter::rejection_headers(&job.context.head.attempt, None);
+            let body = AnswerBody::whole(Bytes::from_static(job.reason.as_bytes()));
+            build_answer(host, status, headers, body)
+        }
         Err(OpenFailure::Failed) => {
             let status = if host.now() >= job.context.start_deadline {
                 StatusCode::GATEWAY_TIMEOUT
@@ -169,6 +190,9 @@
             excluded: Vec::new(),
             tries: 0,
             chosen: None,
+            estimated: RefCell::default(),
+            late_wait: Cell::default(),
+            is_counted: false,
             received_attempts: 0,
             reason: "",
             stages_time: Duration::ZERO,
@@ -205,6 +229,7 @@
         loop {
             self.check_pool_pause()?;
             self.check_crashes()?;
+            self.check_engines()?;
             self.reserve_engine().await?;
             self.produce_inputs().await?;
             // The cause of crashes may have become known while the stages ran.
@@ -222,6 +247,9 @@
                 Ok(open) if open.answer.status.is_success() => {
                     fail_point!("stream.begun");
                     self.record_first_event(sent_at);
+                    if let Some(placed) = &open.placed {
+                        placed.note_begun();
+                    }
                     record_begun(&self.host, &self.context);
                     return Ok(open);
                 }
@@ -240,6 +268,7 @@
             );
             if failure.lost_server {
                 record_crash(&self.host, &self.context, &server, &record);
+                self.host.note_engine_lost(&self.context.pool, &server);
             }
             self.received_attempts += u32::from(failure.received);
             self.reason = failure.reason;
@@ -315,6 +344,39 @@
         })
     }
 
+    /// Refuses the request before its stages run if no engine can begin it before its caller gives
+    /// up, or if it is larger than the memory of every engine.
+    fn check_engines(&mut self) -> Result<(), OpenFailure> {
+        let Some(memory) = estimated_memory(&self.host, &self.context) else {
+            return Ok(());
+        };
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.host.count_demand(&self.context);
+        }
+        let servers = self.host.pool_servers(&self.context.pool);
+        match self.estimate(&servers, memory) {
+            EstimatedPlace::TooLarge => {
+                self.reason = hollywheel_adapter::OVERSIZED_REASON;
+                Err(match self.context.run.verdict() {
+                    ExecutionVerdict::NotRun => OpenFailure::TooLarge,
+                    ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
+                })
+            }
+            EstimatedPlace::Late(wait) => {
+                self.late_wait.set(Some(wait));
+                self.reason = LATE_REASON;
+                Err(self.give_up())
+            }
+            EstimatedPlace::Chosen(_) | EstimatedPlace::Full | EstimatedPlace::NoServer => Ok(()),
+        }
+    }
+
+    /// Chooses an engine among the given servers by the estimate.
+    fn estimate(&self, servers: &[(ServerId, ServerRecord)], memory: u64) -> EstimatedPlace {
+        let (host, context) = (&self.host, &self.context);
+        place_by_estimate(host, context, servers, &self.excluded, FULL_LOAD, memory)
+    }
+
     /// Takes a permit for an engine before the stages run if every engine has named a limit;
     /// refuses the request if none is granted, since its stages would be run in vain.
     async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
@@ -402,6 +464,7 @@
                     .host
                     .retry_wait(&self.context.pool)
                     .unwrap_or_default()
+                    .max(self.late_wait.get().unwrap_or_default())
                     .max(FULL_BACKOFF),
             },
             ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
@@ -439,6 +502,9 @@
 
     /// Chooses an engine for the final call among the given servers.
     fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
+        if let Some(memory) = estimated_memory(&self.host, &self.context) {
+            return self.estimate(servers, memory).verdict();
+        }
         let settings = self.host.settings();
         let query = PlacementQuery {
             now: self.host.now(),
@@ -455,6 +521,22 @@
         }
     }
 
+    /// Chooses an engine as [`Self::place`] does, and keeps what the estimate expects for the attempt.
+    fn place_kept(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
+        let Some(memory) = estimated_memory(&self.host, &self.context) else {
+            return self.place(servers);
+        };
+        let place = self.estimate(servers, memory);
+        let verdict = place.verdict();
+        self.late_wait.set(None);
+        match place {
+            EstimatedPlace::Chosen(chosen) => *self.estimated.borrow_mut() = Some(chosen),
+            EstimatedPlace::Late(wait) => self.late_wait.set(Some(wait)),
+            EstimatedPlace::TooLarge | EstimatedPlace::Full | EstimatedPlace::NoServer => (),
+        }
+        verdict
+    }
+
     /// Returns the failure domain of the engine that would be chosen now, so that results are
     /// produced close to where they are read.
     fn choose_domain(&self) -> Option<DomainId> {
@@ -479,10 +561,11 @@
         {
             return Ok((server, record));
         }
-        let place = |servers: &[(ServerId, ServerRecord)]| self.place(servers);
+        let place = |servers: &[(ServerId, ServerRecord)]| self.place_kept(servers);
         let choice = choose_permitted(&self.host, &self.context.pool, place).await;
         let reason = match choice {
             PermittedChoice::Server(server, record) => return Ok((server, record)),
+            PermittedChoice::Full if self.late_wait.get().is_some() => LATE_REASON,
             PermittedChoice::Full => "every engine is full",
             PermittedChoice::AtLimit => "every engine is at its limit",
             PermittedChoice::NoServer => "no engine",
@@ -522,8 +605,13 @@
             inputs: has_stages.then_some(handles.as_slice()),
             last_event: self.last_event,
         };
+        let placed = estimated_memory(&self.host, &self.context).map(|_| {
+            let chosen = self.estimated.borrow();
+            EngineGuard::new(&self.host, &self.context, server, record, chosen.as_ref())
+        });
         let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
         let mut open = OpenStream::new(answer, self.last_event, self.host.body_memory.share());
+        open.placed = placed;
         let is_streaming = self.context.pipeline.kind == RequestKind::Streaming;
         if open.answer.status.is_success() && !is_streaming {
             let read = open.read_whole(&self.host.body_memory).await;
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -23,6 +23,7 @@
 use crate::respond::RequestOutcome;
 use crate::server_attempt::{AttemptFailure, OpenAnswer, record_attempt_failure};
 use crate::stream_call::StreamJob;
+use crate::stream_place::EngineGuard;
 
 /// Shortest time reserved for another engine to continue a silent stream before its caller leaves.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(400);
@@ -43,6 +44,8 @@
     share: MemoryShare,
     /// Last event that the caller has received; events up to it are not forwarded again.
     after: Option<u64>,
+    /// Record of the request on an engine that was chosen by the estimate.
+    pub(crate) placed: Option<EngineGuard>,
     /// Number of events dropped because the caller had already received them.
     pub(crate) repeated: usize,
     /// Events that were read and not yet forwarded.
@@ -86,6 +89,7 @@
             cutter: EventSplitter::new(),
             share,
             after,
+            placed: None,
             repeated: 0,
             chunk: None,
             ended: false,
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget_share;
 mod call_time;
 mod crash_table;
+mod engine_choice;
 mod events;
 mod feed_plan;
 mod hosts;
@@ -41,6 +42,10 @@
 pub use crash_table::{
     CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
 };
+pub use engine_choice::{
+    EngineChoice, EngineQuery, EngineState, EngineTable, EngineTicket, EngineVerdict,
+    PopularityChange, PrefillCause, RankedEngine, RequestSize, choose_ranked, rank_engines,
+};
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
 pub use hosts::{HostChange, HostRecord, HostTable};
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -208,6 +208,12 @@
         least
     }
 
+    /// Returns how much longer work takes on a server than usual, as it reports it; 1.0 while nothing
+    /// is known.
+    pub const fn slowdown(&self, _now: MonoTime, _server: &ServerId) -> f64 {
+        1.0
+    }
+
     /// Returns the mean latency of a server's responses; none before the first response.
     pub fn latency(&self, server: &ServerId) -> Option<MeanLatency> {
         self.servers.get(server)?.latency
