--- a/crates/hollywheel-gateway/src/cold_servers.rs
+++ b/crates/hollywheel-gateway/src/cold_servers.rs
@@ -240,28 +240,39 @@
         .any(|(server, known_pool)| Some(known_pool) == pool && *server != change.server)
 }
 
-/// Places a request with prompt affinity among servers, of which those that were cold get a growing
-/// fraction of the prompt parts. If the others don't take the request, those that were cold may.
-pub(crate) fn place_by_share(
+/// Returns the servers that may get a request with prompt affinity, of which those that were cold get a
+/// growing fraction of the prompt parts; `None` if these are all.
+pub(crate) fn admitted_servers(
     host: &HostState,
     pool: &PoolId,
     parts: &[PromptPart],
     servers: &[(ServerId, ServerRecord)],
-    place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
-) -> PlacementVerdict {
+) -> Option<Vec<(ServerId, ServerRecord)>> {
     let now = host.now();
     let cold = host.cold.borrow();
     let last_shared = parts.split_last().and_then(|(_, shared)| shared.last());
-    let Some(part) = last_shared.filter(|_| cold.has_ramp(now) && host.cold_limit(pool).is_some())
-    else {
-        return place(servers);
-    };
+    let part = last_shared.filter(|_| cold.has_ramp(now) && host.cold_limit(pool).is_some())?;
     let admits = |server: &ServerId| cold.admits_part(now, server, part.id);
     if servers.iter().all(|(server, _)| admits(server)) {
-        return place(servers);
+        return None;
     }
     let mut admitted = servers.to_vec();
     admitted.retain(|(server, _)| admits(server));
+    Some(admitted)
+}
+
+/// Places a request with prompt affinity among the servers of [`admitted_servers`]. If these don't take
+/// it, those that were cold may.
+pub(crate) fn place_by_share(
+    host: &HostState,
+    pool: &PoolId,
+    parts: &[PromptPart],
+    servers: &[(ServerId, ServerRecord)],
+    place: impl Fn(&[(ServerId, ServerRecord)]) -> PlacementVerdict,
+) -> PlacementVerdict {
+    let Some(admitted) = admitted_servers(host, pool, parts, servers) else {
+        return place(servers);
+    };
     match place(&admitted) {
         PlacementVerdict::Server(server) => PlacementVerdict::Server(server),
         PlacementVerdict::Full | PlacementVerdict::NoServer => place(servers),
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -9,10 +9,11 @@
 use hollywheel_adapter::{HostLimits, HostSettings, ResponseHead};
 use hollywheel_clock::HostClock;
 use hollywheel_serving::{
-    BudgetShare, ColdTable, CrashCause, CrashTable, EvacuationTable, FeedPlan, HostRecord,
-    HostTable, LatencyForecast, LimitChange, LimitNotice, LimitTable, LoadTable, PackedDocument,
-    PermitLedger, RetryBudget, RetryDetector, RowChange, ServerListing, ServerRecord,
-    ServerRegistry, ServingSet, ShardWaits, SlackShare, StoreEra, StorePlace, StoreView,
+    BudgetShare, ColdTable, CrashCause, CrashTable, EngineTable, EvacuationTable, FeedPlan,
+    HostRecord, HostTable, LatencyForecast, LimitChange, LimitNotice, LimitTable, LoadTable,
+    PackedDocument, PermitLedger, RetryBudget, RetryDetector, RowChange, ServerListing,
+    ServerRecord, ServerRegistry, ServingSet, ShardWaits, SlackShare, StoreEra, StorePlace,
+    StoreView,
 };
 use hollywheel_types::{
     ConfigVersion, HostId, MonoTime, PipelineId, PoolId, RequestRate, ServerId, SortedMap,
@@ -59,6 +60,8 @@
     era: watch::Sender<Option<StoreEra>>,
     /// Load, pauses and failures of the backend servers.
     pub(crate) loads: RefCell<LoadTable>,
+    /// What runs on the engines of pools whose engines are chosen by an estimate.
+    pub(crate) engines: RefCell<SortedMap<PoolId, EngineTable>>,
     /// Limits that backend servers have named on their requests.
     pub(crate) limits: RefCell<LimitTable>,
     /// Permits that this host has granted for servers with a limit.
@@ -153,6 +156,7 @@
             view: RefCell::default(),
             era: watch::Sender::new(None),
             loads: RefCell::default(),
+            engines: RefCell::default(),
             limits: RefCell::default(),
             permits: RefCell::default(),
             cold: RefCell::default(),
@@ -388,6 +392,7 @@
         let changed = self.registry.borrow().changes_after(before);
         for change in &changed {
             self.note_cold_entry(change, has_other_server(&known, change), source);
+            self.note_engine_change(&change.server);
             self.log_server_change(&change.server, change.place, source);
         }
         if !changed.is_empty() {
@@ -417,6 +422,7 @@
         let differs = self.registry.borrow_mut().apply(now, change);
         if differs {
             self.note_cold_entry(&noted, has_other_server(&known, &noted), source);
+            self.note_engine_change(&server);
             self.log_server_change(&server, place, source);
             self.view_changed.notify_waiters();
         }
@@ -471,6 +477,8 @@
         if let (Some(report), Some(record)) = (facts.report, registry.usable(now, server)) {
             let mut loads = self.loads.borrow_mut();
             loads.note_report(now, server, report, record.slots);
+            drop(loads);
+            self.note_engine_report(server, report);
             if let Some(slowdown) = report.slowdown {
                 let label = self.metrics.label(record.pool.as_str());
                 let histogram = self.metrics.slowdown.get_or_create(&label);
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_time;
 mod cold_start;
 mod crash_table;
+mod engine_choice;
 mod evacuation;
 mod events;
 mod feed_plan;
@@ -45,6 +46,10 @@
 pub use crash_table::{
     CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
 };
+pub use engine_choice::{
+    EngineChoice, EngineQuery, EngineState, EngineTable, EngineTicket, EngineVerdict,
+    PopularityChange, PrefillCause, RankedEngine, RequestSize, choose_ranked, rank_engines,
+};
 pub use evacuation::{EvacuationChange, EvacuationListing, EvacuationRow, EvacuationTable};
 pub use events::{EventSplitter, StreamEvent};
 pub use feed_plan::{FeedPlan, reader_count};
