Avoid a server after its first lost connection, and name why requests got no answer

Cause: a host ejected a server after three failures, and a request that was silent until its deadline was not counted at all, so each host lost several non-idempotent requests to a server that was gone. Opening a connection took up to 400 ms of deadlines of 600 ms. Classes of requests without an answer had to be guessed from texts.

Change, where servers share machines or domains are evacuated: a server that broke a connection, could not be connected to or answered nothing up to a deadline is avoided for 1 s, doubled up to 4 s, while others have capacity; an answer ends it. A server that answers neither a request for 0.75 of its objective nor any other one is avoided for half a second. Idle connections to a lost server are closed. Connections are opened within half of the objective and a third of the time left. A request of which the kernel took no byte has not run and is sent elsewhere. Idempotent attempts are examined more than once. Nothing is told to other hosts. Everywhere: class of HW7201 and hollywheel_unanswered_total, a closed set of 18.

Ruled out: unacknowledged bytes or part of a request as proof of not run.

--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -22,7 +22,7 @@
 
 /// Time-out of connecting. A server on the same network accepts within milliseconds; one that is
 /// down or unreachable never does.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which an idle connection may be reused, unless the server's answer states its own
 /// idle time-out.
 const IDLE_TIME: Duration = Duration::from_secs(4);
@@ -49,6 +49,8 @@
 pub(crate) enum SendFailure {
     /// No byte of the request was sent.
     NotSent,
+    /// The connection failed after the request was handed to it and before the kernel took a byte.
+    Unwritten,
     /// The connection failed, and the request may have reached the server.
     Broken,
 }
@@ -103,6 +105,7 @@
             // The error contains the request only if none of it was sent.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
+                None if !self.meter.has_written() => Err(SendFailure::Unwritten),
                 None => Err(SendFailure::Broken),
             },
         }
@@ -118,7 +121,8 @@
         }
     }
 
-    /// Sends a request on an idle or a new connection and returns the head of the answer.
+    /// Sends a request on an idle or a new connection, which is opened within `connect_limit`, and
+    /// returns the head of the answer.
     ///
     /// # Errors
     ///
@@ -128,14 +132,21 @@
         server: &ServerId,
         address: SocketAddr,
         request: Request<CallBody>,
+        connect_limit: Duration,
     ) -> Result<(Response<MeteredBody>, ActiveConnection), SendFailure> {
         let connection = match self.take_idle(server, address) {
             Some(connection) => connection,
-            None => self.open(server, address).await?,
+            None => self.open(server, address, connect_limit).await?,
         };
         connection.send(request).await
     }
 
+    /// Closes the idle connections to a server, so that the next request opens one.
+    pub(crate) fn close_idle(&self, server: &ServerId) {
+        let closed = self.idle.borrow_mut().remove(server);
+        drop(closed);
+    }
+
     /// Sends a request that may run twice. If an idle connection turns out to be stale, because
     /// the server dropped it silently, sends the request again on a new one.
     ///
@@ -149,12 +160,14 @@
         request: Request<CallBody>,
     ) -> Result<(Response<MeteredBody>, ActiveConnection), SendFailure> {
         let Some(connection) = self.take_idle(server, address) else {
-            return self.open(server, address).await?.send(request).await;
+            let opened = self.open(server, address, CONNECT_TIMEOUT).await?;
+            return opened.send(request).await;
         };
         let sent_at = Instant::now();
         match connection.send(request.clone()).await {
             Err(_) if sent_at.elapsed() < STALE_RESET_TIME => {
-                self.open(server, address).await?.send(request).await
+                let opened = self.open(server, address, CONNECT_TIMEOUT).await?;
+                opened.send(request).await
             }
             ended => ended,
         }
@@ -165,8 +178,9 @@
         &self,
         server: &ServerId,
         address: SocketAddr,
+        limit: Duration,
     ) -> Result<ActiveConnection, SendFailure> {
-        let stream = connect(address, CONNECT_TIMEOUT)
+        let stream = connect(address, limit)
             .await
             .map_err(|_| SendFailure::NotSent)?;
         let (stream, meter) = MeteredStream::metered(stream);
--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -59,7 +59,8 @@
     CauseBlocked, "HW7120", "A prompt part, the pieces of a stage or a request were present in several crashes of backend servers; such requests are refused, unless another cause explains the crashes as well.", "cause, source";
     CauseUnblocked, "HW7121", "A prompt part, the pieces of a stage or a request no longer count as the cause of crashes.", "cause, source";
     NewsResumed, "HW7122", "The host has news of the store again after the hosts that it followed had failed.", "source, silent_ms, failed_sources";
-    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
+    ServerAvoided, "HW7140", "A backend server broke a connection or gave no answer at all; this host sends it nothing for a while if others have capacity.", "server, reason, avoided_ms";
+    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, class, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A batched stage call has ended without results for all of its pieces.", "pool, server, pieces, outcome, took_ms, timeout_ms";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -424,6 +424,12 @@
         );
     }
 
+    /// Returns whether a server is avoided after its first lost connection or silent request.
+    pub(crate) fn avoids_lost_servers(&self) -> bool {
+        let settings = self.settings();
+        settings.memory_pressure || settings.bounds.evacuation.is_some()
+    }
+
     /// Returns the servers of a pool to which requests may be sent now.
     pub(crate) fn pool_servers(&self, pool: &PoolId) -> Vec<(ServerId, ServerRecord)> {
         let registry = self.registry.borrow();
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod stream_call;
 mod stream_forward;
 mod supervisor;
+mod unanswered;
 
 pub use command::run_gateway;
 pub use events::{GatewayEvent, events_table};
--- a/crates/hollywheel-gateway/src/metered_stream.rs
+++ b/crates/hollywheel-gateway/src/metered_stream.rs
@@ -21,22 +21,32 @@
 /// Framing allowed per byte of content; a chunk of one byte has six times its size.
 const FRAMING_FACTOR: usize = 16;
 
-/// Counts the bytes of an answer that were read and not delivered as content.
+/// Counts the bytes of an answer that were read and not delivered as content, and notes whether any
+/// byte of its request was written.
 #[derive(Debug)]
 pub(crate) struct ReadMeter {
     left: Cell<usize>,
+    /// Whether the kernel has taken a byte of the current request.
+    wrote: Cell<bool>,
 }
 
 impl ReadMeter {
     fn new() -> Rc<Self> {
         Rc::new(Self {
             left: Cell::new(MAX_UNDELIVERED),
+            wrote: Cell::new(false),
         })
     }
 
-    /// Starts to count for the next answer on the connection.
+    /// Starts to count for the next request on the connection and its answer.
     pub(crate) fn restart(&self) {
         self.left.set(MAX_UNDELIVERED);
+        self.wrote.set(false);
+    }
+
+    /// Returns whether the kernel has taken a byte of the current request.
+    pub(crate) const fn has_written(&self) -> bool {
+        self.wrote.get()
     }
 
     /// Counts bytes that were read; returns whether they are within the bound.
@@ -95,6 +105,15 @@
     }
 }
 
+impl MeteredStream {
+    /// Notes that the kernel has taken bytes.
+    fn note_write(&self, written: &Poll<io::Result<usize>>) {
+        if let (Some(meter), Poll::Ready(Ok(1..))) = (&self.meter, written) {
+            meter.wrote.set(true);
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -138,7 +157,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.note_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -146,7 +168,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
+        this.note_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -25,6 +25,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of the counter of requests without an answer.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ClassLabel {
+    pub(crate) class: &'static str,
+}
+
 /// Label of the counter of panics.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct TaskLabel {
@@ -41,6 +47,7 @@
 pub(crate) struct HostMetrics {
     registry: Registry,
     pub(crate) requests: Family<RequestLabels, Counter>,
+    pub(crate) unanswered: Family<ClassLabel, Counter>,
     pub(crate) request_seconds: Family<NameLabel, Histogram>,
     pub(crate) first_seconds: Family<NameLabel, Histogram>,
     pub(crate) stage_seconds: Family<NameLabel, Histogram>,
@@ -81,6 +88,7 @@
         let metrics = Self {
             registry: Registry::default(),
             requests: Family::default(),
+            unanswered: Family::default(),
             request_seconds: Family::new_with_constructor(latency_histogram),
             first_seconds: Family::new_with_constructor(latency_histogram),
             stage_seconds: Family::new_with_constructor(latency_histogram),
@@ -118,6 +126,11 @@
             "Requests by pipeline and outcome",
             self.requests.clone(),
         );
+        registry.register(
+            "hollywheel_unanswered",
+            "Requests without a complete answer by class of the cause",
+            self.unanswered.clone(),
+        );
         registry.register(
             "hollywheel_request_seconds",
             "Time to the end of an answer by pipeline",
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -1,7 +1,7 @@
 //! Non-streaming requests: one call whose answer is read completely before it is forwarded.
 
 use std::cell::RefCell;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use hollywheel_serving::{PlacementQuery, PlacementVerdict, ServerRecord, choose_least_loaded};
-use hollywheel_types::{ExecutionVerdict, ServerId};
+use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::body::AnswerBody;
 use crate::containment::{TaskKind, WorkPanicked};
@@ -19,7 +19,9 @@
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
-use crate::server_attempt::{AttemptExtras, AttemptFailure, record_attempt_failure, send_attempt};
+use crate::server_attempt::{
+    AttemptExtras, AttemptFailure, record_attempt_failure, record_silence, send_attempt,
+};
 use crate::server_limits::{PermittedChoice, choose_permitted};
 
 /// Load, as a multiple of a server's slots, from which it gets no requests; a server queues about
@@ -32,6 +34,13 @@
 const MAX_TRIES: u32 = 4;
 /// Fraction of the latency objective after which a repeatable request is retried elsewhere.
 const FIRST_ATTEMPT_FRACTION: f64 = 0.75;
+/// Shortest interval at which an unanswered attempt is examined, whatever the objective.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a server is avoided that answers neither an attempt nor any other request for the
+/// time of the objective. The attempt renews it as long as it waits.
+const OVERDUE_TIME: Duration = Duration::from_millis(500);
+/// Reason of a request whose time was over.
+const TIME_OVER: &str = "no complete answer before the deadline";
 
 /// A server's answer that was read completely.
 struct WholeAnswer {
@@ -48,6 +57,8 @@
     tries: u32,
     /// Server of the last attempt and its load when it was chosen.
     chosen: Option<(ServerId, f64)>,
+    /// When the last attempt was sent.
+    sent_at: MonoTime,
     /// Attempts that may have reached a server.
     received_attempts: u32,
     reason: &'static str,
@@ -67,6 +78,7 @@
         excluded: Vec::new(),
         tries: 0,
         chosen: None,
+        sent_at: MonoTime::default(),
         received_attempts: 0,
         reason: "",
         blocked_wait: None,
@@ -80,12 +92,17 @@
         answered = timeout(time_left, tried) => match answered {
             Ok(Ok(())) => None,
             Ok(Err(WorkPanicked)) => Some(WorkPanicked::REASON),
-            Err(_) => Some("no complete answer before the deadline"),
+            Err(_) => Some(TIME_OVER),
         },
         () = host.wait_for_stop(StopPhase::Ending) => Some("the host stops"),
     };
     if let Some(reason) = unanswered {
         state.reason = reason;
+        if reason == TIME_OVER {
+            let server = state.chosen.as_ref().map(|(server, _)| server);
+            let silent = record_silence(host, context, server, state.sent_at);
+            state.reason = silent.unwrap_or(reason);
+        }
         if reason == WorkPanicked::REASON && state.last_answer.borrow().is_none() {
             record_panic(host, context);
         }
@@ -107,6 +124,7 @@
         state.tries += 1;
         state.chosen = Some((server.clone(), host.server_load(&server, &record)));
         let sent_at = host.now();
+        state.sent_at = sent_at;
         fail_point!("plain.chosen");
         context.run.begin_attempt();
         fail_point!("plain.sending");
@@ -236,11 +254,16 @@
     let attempt = attempt_whole(host, context, server, record, &state.last_answer);
     let mut attempt = pin!(attempt);
     let limit = attempt_timeout(host, context, state);
-    let mut ended = timeout(limit, attempt.as_mut()).await;
-    if ended.is_err() && !can_replace(host, context, state, server) {
-        let time_left = context.deadline.since(host.now());
-        ended = timeout(time_left, attempt).await;
-    }
+    let ended = if host.avoids_lost_servers() {
+        watch_attempt(host, context, state, server, attempt.as_mut()).await
+    } else {
+        let mut ended = timeout(limit, attempt.as_mut()).await;
+        if ended.is_err() && !can_replace(host, context, state, server) {
+            let time_left = context.deadline.since(host.now());
+            ended = timeout(time_left, attempt).await;
+        }
+        ended.ok()
+    };
     ended.unwrap_or(Err(AttemptFailure {
         verdict: ExecutionVerdict::MayHaveRun,
         received: true,
@@ -249,13 +272,49 @@
     }))
 }
 
+/// Awaits an attempt, and examines it each time that the time-out of a first attempt passes: a server
+/// that has answered nothing meanwhile is avoided, and a repeatable request is given up here once
+/// another server can take it. Returns none if the attempt is given up; the deadline ends it.
+async fn watch_attempt(
+    host: &Host,
+    context: &RequestContext,
+    state: &CallState,
+    server: &ServerId,
+    mut attempt: Pin<&mut impl Future<Output = Result<StatusCode, AttemptFailure>>>,
+) -> Option<Result<StatusCode, AttemptFailure>> {
+    let sent_at = host.now();
+    let interval = context.pipeline.objective.mul_f64(FIRST_ATTEMPT_FRACTION);
+    let interval = interval.max(MIN_WATCH_INTERVAL);
+    loop {
+        if let Ok(ended) = timeout(interval, attempt.as_mut()).await {
+            return Some(ended);
+        }
+        let now = host.now();
+        let time_left = context.deadline.since(now);
+        let mut loads = host.loads.borrow_mut();
+        loads.note_overdue(server, sent_at, now + OVERDUE_TIME);
+        drop(loads);
+        // Another server needs about as long as this one was given.
+        if time_left >= interval
+            && may_follow(context, state)
+            && can_replace(host, context, state, server)
+        {
+            return None;
+        }
+    }
+}
+
+/// Returns whether another attempt may follow one that may have reached a server.
+fn may_follow(context: &RequestContext, state: &CallState) -> bool {
+    let pipeline = &context.pipeline;
+    pipeline.may_repeat() && state.received_attempts + 1 < pipeline.max_attempts
+}
+
 /// Returns the time-out of an attempt: shorter than the remaining time if another attempt may
 /// follow.
 fn attempt_timeout(host: &Host, context: &RequestContext, state: &CallState) -> Duration {
     let time_left = context.deadline.since(host.now());
-    let repeats = context.pipeline.may_repeat()
-        && state.received_attempts + 1 < context.pipeline.max_attempts;
-    if repeats {
+    if may_follow(context, state) {
         time_left.min(context.pipeline.objective.mul_f64(FIRST_ATTEMPT_FRACTION))
     } else {
         time_left
--- a/crates/hollywheel-gateway/src/respond.rs
+++ b/crates/hollywheel-gateway/src/respond.rs
@@ -11,8 +11,9 @@
 use crate::containment::WorkPanicked;
 use crate::host::HostState;
 use crate::log::{log_line, millis};
-use crate::metrics::RequestLabels;
+use crate::metrics::{ClassLabel, RequestLabels};
 use crate::request::panic_status;
+use crate::unanswered::UnansweredClass;
 
 /// Outcome of a request as its caller sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -137,6 +138,11 @@
         outcome: end.outcome.name(),
     };
     host.metrics.requests.get_or_create(&labels).inc();
+    let class = UnansweredClass::of(end).map(UnansweredClass::name);
+    if let Some(class) = class {
+        let label = ClassLabel { class };
+        host.metrics.unanswered.get_or_create(&label).inc();
+    }
     let seconds = host.metrics.request_seconds.get_or_create(&label);
     seconds.observe(took.as_secs_f64());
     if let Some(first) = end.first_byte_time {
@@ -155,6 +161,7 @@
         verdict = end.verdict.name(),
         status = end.status,
         reason = end.reason,
+        class,
         attempts = end.attempts,
         server = end.server.map(tracing::field::display),
         server_load = end.server_load,
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -11,7 +11,7 @@
 use hollywheel_serving::ServerRecord;
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
-use crate::connection_pool::{ActiveConnection, SendFailure};
+use crate::connection_pool::{ActiveConnection, CONNECT_TIMEOUT, SendFailure};
 use crate::crash_evidence::{record_answer, shared_parts};
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_within};
@@ -19,11 +19,22 @@
 use crate::metered_stream::MeteredBody;
 use crate::request::RequestContext;
 use crate::server_limits::note_response_limit;
+use crate::unanswered::SERVER_SILENT;
 
 /// Time to read the body of a refusal so that its connection can be reused; the body itself is
 /// not needed.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Fraction of the latency objective within which a connection is opened. A server on the same
+/// network accepts within milliseconds; one that is down never does, and its request still has to be
+/// served elsewhere in time.
+const CONNECT_FRACTION: f64 = 0.5;
+/// Shortest time for opening a connection, which covers the round trip between failure domains many
+/// times.
+const MIN_CONNECT_TIME: Duration = Duration::from_millis(25);
+/// Reason of an attempt for which no connection was opened.
+const NOT_CONNECTED: &str = "could not connect";
+
 /// Reason why an attempt has no answer that can be forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct AttemptFailure {
@@ -112,18 +123,20 @@
         reason: "the request could not be encoded",
     })?;
     host.count_limited_send(server, &record.pool);
-    let sent = host.connections.send(server, record.address, request).await;
-    let (answer, connection) = sent.map_err(|failure| match failure {
-        SendFailure::NotSent => AttemptFailure {
+    let limit = connect_limit(host, context, sent_at);
+    let sent = host
+        .connections
+        .send(server, record.address, request, limit);
+    let (answer, connection) = sent.await.map_err(|failure| match failure {
+        SendFailure::Unwritten if !host.avoids_lost_servers() => lost_connection(),
+        // Without a byte of it no server can have run the request.
+        SendFailure::NotSent | SendFailure::Unwritten => AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
             received: false,
             lost_server: false,
-            reason: "could not connect",
-        },
-        SendFailure::Broken => AttemptFailure {
-            lost_server: true,
-            ..may_have_run("the connection closed before an answer")
+            reason: NOT_CONNECTED,
         },
+        SendFailure::Broken => lost_connection(),
     })?;
     fail_point!("attempt.head");
     let facts = hollywheel_adapter::decode_response_head(&answer, &context.head.attempt);
@@ -132,6 +145,10 @@
     }
     host.apply_answer_facts(server, &facts);
     let is_genuine = facts.not_run || facts.authentic;
+    // Another server sends the 421 at the address of one that is gone.
+    if is_genuine && answer.status() != StatusCode::MISDIRECTED_REQUEST {
+        note_answered(host, server);
+    }
     let said = facts.limit.trusted_if(is_genuine);
     note_response_limit(host, server, said, sent_at);
     if facts.not_run {
@@ -169,6 +186,74 @@
     })
 }
 
+/// Returns the time within which a connection is opened, which leaves time for another server.
+fn connect_limit(host: &HostState, context: &RequestContext, now: MonoTime) -> Duration {
+    if !host.avoids_lost_servers() {
+        return CONNECT_TIMEOUT;
+    }
+    let third = context.deadline.since(now) / 3;
+    let limit = context.pipeline.objective.mul_f64(CONNECT_FRACTION);
+    limit.min(third).max(MIN_CONNECT_TIME).min(CONNECT_TIMEOUT)
+}
+
+/// Records that a server has answered a request, which ends its avoidance.
+fn note_answered(host: &HostState, server: &ServerId) {
+    if host.avoids_lost_servers() {
+        host.loads.borrow_mut().note_answered(host.now(), server);
+    }
+}
+
+/// Avoids a server for a while that broke the connection of a request or gave no answer to it, where
+/// the deployment asks for it.
+pub(crate) fn record_loss(
+    host: &HostState,
+    server: &ServerId,
+    sent_at: MonoTime,
+    reason: &'static str,
+) {
+    if !host.avoids_lost_servers() {
+        return;
+    }
+    // Opening a connection shows that a server is gone before anything is sent to it.
+    host.connections.close_idle(server);
+    let now = host.now();
+    let avoided = host.loads.borrow_mut().note_lost(now, server, sent_at);
+    if let Some(time) = avoided {
+        log_line!(
+            host,
+            warn,
+            ServerAvoided,
+            server = %server,
+            reason,
+            avoided_ms = millis(time)
+        );
+    }
+}
+
+/// Records that the attempt in flight had no answer before the deadline, if its server has answered
+/// nothing since; returns the reason of the request's end then.
+pub(crate) fn record_silence(
+    host: &HostState,
+    context: &RequestContext,
+    server: Option<&ServerId>,
+    sent_at: MonoTime,
+) -> Option<&'static str> {
+    let server = server.filter(|_| host.avoids_lost_servers() && context.run.is_sending())?;
+    if host.loads.borrow().has_answered_since(server, sent_at) {
+        return None;
+    }
+    record_loss(host, server, sent_at, SERVER_SILENT);
+    Some(SERVER_SILENT)
+}
+
+/// Returns the failure of an attempt whose connection broke.
+const fn lost_connection() -> AttemptFailure {
+    AttemptFailure {
+        lost_server: true,
+        ..may_have_run("the connection closed before an answer")
+    }
+}
+
 /// Returns the failure of an attempt that may have been executed.
 const fn may_have_run(reason: &'static str) -> AttemptFailure {
     AttemptFailure {
@@ -282,6 +367,9 @@
         parts = part_names(shared_parts(&context.head.parts)),
         identity = format!("{:016x}", context.identity())
     );
+    if failure.lost_server || failure.reason == NOT_CONNECTED {
+        record_loss(host, server, sent_at, failure.reason);
+    }
     // A refusal, such as that of a full server, is no sign of a fault.
     if !failure.received || failure.verdict != ExecutionVerdict::NotRun {
         let ejected_after = host.loads.borrow_mut().note_failure(now, server);
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -67,7 +67,7 @@
     let (answer, mut connection) = match sent.await {
         Ok(answered) => answered,
         Err(SendFailure::NotSent) => return CallOutcome::Failed,
-        Err(SendFailure::Broken) => return CallOutcome::ServerLost,
+        Err(SendFailure::Unwritten | SendFailure::Broken) => return CallOutcome::ServerLost,
     };
     let facts = hollywheel_adapter::decode_response_head(&answer, "");
     host.apply_answer_facts(server, &facts);
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -25,7 +25,7 @@
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::results::HeldResults;
 use crate::server_attempt::{
-    AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, send_attempt,
+    AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, record_silence, send_attempt,
 };
 use crate::server_limits::{PermittedChoice, choose_permitted};
 use crate::stage_client::unpaused_server;
@@ -83,6 +83,8 @@
     pub(crate) tries: u32,
     /// Server of the last attempt and its load when it was chosen.
     chosen: Option<(ServerId, f64)>,
+    /// When the last attempt was sent.
+    sent_at: MonoTime,
     /// Attempts that may have reached a server.
     received_attempts: u32,
     pub(crate) reason: &'static str,
@@ -111,7 +113,7 @@
                 record_panic(host, &context);
                 Err(WorkPanicked::REASON)
             }
-            Err(_) => Err("the answer did not start before the deadline"),
+            Err(_) => Err(job.record_timeout()),
         },
         () = host.wait_for_stop(StopPhase::Ending) => Err("the host stops"),
     };
@@ -169,6 +171,7 @@
             excluded: Vec::new(),
             tries: 0,
             chosen: None,
+            sent_at: MonoTime::default(),
             received_attempts: 0,
             reason: "",
             stages_time: Duration::ZERO,
@@ -176,6 +179,13 @@
         }
     }
 
+    /// Records that the answer did not start before the deadline; returns the reason.
+    fn record_timeout(&self) -> &'static str {
+        let late = "the answer did not start before the deadline";
+        let server = self.chosen.as_ref().map(|(server, _)| server);
+        record_silence(&self.host, &self.context, server, self.sent_at).unwrap_or(late)
+    }
+
     /// Logs the end of the request. An end without an answer is also recorded for the pipeline, so
     /// that the caller's retry is recognised.
     pub(crate) fn end(&self, outcome: RequestOutcome, status: StatusCode) {
@@ -214,6 +224,7 @@
             let load = self.host.server_load(&server, &record);
             self.chosen = Some((server.clone(), load));
             let sent_at = self.host.now();
+            self.sent_at = sent_at;
             fail_point!("stream.chosen");
             self.context.run.begin_attempt();
             fail_point!("stream.sending");
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -395,7 +395,7 @@
         let failure = AttemptFailure {
             verdict: ExecutionVerdict::MayHaveRun,
             received: true,
-            lost_server: false,
+            lost_server: job.reason == StreamFailure::Broken.name(),
             reason: job.reason,
         };
         let server = broken.answer.server.clone();
--- a/crates/hollywheel-gateway/tests/support/mod.rs
+++ b/crates/hollywheel-gateway/tests/support/mod.rs
@@ -167,6 +167,17 @@
 impl Fixture {
     /// Starts the stand-ins and a gateway and waits until the gateway is ready.
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, |text| text).await
+    }
+
+    /// Starts the stand-ins and a gateway on a deployment whose servers share machines.
+    pub async fn start_under_pressure(name: &str) -> Self {
+        let contract = "contracts = [\"pressure\"]\nnode = ";
+        Self::start_with(name, |text| text.replacen("node = ", contract, 1)).await
+    }
+
+    /// Starts the stand-ins and a gateway with a changed settings file.
+    async fn start_with(name: &str, change: impl FnOnce(String) -> String) -> Self {
         let store = Arc::new(store::StoreStandin::default());
         let log = Arc::new(ServerLog::default());
         let mut fixture = Self {
@@ -195,7 +206,9 @@
             peer_address: fixture.peer_address,
             store: store_address,
         };
-        let metrics_port = start_gateway(name, &addresses);
+        let host = "front-a-1";
+        let text = change(settings(host, &addresses));
+        let metrics_port = start_gateway_with(name, host, &text);
         fixture.metrics_address.set_port(metrics_port);
         fixture.wait_until_ready().await;
         fixture
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! call, which backend server takes which request, and what is refused. It neither reads a clock
 //! nor opens a socket: the current time is an argument.
 
+mod avoidance;
 mod batch;
 mod body_buffer;
 mod budget;
--- a/crates/hollywheel-serving/src/load.rs
+++ b/crates/hollywheel-serving/src/load.rs
@@ -4,6 +4,7 @@
 
 use hollywheel_types::{MonoTime, ServerId, SortedMap};
 
+use crate::avoidance::ServerAvoidance;
 use crate::slowdown::ReportedSlowdown;
 
 /// The half-life of a load report. Requests of plain services end within about a tenth of a second,
@@ -83,6 +84,26 @@
     }
 }
 
+/// Describes the load and health of one server at a time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadSnapshot {
+    /// The estimated number of requests.
+    pub(crate) requests: f64,
+    /// How long work takes, as a multiple of the usual time.
+    pub(crate) slowdown: f64,
+    /// Whether the server gets no request while others have capacity.
+    pub(crate) avoided: bool,
+}
+
+impl LoadSnapshot {
+    /// The snapshot of a server of which nothing is known.
+    const IDLE: Self = Self {
+        requests: 0.0,
+        slowdown: 1.0,
+        avoided: false,
+    };
+}
+
 /// Tracks the load and health of one server.
 #[derive(Clone, Debug, Default)]
 struct ServerLoad {
@@ -99,6 +120,7 @@
     latency: Option<MeanLatency>,
     /// The slowdown of the last report; none if it stated none.
     slowdown: Option<ReportedSlowdown>,
+    avoidance: ServerAvoidance,
 }
 
 impl ServerLoad {
@@ -185,6 +207,43 @@
         Some(load.failures)
     }
 
+    /// Records that a request sent at `sent_at` lost its connection to the server or got no answer at
+    /// all. The server gets no further request for a while if others have capacity; returns for how
+    /// long, or none if another request in flight had the same fate before.
+    pub fn note_lost(
+        &mut self,
+        now: MonoTime,
+        server: &ServerId,
+        sent_at: MonoTime,
+    ) -> Option<Duration> {
+        self.load(server).avoidance.note_lost(now, sent_at)
+    }
+
+    /// Records that a request sent at `sent_at` should have been answered by now. Unless the server
+    /// has answered another one since, it is avoided up to `until`.
+    pub fn note_overdue(&mut self, server: &ServerId, sent_at: MonoTime, until: MonoTime) {
+        self.load(server).avoidance.note_overdue(sent_at, until);
+    }
+
+    /// Records that the server gave an answer, which ends its avoidance.
+    pub fn note_answered(&mut self, now: MonoTime, server: &ServerId) {
+        self.load(server).avoidance.note_answered(now);
+    }
+
+    /// Returns whether the server has answered any request of this host since a time; see
+    /// [`LoadTable::note_answered`].
+    pub fn has_answered_since(&self, server: &ServerId, time: MonoTime) -> bool {
+        let load = self.servers.get(server);
+        load.is_some_and(|load| load.avoidance.has_answered_since(time))
+    }
+
+    /// Returns whether a server gets no request while others have capacity, since it lost a
+    /// connection or was silent.
+    pub fn is_avoided(&self, now: MonoTime, server: &ServerId) -> bool {
+        let load = self.servers.get(server);
+        load.is_some_and(|load| load.avoidance.is_active(now))
+    }
+
     /// Returns the estimated number of requests on a server: those of this host plus those of other
     /// hosts from the last report, whose weight decays with its age.
     pub fn estimate(&self, now: MonoTime, server: &ServerId) -> f64 {
@@ -204,10 +263,14 @@
         self.servers.get(server)?.slowdown
     }
 
-    /// Returns the estimated number of requests on a server and its slowdown.
-    pub(crate) fn estimate_and_slowdown(&self, now: MonoTime, server: &ServerId) -> (f64, f64) {
+    /// Returns what placement compares, with one look-up.
+    pub(crate) fn snapshot(&self, now: MonoTime, server: &ServerId) -> LoadSnapshot {
         let load = self.servers.get(server);
-        load.map_or((0.0, 1.0), |load| (load.estimate(now), load.slowdown(now)))
+        load.map_or(LoadSnapshot::IDLE, |load| LoadSnapshot {
+            requests: load.estimate(now),
+            slowdown: load.slowdown(now),
+            avoided: load.avoidance.is_active(now),
+        })
     }
 
     /// Returns the number of requests that this host has in flight on a server.
--- a/crates/hollywheel-serving/src/placement.rs
+++ b/crates/hollywheel-serving/src/placement.rs
@@ -70,6 +70,8 @@
     load: f64,
     /// How long work takes on the server at this moment, as a multiple of the usual time.
     slowdown: f64,
+    /// Whether the server lost a connection or was silent a moment ago.
+    avoided: bool,
 }
 
 impl Candidate<'_> {
@@ -96,12 +98,13 @@
         .filter(|(server, _)| !query.exclude.contains(server))
         .filter(|(server, _)| loads.pause_left(query.now, server).is_none())
         .map(|(server, record)| {
-            let (requests, slowdown) = loads.estimate_and_slowdown(query.now, server);
+            let known = loads.snapshot(query.now, server);
             Candidate {
                 server,
                 record,
-                load: (requests + 1.0) / f64::from(record.slots.max(1)),
-                slowdown,
+                load: (known.requests + 1.0) / f64::from(record.slots.max(1)),
+                slowdown: known.slowdown,
+                avoided: known.avoided,
             }
         });
     let (healthy, ejected): (Vec<_>, Vec<_>) =
@@ -139,7 +142,8 @@
 
 /// Chooses the server with the least load, scaled by its slowdown, among those whose load does not
 /// exceed `full_load`. Equal servers are chosen by the tie number, so that hosts with the same
-/// information spread their requests. The limit compares the load without the slowdown, since a
+/// information spread their requests. Servers that are avoided are used only if the others are full.
+/// The limit compares the load without the slowdown, since a
 /// server's queue holds a number of requests whatever its speed.
 ///
 /// Suited to bursts on a small pool of plain services, where a host's own requests and the load
@@ -164,8 +168,9 @@
                 .domain
                 .is_some_and(|domain| candidate.record.domain != *domain)
         };
-        left.expected_time()
-            .total_cmp(&right.expected_time())
+        left.avoided
+            .cmp(&right.avoided)
+            .then_with(|| left.expected_time().total_cmp(&right.expected_time()))
             .then_with(|| in_other_domain(left).cmp(&in_other_domain(right)))
             .then_with(|| tie_rank(left).cmp(&tie_rank(right)))
     });
@@ -203,7 +208,8 @@
     order.sort_by_key(|candidate| {
         std::cmp::Reverse(pair_weight(last.id, candidate.server.as_str()))
     });
-    match order.iter().find(|candidate| candidate.load <= bound) {
+    let has_room = |candidate: &&Candidate<'_>| !candidate.avoided && candidate.load <= bound;
+    match order.iter().find(has_room) {
         Some(candidate) => PlacementVerdict::Server(candidate.server.clone()),
         None => choose_least_loaded(query, loads, full_load),
     }
