--- a/crates/hollywheel-gateway/src/events.rs
+++ b/crates/hollywheel-gateway/src/events.rs
@@ -68,7 +68,8 @@
     ServerWarm, "HW7131", "A backend server is no longer cold; it gets its share of requests step by step.", "server, source";
     PartPopular, "HW7132", "A prompt part is so popular that several engines hold it.", "part, pool, holders, hosts";
     PartUsual, "HW7133", "A prompt part that several engines held needs one engine again.", "part, pool";
-    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
+    ServerAvoided, "HW7140", "A backend server broke a connection or gave no answer at all; this host sends it nothing for a while if others have capacity.", "server, reason, avoided_ms";
+    RequestEnded, "HW7201", "A request has ended.", "request, pipeline, workspace, config, outcome, verdict, status, reason, class, attempts, server, server_load, took_ms, stages_ms, first_ms, remaining_ms";
     AttemptEnded, "HW7202", "An attempt at a backend server has ended without a complete answer.", "request, server, attempt, verdict, reason, took_ms, in_flight, parts, identity";
     StageEnded, "HW7203", "A stage has ended without results.", "request, pool, stage, reason, took_ms, retry_after_ms";
     CallEnded, "HW7204", "A batched stage call has ended without results for all of its pieces.", "pool, server, pieces, outcome, took_ms, timeout_ms";
--- a/crates/hollywheel-gateway/src/host.rs
+++ b/crates/hollywheel-gateway/src/host.rs
@@ -450,6 +450,12 @@
         );
     }
 
+    /// Returns whether a server is avoided after its first lost connection or silent request.
+    pub(crate) fn avoids_lost_servers(&self) -> bool {
+        let settings = self.settings();
+        settings.memory_pressure || settings.bounds.evacuation.is_some()
+    }
+
     /// Returns the servers of a pool to which a request may be sent now. `prompt` is the last shared
     /// part of its prompt, by which prompts leave and rejoin an evacuated failure domain gradually;
     /// work without one leaves at once.
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod stream_forward;
 mod stream_place;
 mod supervisor;
+mod unanswered;
 
 pub use command::run_gateway;
 pub use events::{GatewayEvent, events_table};
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -27,7 +27,7 @@
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::results::HeldResults;
 use crate::server_attempt::{
-    AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, send_attempt,
+    AttemptExtras, AttemptFailure, OpenAnswer, record_attempt_failure, record_silence, send_attempt,
 };
 use crate::server_limits::{PLACE_PATIENCE, PermittedChoice, choose_permitted};
 use crate::stage_client::unpaused_server;
@@ -98,6 +98,8 @@
     late_wait: Cell<Option<Duration>>,
     /// Whether the request was counted towards the demand for its prompt parts.
     is_counted: bool,
+    /// When the last attempt was sent.
+    sent_at: MonoTime,
     /// Attempts that may have reached a server.
     received_attempts: u32,
     pub(crate) reason: &'static str,
@@ -126,7 +128,7 @@
                 record_panic(host, &context);
                 Err(WorkPanicked::REASON)
             }
-            Err(_) => Err("the answer did not start before the deadline"),
+            Err(_) => Err(job.record_timeout()),
         },
         () = host.wait_for_stop(StopPhase::Ending) => Err("the host stops"),
     };
@@ -194,6 +196,7 @@
             estimated: RefCell::default(),
             late_wait: Cell::default(),
             is_counted: false,
+            sent_at: MonoTime::default(),
             received_attempts: 0,
             reason: "",
             stages_time: Duration::ZERO,
@@ -201,6 +204,13 @@
         }
     }
 
+    /// Records that the answer did not start before the deadline; returns the reason.
+    fn record_timeout(&self) -> &'static str {
+        let late = "the answer did not start before the deadline";
+        let server = self.chosen.as_ref().map(|(server, _)| server);
+        record_silence(&self.host, &self.context, server, self.sent_at).unwrap_or(late)
+    }
+
     /// Logs the end of the request. An end without an answer is also recorded for the pipeline, so
     /// that the caller's retry is recognised.
     pub(crate) fn end(&self, outcome: RequestOutcome, status: StatusCode) {
@@ -240,6 +250,7 @@
             let load = self.host.server_load(&server, &record);
             self.chosen = Some((server.clone(), load));
             let sent_at = self.host.now();
+            self.sent_at = sent_at;
             fail_point!("stream.chosen");
             self.context.run.begin_attempt();
             fail_point!("stream.sending");
