Take an answer for cut off that ends before its request was written

Cause: a server that answers a long upload at once without a length, ends its side of the connection and then resets it, ended the answer as if it were whole: the end of the connection is such an answer's only mark.

Change: connections count the bytes of a request that were written; the end of the connection before the request's body was written is an error.

Ruled out: a reset without an end before it (60 kB, 1 MB, 4 MB, by length and chunked, reset after 0, 3 and 30 ms, five kinds of pipelines) and the statuses 000, 0, 099 and 1000 were never passed on; the tests stay. Remains: with 60 kB and 1 MB the kernel had taken the whole request when the server ended its side, and the part is still passed on (trials, both failed).

--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -9,6 +9,7 @@
 use fail::fail_point;
 use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
@@ -96,7 +97,9 @@
         mut self,
         request: Request<CallBody>,
     ) -> Result<(Response<MeteredBody>, Self), SendFailure> {
-        self.meter.restart();
+        let upload = request.body().size_hint().exact().unwrap_or(0);
+        self.meter
+            .restart(usize::try_from(upload).unwrap_or(usize::MAX));
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 let meter = Rc::clone(&self.meter);
--- a/crates/hollywheel-gateway/src/metered_stream.rs
+++ b/crates/hollywheel-gateway/src/metered_stream.rs
@@ -21,32 +21,42 @@
 /// Framing allowed per byte of content; a chunk of one byte has six times its size.
 const FRAMING_FACTOR: usize = 16;
 
-/// Counts the bytes of an answer that were read and not delivered as content, and notes whether any
-/// byte of its request was written.
+/// Counts the bytes of an answer that were read and not delivered as content, and those of its request
+/// that were written.
 #[derive(Debug)]
 pub(crate) struct ReadMeter {
     left: Cell<usize>,
-    /// Whether the kernel has taken a byte of the current request.
-    wrote: Cell<bool>,
+    /// Bytes of the current request that the kernel has taken.
+    written: Cell<usize>,
+    /// Size of the body of the current request.
+    upload: Cell<usize>,
 }
 
 impl ReadMeter {
     fn new() -> Rc<Self> {
         Rc::new(Self {
             left: Cell::new(MAX_UNDELIVERED),
-            wrote: Cell::new(false),
+            written: Cell::new(0),
+            upload: Cell::new(0),
         })
     }
 
-    /// Starts to count for the next request on the connection and its answer.
-    pub(crate) fn restart(&self) {
+    /// Starts to count for the next request on the connection, with a body of the given size, and
+    /// its answer.
+    pub(crate) fn restart(&self, upload: usize) {
         self.left.set(MAX_UNDELIVERED);
-        self.wrote.set(false);
+        self.written.set(0);
+        self.upload.set(upload);
     }
 
     /// Returns whether the kernel has taken a byte of the current request.
     pub(crate) const fn has_written(&self) -> bool {
-        self.wrote.get()
+        self.written.get() > 0
+    }
+
+    /// Returns whether a part of the request's body was certainly not written.
+    const fn is_uploading(&self) -> bool {
+        self.written.get() < self.upload.get()
     }
 
     /// Counts bytes that were read; returns whether they are within the bound.
@@ -108,8 +118,10 @@
 impl MeteredStream {
     /// Notes that the kernel has taken bytes.
     fn note_write(&self, written: &Poll<io::Result<usize>>) {
-        if let (Some(meter), Poll::Ready(Ok(1..))) = (&self.meter, written) {
-            meter.wrote.set(true);
+        if let (Some(meter), Poll::Ready(Ok(count))) = (&self.meter, written) {
+            meter
+                .written
+                .set(meter.written.get().saturating_add(*count));
         }
     }
 }
@@ -139,6 +151,18 @@
         let count = part.filled().len();
         buffer.advance(count);
         this.turn += count;
+        // The end of the connection also ends an answer without a length. A server that ends it while
+        // it is being written to has not finished the request.
+        if count == 0
+            && size > 0
+            && this
+                .meter
+                .as_ref()
+                .is_some_and(|meter| meter.is_uploading())
+        {
+            let error = io::Error::new(io::ErrorKind::UnexpectedEof, "end within the request");
+            return Poll::Ready(Err(error));
+        }
         let is_within = this
             .meter
             .as_ref()
--- a/crates/hollywheel-gateway/src/store_client.rs
+++ b/crates/hollywheel-gateway/src/store_client.rs
@@ -121,7 +121,8 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(refused)?;
         let link = self.open_link().await?;
-        link.meter.restart();
+        // Answers of the store state their length.
+        link.meter.restart(0);
         let answer = link.sender.send_request(request).await.map_err(unknown)?;
         let meter = Rc::clone(&link.meter);
         Ok(answer.map(|body| MeteredBody::new(body, meter)))
