Give nearly full-sized requests an empty engine; resume streams by the estimate

A stream that broke after the time in which it had to begin would have been refused elsewhere as late.

Change: an engine of which nine tenths are free takes any request that fits. A stream that has begun counts the time until its deadline.

--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -1,6 +1,5 @@
 //! Streaming requests and others with stages: runs the stages, then sends the final call.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,14 +31,12 @@
 use crate::stage_client::unpaused_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages, stage_times};
 use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
-use crate::stream_place::{
-    ChosenEngine, EngineGuard, EstimatedPlace, estimated_memory, place_by_estimate,
-};
+use crate::stream_place::{EstimateState, LATE_REASON};
 
 /// Load, as a multiple of an engine's slots, from which it gets no requests. An engine runs one
 /// request per slot and queues about as many; a request that waits behind those misses its
 /// objective.
-const FULL_LOAD: f64 = 1.8;
+pub(crate) const FULL_LOAD: f64 = 1.8;
 /// `Retry-After` of a request that no engine takes; some streams end within this time.
 const FULL_BACKOFF: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request whose stages failed: its objective is missed anyway, and the burst
@@ -49,8 +46,6 @@
 /// megabytes per millisecond, and refuses before that. An engine that was too slow reports that
 /// an input is no longer stored.
 const INPUT_READ_TIME: Duration = Duration::from_millis(100);
-/// Reason for the log of a request that no engine can begin in time.
-const LATE_REASON: &str = "no engine can begin before the caller gives up";
 /// Maximum number of servers tried, including those that did not receive the request.
 const MAX_TRIES: u32 = 5;
 /// Maximum number of times that the stages of a request run.
@@ -86,22 +81,17 @@
     reserved: Option<ServerId>,
     stage_runs: u32,
     /// Servers whose attempt failed.
-    excluded: Vec<ServerId>,
+    pub(crate) excluded: Vec<ServerId>,
     /// Number of servers tried, including those that were not reached.
     pub(crate) tries: u32,
     /// Server of the last attempt and its load when it was chosen.
     chosen: Option<(ServerId, f64)>,
-    /// Last choice by the estimate, and the time after which an engine could begin if none can
-    /// before the caller gives up.
-    estimated: RefCell<Option<ChosenEngine>>,
-    late_wait: Cell<Option<Duration>>,
-    /// Whether the request was counted towards the demand for its prompt parts.
-    is_counted: bool,
+    pub(crate) estimate_state: EstimateState,
     /// Attempts that may have reached a server.
     received_attempts: u32,
     pub(crate) reason: &'static str,
     stages_time: Duration,
-    first_byte_time: Option<Duration>,
+    pub(crate) first_byte_time: Option<Duration>,
     /// Id of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
 }
@@ -190,9 +180,7 @@
             excluded: Vec::new(),
             tries: 0,
             chosen: None,
-            estimated: RefCell::default(),
-            late_wait: Cell::default(),
-            is_counted: false,
+            estimate_state: EstimateState::default(),
             received_attempts: 0,
             reason: "",
             stages_time: Duration::ZERO,
@@ -344,39 +332,6 @@
         })
     }
 
-    /// Refuses the request before its stages run if no engine can begin it before its caller gives
-    /// up, or if it is larger than the memory of every engine.
-    fn check_engines(&mut self) -> Result<(), OpenFailure> {
-        let Some(memory) = estimated_memory(&self.host, &self.context) else {
-            return Ok(());
-        };
-        if !std::mem::replace(&mut self.is_counted, true) {
-            self.host.count_demand(&self.context);
-        }
-        let servers = self.host.pool_servers(&self.context.pool);
-        match self.estimate(&servers, memory) {
-            EstimatedPlace::TooLarge => {
-                self.reason = hollywheel_adapter::OVERSIZED_REASON;
-                Err(match self.context.run.verdict() {
-                    ExecutionVerdict::NotRun => OpenFailure::TooLarge,
-                    ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
-                })
-            }
-            EstimatedPlace::Late(wait) => {
-                self.late_wait.set(Some(wait));
-                self.reason = LATE_REASON;
-                Err(self.give_up())
-            }
-            EstimatedPlace::Chosen(_) | EstimatedPlace::Full | EstimatedPlace::NoServer => Ok(()),
-        }
-    }
-
-    /// Chooses an engine among the given servers by the estimate.
-    fn estimate(&self, servers: &[(ServerId, ServerRecord)], memory: u64) -> EstimatedPlace {
-        let (host, context) = (&self.host, &self.context);
-        place_by_estimate(host, context, servers, &self.excluded, FULL_LOAD, memory)
-    }
-
     /// Takes a permit for an engine before the stages run if every engine has named a limit;
     /// refuses the request if none is granted, since its stages would be run in vain.
     async fn reserve_engine(&mut self) -> Result<(), OpenFailure> {
@@ -457,14 +412,14 @@
     }
 
     /// Returns the outcome of a request that is not sent to another engine.
-    fn give_up(&self) -> OpenFailure {
+    pub(crate) fn give_up(&self) -> OpenFailure {
         match self.context.run.verdict() {
             ExecutionVerdict::NotRun => OpenFailure::Refused {
                 retry_after: self
                     .host
                     .retry_wait(&self.context.pool)
                     .unwrap_or_default()
-                    .max(self.late_wait.get().unwrap_or_default())
+                    .max(self.estimate_state.late_wait.get().unwrap_or_default())
                     .max(FULL_BACKOFF),
             },
             ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
@@ -501,9 +456,9 @@
     }
 
     /// Chooses an engine for the final call among the given servers.
-    fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
-        if let Some(memory) = estimated_memory(&self.host, &self.context) {
-            return self.estimate(servers, memory).verdict();
+    pub(crate) fn place(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
+        if let Some(place) = self.estimate(servers) {
+            return place.verdict();
         }
         let settings = self.host.settings();
         let query = PlacementQuery {
@@ -521,22 +476,6 @@
         }
     }
 
-    /// Chooses an engine as [`Self::place`] does, and keeps what the estimate expects for the attempt.
-    fn place_kept(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
-        let Some(memory) = estimated_memory(&self.host, &self.context) else {
-            return self.place(servers);
-        };
-        let place = self.estimate(servers, memory);
-        let verdict = place.verdict();
-        self.late_wait.set(None);
-        match place {
-            EstimatedPlace::Chosen(chosen) => *self.estimated.borrow_mut() = Some(chosen),
-            EstimatedPlace::Late(wait) => self.late_wait.set(Some(wait)),
-            EstimatedPlace::TooLarge | EstimatedPlace::Full | EstimatedPlace::NoServer => (),
-        }
-        verdict
-    }
-
     /// Returns the failure domain of the engine that would be chosen now, so that results are
     /// produced close to where they are read.
     fn choose_domain(&self) -> Option<DomainId> {
@@ -565,7 +504,7 @@
         let choice = choose_permitted(&self.host, &self.context.pool, place).await;
         let reason = match choice {
             PermittedChoice::Server(server, record) => return Ok((server, record)),
-            PermittedChoice::Full if self.late_wait.get().is_some() => LATE_REASON,
+            PermittedChoice::Full if self.estimate_state.late_wait.get().is_some() => LATE_REASON,
             PermittedChoice::Full => "every engine is full",
             PermittedChoice::AtLimit => "every engine is at its limit",
             PermittedChoice::NoServer => "no engine",
@@ -605,10 +544,7 @@
             inputs: has_stages.then_some(handles.as_slice()),
             last_event: self.last_event,
         };
-        let placed = estimated_memory(&self.host, &self.context).map(|_| {
-            let chosen = self.estimated.borrow();
-            EngineGuard::new(&self.host, &self.context, server, record, chosen.as_ref())
-        });
+        let placed = self.record_placed(server, record);
         let answer = send_attempt(&self.host, &self.context, server, record, extras).await?;
         let mut open = OpenStream::new(answer, self.last_event, self.host.body_memory.share());
         open.placed = placed;
--- a/crates/hollywheel-gateway/src/stream_place.rs
+++ b/crates/hollywheel-gateway/src/stream_place.rs
@@ -1,6 +1,7 @@
 //! Placement of streams on engines by the estimate of `hollywheel_serving::rank_engines`, and the
 //! records of what runs where on which the estimate rests.
 
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use hollywheel_serving::{
@@ -8,12 +9,27 @@
     PlacementVerdict, PopularityChange, PrefillCause, RequestSize, ServerRecord, choose_ranked,
     rank_engines,
 };
-use hollywheel_types::{PoolId, ServerId};
+use hollywheel_types::{ExecutionVerdict, PoolId, ServerId};
 
 use crate::host::{Host, HostState};
 use crate::log::log_line;
 use crate::metrics::PrefillLabels;
 use crate::request::RequestContext;
+use crate::stream_call::{FULL_LOAD, OpenFailure, StreamJob};
+
+/// Reason for the log of a request that no engine can begin in time.
+pub(crate) const LATE_REASON: &str = "no engine can begin before the caller gives up";
+
+/// What a request keeps of its choices by the estimate.
+#[derive(Default)]
+pub(crate) struct EstimateState {
+    /// Last choice.
+    chosen: RefCell<Option<ChosenEngine>>,
+    /// Time after which an engine could begin, if none can before the caller gives up.
+    pub(crate) late_wait: Cell<Option<Duration>>,
+    /// Whether the request was counted towards the demand for its prompt parts.
+    is_counted: Cell<bool>,
+}
 
 /// An engine that was chosen by the estimate.
 #[derive(Clone, Debug)]
@@ -45,52 +61,112 @@
 
 /// Returns the memory in tokens of the engines of a request's pool; `None` if its engine is not chosen
 /// by the estimate.
-pub(crate) fn estimated_memory(host: &HostState, context: &RequestContext) -> Option<u64> {
+fn estimated_memory(host: &HostState, context: &RequestContext) -> Option<u64> {
     let applies = host.settings().memory_pressure && context.pipeline.prompt_affinity;
     let pool = context.set.model_pool(&context.pool).filter(|_| applies)?;
     (pool.cache_tokens > 0).then_some(pool.cache_tokens)
 }
 
-/// Chooses an engine among the given servers by the estimate.
-pub(crate) fn place_by_estimate(
-    host: &HostState,
-    context: &RequestContext,
-    servers: &[(ServerId, ServerRecord)],
-    exclude: &[ServerId],
-    full_load: f64,
-    cache_tokens: u64,
-) -> EstimatedPlace {
-    let settings = host.settings();
-    let now = host.now();
-    let query = EngineQuery {
-        now,
-        servers,
-        exclude,
-        cold: &[],
-        tie: context.tie_breaker,
-        domain: Some(&settings.domain),
-        parts: &context.head.parts,
-        counts: context.head.token_counts,
-        time_left: context.start_deadline.since(now),
-        full_load,
-        hosts: host.hosts.borrow().known_count(),
-        cache_tokens,
-    };
-    let mut tables = host.engines.borrow_mut();
-    let table = tables.get_or_insert_with(context.pool.clone(), EngineTable::new);
-    let ranked = rank_engines(&query, table, &host.loads.borrow());
-    match choose_ranked(&query, &ranked) {
-        EngineVerdict::Chosen(choice) => match servers.get(choice.index) {
-            Some((server, _)) => EstimatedPlace::Chosen(ChosenEngine {
-                server: server.clone(),
-                choice,
-            }),
-            None => EstimatedPlace::NoServer,
-        },
-        EngineVerdict::Late { wait } => EstimatedPlace::Late(wait),
-        EngineVerdict::TooLarge => EstimatedPlace::TooLarge,
-        EngineVerdict::Full => EstimatedPlace::Full,
-        EngineVerdict::NoServer => EstimatedPlace::NoServer,
+impl StreamJob {
+    /// Refuses the request before its stages run if no engine can begin it before its caller gives
+    /// up, or if it is larger than the memory of every engine.
+    pub(crate) fn check_engines(&mut self) -> Result<(), OpenFailure> {
+        if estimated_memory(&self.host, &self.context).is_none() {
+            return Ok(());
+        }
+        if !self.estimate_state.is_counted.replace(true) {
+            self.host.count_demand(&self.context);
+        }
+        let servers = self.host.pool_servers(&self.context.pool);
+        match self.estimate(&servers) {
+            Some(EstimatedPlace::TooLarge) => {
+                self.reason = hollywheel_adapter::OVERSIZED_REASON;
+                Err(match self.context.run.verdict() {
+                    ExecutionVerdict::NotRun => OpenFailure::TooLarge,
+                    ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => OpenFailure::Failed,
+                })
+            }
+            Some(EstimatedPlace::Late(wait)) => {
+                self.estimate_state.late_wait.set(Some(wait));
+                self.reason = LATE_REASON;
+                Err(self.give_up())
+            }
+            Some(EstimatedPlace::Chosen(_) | EstimatedPlace::Full | EstimatedPlace::NoServer)
+            | None => Ok(()),
+        }
+    }
+
+    /// Chooses an engine among the given servers by the estimate; `None` if the request's engine is
+    /// not chosen by it.
+    pub(crate) fn estimate(&self, servers: &[(ServerId, ServerRecord)]) -> Option<EstimatedPlace> {
+        let (host, context) = (&self.host, &self.context);
+        let cache_tokens = estimated_memory(host, context)?;
+        let settings = host.settings();
+        let now = host.now();
+        // The caller of a stream that has begun waits for its end.
+        let caller_leaves = match self.first_byte_time {
+            Some(_) => context.deadline,
+            None => context.start_deadline,
+        };
+        let query = EngineQuery {
+            now,
+            servers,
+            exclude: &self.excluded,
+            cold: &[],
+            tie: context.tie_breaker,
+            domain: Some(&settings.domain),
+            parts: &context.head.parts,
+            counts: context.head.token_counts,
+            time_left: caller_leaves.since(now),
+            full_load: FULL_LOAD,
+            hosts: host.hosts.borrow().known_count(),
+            cache_tokens,
+        };
+        let mut tables = host.engines.borrow_mut();
+        let table = tables.get_or_insert_with(context.pool.clone(), EngineTable::new);
+        let ranked = rank_engines(&query, table, &host.loads.borrow());
+        Some(match choose_ranked(&query, &ranked) {
+            EngineVerdict::Chosen(choice) => match servers.get(choice.index) {
+                Some((server, _)) => EstimatedPlace::Chosen(ChosenEngine {
+                    server: server.clone(),
+                    choice,
+                }),
+                None => EstimatedPlace::NoServer,
+            },
+            EngineVerdict::Late { wait } => EstimatedPlace::Late(wait),
+            EngineVerdict::TooLarge => EstimatedPlace::TooLarge,
+            EngineVerdict::Full => EstimatedPlace::Full,
+            EngineVerdict::NoServer => EstimatedPlace::NoServer,
+        })
+    }
+
+    /// Chooses an engine as [`Self::place`] does, and keeps what the estimate expects for the attempt.
+    pub(crate) fn place_kept(&self, servers: &[(ServerId, ServerRecord)]) -> PlacementVerdict {
+        let Some(place) = self.estimate(servers) else {
+            return self.place(servers);
+        };
+        let verdict = place.verdict();
+        let state = &self.estimate_state;
+        state.late_wait.set(None);
+        match place {
+            EstimatedPlace::Chosen(chosen) => *state.chosen.borrow_mut() = Some(chosen),
+            EstimatedPlace::Late(wait) => state.late_wait.set(Some(wait)),
+            EstimatedPlace::TooLarge | EstimatedPlace::Full | EstimatedPlace::NoServer => (),
+        }
+        verdict
+    }
+
+    /// Records that the request is sent to an engine, if its engine is chosen by the estimate.
+    pub(crate) fn record_placed(
+        &self,
+        server: &ServerId,
+        record: &ServerRecord,
+    ) -> Option<EngineGuard> {
+        estimated_memory(&self.host, &self.context)?;
+        let chosen = self.estimate_state.chosen.borrow();
+        let chosen = chosen.as_ref();
+        let guard = EngineGuard::new(&self.host, &self.context, server, record, chosen);
+        Some(guard)
     }
 }
 
@@ -104,7 +180,7 @@
 
 impl EngineGuard {
     /// Records that a request is sent to an engine. `chosen` is the last choice by the estimate.
-    pub(crate) fn new(
+    fn new(
         host: &Host,
         context: &RequestContext,
         server: &ServerId,
--- a/crates/hollywheel-gateway/tests/engine_estimate.rs
+++ b/crates/hollywheel-gateway/tests/engine_estimate.rs
@@ -48,3 +48,16 @@
     assert_eq!(response.status, 200);
     assert_eq!(fixture.metric("hollywheel_saved_tokens_total").await, 0.0);
 }
+
+/// Guards against streams that are not resumed, or resumed at the engine that broke them, where engines
+/// are chosen by the estimate.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_stream_continues_on_another_engine_of_the_estimate() {
+    let fixture = Fixture::start_with("broken-estimate", PRESSURE).await;
+    let response = fixture.call("POST", "/brief/broken", "f1").await;
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    assert_eq!(response.body.as_deref(), Ok(events));
+    let ran = fixture.log.lines_with_prefix("ran f1");
+    assert_eq!(ran.len(), 2);
+    assert!(ran[1].ends_with("last=1"), "{ran:?}");
+}
--- a/crates/hollywheel-serving/src/engine_choice/estimate.rs
+++ b/crates/hollywheel-serving/src/engine_choice/estimate.rs
@@ -227,8 +227,12 @@
         let needs =
             f64::from(size.own) + f64::from(size.output) + f64::from(size.shared - held_tokens);
         let memory_share = (work.held_tokens + needs) / query.cache_tokens.max(1) as f64;
+        // A request that fills most of a memory has room on an engine with hardly any other.
+        let is_empty = memory_share <= 1.0
+            && work.held_tokens <= (1.0 - ROOM_SHARE) * query.cache_tokens as f64;
+        let has_room = memory_share <= ROOM_SHARE || is_empty;
         let load = (work.requests + 1.0) / f64::from(record.slots.max(1));
-        let state = engine_state(query, loads, server, load, memory_share);
+        let state = engine_state(query, loads, server, load, has_room);
         let slowdown = loads.slowdown(now, server).max(engine.slowness(now));
         let is_far = query.domain.is_some_and(|domain| record.domain != *domain);
         let beyond = (usable + 1).saturating_sub(holders).min(MAX_ORDER);
@@ -269,14 +273,14 @@
     loads: &LoadTable,
     server: &ServerId,
     load: f64,
-    memory_share: f64,
+    has_room: bool,
 ) -> EngineState {
     let (is_paused, is_ejected) = loads.availability(query.now, server);
     if query.exclude.contains(server) {
         EngineState::Excluded
     } else if is_paused {
         EngineState::Paused
-    } else if memory_share > ROOM_SHARE {
+    } else if !has_room {
         EngineState::NoRoom
     } else if load > query.full_load {
         EngineState::Full
--- a/crates/hollywheel-serving/tests/engine_choice.rs
+++ b/crates/hollywheel-serving/tests/engine_choice.rs
@@ -212,6 +212,26 @@
     assert!(held.iter().all(|tokens| *tokens > MEMORY / 2), "{held:?}");
 }
 
+/// Guards against a request that no engine ever takes although its memory would do.
+#[test]
+fn request_that_nearly_fills_a_memory_goes_to_an_empty_engine() {
+    let mut host = Host::new(&engines(2));
+    let parts = [(7, 1000), (0, 719_000)].map(|(id, tokens)| PromptPart { id, tokens });
+    let decide = |host: &Host| {
+        let query = EngineQuery {
+            time_left: Duration::from_secs(600),
+            ..host.query(at(0), &parts)
+        };
+        host.decide(&query)
+    };
+    let first = chosen(decide(&host));
+    host.place(at(0), &parts, &first);
+    let second = chosen(decide(&host));
+    assert_ne!(first.index, second.index);
+    host.place(at(0), &parts, &second);
+    assert_eq!(decide(&host), EngineVerdict::Full);
+}
+
 /// Guards against a crash or an endless wait for memory that no engine has, and against effects on
 /// other requests.
 #[test]
