Keep late pieces that can end before their deadline, and tell when the pool has drained

Cause: late groups beyond a second of a pool's time were refused although their callers wait for 6 s or more, and the pace of late work during a burst was assumed for all time to come. Refused callers were told 2.5 s in any case.

Change: a group is refused only if it would expire behind the work ahead of it. Timely work is expected to delay late work for half as long as it has done so; in a sustained overload the estimate is the learned pace, as before. Late work that can't end in time is dropped before it is executed, searched for every 20 ms at most, since queues are now longer: by the same estimate where its request holds results, otherwise once it could not end in time even if no more timely work came. The retry delay is the time in which the pool executes what waits, spread over a quarter; groups that expire in the queue get it too.

Tests: the_backlog_of_late_work_is_bounded and a_retry_is_refused_only_if_it_would_expire pinned the fixed bound; they are replaced by tests of the bound by deadlines (21 full calls in 6 s, all executed in time) and of first attempts and retries alike. The test of the retry delay had 2.5 s as its lower bound; now that is the drain time of the backlog. Five tests fail without the change.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -74,7 +74,11 @@
         retry_after: Duration,
     },
     /// The group expired before it finished.
-    Late,
+    Late {
+        /// Time after which the pool has executed what waits now; `None` if a host of an earlier
+        /// version coordinates it.
+        retry_after: Option<Duration>,
+    },
     /// An input of the group is no longer stored.
     InputGone,
     /// No server produced the results.
@@ -157,7 +161,9 @@
                 PieceResult::Made(handle) => {
                     self.record_piece(now, ticket, delivery.piece.position, handle)
                 }
-                PieceResult::Late => Some(GroupOutcome::Late),
+                PieceResult::Late => Some(GroupOutcome::Late {
+                    retry_after: Some(self.batcher.retry_after(now, ticket)),
+                }),
                 PieceResult::InputGone => Some(GroupOutcome::InputGone),
                 PieceResult::NoRoom | PieceResult::Failed => Some(GroupOutcome::Failed),
             };
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -205,7 +205,10 @@
             answer.retry_after_us = micros(retry_after);
             PieceEnd::Refused
         }
-        GroupOutcome::Late => PieceEnd::Late,
+        GroupOutcome::Late { retry_after } => {
+            answer.retry_after_us = retry_after.map(micros).unwrap_or_default();
+            PieceEnd::Late
+        }
         GroupOutcome::InputGone => PieceEnd::InputGone,
         GroupOutcome::Failed => PieceEnd::Failed,
     };
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -55,7 +55,10 @@
         retry_after: Duration,
     },
     /// A stage expired while it was queued.
-    Late,
+    Late {
+        /// Time after which a retry is likely to be admitted, if the coordinator told it.
+        retry_after: Option<Duration>,
+    },
     /// The result of an earlier stage is no longer stored.
     InputGone,
     /// No server produced the results, or no coordinator answered.
@@ -66,7 +69,7 @@
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Refused { .. } => "pool cannot finish the stage in time",
-            Self::Late => "stage expired while queued",
+            Self::Late { .. } => "stage expired while queued",
             Self::InputGone => "stage input no longer stored",
             Self::Failed => "no server produced the results",
         }
@@ -139,7 +142,8 @@
 ) {
     let retry_after = match failure {
         StageFailure::Refused { retry_after } => Some(millis(retry_after)),
-        StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => None,
+        StageFailure::Late { retry_after } => retry_after.map(millis),
+        StageFailure::InputGone | StageFailure::Failed => None,
     };
     log_line!(
         host,
@@ -350,7 +354,9 @@
             OrderOutcome::Ended(GroupOutcome::Refused { retry_after }) => {
                 return Err(StageFailure::Refused { retry_after });
             }
-            OrderOutcome::Ended(GroupOutcome::Late) => return Err(StageFailure::Late),
+            OrderOutcome::Ended(GroupOutcome::Late { retry_after }) => {
+                return Err(StageFailure::Late { retry_after });
+            }
             OrderOutcome::Ended(GroupOutcome::InputGone) => return Err(StageFailure::InputGone),
             OrderOutcome::Ended(GroupOutcome::Failed) => return Err(StageFailure::Failed),
             // Another host coordinates the shard from now on.
@@ -399,7 +405,10 @@
         PieceEnd::Refused => GroupOutcome::Refused {
             retry_after: Duration::from_micros(answer.retry_after_us),
         },
-        PieceEnd::Late => GroupOutcome::Late,
+        PieceEnd::Late => GroupOutcome::Late {
+            retry_after: Some(Duration::from_micros(answer.retry_after_us))
+                .filter(|retry_after| !retry_after.is_zero()),
+        },
         PieceEnd::InputGone => GroupOutcome::InputGone,
         PieceEnd::Failed | PieceEnd::Unspecified => GroupOutcome::Failed,
     })
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -38,8 +38,8 @@
 const FULL_LOAD: f64 = 1.8;
 /// `Retry-After` of a request that no engine takes; some streams end within this time.
 const FULL_BACKOFF: Duration = Duration::from_millis(300);
-/// `Retry-After` of a request whose stages failed: its objective is missed anyway, and the burst
-/// or outage that delayed it lasts for seconds.
+/// `Retry-After` of a request whose stages failed, unless the pool's backlog is known: its objective
+/// is missed anyway, and the outage that delayed it lasts for seconds.
 const STAGE_BACKOFF: Duration = Duration::from_millis(2500);
 /// Time after which an engine has read its inputs: it fetches them when the request arrives, at
 /// megabytes per millisecond, and refuses before that. An engine that was too slow reports that
@@ -389,7 +389,8 @@
         }
         let retry_after = match failure {
             StageFailure::Refused { retry_after } => retry_after,
-            StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => STAGE_BACKOFF,
+            StageFailure::Late { retry_after } => retry_after.unwrap_or(STAGE_BACKOFF),
+            StageFailure::InputGone | StageFailure::Failed => STAGE_BACKOFF,
         };
         OpenFailure::Refused { retry_after }
     }
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -48,10 +48,9 @@
         /// The expected time from now until its results are available.
         expected: Duration,
     },
-    /// The group was rejected: it would expire first, the backlog of late work is full, or the
-    /// pool has no servers.
+    /// The group was rejected: it would expire first, or the pool has no servers.
     Refused {
-        /// The time after which a retry is likely to be admitted.
+        /// The time in which the pool executes what waits now.
         retry_after: Duration,
     },
 }
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -25,16 +25,15 @@
 use servers::PieceServer;
 
 use crate::call_time::CallTimes;
-use crate::retry_detector::CallerAttempt;
 use crate::serving_set::PiecePool;
 use crate::stage_graph::PieceHandle;
 
 /// The retry delay given to a request while the pool has no known server. Server entries are read
 /// within this time.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The minimum retry delay given to a refused request. It has missed its objective anyway, and a
-/// burst of some seconds is mostly over when it is retried.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(2500);
+/// The fraction by which retry delays are spread, so that callers that were refused together do not
+/// return in the same call.
+const RETRY_SPREAD: f64 = 0.25;
 
 /// The number of calls in which a piece is sent before it is reported as failed.
 const MAX_PIECE_ATTEMPTS: u32 = 4;
@@ -43,14 +42,16 @@
 /// The minimum delay from the expected end of a call to its time-out, so that retransmissions on a
 /// lossy link do not end calls that would succeed.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(350);
-/// The longest backlog of late work that is admitted, as execution time of the whole pool. The pool
-/// can work off this much between two bursts, before callers time out (2 s or more).
-const MAX_LATE_BACKLOG: Duration = Duration::from_millis(1000);
 /// Weight of the most recent call in the moving average of the share of late work. The average
 /// follows a burst within about eight calls, which a pool of some servers starts in half a second.
 const LATE_SHARE_WEIGHT: f64 = 0.12;
 /// The minimum assumed share of late work in calls, since every burst ends.
 const MIN_LATE_SHARE: f64 = 0.1;
+/// The share of late work in calls from which timely work counts as not delaying it.
+const FULL_LATE_SHARE: f64 = 0.9;
+/// The least time between two searches for late groups that would expire behind the work ahead of
+/// them. A search orders the whole queue; calls of a pool start less often than this.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The initial estimate of how long a result is needed, as a multiple of the fixed time of a call:
 /// its own call and the next stage.
 const INITIAL_HOLD_CALLS: u32 = 3;
@@ -91,6 +92,10 @@
     hold_time: Duration,
     /// The mean share of late work in calls that start while late work waits.
     late_share: f64,
+    /// The time since which timely work has delayed late work.
+    late_delayed_since: MonoTime,
+    /// The time of the last search for late groups that would expire.
+    expiry_checked_at: Option<MonoTime>,
 }
 
 impl PoolBatcher {
@@ -107,6 +112,8 @@
             unneeded: SortedMap::new(),
             hold_time: policy.pool.call_time * INITIAL_HOLD_CALLS,
             late_share: 1.0,
+            late_delayed_since: MonoTime::default(),
+            expiry_checked_at: None,
         }
     }
 
@@ -145,12 +152,11 @@
         }
     }
 
-    /// Admits a group of pieces, or refuses it if it would expire before it is executed or if the
-    /// backlog of late work is full.
+    /// Admits a group of pieces, or refuses it if it would expire before it is executed.
     ///
     /// In a burst above the capacity of the pool, a group that misses its objective waits behind
-    /// those that can meet theirs, and is refused at once when the work ahead of it would take
-    /// longer than its deadline allows.
+    /// those that can meet theirs. It is kept as long as the work ahead of it ends before its
+    /// deadline; more urgent work is never behind it, so keeping it makes none of that expire.
     pub fn offer(&mut self, now: MonoTime, request: GroupRequest) -> GroupVerdict {
         let Some(expected) = self.expected_time(now, &request) else {
             return GroupVerdict::Refused {
@@ -158,24 +164,31 @@
             };
         };
         if now + expected > request.expires {
-            let excess = expected.saturating_sub(request.expires.since(now));
             return GroupVerdict::Refused {
-                retry_after: excess.max(MIN_RETRY_AFTER),
+                retry_after: self.retry_after(now, request.ticket),
             };
         }
-        let is_retry = request.rank.attempt == CallerAttempt::Retry;
-        if !request.holding && !is_retry && now + expected > request.due {
-            let backlog = self.late_backlog(now);
-            if backlog > MAX_LATE_BACKLOG {
-                return GroupVerdict::Refused {
-                    retry_after: backlog - MAX_LATE_BACKLOG + MIN_RETRY_AFTER,
-                };
-            }
-        }
         self.queue.push(now, request);
         GroupVerdict::Queued { expected }
     }
 
+    /// Returns the retry delay for a group that is refused or dropped now: the time in which the
+    /// pool executes everything that waits, and up to a quarter more, by the ticket.
+    ///
+    /// It counts no work that is still to come: a caller that returns too early is told again, while
+    /// one that returns after its deadline gets nothing.
+    pub fn retry_after(&self, now: MonoTime, ticket: GroupTicket) -> Duration {
+        let rate = self.rate(now);
+        if !rate.has_servers() {
+            return NO_SERVER_RETRY_AFTER;
+        }
+        let (mut backlog, late) = self.queue.work(now, &self.times, &rate);
+        backlog.add(late);
+        let idle = rate.wait + backlog.duration();
+        let delay = idle.max(self.policy.pool.call_time);
+        delay.mul_f64(1.0 + RETRY_SPREAD * spread_fraction(ticket))
+    }
+
     /// Estimates the time until a group would be done: the work ahead of it at the throughput of
     /// the pool, and its own call; none if the pool has no server.
     fn expected_time(&self, now: MonoTime, request: &GroupRequest) -> Option<Duration> {
@@ -185,11 +198,23 @@
         let (timely, ahead) = self
             .queue
             .work_ahead(now, request, late, &self.times, &rate);
-        let ahead = ahead.duration().div_f64(self.late_share);
+        let ahead = self.late_duration(now, ahead);
         rate.has_servers()
             .then_some(rate.wait + timely.duration() + ahead + call_time)
     }
 
+    /// Estimates the time in which the pool executes late work beside the timely work that arrives.
+    ///
+    /// Timely work is expected to leave late work its recent share of the calls for half as long as it
+    /// has done so, and the whole pool after that: bursts last a few seconds, while callers wait for
+    /// 6 s or more. In a sustained overload this becomes the recent share.
+    fn late_duration(&self, now: MonoTime, late: PoolOccupancy) -> Duration {
+        let late = late.duration();
+        let lost_share = 1.0 - self.late_share;
+        let delayed_for = now.since(self.late_delayed_since) / 2;
+        (late + delayed_for.mul_f64(lost_share)).min(late.div_f64(self.late_share))
+    }
+
     /// Returns the throughput of the servers that are present.
     fn rate(&self, now: MonoTime) -> PoolRate {
         let servers = || self.servers.values().filter(|server| server.is_present());
@@ -205,13 +230,6 @@
         }
     }
 
-    /// Returns the time that the pool needs for the waiting groups that have missed their objective.
-    fn late_backlog(&self, now: MonoTime) -> Duration {
-        let rate = self.rate(now);
-        let (_, late) = self.queue.work(now, &self.times, &rate);
-        late.duration()
-    }
-
     /// Returns the expected queueing time of a timely group that would be offered now, for the
     /// deadline plans of requests that reach this pool in a later stage.
     pub fn forecast(&self, now: MonoTime) -> Duration {
@@ -252,11 +270,20 @@
         if pieces.is_empty() {
             return None;
         }
-        if let Some(fraction) = late_fraction(&order, &pieces) {
+        let fraction = late_fraction(&order, &pieces);
+        self.learn_late_share(now, fraction);
+        Some(self.start_call(now, server, pieces))
+    }
+
+    /// Records which share of a call is late work; none if no late work waited.
+    fn learn_late_share(&mut self, now: MonoTime, fraction: Option<f64>) {
+        if fraction.is_none() || self.late_share > FULL_LATE_SHARE {
+            self.late_delayed_since = now;
+        }
+        if let Some(fraction) = fraction {
             let share = self.late_share + LATE_SHARE_WEIGHT * (fraction - self.late_share);
             self.late_share = share.max(MIN_LATE_SHARE);
         }
-        Some(self.start_call(now, server, pieces))
     }
 
     /// Removes the pieces of a call from the queue and marks its server as busy.
@@ -421,7 +448,11 @@
     /// also those that would expire behind the work ahead of them.
     pub fn drop_expired(&mut self, now: MonoTime) -> Vec<PieceDelivery> {
         let mut expired = self.queue.expired(now, &self.times);
-        expired.extend(self.certain_to_expire(now));
+        let checked_at = self.expiry_checked_at;
+        if checked_at.is_none_or(|at| now.since(at) >= EXPIRY_CHECK_INTERVAL) {
+            self.expiry_checked_at = Some(now);
+            expired.extend(self.certain_to_expire(now));
+        }
         let pieces = expired
             .into_iter()
             .flat_map(|ticket| self.queue.take_group(ticket));
@@ -433,7 +464,9 @@
             .collect()
     }
 
-    /// Lists the late groups that would expire behind the work ahead of them.
+    /// Lists the late groups that would expire behind the work ahead of them. Groups whose request
+    /// holds no results cost nothing while they wait, so they are kept as long as they could be served
+    /// if no more timely work came.
     fn certain_to_expire(&self, now: MonoTime) -> Vec<GroupTicket> {
         let rate = self.rate(now);
         let (mut timely, mut late) = (PoolOccupancy::default(), PoolOccupancy::default());
@@ -445,7 +478,11 @@
                 continue;
             }
             let call_time = self.times.call([(group.kind.as_str(), group.waiting())]);
-            let ahead = timely.duration() + late.duration().div_f64(self.late_share);
+            let late_time = match class {
+                WorkClass::LateHolding => self.late_duration(now, late),
+                WorkClass::Timely | WorkClass::Deferred | WorkClass::Late => late.duration(),
+            };
+            let ahead = timely.duration() + late_time;
             if rate.has_servers() && now + rate.wait + ahead + call_time > group.expires {
                 expiring_groups.push(group.ticket);
             } else {
@@ -479,6 +516,13 @@
     }
 }
 
+/// Returns a number in 0..1 by which consecutive tickets are spread evenly (multiples of the golden
+/// ratio).
+fn spread_fraction(ticket: GroupTicket) -> f64 {
+    const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+    (ticket.0 as f64 * GOLDEN_RATIO).fract()
+}
+
 /// Returns the fraction of a call that is late work; none if no late work waits.
 fn late_fraction(order: &[OrderedGroup<'_>], pieces: &[WorkPiece]) -> Option<f64> {
     let mut late: Vec<GroupTicket> = order
