Serve late pieces by priority, and let urgent chains keep their place after a missed goal

Cause: a request with several stages has a goal at each. One that missed a goal was deferred behind all timely work, also of less urgent kinds, although it could still meet its objective; a request with one stage has no such goal to miss. Ruled out: the division of the slack, whose first goals (about 420 ms) are earlier than those of the one-stage requests (650 ms). Late work was ordered by class and attempt before priority.

Change: a group behind its goal, but not behind its latest finish, stays at the place of its goal and gives way to its own rank and more urgent ones only. Late groups are ordered by priority, then those whose requests hold results, then retries, then first attempts.

Tests: retries_are_served_after_timely_work_and_before_other_late_work had a less urgent retry go before a more urgent first attempt, which contradicts the order that is wanted; its requests have equal priority now, and late_work_of_the_most_urgent_priority_is_served_first covers the other case. Three new tests fail before.

--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -8,6 +8,7 @@
 use super::message::{GroupRequest, GroupTicket, WorkPiece};
 use crate::call_time::CallTimes;
 use crate::rank::RequestRank;
+use crate::retry_detector::CallerAttempt;
 
 /// A group that must start within this time to meet its objective goes into the next call in any
 /// failure domain, since calls of a pool start about this far apart.
@@ -85,7 +86,7 @@
     /// The group could meet its goal only if higher-ranked work missed its own.
     Deferred,
     /// The group misses its objective, and results of other stages of its request occupy server
-    /// memory while it waits.
+    /// memory while it waits. It precedes other late groups of its priority only.
     LateHolding,
     /// The group misses its objective, and its request occupies no server memory.
     Late,
@@ -163,6 +164,13 @@
     }
 }
 
+/// Returns the place of a late group in the service order, the lowest first: by priority, then
+/// requests that hold results, which have taken capacity and occupy memory, then retries, whose
+/// callers have been refused once.
+const fn late_place(rank: RequestRank, holds_results: bool) -> (u8, u8, bool, CallerAttempt) {
+    (rank.workspace, rank.pipeline, !holds_results, rank.attempt)
+}
+
 /// Returns the time for which groups occupy the pool in total.
 fn sum_work<'a>(
     groups: impl Iterator<Item = &'a QueuedGroup>,
@@ -182,6 +190,10 @@
 /// In a burst above the capacity of the pool, earliest-deadline-first order alone would make every
 /// group slightly late. Whenever a group would miss its goal, the lowest-ranked group before it is
 /// deferred, the largest first among equals (the Moore-Hodgson algorithm, by rank).
+///
+/// A group that misses its goal, but could still meet its objective, gives way only to work of its
+/// rank or a more urgent one. Otherwise a request with several stages, whose goals are earlier than
+/// its objective, would wait for all timely work of less urgent requests with one stage.
 fn split_deferred<'a>(
     now: MonoTime,
     mut groups: Vec<&'a QueuedGroup>,
@@ -189,16 +201,48 @@
     rate: &PoolRate,
 ) -> (Vec<&'a QueuedGroup>, Vec<&'a QueuedGroup>) {
     groups.sort_by_key(|group| (group.goal, group.ticket));
+    let mut deferred = find_deferred(now, &groups, &[], times, rate);
+    let is_listed =
+        |list: &[GroupTicket], group: &QueuedGroup| list.binary_search(&group.ticket).is_ok();
+    let timely = groups.iter().filter(|group| !is_listed(&deferred, group));
+    if let Some(least_urgent) = timely.map(|group| group.rank).max() {
+        let outranking = groups.iter().filter(|group| {
+            is_listed(&deferred, group) && group.rank < least_urgent && group.goal < group.due
+        });
+        let mut outranking: Vec<GroupTicket> = outranking.map(|group| group.ticket).collect();
+        outranking.sort_unstable();
+        if !outranking.is_empty() {
+            deferred = find_deferred(now, &groups, &outranking, times, rate);
+        }
+    }
+    let is_deferred = |group: &&QueuedGroup| is_listed(&deferred, group);
+    let (deferred, timely) = groups.into_iter().partition(is_deferred);
+    (timely, deferred)
+}
+
+/// Returns the tickets of the groups to defer, in order, so that the others meet their goals if served
+/// in the given order; the groups in `outranking` need to finish only by their latest finish time.
+fn find_deferred(
+    now: MonoTime,
+    groups: &[&QueuedGroup],
+    outranking: &[GroupTicket],
+    times: &CallTimes,
+    rate: &PoolRate,
+) -> Vec<GroupTicket> {
     let mut candidates = BinaryHeap::new();
     let mut deferred: Vec<GroupTicket> = Vec::new();
     let mut ahead = PoolOccupancy::default();
-    for group in &groups {
+    for group in groups {
         let work = rate.work(group, times);
         let call_time = times.call([(group.kind.as_str(), group.waiting())]);
+        let finish_by = match outranking.binary_search(&group.ticket) {
+            Ok(_) => group.due,
+            Err(_) => group.goal,
+        };
         candidates.push((group.rank, work.duration(), work, group.ticket));
         let mut before = ahead;
         ahead.add(work);
-        while now + rate.wait + before.duration() + call_time > group.goal {
+        while now + rate.wait + before.duration() + call_time > finish_by {
             let Some((_, _, work, ticket)) = candidates.pop() else {
                 break;
             };
@@ -211,9 +255,7 @@
         }
     }
     deferred.sort_unstable();
-    let is_deferred = |group: &&QueuedGroup| deferred.binary_search(&group.ticket).is_ok();
-    let (deferred, timely) = groups.into_iter().partition(is_deferred);
-    (timely, deferred)
+    deferred
 }
 
 /// Holds the groups of a pool with unfinished pieces.
@@ -257,9 +299,9 @@
                     || group.rank < request.rank
                     || (group.rank == request.rank && group.due <= request.due))
         });
+        let place = late_place(request.rank, request.holding);
         let before = self.groups.values().filter(|group| {
-            let by_holding = request.holding.cmp(&group.holds_results);
-            late && group.due <= now && by_holding.then(group.rank.cmp(&request.rank)).is_le()
+            late && group.due <= now && late_place(group.rank, group.holds_results) <= place
         });
         (sum_work(timely, times, rate), sum_work(before, times, rate))
     }
@@ -285,8 +327,9 @@
     /// Lists the waiting groups in the order in which they should be served.
     ///
     /// Groups that can meet their goals come first, the earliest goal first. They are followed by
-    /// deferred groups, by late groups whose requests hold results in server memory, and by other
-    /// late groups; within each of these classes by rank.
+    /// deferred groups, the most urgent rank first, and by late groups. Of these the most urgent
+    /// priority comes first; within it, groups whose requests hold results in server memory, then
+    /// retries, then first attempts.
     pub(super) fn order(
         &self,
         now: MonoTime,
@@ -307,16 +350,24 @@
                 urgent: group.is_late(now + URGENT_WINDOW, call_time),
             }
         });
-        let rest = deferred
+        let mut deferred = deferred;
+        deferred.sort_by_key(|group| (group.rank, group.due, group.ticket));
+        let deferred = deferred
+            .into_iter()
+            .map(|group| (WorkClass::Deferred, group));
+        let mut late: Vec<(WorkClass, MonoTime, &QueuedGroup)> = late
             .into_iter()
-            .map(|group| (WorkClass::Deferred, group.due, group));
-        let late = late.into_iter().map(|group| match group.holds_results {
-            true => (WorkClass::LateHolding, group.due, group),
-            false => (WorkClass::Late, group.arrived_at, group),
+            .map(|group| match group.holds_results {
+                true => (WorkClass::LateHolding, group.due, group),
+                false => (WorkClass::Late, group.arrived_at, group),
+            })
+            .collect();
+        late.sort_by_key(|(_, point, group)| {
+            let place = late_place(group.rank, group.holds_results);
+            (place, *point, group.ticket)
         });
-        let mut rest: Vec<(WorkClass, MonoTime, &QueuedGroup)> = rest.chain(late).collect();
-        rest.sort_by_key(|(class, point, group)| (*class, group.rank, *point, group.ticket));
-        let rest = rest.into_iter().map(|(class, _, group)| OrderedGroup {
+        let late = late.into_iter().map(|(class, _, group)| (class, group));
+        let rest = deferred.chain(late).map(|(class, group)| OrderedGroup {
             group,
             class,
             urgent: false,
--- a/crates/hollywheel-serving/src/rank.rs
+++ b/crates/hollywheel-serving/src/rank.rs
@@ -6,8 +6,8 @@
 /// rank is the most urgent.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RequestRank {
-    /// Whether the request is a retry. Retries rank before first attempts, but have missed their
-    /// objective, so this decides only among late work.
+    /// Whether the request is a retry. Retries have missed their objective, so this decides only among
+    /// late work of equal priority, where they precede first attempts.
     pub attempt: CallerAttempt,
     /// The priority of the workspace, or that of the pipeline if the workspace has none; zero is
     /// the most urgent.
--- a/crates/hollywheel-serving/tests/burst.rs
+++ b/crates/hollywheel-serving/tests/burst.rs
@@ -68,7 +68,7 @@
     let retry = GroupRequest {
         rank: RequestRank {
             attempt: CallerAttempt::Retry,
-            ..RequestRank::new(None, 2)
+            ..RequestRank::default()
         },
         ..group(1, 14, 1000, 9000)
     };
@@ -83,6 +83,52 @@
     assert_eq!(order, [3, 1, 2]);
 }
 
+/// Guards against late work of a less urgent kind that goes first because its caller was refused before
+/// or because its request holds results.
+#[test]
+fn late_work_of_the_most_urgent_priority_is_served_first() {
+    let mut batcher = batcher(&[("s1", "a")]);
+    let late = |ticket, pipeline, attempt, holding| GroupRequest {
+        rank: RequestRank {
+            attempt,
+            ..RequestRank::new(None, pipeline)
+        },
+        holding,
+        ..group(ticket, 14, 1000, 9000)
+    };
+    batcher.offer(at(1001), late(1, 1, CallerAttempt::Retry, false));
+    batcher.offer(at(1001), late(2, 1, CallerAttempt::First, true));
+    batcher.offer(at(1001), late(3, 0, CallerAttempt::First, false));
+    batcher.offer(at(1001), late(4, 0, CallerAttempt::First, true));
+    let mut order: Vec<u64> = run_server(&mut batcher, 1001)
+        .iter()
+        .map(|(ticket, _)| *ticket)
+        .collect();
+    order.dedup();
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+/// A request with later stages has missed its goal by the time at which a server is free, but not yet
+/// its objective; less urgent work with one stage waits beside it. Guards against deferring the urgent
+/// request behind all of that, where it becomes late.
+#[test]
+fn urgent_work_behind_its_goal_does_not_give_way_to_less_urgent_work() {
+    let first_call = |priority| {
+        let mut batcher = batcher(&[("s1", "a")]);
+        for ticket in 1..=3 {
+            batcher.offer(at(0), group_with_priority(ticket, 14, 1200 + ticket, 1));
+        }
+        let chained = GroupRequest {
+            goal: at(150),
+            ..group_with_priority(4, 2, 500, priority)
+        };
+        batcher.offer(at(0), chained);
+        tickets(&batcher.next_call(at(0)).unwrap())[0]
+    };
+    assert_eq!(first_call(0), 4);
+    assert_eq!(first_call(1), 1, "equally urgent work keeps its goals");
+}
+
 /// A caller that is refused on its retry does not send the request a third time; the same holds for a
 /// first attempt whose caller waits for longer than the backlog lasts.
 #[test]
--- /dev/null
+++ b/crates/hollywheel-serving/tests/chains.rs
@@ -0,0 +1,67 @@
+//! Replays of chains of stages that compete for pools with less capacity than the load needs.
+
+#[path = "support/chains.rs"]
+mod chains;
+
+use std::time::Duration;
+
+use chains::{Kind, Load, replay};
+
+/// Three-stage requests of the most urgent priority share a pool with one-stage requests, as on the
+/// contended deployment; a burst of 5 s brings 1.4 times what the first pool executes.
+fn contended(batch: usize, piece_us: u64, scale: f64) -> Load {
+    let chain = Kind {
+        name: "chain",
+        priority: 0,
+        stages: &[0, 1, 2],
+        max_pieces: 5,
+        objective_ms: 1400,
+        deadline_ms: 6000,
+        rates: (22.0 * scale, 44.0 * scale),
+    };
+    Load {
+        pools: 3,
+        servers: 4,
+        batch,
+        piece_time: Duration::from_micros(piece_us),
+        burst_ms: (4000, 9000),
+        end_ms: 14_000,
+        kinds: vec![
+            chain,
+            Kind {
+                name: "single",
+                priority: 1,
+                stages: &[0],
+                objective_ms: 800,
+                rates: (22.0 * scale, 66.0 * scale),
+                ..chain
+            },
+            Kind {
+                name: "other",
+                priority: 2,
+                stages: &[1],
+                objective_ms: 800,
+                rates: (15.0 * scale, 45.0 * scale),
+                ..chain
+            },
+        ],
+    }
+}
+
+/// Guards against three-stage requests that give way to less urgent ones with one stage: a goal at each
+/// stage is missed more often than one objective, and such requests went behind all timely work. Before,
+/// 0.91, 0.84 and 0.86 of them met their objective.
+#[test]
+fn the_most_urgent_chains_are_not_served_worse_than_single_stages() {
+    for (batch, piece_us, scale) in [(14, 8000, 0.95), (32, 4000, 2.1), (96, 1300, 6.2)] {
+        let ends = replay(&contended(batch, piece_us, scale), 1);
+        let [chain, single, _] = ends.as_slice() else {
+            panic!("{ends:?}");
+        };
+        assert!(
+            chain.in_time_share() >= 0.93 && chain.credit() > single.credit(),
+            "calls of {batch} pieces: {ends:?}"
+        );
+        assert_eq!(chain.refused + chain.expired, 0, "{ends:?}");
+    }
+}
