Judge whether a group is in time by the call that it shares with others

Cause: the time of a group's own pieces was taken for its call, but a call of a busy pool is full: it takes 112 to 125 ms longer (14 pieces of 8 ms, 96 of 1.3 ms). In a burst every group was started just in time by that estimate and late by up to 100 ms; chains lost that at each stage. In a replayed burst of 1.7 times the capacity 75 of 320 groups were in time, where capacity allows about 190 to 215. Found while looking for where the time of three-stage requests goes; ruled out there: the division of their slack.

Change: when groups are split into timely and deferred ones, the end of a group's call counts the pieces that wait beside it, up to a full call. Those ahead of it in the same call are counted once.

--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -227,6 +227,7 @@
             fixed_time: self.policy.pool.call_time / batch,
             hold_time: self.hold_time,
             room_bytes: self.policy.pool.room_bytes.max(1),
+            batch: self.policy.pool.batch,
         }
     }
 
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -118,6 +118,8 @@
     pub(super) hold_time: Duration,
     /// The memory for results on each server, in bytes.
     pub(super) room_bytes: u64,
+    /// The number of pieces in a full call.
+    pub(super) batch: usize,
 }
 
 /// Holds the time for which work occupies a whole pool: its execution time and its result memory.
@@ -152,6 +154,25 @@
         self.servers > 0.0
     }
 
+    /// Returns the time from the end of the work ahead of a group to the end of its call, which it
+    /// shares with other groups: as many pieces as wait, up to a full call. Those ahead of it in the
+    /// same call are already part of the work ahead. `waiting` and `ahead` are numbers of pieces.
+    fn shared_call(
+        &self,
+        group: &QueuedGroup,
+        times: &CallTimes,
+        waiting: usize,
+        ahead: usize,
+    ) -> Duration {
+        let others = waiting.min(self.batch).saturating_sub(group.waiting());
+        let call = times.call([(group.kind.as_str(), group.waiting()), ("", others)]);
+        let in_same_call = (ahead % self.batch.max(1)).min(others);
+        let piece_time = self.fixed_time + times.piece("");
+        let counted = piece_time.mul_f64(in_same_call as f64 / self.servers.max(MIN_SERVERS));
+        let own = times.call([(group.kind.as_str(), group.waiting())]);
+        call.saturating_sub(counted).max(own)
+    }
+
     /// Returns the time for which the waiting pieces of a group occupy the pool.
     pub(super) fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolOccupancy {
         let pieces = group.waiting() as f64 / self.servers.max(MIN_SERVERS);
@@ -232,26 +253,40 @@
     let mut candidates = BinaryHeap::new();
     let mut deferred: Vec<GroupTicket> = Vec::new();
     let mut ahead = PoolOccupancy::default();
+    let mut ahead_pieces = 0;
+    let waiting = groups.iter().map(|group| group.waiting()).sum();
     for group in groups {
         let work = rate.work(group, times);
-        let call_time = times.call([(group.kind.as_str(), group.waiting())]);
         let finish_by = match outranking.binary_search(&group.ticket) {
             Ok(_) => group.due,
             Err(_) => group.goal,
         };
-        candidates.push((group.rank, work.duration(), work, group.ticket));
+        candidates.push((
+            group.rank,
+            work.duration(),
+            work,
+            group.ticket,
+            group.waiting(),
+        ));
         let mut before = ahead;
+        let mut is_timely = true;
         ahead.add(work);
-        while now + rate.wait + before.duration() + call_time > finish_by {
-            let Some((_, _, work, ticket)) = candidates.pop() else {
+        let shared_call = |pieces| rate.shared_call(group, times, waiting, pieces);
+        while now + rate.wait + before.duration() + shared_call(ahead_pieces) > finish_by {
+            let Some((_, _, work, ticket, pieces)) = candidates.pop() else {
                 break;
             };
             ahead.subtract(work);
-            before.subtract(work);
             deferred.push(ticket);
             if ticket == group.ticket {
+                is_timely = false;
                 break;
             }
+            before.subtract(work);
+            ahead_pieces -= pieces;
+        }
+        if is_timely {
+            ahead_pieces += group.waiting();
         }
     }
     deferred.sort_unstable();
--- a/crates/hollywheel-serving/tests/burst.rs
+++ b/crates/hollywheel-serving/tests/burst.rs
@@ -161,7 +161,8 @@
 
 /// A burst of 4 s brings 1.6 times what the pool executes; callers wait for 6 s, and the pool is idle
 /// soon after. Guards against rejections of requests that would have been served before their deadlines
-/// (648 of 7,137 in one such burst), and against late work that delays timely work.
+/// (648 of 7,137 in one such burst), against late work that delays timely work, and against estimates that
+/// leave out the other pieces of a call, by which only 75 groups were in time, the others just late.
 #[test]
 fn a_burst_that_ends_before_the_deadlines_leaves_no_request_without_results() {
     let mut batcher = batcher(&[("s1", "a"), ("s2", "a"), ("s3", "b")]);
@@ -198,7 +199,7 @@
     let in_time = in_time.count() / 3;
     assert_eq!((refused, dropped), (0, 0), "{in_time} in time");
     assert_eq!(ends.len(), 3 * offered);
-    assert!(in_time >= 70, "{in_time} of {offered} in time");
+    assert!(in_time >= 190, "{in_time} of {offered} in time");
     let latest = ends.iter().map(|(ticket, end)| end - ticket / 2).max();
     assert!(latest.is_some_and(|latest| latest <= 6000), "{latest:?}");
 }
--- a/crates/hollywheel-serving/tests/chains.rs
+++ b/crates/hollywheel-serving/tests/chains.rs
@@ -26,6 +26,7 @@
         piece_time: Duration::from_micros(piece_us),
         burst_ms: (4000, 9000),
         end_ms: 14_000,
+        connect_ms: 0,
         kinds: vec![
             chain,
             Kind {
@@ -62,6 +63,7 @@
             chain.in_time_share() >= 0.93 && chain.credit() > single.credit(),
             "calls of {batch} pieces: {ends:?}"
         );
+        assert!(single.in_time_share() >= 0.68, "{ends:?}");
         assert_eq!(chain.refused + chain.expired, 0, "{ends:?}");
     }
 }
--- a/crates/hollywheel-serving/tests/support/chains.rs
+++ b/crates/hollywheel-serving/tests/support/chains.rs
@@ -6,7 +6,7 @@
     BatchPolicy, CallOutcome, CallPlan, GroupRequest, GroupTicket, GroupVerdict, LatencyForecast,
     PiecePool, PieceResult, PoolBatcher, RequestRank, StagePlan, StageTimes,
 };
-use hollywheel_types::{MonoTime, PipelineId};
+use hollywheel_types::{MonoTime, PipelineId, ServerId};
 
 /// Time between two steps of the replay; hosts dispatch at this interval too.
 const STEP_MS: u64 = 5;
@@ -41,6 +41,9 @@
     pub burst_ms: (u64, u64),
     /// End of the arrivals.
     pub end_ms: u64,
+    /// Additional time of the first call of each server and of the first final call of each host,
+    /// which connect first.
+    pub connect_ms: u64,
     pub kinds: Vec<Kind>,
 }
 
@@ -107,6 +110,9 @@
     pipelines: Vec<PipelineId>,
     requests: Vec<Request>,
     calls: Vec<Call>,
+    /// The servers that have got a call, and the hosts that have made a final call.
+    connected: Vec<ServerId>,
+    called: [bool; HOSTS],
     ends: Vec<Ends>,
     random: u64,
 }
@@ -151,6 +157,8 @@
                 .collect(),
             requests: Vec::new(),
             calls: Vec::new(),
+            connected: Vec::new(),
+            called: [false; HOSTS],
             ends: vec![Ends::default(); load.kinds.len()],
             random: seed,
             load,
@@ -170,7 +178,11 @@
             while let Some(plan) = self.batchers[pool].next_call(at(now)) {
                 let pieces = u32::try_from(plan.pieces.len()).unwrap();
                 let taken = Duration::from_millis(150) + self.load.piece_time * pieces;
-                let ends = now + u64::try_from(taken.as_millis()).unwrap();
+                let mut ends = now + u64::try_from(taken.as_millis()).unwrap();
+                if !self.connected.contains(&plan.server) {
+                    self.connected.push(plan.server.clone());
+                    ends += self.load.connect_ms;
+                }
                 self.calls.push(Call { pool, ends, plan });
             }
         }
@@ -299,8 +311,11 @@
             self.start_stage(now, number);
             return;
         }
-        forecast.learn_first_answer(pipeline, Duration::from_millis(FIRST_ANSWER_MS));
-        let elapsed = now + FIRST_ANSWER_MS - request.arrived;
+        let called = std::mem::replace(&mut self.called[request.host], true);
+        let connect_ms = if called { 0 } else { self.load.connect_ms };
+        let first_answer_ms = FIRST_ANSWER_MS + connect_ms;
+        forecast.learn_first_answer(pipeline, Duration::from_millis(first_answer_ms));
+        let elapsed = now + first_answer_ms - request.arrived;
         let in_time = elapsed <= kind.objective_ms;
         self.end_request(GroupTicket(number as u64), |ends| {
             ends.in_time += usize::from(in_time);
