Take no caller for a retry before a refused one could have come back

Cause: in the first seconds of a host, requests whose callers wait for less time than the longest one seen were taken for retries of refused requests and thus for late, until a fifth of the requests had a short time left: 4 of the first 20 with deadlines of 4 to 10 s and nobody refused.

Ruled out by replay: the initial estimates of calls, of the time for which results are needed, of later stages and the first answer, and of the share of late work. A calm start of 2.5 s with 3 and 6 servers a pool, calls of 14, 32 and 96 pieces and 100 ms for first connections has every request in time without this change.

Change: a short remaining time tells nothing until 0.22 of the longest wait has passed since the first request of the pipeline, unless this host refused one; the share of short times is the plain mean over the first 20 requests.

Tests: different_deadlines_in_the_first_seconds_are_not_taken_for_retries fails before (4 of 20); the replay of the calm start passes before and after and guards the initial estimates. cargo test -p hollywheel-serving passed.

--- a/crates/hollywheel-serving/src/retry_detector.rs
+++ b/crates/hollywheel-serving/src/retry_detector.rs
@@ -5,7 +5,8 @@
 use hollywheel_types::{MonoTime, PipelineId, SortedMap};
 
 /// A request whose remaining time is below this fraction of the longest one counts as a retry: first
-/// attempts have 0.85 to 1.0 of it, and a refused caller waits for a quarter of it or more.
+/// attempts have 0.85 to 1.0 of it. A caller that was refused for a backlog that outlasts its deadline
+/// waits until that has been executed, which is mostly a quarter of its time or more.
 const RETRY_FRACTION: f64 = 0.78;
 /// The length of a window. The longest remaining time is taken over the current and the previous
 /// window.
@@ -39,6 +40,10 @@
     refused_at: Option<MonoTime>,
     /// The mean share of requests with a short remaining time while no caller retries.
     short_share: f64,
+    /// The number of requests in that mean, up to those that its weight covers.
+    samples: u32,
+    /// The arrival of the first request.
+    first_at: Option<MonoTime>,
 }
 
 impl PipelineWaits {
@@ -50,6 +55,21 @@
         self.longest[0] = self.longest[0].max(wait);
     }
 
+    /// Adds a request to the mean share of short remaining times; the first ones have equal weight.
+    fn learn_short_share(&mut self, is_short: bool) {
+        let sample = if is_short { 1.0 } else { 0.0 };
+        let weight = SHORT_SHARE_WEIGHT.max(1.0 / f64::from(self.samples + 1));
+        self.samples = (self.samples + 1).min(u32::MAX - 1);
+        self.short_share += weight * (sample - self.short_share);
+    }
+
+    /// Returns whether a caller may have been refused and have waited since requests began to arrive.
+    /// Before that, a short remaining time is only a caller with a shorter deadline.
+    fn may_see_retries(&self, now: MonoTime, longest: Duration) -> bool {
+        let seen_for = self.first_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.refused_at.is_some() || seen_for >= longest.mul_f64(1.0 - RETRY_FRACTION)
+    }
+
     fn is_retry_period_over(&self, now: MonoTime) -> bool {
         self.refused_at
             .is_none_or(|at| now.since(at) > RETRY_PERIOD)
@@ -85,11 +105,13 @@
         waits.note_wait(now, wait);
         let longest = waits.longest[0].max(waits.longest[1]);
         let is_short = wait < longest.mul_f64(RETRY_FRACTION);
+        waits.first_at.get_or_insert(now);
         if waits.is_retry_period_over(now) {
-            let sample = if is_short { 1.0 } else { 0.0 };
-            waits.short_share += SHORT_SHARE_WEIGHT * (sample - waits.short_share);
+            waits.learn_short_share(is_short);
         }
-        if is_short && waits.short_share <= MAX_SHORT_SHARE {
+        let may_be_retry =
+            waits.short_share <= MAX_SHORT_SHARE && waits.may_see_retries(now, longest);
+        if is_short && may_be_retry {
             CallerAttempt::Retry
         } else {
             CallerAttempt::First
--- a/crates/hollywheel-serving/tests/chains.rs
+++ b/crates/hollywheel-serving/tests/chains.rs
@@ -67,3 +67,24 @@
         assert_eq!(chain.refused + chain.expired, 0, "{ends:?}");
     }
 }
+
+/// The first 2.5 s of new hosts and servers under a normal load, with 100 ms for each connection. Guards
+/// against initial estimates (of calls, of how long results are needed, of later stages, of the share
+/// of late work) by which requests of a calm start count as late or are refused.
+#[test]
+fn no_request_of_a_calm_start_is_late_or_refused() {
+    for (batch, piece_us, scale) in [(14, 8000, 0.95), (32, 4000, 2.1), (96, 1300, 6.2)] {
+        for servers in [3, 6] {
+            let load = Load {
+                servers,
+                end_ms: 2500,
+                connect_ms: 100,
+                ..contended(batch, piece_us, scale * servers as f64 / 4.0)
+            };
+            for ends in replay(&load, 7) {
+                assert!(ends.arrived > 0);
+                assert_eq!(ends.in_time, ends.arrived, "{servers} servers: {ends:?}");
+            }
+        }
+    }
+}
--- a/crates/hollywheel-serving/tests/retry_detector.rs
+++ b/crates/hollywheel-serving/tests/retry_detector.rs
@@ -47,6 +47,18 @@
     assert_eq!(attempt, CallerAttempt::First);
 }
 
+/// The callers of a pipeline wait for 4 to 10 s and nobody was refused. Guards against first attempts
+/// that are taken for retries, and so for late, in the first two seconds of a host.
+#[test]
+fn different_deadlines_in_the_first_seconds_are_not_taken_for_retries() {
+    let mut detector = RetryDetector::new();
+    let retries = (0..20u64).filter(|request| {
+        let wait = 10_000 - (request * 3_700) % 6_000;
+        note_wait(&mut detector, request * 110, wait) == CallerAttempt::Retry
+    });
+    assert_eq!(retries.count(), 0);
+}
+
 #[test]
 fn removed_pipelines_are_forgotten() {
     let mut detector = RetryDetector::new();
