Share a pool fairly between workspaces where equally ranked work can't all be in time

Cause: among equal ranks the largest group gives way and late work is served by arrival, whoever sent it.

Change: start-time fair queueing over workspaces by the pool time they take. Each order carries a digest of the workspace's name (PieceOrder.workspace, 0 from hosts of an earlier version). Among equal ranks the groups whose workspace would be ahead of an equal share by more than a call's time are deferred first, and wait behind others among deferred and late work. The order of timely work, and of all work where one workspace alone waits, is as before. What was used while nothing waited is not counted.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -54,6 +54,8 @@
     /// Latest finish time at which the request is expected to meet its deadline.
     pub(crate) expires: MonoTime,
     pub(crate) rank: RequestRank,
+    /// Digest of the name of the workspace; 0 if unknown.
+    pub(crate) workspace: u64,
     /// Whether the request holds results of earlier stages, which occupy memory of their servers
     /// while this group waits.
     pub(crate) holding: bool,
@@ -404,6 +406,7 @@
         due: group.due,
         expires: group.expires,
         rank: group.rank,
+        workspace: group.workspace,
         holding: group.holding,
         domain: group.domain.clone(),
         pull_bytes: group.pull_bytes,
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -185,6 +185,7 @@
             workspace: u8::try_from(order.workspace_rank).unwrap_or(u8::MAX),
             pipeline: u8::try_from(order.pipeline_rank).unwrap_or(u8::MAX),
         },
+        workspace: order.workspace,
         holding: order.holding,
         domain,
         pull_bytes: order.pull_bytes,
--- a/crates/hollywheel-gateway/src/stage_run.rs
+++ b/crates/hollywheel-gateway/src/stage_run.rs
@@ -41,6 +41,8 @@
     /// Time by which the answer must start.
     pub(crate) deadline: MonoTime,
     pub(crate) rank: RequestRank,
+    /// Digest of the name of the workspace; 0 if unknown.
+    pub(crate) workspace: u64,
     /// Failure domain of the model engine that the final call would go to now.
     pub(crate) domain: Option<DomainId>,
     pub(crate) tie_breaker: u64,
@@ -255,6 +257,7 @@
         due: plan.due,
         expires: plan.expires,
         rank: context.rank,
+        workspace: context.workspace,
         holding,
         domain: placement.domain,
         pull_bytes: placement.pull_bytes,
@@ -440,6 +443,7 @@
         expires_us: micros(group.expires.since(now)),
         workspace_rank: u32::from(group.rank.workspace),
         pipeline_rank: u32::from(group.rank.pipeline),
+        workspace: group.workspace,
         domain: group
             .domain
             .as_ref()
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -11,7 +11,7 @@
 
 use hollywheel_serving::{
     PieceHandle, PlacementQuery, PlacementVerdict, RequestKind, ServerRecord, StageGraph,
-    choose_engine, choose_least_loaded,
+    choose_engine, choose_least_loaded, workspace_digest,
 };
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
@@ -357,6 +357,7 @@
                 objective: self.context.objective,
                 deadline: self.context.start_deadline,
                 rank: self.context.rank,
+                workspace: workspace_digest(self.context.workspace.as_ref()),
                 domain,
                 tie_breaker: self.context.tie_breaker,
             };
--- a/crates/hollywheel-serving/src/batch/message.rs
+++ b/crates/hollywheel-serving/src/batch/message.rs
@@ -31,6 +31,9 @@
     pub expires: MonoTime,
     /// The priority rank of the request.
     pub rank: RequestRank,
+    /// The digest of the name of the request's workspace; 0 if unknown, which is not subject to fair
+    /// shares.
+    pub workspace: u64,
     /// Whether results of other stages of the request occupy server memory while the group waits.
     pub holding: bool,
     /// The failure domain with most of the bytes that the pieces read or that later stages read
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -6,6 +6,7 @@
 //! go into which call, and when.
 
 mod choose;
+mod fair_shares;
 mod message;
 mod queue;
 mod results;
@@ -228,6 +229,7 @@
             hold_time: self.hold_time,
             room_bytes: self.policy.pool.room_bytes.max(1),
             batch: self.policy.pool.batch,
+            call_time: self.policy.pool.call_time,
         }
     }
 
@@ -273,6 +275,8 @@
         }
         let fraction = late_fraction(&order, &pieces);
         self.learn_late_share(now, fraction);
+        let rate = self.rate(now);
+        self.queue.charge_call(&pieces, &self.times, &rate);
         Some(self.start_call(now, server, pieces))
     }
 
--- a/crates/hollywheel-serving/src/batch/queue.rs
+++ b/crates/hollywheel-serving/src/batch/queue.rs
@@ -5,6 +5,7 @@
 
 use hollywheel_types::{DomainId, MonoTime, SortedMap};
 
+use super::fair_shares::{FairShares, PlacedWork, WorkspaceDigest};
 use super::message::{GroupRequest, GroupTicket, WorkPiece};
 use crate::call_time::CallTimes;
 use crate::rank::RequestRank;
@@ -26,6 +27,8 @@
     pub(super) expires: MonoTime,
     arrived_at: MonoTime,
     rank: RequestRank,
+    /// See [`GroupRequest::workspace`].
+    pub(super) workspace: WorkspaceDigest,
     /// See [`GroupRequest::holding`].
     holds_results: bool,
     pub(super) domain: Option<DomainId>,
@@ -49,6 +52,7 @@
             expires: request.expires,
             arrived_at: now,
             rank: request.rank,
+            workspace: request.workspace,
             holds_results: request.holding,
             domain: request.domain,
             pull_bytes: request.pull_bytes,
@@ -72,6 +76,20 @@
         self.domain.as_ref().is_none_or(|wanted| wanted == domain)
     }
 
+    /// Returns the place of the group among late groups.
+    const fn late_place(&self) -> (u8, u8, bool, CallerAttempt) {
+        late_place(self.rank, self.holds_results)
+    }
+
+    /// Returns the time by which late groups in the same place are ordered: results that are held
+    /// expire, others are served by arrival.
+    const fn late_point(&self) -> MonoTime {
+        match self.holds_results {
+            true => self.due,
+            false => self.arrived_at,
+        }
+    }
+
     /// Returns whether a call of this duration that starts now would miss the latency objective.
     pub(super) fn is_late(&self, now: MonoTime, call_time: Duration) -> bool {
         now + call_time > self.due
@@ -120,6 +138,9 @@
     pub(super) room_bytes: u64,
     /// The number of pieces in a full call.
     pub(super) batch: usize,
+    /// The fixed time of a call. A workspace that is ahead of its fair share by less pool time than
+    /// this is not put back.
+    pub(super) call_time: Duration,
 }
 
 /// Holds the time for which work occupies a whole pool: its execution time and its result memory.
@@ -142,6 +163,11 @@
         self.memory_time = self.memory_time.saturating_sub(other.memory_time);
     }
 
+    /// Returns the execution time.
+    pub(super) const fn call_time(&self) -> Duration {
+        self.call_time
+    }
+
     /// Returns the time until the work is done, which the scarcer resource determines.
     pub(super) fn duration(&self) -> Duration {
         self.call_time.max(self.memory_time)
@@ -173,6 +199,11 @@
         call.saturating_sub(counted).max(own)
     }
 
+    /// Returns the pool time of one piece in a full call.
+    fn piece_share(&self, kind: &str, times: &CallTimes) -> Duration {
+        (self.fixed_time + times.piece(kind)).div_f64(self.servers.max(MIN_SERVERS))
+    }
+
     /// Returns the time for which the waiting pieces of a group occupy the pool.
     pub(super) fn work(&self, group: &QueuedGroup, times: &CallTimes) -> PoolOccupancy {
         let pieces = group.waiting() as f64 / self.servers.max(MIN_SERVERS);
@@ -210,7 +241,8 @@
 ///
 /// In a burst above the capacity of the pool, earliest-deadline-first order alone would make every
 /// group slightly late. Whenever a group would miss its goal, the lowest-ranked group before it is
-/// deferred, the largest first among equals (the Moore-Hodgson algorithm, by rank).
+/// deferred, the largest first among equals (the Moore-Hodgson algorithm, by rank). Among equal
+/// ranks, workspaces that are ahead of their fair share come first.
 ///
 /// A group that misses its goal, but could still meet its objective, gives way only to work of its
 /// rank or a more urgent one. Otherwise a request with several stages, whose goals are earlier than
@@ -218,11 +250,12 @@
 fn split_deferred<'a>(
     now: MonoTime,
     mut groups: Vec<&'a QueuedGroup>,
+    placed: &PlacedWork<'_>,
     times: &CallTimes,
     rate: &PoolRate,
 ) -> (Vec<&'a QueuedGroup>, Vec<&'a QueuedGroup>) {
     groups.sort_by_key(|group| (group.goal, group.ticket));
-    let mut deferred = find_deferred(now, &groups, &[], times, rate);
+    let mut deferred = find_deferred(now, &groups, &[], placed, times, rate);
     let is_listed =
         |list: &[GroupTicket], group: &QueuedGroup| list.binary_search(&group.ticket).is_ok();
     let timely = groups.iter().filter(|group| !is_listed(&deferred, group));
@@ -233,7 +266,7 @@
         let mut outranking: Vec<GroupTicket> = outranking.map(|group| group.ticket).collect();
         outranking.sort_unstable();
         if !outranking.is_empty() {
-            deferred = find_deferred(now, &groups, &outranking, times, rate);
+            deferred = find_deferred(now, &groups, &outranking, placed, times, rate);
         }
     }
     let is_deferred = |group: &&QueuedGroup| is_listed(&deferred, group);
@@ -247,9 +280,11 @@
     now: MonoTime,
     groups: &[&QueuedGroup],
     outranking: &[GroupTicket],
+    placed: &PlacedWork<'_>,
     times: &CallTimes,
     rate: &PoolRate,
 ) -> Vec<GroupTicket> {
+    let mut placed = placed.clone();
     let mut candidates = BinaryHeap::new();
     let mut deferred: Vec<GroupTicket> = Vec::new();
     let mut ahead = PoolOccupancy::default();
@@ -261,8 +296,10 @@
             Ok(_) => group.due,
             Err(_) => group.goal,
         };
+        let over_share = !placed.place(group.workspace, work.call_time()).is_zero();
         candidates.push((
             group.rank,
+            over_share,
             work.duration(),
             work,
             group.ticket,
@@ -273,7 +310,7 @@
         ahead.add(work);
         let shared_call = |pieces| rate.shared_call(group, times, waiting, pieces);
         while now + rate.wait + before.duration() + shared_call(ahead_pieces) > finish_by {
-            let Some((_, _, work, ticket, pieces)) = candidates.pop() else {
+            let Some((_, _, _, work, ticket, pieces)) = candidates.pop() else {
                 break;
             };
             ahead.subtract(work);
@@ -298,10 +335,14 @@
 pub(super) struct WorkQueue {
     groups: SortedMap<GroupTicket, QueuedGroup>,
     waiting: usize,
+    shares: FairShares,
 }
 
 impl WorkQueue {
     pub(super) fn push(&mut self, now: MonoTime, request: GroupRequest) {
+        if self.waiting == 0 {
+            self.shares.reset();
+        }
         self.waiting += request.pieces;
         let group = QueuedGroup::new(now, request);
         self.groups.insert(group.ticket, group);
@@ -335,9 +376,10 @@
                     || (group.rank == request.rank && group.due <= request.due))
         });
         let place = late_place(request.rank, request.holding);
-        let before = self.groups.values().filter(|group| {
-            late && group.due <= now && late_place(group.rank, group.holds_results) <= place
-        });
+        let before = self
+            .groups
+            .values()
+            .filter(|group| late && group.due <= now && group.late_place() <= place);
         (sum_work(timely, times, rate), sum_work(before, times, rate))
     }
 
@@ -364,7 +406,7 @@
     /// Groups that can meet their goals come first, the earliest goal first. They are followed by
     /// deferred groups, the most urgent rank first, and by late groups. Of these the most urgent
     /// priority comes first; within it, groups whose requests hold results in server memory, then
-    /// retries, then first attempts.
+    /// retries, then first attempts. Among equals, workspaces ahead of their fair share wait.
     pub(super) fn order(
         &self,
         now: MonoTime,
@@ -376,7 +418,15 @@
             let call_time = times.call([(group.kind.as_str(), group.waiting())]);
             group.is_late(now, call_time)
         });
-        let (timely, deferred) = split_deferred(now, timely, times, rate);
+        let active = self.active_workspaces().len();
+        let mut placed = PlacedWork::new(&self.shares, active, rate.call_time);
+        let (timely, deferred) = split_deferred(now, timely, &placed, times, rate);
+        let mut place = |group: &QueuedGroup| {
+            placed.place(group.workspace, rate.work(group, times).call_time())
+        };
+        for group in &timely {
+            place(group);
+        }
         let timely = timely.into_iter().map(|group| {
             let call_time = times.call([(group.kind.as_str(), group.waiting())]);
             OrderedGroup {
@@ -387,21 +437,30 @@
         });
         let mut deferred = deferred;
         deferred.sort_by_key(|group| (group.rank, group.due, group.ticket));
+        let mut deferred: Vec<(Duration, &QueuedGroup)> = deferred
+            .into_iter()
+            .map(|group| (place(group), group))
+            .collect();
+        deferred.sort_by_key(|(lead, group)| (group.rank, *lead, group.due, group.ticket));
         let deferred = deferred
             .into_iter()
-            .map(|group| (WorkClass::Deferred, group));
-        let mut late: Vec<(WorkClass, MonoTime, &QueuedGroup)> = late
+            .map(|(_, group)| (WorkClass::Deferred, group));
+        let mut late = late;
+        late.sort_by_key(|group| (group.late_place(), group.late_point(), group.ticket));
+        let mut late: Vec<(Duration, &QueuedGroup)> = late
             .into_iter()
-            .map(|group| match group.holds_results {
-                true => (WorkClass::LateHolding, group.due, group),
-                false => (WorkClass::Late, group.arrived_at, group),
-            })
+            .map(|group| (place(group), group))
             .collect();
-        late.sort_by_key(|(_, point, group)| {
-            let place = late_place(group.rank, group.holds_results);
-            (place, *point, group.ticket)
+        late.sort_by_key(|(lead, group)| {
+            let place = group.late_place();
+            (place, *lead, group.late_point(), group.ticket)
         });
-        let late = late.into_iter().map(|(class, _, group)| (class, group));
+        let late = late
+            .into_iter()
+            .map(|(_, group)| match group.holds_results {
+                true => (WorkClass::LateHolding, group),
+                false => (WorkClass::Late, group),
+            });
         let rest = deferred.chain(late).map(|(class, group)| OrderedGroup {
             group,
             class,
@@ -410,6 +469,32 @@
         timely.chain(rest).collect()
     }
 
+    /// Charges the pool time of a call to the workspaces of its pieces.
+    pub(super) fn charge_call(&mut self, pieces: &[WorkPiece], times: &CallTimes, rate: &PoolRate) {
+        let mut work: SortedMap<WorkspaceDigest, Duration> = SortedMap::new();
+        for piece in pieces {
+            if let Some(group) = self.groups.get(&piece.ticket) {
+                let time = rate.piece_share(&group.kind, times);
+                *work.get_or_insert_with(group.workspace, || Duration::ZERO) += time;
+            }
+        }
+        let work: Vec<(WorkspaceDigest, Duration)> = work
+            .iter()
+            .map(|(workspace, time)| (*workspace, *time))
+            .collect();
+        let active = self.active_workspaces().len();
+        self.shares.charge(&work, active);
+    }
+
+    /// Lists the workspaces that have waiting pieces.
+    fn active_workspaces(&self) -> Vec<WorkspaceDigest> {
+        let waiting = self.groups.values().filter(|group| group.waiting() > 0);
+        let mut active: Vec<WorkspaceDigest> = waiting.map(|group| group.workspace).collect();
+        active.sort_unstable();
+        active.dedup();
+        active
+    }
+
     /// Removes a piece from the queue for a call; returns its kind of work and its result size.
     pub(super) fn take_piece(&mut self, piece: WorkPiece) -> (String, u64) {
         let Some(group) = self.groups.get_mut(&piece.ticket) else {
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -54,7 +54,7 @@
 };
 pub use rank::RequestRank;
 pub use registry::{RowChange, ServerListing, ServerPhase, ServerRecord, ServerRegistry};
-pub use request_identity::RequestIdentity;
+pub use request_identity::{RequestIdentity, workspace_digest};
 pub use restart_backoff::RestartBackoff;
 pub use retry_detector::{CallerAttempt, RetryDetector};
 pub use server_limit::{
--- a/crates/hollywheel-serving/src/request_identity.rs
+++ b/crates/hollywheel-serving/src/request_identity.rs
@@ -1,5 +1,6 @@
 //! Recognition of a request that a caller sends again.
 
+use hollywheel_types::WorkspaceId;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Holds all that the repetitions of one request have in common. Their attempts have different ids.
@@ -32,6 +33,11 @@
     }
 }
 
+/// Returns a digest of the name of a workspace, for fair shares of pools; 0 for no workspace.
+pub fn workspace_digest(name: Option<&WorkspaceId>) -> u64 {
+    name.map_or(0, |name| digest_fields(&[name.as_str().as_bytes()]).max(1))
+}
+
 /// Returns a digest of fields, each with its length so that no two lists of fields look alike.
 pub(crate) fn digest_fields(fields: &[&[u8]]) -> u64 {
     let mut hasher = Xxh3::new();
--- a/crates/hollywheel-serving/tests/chains.rs
+++ b/crates/hollywheel-serving/tests/chains.rs
@@ -13,6 +13,7 @@
     let chain = Kind {
         name: "chain",
         priority: 0,
+        workspace: 0,
         stages: &[0, 1, 2],
         max_pieces: 5,
         objective_ms: 1400,
@@ -88,3 +89,41 @@
         }
     }
 }
+
+/// Six workspaces use a pool of which they take 0.7 together; one of them sends 7.5 times its usual load
+/// for 5 s. Guards against requests of the others, who all use less than their share, that get no
+/// answer.
+#[test]
+fn a_workspace_beyond_its_share_waits_for_the_others() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let ends = |workspace_of: fn(usize) -> u64, seed| {
+        let mut load = contended(32, 4000, 1.0);
+        let single = load.kinds[1];
+        let kind = |index: usize| Kind {
+            name: names[index],
+            workspace: workspace_of(index),
+            rates: (18.0, if index == 0 { 135.0 } else { 18.0 }),
+            ..single
+        };
+        load.kinds = (0..names.len()).map(kind).collect();
+        replay(&load, seed)
+    };
+    let (mut timely, mut unanswered) = ([0, 0], [0, 0]);
+    for seed in 1..=2 {
+        let known = ends(|index| index as u64 + 1, seed);
+        let unknown = ends(|_| 0, seed);
+        assert_eq!(
+            ends(|_| 9, seed),
+            unknown,
+            "one workspace is served as an unknown one"
+        );
+        for (index, ends) in [known, unknown].iter().enumerate() {
+            for others in &ends[1..] {
+                timely[index] += others.in_time;
+                unanswered[index] += others.refused + others.expired;
+            }
+        }
+    }
+    assert!(unanswered[0] <= 5 && unanswered[1] >= 100, "{unanswered:?}");
+    assert!(timely[0] > timely[1], "{timely:?}");
+}
--- a/crates/hollywheel-serving/tests/support/chains.rs
+++ b/crates/hollywheel-serving/tests/support/chains.rs
@@ -20,6 +20,8 @@
 pub struct Kind {
     pub name: &'static str,
     pub priority: u8,
+    /// See `GroupRequest::workspace`.
+    pub workspace: u64,
     /// The pools of the stages, in order.
     pub stages: &'static [usize],
     /// Requests have 1 to this number of pieces in each stage.
@@ -252,6 +254,7 @@
             due: plan.due,
             expires: plan.expires,
             rank: RequestRank::new(None, kind.priority),
+            workspace: kind.workspace,
             holding: request.stage > 0,
             domain: None,
             pull_bytes: 0,
--- a/crates/hollywheel-serving/tests/support/mod.rs
+++ b/crates/hollywheel-serving/tests/support/mod.rs
@@ -50,6 +50,7 @@
         due: at(due),
         expires: at(expires),
         rank: RequestRank::default(),
+        workspace: 0,
         holding: false,
         domain: None,
         pull_bytes: 0,
