Count refused and late groups of pieces, and their time by priority

Cause: nothing told an operator which priority waits in a pool of pieces and why groups get no results.

--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -23,6 +23,7 @@
 use crate::crash_evidence::{record_call_crash, record_pieces_made};
 use crate::host::Host;
 use crate::log::{log_line, millis};
+use crate::metrics::{RankLabel, RefusalLabels};
 use crate::stage_client::{FreeOutcome, free_at_servers, free_results, send_call, usable_server};
 
 /// Interval at which waiting groups are checked for expiry and for servers whose pause has ended.
@@ -90,6 +91,7 @@
 /// A group whose request waits for its outcome, with the results produced so far.
 struct PendingGroup {
     group: PieceGroup,
+    admitted_at: MonoTime,
     /// Results by position; `None` for a piece without one so far.
     handles: Vec<Option<PieceHandle>>,
     reply: oneshot::Sender<GroupOutcome>,
@@ -156,7 +158,7 @@
     }
 
     /// Records the outcome of pieces in their groups and ends the groups that are decided.
-    fn deliver(&mut self, now: MonoTime, deliveries: Vec<PieceDelivery>) {
+    fn deliver(&mut self, host: &Host, now: MonoTime, deliveries: Vec<PieceDelivery>) {
         for delivery in deliveries {
             let ticket = delivery.piece.ticket;
             let outcome = match delivery.result {
@@ -170,7 +172,7 @@
                 PieceResult::NoRoom | PieceResult::Failed => Some(GroupOutcome::Failed),
             };
             if let Some(outcome) = outcome {
-                self.end_group(now, ticket, outcome);
+                self.end_group(host, now, ticket, outcome);
             }
         }
     }
@@ -194,10 +196,17 @@
 
     /// Removes a group and sends its outcome to the waiting request. Releases the results if the
     /// group failed or nobody waits.
-    fn end_group(&mut self, now: MonoTime, ticket: GroupTicket, outcome: GroupOutcome) {
+    fn end_group(
+        &mut self,
+        host: &Host,
+        now: MonoTime,
+        ticket: GroupTicket,
+        outcome: GroupOutcome,
+    ) {
         let Some(pending) = self.groups.remove(&ticket) else {
             return;
         };
+        count_outcome(host, &pending, &outcome);
         self.batcher.withdraw(ticket);
         let made: Vec<PieceHandle> = pending.handles.into_iter().flatten().collect();
         let complete = matches!(outcome, GroupOutcome::Made(_));
@@ -327,7 +336,7 @@
         self.with_queue(host, key, |queue| {
             let now = host.now();
             let expired = queue.batcher.drop_expired(now);
-            queue.deliver(now, expired);
+            queue.deliver(host, now, expired);
             while let Some(plan) = queue.batcher.next_call(now) {
                 fail_point!("batch.planned");
                 let pieces = plan_pieces(now, queue, &plan);
@@ -382,7 +391,7 @@
             fail_point!("batch.finish");
             let now = host.now();
             let deliveries = queue.batcher.finish_call(now, call, outcome);
-            queue.deliver(now, deliveries);
+            queue.deliver(host, now, deliveries);
         });
         self.dispatch_calls(host, key);
     }
@@ -413,10 +422,21 @@
     };
     let verdict = queue.batcher.offer(host.now(), request);
     if let GroupVerdict::Refused { retry_after } = verdict {
+        let reason = match queue.batcher.has_servers(host.now()) {
+            true => "would-expire",
+            false => "no-server",
+        };
+        count_refusal(host, &group.pool, reason);
         log_refusal(host, &queue.batcher, &group, retry_after);
         return verdict;
     }
+    let now = host.now();
+    if group.due < now {
+        let label = host.metrics.label(group.pool.as_str());
+        host.metrics.late_groups.get_or_create(&label).inc();
+    }
     let pending = PendingGroup {
+        admitted_at: now,
         handles: vec![None; group.piece_count],
         group,
         reply,
@@ -425,6 +445,31 @@
     verdict
 }
 
+/// Counts a group that gets no results from its pool.
+fn count_refusal(host: &Host, pool: &PoolId, reason: &'static str) {
+    let labels = RefusalLabels {
+        name: host.metrics.label(pool.as_str()).name,
+        reason,
+    };
+    host.metrics.refused_groups.get_or_create(&labels).inc();
+}
+
+/// Counts the outcome of an admitted group.
+fn count_outcome(host: &Host, pending: &PendingGroup, outcome: &GroupOutcome) {
+    match outcome {
+        GroupOutcome::Made(_) => {
+            let label = RankLabel {
+                rank: u32::from(pending.group.rank.workspace),
+            };
+            let took = host.now().since(pending.admitted_at);
+            let seconds = host.metrics.group_seconds.get_or_create(&label);
+            seconds.observe(took.as_secs_f64());
+        }
+        GroupOutcome::Late { .. } => count_refusal(host, &pending.group.pool, "expired"),
+        GroupOutcome::Refused { .. } | GroupOutcome::InputGone | GroupOutcome::Failed => {}
+    }
+}
+
 fn log_refusal(host: &Host, batcher: &PoolBatcher, group: &PieceGroup, retry_after: Duration) {
     let now = host.now();
     log_line!(
--- a/crates/hollywheel-gateway/src/metrics.rs
+++ b/crates/hollywheel-gateway/src/metrics.rs
@@ -29,6 +29,19 @@
     pub(crate) task: &'static str,
 }
 
+/// Labels of the counter of groups of pieces without results.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RefusalLabels {
+    pub(crate) name: String,
+    pub(crate) reason: &'static str,
+}
+
+/// Label of a series per priority of workspaces.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RankLabel {
+    pub(crate) rank: u32,
+}
+
 /// Label of a series per pipeline or pool.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct NameLabel {
@@ -47,6 +60,9 @@
     pub(crate) budget_hosts: Gauge,
     pub(crate) calls: Family<NameLabel, Counter>,
     pub(crate) call_pieces: Family<NameLabel, Counter>,
+    pub(crate) refused_groups: Family<RefusalLabels, Counter>,
+    pub(crate) late_groups: Family<NameLabel, Counter>,
+    pub(crate) group_seconds: Family<RankLabel, Histogram>,
     pub(crate) limited_sends: Family<NameLabel, Counter>,
     pub(crate) limited_denials: Family<NameLabel, Counter>,
     pub(crate) limited_servers: Gauge,
@@ -82,6 +98,9 @@
             budget_hosts: Gauge::default(),
             calls: Family::default(),
             call_pieces: Family::default(),
+            refused_groups: Family::default(),
+            late_groups: Family::default(),
+            group_seconds: Family::new_with_constructor(latency_histogram),
             limited_sends: Family::default(),
             limited_denials: Family::default(),
             limited_servers: Gauge::default(),
@@ -150,6 +169,21 @@
             "Pieces in calls by pool",
             self.call_pieces.clone(),
         );
+        registry.register(
+            "hollywheel_refused_groups",
+            "Groups of pieces refused or dropped from the queue by pool and reason",
+            self.refused_groups.clone(),
+        );
+        registry.register(
+            "hollywheel_late_groups",
+            "Groups of pieces admitted after their latest finish for the objective, by pool",
+            self.late_groups.clone(),
+        );
+        registry.register(
+            "hollywheel_group_seconds",
+            "Time from the admission of a group of pieces to its results by priority of the workspace",
+            self.group_seconds.clone(),
+        );
         registry.register(
             "hollywheel_limited_sends",
             "Requests, stage calls and releases of results sent to servers with a limit, by pool",
--- a/crates/hollywheel-serving/src/batch/mod.rs
+++ b/crates/hollywheel-serving/src/batch/mod.rs
@@ -510,6 +510,11 @@
             .min()
     }
 
+    /// Returns whether the pool has a server that is present.
+    pub fn has_servers(&self, now: MonoTime) -> bool {
+        self.rate(now).has_servers()
+    }
+
     /// Returns the number of pieces that wait for a call.
     pub const fn waiting(&self) -> usize {
         self.queue.waiting()
