--- a/crates/hollywheel-gateway/src/batch_coordinator.rs
+++ b/crates/hollywheel-gateway/src/batch_coordinator.rs
@@ -24,6 +24,7 @@
 use crate::crash_evidence::{record_call_crash, record_pieces_made};
 use crate::host::Host;
 use crate::log::{log_line, millis};
+use crate::metrics::{RankLabel, RefusalLabels};
 use crate::stage_client::{FreeOutcome, free_at_servers, free_results, send_call, usable_server};
 
 /// Interval at which waiting groups are checked for expiry and for servers whose pause has ended.
@@ -55,6 +56,8 @@
     /// Latest finish time at which the request is expected to meet its deadline.
     pub(crate) expires: MonoTime,
     pub(crate) rank: RequestRank,
+    /// Digest of the name of the workspace; 0 if unknown.
+    pub(crate) workspace: u64,
     /// Whether the request holds results of earlier stages, which occupy memory of their servers
     /// while this group waits.
     pub(crate) holding: bool,
@@ -75,7 +78,11 @@
         retry_after: Duration,
     },
     /// The group expired before it finished.
-    Late,
+    Late {
+        /// Time after which the pool has executed what waits now; `None` if a host of an earlier
+        /// version coordinates it.
+        retry_after: Option<Duration>,
+    },
     /// An input of the group is no longer stored.
     InputGone,
     /// No server produced the results.
@@ -85,6 +92,7 @@
 /// A group whose request waits for its outcome, with the results produced so far.
 struct PendingGroup {
     group: PieceGroup,
+    admitted_at: MonoTime,
     /// Results by position; `None` for a piece without one so far.
     handles: Vec<Option<PieceHandle>>,
     reply: oneshot::Sender<GroupOutcome>,
@@ -151,19 +159,21 @@
     }
 
     /// Records the outcome of pieces in their groups and ends the groups that are decided.
-    fn deliver(&mut self, now: MonoTime, deliveries: Vec<PieceDelivery>) {
+    fn deliver(&mut self, host: &Host, now: MonoTime, deliveries: Vec<PieceDelivery>) {
         for delivery in deliveries {
             let ticket = delivery.piece.ticket;
             let outcome = match delivery.result {
                 PieceResult::Made(handle) => {
                     self.record_piece(now, ticket, delivery.piece.position, handle)
                 }
-                PieceResult::Late => Some(GroupOutcome::Late),
+                PieceResult::Late => Some(GroupOutcome::Late {
+                    retry_after: Some(self.batcher.retry_after(now, ticket)),
+                }),
                 PieceResult::InputGone => Some(GroupOutcome::InputGone),
                 PieceResult::NoRoom | PieceResult::Failed => Some(GroupOutcome::Failed),
             };
             if let Some(outcome) = outcome {
-                self.end_group(now, ticket, outcome);
+                self.end_group(host, now, ticket, outcome);
             }
         }
     }
@@ -187,10 +197,17 @@
 
     /// Removes a group and sends its outcome to the waiting request. Releases the results if the
     /// group failed or nobody waits.
-    fn end_group(&mut self, now: MonoTime, ticket: GroupTicket, outcome: GroupOutcome) {
+    fn end_group(
+        &mut self,
+        host: &Host,
+        now: MonoTime,
+        ticket: GroupTicket,
+        outcome: GroupOutcome,
+    ) {
         let Some(pending) = self.groups.remove(&ticket) else {
             return;
         };
+        count_outcome(host, &pending, &outcome);
         self.batcher.withdraw(ticket);
         let made: Vec<PieceHandle> = pending.handles.into_iter().flatten().collect();
         let complete = matches!(outcome, GroupOutcome::Made(_));
@@ -320,7 +337,7 @@
         self.with_queue(host, key, |queue| {
             let now = host.now();
             let expired = queue.batcher.drop_expired(now);
-            queue.deliver(now, expired);
+            queue.deliver(host, now, expired);
             while let Some(plan) = queue.batcher.next_call(now) {
                 fail_point!("batch.planned");
                 let pieces = plan_pieces(now, queue, &plan);
@@ -384,7 +401,7 @@
             let now = host.now();
             note_slowdown(host, queue, server);
             let deliveries = queue.batcher.finish_call(now, call, outcome);
-            queue.deliver(now, deliveries);
+            queue.deliver(host, now, deliveries);
         });
         self.dispatch_calls(host, key);
     }
@@ -408,16 +425,28 @@
         due: group.due,
         expires: group.expires,
         rank: group.rank,
+        workspace: group.workspace,
         holding: group.holding,
         domain: group.domain.clone(),
         pull_bytes: group.pull_bytes,
     };
     let verdict = queue.batcher.offer(host.now(), request);
     if let GroupVerdict::Refused { retry_after } = verdict {
+        let reason = match queue.batcher.has_servers(host.now()) {
+            true => "would-expire",
+            false => "no-server",
+        };
+        count_refusal(host, &group.pool, reason);
         log_refusal(host, &queue.batcher, &group, retry_after);
         return verdict;
     }
+    let now = host.now();
+    if group.due < now {
+        let label = host.metrics.label(group.pool.as_str());
+        host.metrics.late_groups.get_or_create(&label).inc();
+    }
     let pending = PendingGroup {
+        admitted_at: now,
         handles: vec![None; group.piece_count],
         group,
         reply,
@@ -426,6 +455,31 @@
     verdict
 }
 
+/// Counts a group that gets no results from its pool.
+fn count_refusal(host: &Host, pool: &PoolId, reason: &'static str) {
+    let labels = RefusalLabels {
+        name: host.metrics.label(pool.as_str()).name,
+        reason,
+    };
+    host.metrics.refused_groups.get_or_create(&labels).inc();
+}
+
+/// Counts the outcome of an admitted group.
+fn count_outcome(host: &Host, pending: &PendingGroup, outcome: &GroupOutcome) {
+    match outcome {
+        GroupOutcome::Made(_) => {
+            let label = RankLabel {
+                rank: u32::from(pending.group.rank.workspace),
+            };
+            let took = host.now().since(pending.admitted_at);
+            let seconds = host.metrics.group_seconds.get_or_create(&label);
+            seconds.observe(took.as_secs_f64());
+        }
+        GroupOutcome::Late { .. } => count_refusal(host, &pending.group.pool, "expired"),
+        GroupOutcome::Refused { .. } | GroupOutcome::InputGone | GroupOutcome::Failed => {}
+    }
+}
+
 fn log_refusal(host: &Host, batcher: &PoolBatcher, group: &PieceGroup, retry_after: Duration) {
     let now = host.now();
     log_line!(
--- a/crates/hollywheel-gateway/src/peer_server.rs
+++ b/crates/hollywheel-gateway/src/peer_server.rs
@@ -185,6 +185,7 @@
             workspace: u8::try_from(order.workspace_rank).unwrap_or(u8::MAX),
             pipeline: u8::try_from(order.pipeline_rank).unwrap_or(u8::MAX),
         },
+        workspace: order.workspace,
         holding: order.holding,
         domain,
         pull_bytes: order.pull_bytes,
@@ -205,7 +206,10 @@
             answer.retry_after_us = micros(retry_after);
             PieceEnd::Refused
         }
-        GroupOutcome::Late => PieceEnd::Late,
+        GroupOutcome::Late { retry_after } => {
+            answer.retry_after_us = retry_after.map(micros).unwrap_or_default();
+            PieceEnd::Late
+        }
         GroupOutcome::InputGone => PieceEnd::InputGone,
         GroupOutcome::Failed => PieceEnd::Failed,
     };
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -11,7 +11,7 @@
 
 use hollywheel_serving::{
     PieceHandle, PlacementQuery, PlacementVerdict, RequestKind, ServerRecord, StageGraph,
-    choose_engine, choose_least_loaded,
+    choose_engine, choose_least_loaded, workspace_digest,
 };
 use hollywheel_types::{DomainId, ExecutionVerdict, MonoTime, ServerId};
 
@@ -40,8 +40,8 @@
 pub(crate) const FULL_LOAD: f64 = 1.8;
 /// `Retry-After` of a request that no engine takes; some streams end within this time.
 const FULL_BACKOFF: Duration = Duration::from_millis(300);
-/// `Retry-After` of a request whose stages failed: its objective is missed anyway, and the burst
-/// or outage that delayed it lasts for seconds.
+/// `Retry-After` of a request whose stages failed, unless the pool's backlog is known: its objective
+/// is missed anyway, and the outage that delayed it lasts for seconds.
 const STAGE_BACKOFF: Duration = Duration::from_millis(2500);
 /// Time after which an engine has read its inputs: it fetches them when the request arrives, at
 /// megabytes per millisecond, and refuses before that. An engine that was too slow reports that
@@ -396,6 +396,7 @@
                 objective: self.context.objective,
                 deadline: self.context.start_deadline,
                 rank: self.context.rank,
+                workspace: workspace_digest(self.context.workspace.as_ref()),
                 domain,
                 tie_breaker: self.context.tie_breaker,
             };
@@ -428,7 +429,8 @@
         }
         let retry_after = match failure {
             StageFailure::Refused { retry_after } => retry_after,
-            StageFailure::Late | StageFailure::InputGone | StageFailure::Failed => STAGE_BACKOFF,
+            StageFailure::Late { retry_after } => retry_after.unwrap_or(STAGE_BACKOFF),
+            StageFailure::InputGone | StageFailure::Failed => STAGE_BACKOFF,
         };
         OpenFailure::Refused { retry_after }
     }
