Count the delay that prefilling a part again causes for other requests

Cause: a request left the engine that holds its part as soon as the estimated wait there was longer than the prefill of the part elsewhere, by 20 ms. Estimates of a host that sees one request in 66 are uncertain, so prompts were prefilled again 1.8 times as often as by hashing, and each prefill delays what runs on the engine.

Change: the tokens that an engine does not hold count twice for engines that are not holders of the part. What is part of each first event whatever its prompt is 300 ms instead of 100 ms, so that engines with own requests do not look slow beside engines of which nothing is known.

--- a/crates/hollywheel-serving/src/engine_choice/engine_load.rs
+++ b/crates/hollywheel-serving/src/engine_choice/engine_load.rs
@@ -18,7 +18,7 @@
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time in milliseconds that is part of each first event whatever its prompt: the network and the
 /// requests in execution. Without it, small prompts would make every engine look slow.
-const FIXED_MS: f64 = 100.0;
+const FIXED_MS: f64 = 300.0;
 /// Upper limit of the ratio of observed to expected first-event times.
 const MAX_SLOWNESS: f64 = 10.0;
 /// The fraction of the queued tokens that counts as still queued when the first event is overdue.
--- a/crates/hollywheel-serving/src/engine_choice/estimate.rs
+++ b/crates/hollywheel-serving/src/engine_choice/estimate.rs
@@ -235,6 +235,8 @@
         let state = engine_state(query, loads, server, load, has_room);
         let slowdown = loads.slowdown(now, server).max(engine.slowness(now));
         let is_far = query.domain.is_some_and(|domain| record.domain != *domain);
+        // Prefilling the part again delays the requests that run on the engine by the same time.
+        let copy_ms = f64::from(size.shared - held_tokens) / table.rate;
         let beyond = (usable + 1).saturating_sub(holders).min(MAX_ORDER);
         ranked.push(RankedEngine {
             server,
@@ -252,7 +254,7 @@
             order_ms: if beyond == 0 {
                 0.0
             } else {
-                COPY_MS + beyond as f64 * ORDER_MS
+                COPY_MS + beyond as f64 * ORDER_MS + copy_ms
             },
             is_displaced: is_holder && !is_assumed && held_tokens < size.shared,
             is_outdated: shared
