Name the classes of rejections by cold engines, the estimate and unknown evacuations

Cause: these reasons were added beside the classes, so such requests were counted as other rejections. Change: they count as full, invalid and host-unable.

--- a/crates/hollywheel-gateway/src/unanswered.rs
+++ b/crates/hollywheel-gateway/src/unanswered.rs
@@ -2,6 +2,7 @@
 
 use crate::containment::WorkPanicked;
 use crate::respond::{RequestEnd, RequestOutcome};
+use crate::stream_place::LATE_REASON;
 
 /// Reason of a request whose server gave no answer at all before the deadline.
 pub(crate) const SERVER_SILENT: &str = "the server gave no answer at all before the deadline";
@@ -15,7 +16,7 @@
     HostUnable,
     /// No server of the pool is known, or all of them asked for a pause.
     NoServer,
-    /// Every server is full or at the limit that it named.
+    /// Every server is full, cold or at the limit that it named, or begins too late.
     Full,
     /// A pool of stages cannot produce the results in time.
     StageAdmission,
@@ -70,12 +71,14 @@
             | "no pipeline matches the host name and path"
             | "the API key is missing or unknown"
             | "the body could not be read"
-            | "the request could not be encoded" => Self::Invalid,
+            | "the request could not be encoded"
+            | hollywheel_adapter::OVERSIZED_REASON => Self::Invalid,
             // The same limits hold for the bodies of requests and of answers.
             "the body exceeds the size limit" if end.outcome == RequestOutcome::Rejected => {
                 Self::Invalid
             }
             "no configuration has been read yet"
+            | "the evacuated failure domains are not known yet"
             | "the host stops before the request would end"
             | "the host stops"
             | "the memory for bodies is used up" => Self::HostUnable,
@@ -86,7 +89,9 @@
             "every server is full"
             | "every engine is full"
             | "every server is at its limit"
-            | "every engine is at its limit" => Self::Full,
+            | "every engine is at its limit"
+            | "every engine is cold"
+            | LATE_REASON => Self::Full,
             "pool cannot finish the stage in time" | "stage expired while queued" => {
                 Self::StageAdmission
             }
