review: case 7, a stream that ends inside its first event

Cause: OpenStream::read_events takes bytes after the last whole event for a break only if an event came before, the stream was resumed, or the answer ends with its connection. Whether the route streams is not looked at. Change: a script whose engines end one stream in 50 inside the first or the second event.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod early_end;
+mod half_event;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
     common::start_watchdog();
     let ended = match case.as_str() {
         "early-end" => early_end::run(&record),
+        "half-event" => half_event::run(&record),
         _ => Err(format!("no case {case}")),
     };
     match ended {
