--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod early_end;
 mod half_event;
+mod slow_reader;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
     };
     common::start_watchdog();
     let ended = match case.as_str() {
+        "slow-reader" => slow_reader::run(&record),
         "early-end" => early_end::run(&record),
         "half-event" => half_event::run(&record),
         _ => Err(format!("no case {case}")),
