review: case 9, a part that crashes engines after their first event is never refused

Cause: the first event withdraws the evidence against the parts of a request, and a break after it is no evidence. Change: a script with engines that crash 30 ms after the first event of an answer on one part.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod early_end;
 mod half_event;
+mod poison;
 mod slow_reader;
 
 use std::path::Path;
@@ -32,6 +33,7 @@
     };
     common::start_watchdog();
     let ended = match case.as_str() {
+        "poison" => poison::run(&record),
         "slow-reader" => slow_reader::run(&record),
         "early-end" => early_end::run(&record),
         "half-event" => half_event::run(&record),
