review: case 10, a store that moves is not found until the host restarts

Cause: the connections to the store keep the address that the settings had at the start. Change: a script in which the settings files tell another address and the earlier one goes away.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod half_event;
 mod poison;
 mod slow_reader;
+mod store_moves;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -35,6 +36,7 @@
     let ended = match case.as_str() {
         "poison" => poison::run(&record),
         "slow-reader" => slow_reader::run(&record),
+        "store-moves" => store_moves::run(&record),
         "early-end" => early_end::run(&record),
         "half-event" => half_event::run(&record),
         _ => Err(format!("no case {case}")),
