--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod early_end;
 mod half_event;
+mod limit;
 mod poison;
 mod slow_reader;
 mod store_moves;
@@ -35,6 +36,7 @@
     common::start_watchdog();
     let ended = match case.as_str() {
         "poison" => poison::run(&record),
+        "limit" => limit::run(&record),
         "slow-reader" => slow_reader::run(&record),
         "store-moves" => store_moves::run(&record),
         "early-end" => early_end::run(&record),
