--- a/crates/hollywheel-gateway/src/crash_evidence.rs
+++ b/crates/hollywheel-gateway/src/crash_evidence.rs
@@ -67,22 +67,43 @@
     causes
 }
 
-fn server_start(server: &ServerId, record: &ServerRecord) -> ServerStart {
+/// Returns the start of a server that its entry describes.
+pub(crate) fn server_start(server: &ServerId, record: &ServerRecord) -> ServerStart {
     ServerStart {
         server: server.clone(),
         born: record.born,
     }
 }
 
-/// Records that a server ended under a request before it was answered.
+/// Returns the causes that a request holds if it crashes a server that answers it.
+fn own_causes(context: &RequestContext) -> impl Iterator<Item = CrashCause> {
+    part_causes(context).chain([CrashCause::Request(context.identity())])
+}
+
+/// Records that a server ended under a request after it had written its answer for a time.
 pub(crate) fn record_crash(
     host: &Host,
     context: &RequestContext,
-    server: &ServerId,
-    record: &ServerRecord,
+    start: &ServerStart,
+    written: Duration,
 ) {
-    let causes = part_causes(context).chain([CrashCause::Request(context.identity())]);
-    note_crash(host, server, record, causes);
+    // A server that has announced that it leaves may end under what it has not finished.
+    let has_left = host
+        .registry
+        .borrow()
+        .usable(host.now(), &start.server)
+        .is_none();
+    if !has_left {
+        note_crash(host, start, written, own_causes(context));
+    }
+}
+
+/// Records that a server accepts no connection.
+pub(crate) fn record_gone(host: &Host, start: &ServerStart) {
+    let now = host.now();
+    update(host, "request", |host| {
+        host.crashes.borrow_mut().note_gone(now, start)
+    });
 }
 
 /// Records that the work on a request panicked. The request would meet the same fault on every host,
@@ -98,7 +119,7 @@
         born: Some(host.incarnation.wrapping_add(number)),
     };
     let causes = [CrashCause::Request(context.identity())];
-    note_start_crash(host, &start, causes);
+    note_crash(host, &start, Duration::ZERO, causes);
 }
 
 /// Records that a server ended under a call for pieces, given as stages with the keys of their
@@ -111,38 +132,65 @@
 ) {
     let causes = pieces.into_iter();
     let causes = causes.map(|(stage, key)| CrashCause::of_pieces(stage, key));
-    note_crash(host, server, record, causes);
+    note_crash(host, &server_start(server, record), Duration::ZERO, causes);
 }
 
 fn note_crash(
-    host: &Host,
-    server: &ServerId,
-    record: &ServerRecord,
-    causes: impl IntoIterator<Item = CrashCause>,
-) {
-    note_start_crash(host, &server_start(server, record), causes);
-}
-
-fn note_start_crash(
     host: &Host,
     start: &ServerStart,
+    written: Duration,
     causes: impl IntoIterator<Item = CrashCause>,
 ) {
     let now = host.now();
     update(host, "request", |host| {
-        host.crashes.borrow_mut().note_crash(now, start, causes)
+        let mut crashes = host.crashes.borrow_mut();
+        crashes.note_crash(now, start, written, causes)
     });
 }
 
-/// Records that a request has begun to be answered.
-pub(crate) fn record_begun(host: &Host, context: &RequestContext) {
+/// Records that a server has been writing the answer to a request for [`PROMPT_CRASH_TIME`].
+pub(crate) fn record_outlasted(host: &Host, context: &RequestContext) {
     let causes = known_causes(host, context);
     let now = host.now();
     update(host, "request", |host| {
-        host.crashes.borrow_mut().note_begun(now, causes)
+        host.crashes.borrow_mut().note_outlasted(now, causes)
     });
 }
 
+/// Describes how the answer to a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerEnding {
+    /// The server marked the end of an answer that it wrote: the request does not crash it.
+    Complete,
+    /// The connection ended, which marks the end of an answer without framing and may have been a crash.
+    ConnectionEnd,
+    /// The server marked the end of an answer to which it had nothing to add.
+    Unwritten,
+}
+
+/// Records that a request was answered by a server.
+pub(crate) fn record_answered(
+    host: &Host,
+    context: &RequestContext,
+    start: &ServerStart,
+    ending: AnswerEnding,
+) {
+    let now = host.now();
+    match ending {
+        AnswerEnding::Complete => {
+            let causes = known_causes(host, context);
+            update(host, "request", |host| {
+                host.crashes.borrow_mut().note_answered(now, causes)
+            });
+        }
+        AnswerEnding::ConnectionEnd => {
+            let mut crashes = host.crashes.borrow_mut();
+            crashes.note_end(now, start, own_causes(context));
+        }
+        AnswerEnding::Unwritten => {}
+    }
+}
+
 /// Records that the pieces of a call were produced, given as stages with the keys of their requests.
 pub(crate) fn record_pieces_made<'a>(
     host: &Host,
@@ -155,20 +203,22 @@
     let causes = causes.map(|(stage, key)| CrashCause::of_pieces(stage, key));
     let now = host.now();
     update(host, "answer", |host| {
-        host.crashes.borrow_mut().note_begun(now, causes)
+        host.crashes.borrow_mut().note_answered(now, causes)
     });
 }
 
-/// Records that a server answered a request that was sent to it at a time.
-pub(crate) fn record_answer(
+/// Records that a server has begun to answer a request that was sent to it at a time.
+pub(crate) fn record_server_alive(
     host: &Host,
     server: &ServerId,
     record: &ServerRecord,
     sent_at: MonoTime,
 ) {
     let start = server_start(server, record);
+    let now = host.now();
     update(host, "answer", |host| {
-        host.crashes.borrow_mut().note_answer(&start, sent_at)
+        let mut crashes = host.crashes.borrow_mut();
+        crashes.note_server_alive(now, &start, sent_at)
     });
 }
 
@@ -256,6 +306,7 @@
         born: evidence.server.born,
         age_us: micros(now.since(evidence.at)),
         withdrawn: evidence.withdrawn,
+        weak: evidence.weak,
     }
 }
 
@@ -272,6 +323,7 @@
             born: entry.born,
         },
         at: now - Duration::from_micros(entry.age_us),
+        weak: entry.weak,
         withdrawn: entry.withdrawn,
     })
 }
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -14,7 +14,9 @@
 
 use crate::body::AnswerBody;
 use crate::containment::{TaskKind, WorkPanicked};
-use crate::crash_evidence::{blocked_wait, record_begun, record_crash, record_panic};
+use crate::crash_evidence::{
+    AnswerEnding, blocked_wait, record_answered, record_crash, record_panic, server_start,
+};
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::request::{RequestContext, RequestGuard};
@@ -138,7 +140,6 @@
             Ok(status) => {
                 state.received_attempts += 1;
                 fail_point!("plain.answered");
-                record_begun(host, context);
                 let failed = status.is_server_error();
                 let now = host.now();
                 let elapsed = now.since(sent_at);
@@ -153,7 +154,8 @@
             Err(failure) => {
                 record_attempt_failure(host, context, &server, state.tries, &failure, sent_at);
                 if failure.lost_server {
-                    record_crash(host, context, &server, &record);
+                    let start = server_start(&server, &record);
+                    record_crash(host, context, &start, Duration::ZERO);
                 }
                 state.received_attempts += u32::from(failure.received);
                 state.reason = failure.reason;
@@ -346,6 +348,12 @@
         headers: hollywheel_adapter::caller_response_headers(&answer.headers),
         body,
     }));
+    let ending = if answer.has_marked_end() {
+        AnswerEnding::Complete
+    } else {
+        AnswerEnding::ConnectionEnd
+    };
+    record_answered(host, context, &answer.start, ending);
     answer.complete(host);
     Ok(status)
 }
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -4,15 +4,15 @@
 
 use bytes::Bytes;
 use fail::fail_point;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 
 use hollywheel_adapter::{ResponseHead, ServerRequest};
-use hollywheel_serving::ServerRecord;
+use hollywheel_serving::{ServerRecord, ServerStart};
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::connection_pool::{ActiveConnection, CONNECT_TIMEOUT, SendFailure};
-use crate::crash_evidence::{record_answer, shared_parts};
+use crate::crash_evidence::{record_gone, record_server_alive, server_start, shared_parts};
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_within};
 use crate::log::{log_line, millis};
@@ -42,8 +42,7 @@
     pub(crate) verdict: ExecutionVerdict,
     /// Whether the request may have reached a server.
     pub(crate) received: bool,
-    /// Whether the server ended the connection before its answer began, as a server does that
-    /// crashes.
+    /// Whether the connection ended before the answer did, as it does if the server crashes.
     pub(crate) lost_server: bool,
     /// Description of the failure for the log.
     pub(crate) reason: &'static str,
@@ -78,6 +77,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: MeteredBody,
     pub(crate) server: ServerId,
+    /// The start of the server that answers.
+    pub(crate) start: ServerStart,
     pub(crate) sent_at: MonoTime,
     facts: ResponseHead,
     connection: ActiveConnection,
@@ -85,6 +86,14 @@
 }
 
 impl OpenAnswer {
+    /// Returns whether a length or the last chunk marks the end of the answer; otherwise that of the
+    /// connection does.
+    pub(crate) fn has_marked_end(&self) -> bool {
+        let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let mut names = length_headers.iter();
+        names.any(|name| self.headers.contains_key(name))
+    }
+
     /// Returns the connection to the pool after the body was read completely.
     pub(crate) fn complete(self, host: &HostState) {
         host.connections
@@ -127,7 +136,11 @@
     let sent = host
         .connections
         .send(server, record.address, request, limit);
-    let (answer, connection) = sent.await.map_err(|failure| match failure {
+    let sent = sent.await;
+    if let Err(SendFailure::NotSent) = sent {
+        record_gone(host, &server_start(server, record));
+    }
+    let (answer, connection) = sent.map_err(|failure| match failure {
         SendFailure::Unwritten if !host.avoids_lost_servers() => lost_connection(),
         // Without a byte of it no server can have run the request.
         SendFailure::NotSent | SendFailure::Unwritten => AttemptFailure {
@@ -171,7 +184,7 @@
         return Err(may_have_run("the server's status contradicts its headers"));
     }
     if answer.status().is_success() {
-        record_answer(host, server, record, sent_at);
+        record_server_alive(host, server, record, sent_at);
     }
     let (parts, body) = answer.into_parts();
     Ok(OpenAnswer {
@@ -179,6 +192,7 @@
         headers: parts.headers,
         body,
         server: server.clone(),
+        start: server_start(server, record),
         sent_at,
         facts,
         connection,
@@ -328,9 +342,7 @@
     *request.headers_mut() = hollywheel_adapter::server_request_headers(&context.headers, &call);
     if has_body {
         let length = http::HeaderValue::from(context.body.len());
-        request
-            .headers_mut()
-            .insert(http::header::CONTENT_LENGTH, length);
+        request.headers_mut().insert(header::CONTENT_LENGTH, length);
     }
     Some(request)
 }
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -13,7 +13,7 @@
 
 use crate::connection_pool::SendFailure;
 use crate::containment::TaskKind;
-use crate::crash_evidence::record_answer;
+use crate::crash_evidence::record_server_alive;
 use crate::host::Host;
 use crate::limited_body::{BodyFailure, PIECES_LIMIT, SMALL_LIMIT, collect_within};
 use crate::log::log_line;
@@ -101,7 +101,7 @@
             return CallOutcome::Failed;
         }
     };
-    record_answer(host, server, &record, sent_at);
+    record_server_alive(host, server, &record, sent_at);
     let results = match hollywheel_adapter::decode_stage_results(&body) {
         Ok(results) if results.len() == pieces.len() => results,
         Ok(_) | Err(_) => return CallOutcome::Failed,
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -18,7 +18,7 @@
 use crate::body::AnswerBody;
 use crate::cold_servers::place_by_share;
 use crate::containment::{TaskKind, WorkPanicked};
-use crate::crash_evidence::{blocked_wait, record_begun, record_crash, record_panic};
+use crate::crash_evidence::{blocked_wait, record_crash, record_panic, server_start};
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::log_line;
@@ -244,13 +244,13 @@
             fail_point!("stream.sending");
             let attempted = self.attempt_and_free(&server, &record).await;
             let failure = match attempted {
-                Ok(open) if open.answer.status.is_success() => {
+                Ok(mut open) if open.answer.status.is_success() => {
                     fail_point!("stream.begun");
+                    open.begun_at = self.host.now();
                     self.record_first_event(sent_at);
                     if let Some(placed) = &open.placed {
                         placed.note_begun();
                     }
-                    record_begun(&self.host, &self.context);
                     return Ok(open);
                 }
                 Ok(open) => return Err(self.read_whole(open.answer).await),
@@ -267,7 +267,8 @@
                 sent_at,
             );
             if failure.lost_server {
-                record_crash(&self.host, &self.context, &server, &record);
+                let start = server_start(&server, &record);
+                record_crash(&self.host, &self.context, &start, Duration::ZERO);
                 self.host.note_engine_lost(&self.context.pool, &server);
             }
             self.received_attempts += u32::from(failure.received);
@@ -611,10 +612,11 @@
             open.chunk = open.read_events().await.map_err(|failure| AttemptFailure {
                 verdict: ExecutionVerdict::MayHaveRun,
                 received: true,
-                lost_server: failure == StreamFailure::Broken,
+                lost_server: failure.is_lost_server(),
                 reason: match failure {
                     StreamFailure::Broken => "the stream ended before its first event",
-                    StreamFailure::Incomplete
+                    StreamFailure::Unreachable
+                    | StreamFailure::Incomplete
                     | StreamFailure::Overlong
                     | StreamFailure::NoMemory => failure.name(),
                 },
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -12,11 +12,13 @@
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
-use hollywheel_serving::EventSplitter;
+use hollywheel_serving::{EventSplitter, PROMPT_CRASH_TIME};
 use hollywheel_types::{ExecutionVerdict, MonoTime};
 
 use crate::containment::{TaskKind, WorkPanicked};
-use crate::crash_evidence::record_panic;
+use crate::crash_evidence::{
+    AnswerEnding, record_answered, record_crash, record_outlasted, record_panic,
+};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::{log_line, millis};
 use crate::memory_budget::{MemoryBudget, MemoryShare};
@@ -33,9 +35,6 @@
 /// Shortest silence after which another engine is asked, however small that objective.
 const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
-const EXPIRED: &str = "the stream reached its deadline";
-const SILENT: &str = "the stream was silent and another engine has continued it";
-
 /// A stream that an engine is sending.
 pub(crate) struct OpenStream {
     pub(crate) answer: OpenAnswer,
@@ -53,17 +52,11 @@
     ended: bool,
     /// Whether the answer has contained a complete event.
     has_event: bool,
-    framing: AnswerFraming,
     content: AnswerContent,
-}
-
-/// What marks the end of an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum AnswerFraming {
-    /// A length or the last chunk, which only a running server sends.
-    Marked,
-    /// The end of the connection, which a crash of the server causes as well.
-    ConnectionEnd,
+    /// When the first event had arrived.
+    pub(crate) begun_at: MonoTime,
+    /// Whether the engine has been writing for longer than a prompt crash takes.
+    outlasted: bool,
 }
 
 /// What an answer with a success status holds.
@@ -100,8 +93,10 @@
 /// Reason why the next event of a stream cannot be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StreamFailure {
-    /// The connection ended or failed before the end of the stream.
+    /// The connection ended or was reset before the end of the stream.
     Broken,
+    /// The engine could no longer be reached.
+    Unreachable,
     /// The server ended the stream in order, within an event or without one.
     Incomplete,
     /// An event exceeds the maximum event size.
@@ -111,9 +106,30 @@
 }
 
 impl StreamFailure {
+    /// Returns the failure that an error of the connection stands for.
+    fn of(error: &hyper::Error) -> Self {
+        let cause = error
+            .source()
+            .and_then(|cause| cause.downcast_ref::<io::Error>());
+        match cause.map(io::Error::kind) {
+            Some(
+                io::ErrorKind::TimedOut
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable,
+            ) => Self::Unreachable,
+            _ => Self::Broken,
+        }
+    }
+
+    /// Returns whether the engine is gone, and may be for whatever reason.
+    pub(crate) const fn is_lost_server(self) -> bool {
+        matches!(self, Self::Broken | Self::Unreachable)
+    }
+
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Broken => "the stream ended early",
+            Self::Unreachable => "the engine could not be reached any more",
             Self::Incomplete => "the stream ended within an event",
             Self::Overlong => "an event of the stream exceeds the size limit",
             Self::NoMemory => "the memory for bodies is used up",
@@ -128,16 +144,7 @@
         after: Option<u64>,
         share: MemoryShare,
     ) -> Self {
-        let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        let has_mark = length_headers
-            .iter()
-            .any(|name| answer.headers.contains_key(name));
         Self {
-            framing: if has_mark {
-                AnswerFraming::Marked
-            } else {
-                AnswerFraming::ConnectionEnd
-            },
             content: AnswerContent::of(&answer, method),
             answer,
             cutter: EventSplitter::new(),
@@ -148,6 +155,8 @@
             chunk: None,
             ended: false,
             has_event: false,
+            begun_at: MonoTime::default(),
+            outlasted: false,
         }
     }
 
@@ -159,10 +168,22 @@
     pub(crate) async fn read_whole(&mut self, memory: &MemoryBudget) -> Result<(), BodyFailure> {
         let body = collect_within(&mut self.answer.body, ANSWER_LIMIT, memory).await?;
         self.chunk = (!body.is_empty()).then_some(body);
+        self.content = AnswerContent::Other;
         self.ended = true;
         Ok(())
     }
 
+    /// Returns what the end of the answer says about the engine.
+    fn ending(&self) -> AnswerEnding {
+        if !self.answer.has_marked_end() {
+            return AnswerEnding::ConnectionEnd;
+        }
+        match self.content {
+            AnswerContent::Events if !self.has_event => AnswerEnding::Unwritten,
+            AnswerContent::Events | AnswerContent::Other => AnswerEnding::Complete,
+        }
+    }
+
     /// Reads until at least one new event is complete; `None` if the stream has ended.
     ///
     /// Bytes after the last complete event mean that the stream was cut within an event, however its
@@ -181,7 +202,7 @@
                 return Ok((!rest.is_empty()).then_some(rest));
             };
             fail_point!("stream.frame");
-            let frame = frame.map_err(|_| StreamFailure::Broken)?;
+            let frame = frame.map_err(|error| StreamFailure::of(&error))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -208,10 +229,10 @@
     /// # Errors
     ///
     /// Returns [`StreamFailure`] if the stream was cut off.
-    const fn check_end(&self, rest: &Bytes) -> Result<(), StreamFailure> {
+    fn check_end(&self, rest: &Bytes) -> Result<(), StreamFailure> {
         let continues = self.after.is_some();
-        let is_marked = matches!(self.framing, AnswerFraming::Marked);
-        let is_other = matches!(self.content, AnswerContent::Other);
+        let is_marked = self.answer.has_marked_end();
+        let is_other = self.content == AnswerContent::Other;
         if is_other && is_marked && !self.has_event && !continues {
             return Ok(());
         }
@@ -240,12 +261,33 @@
     asked_other: bool,
 }
 
+/// Reason why a stream that has begun is not read on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamEnd {
+    Failed(StreamFailure),
+    Expired,
+    /// Another engine has continued the stream.
+    Replaced,
+    Panicked,
+}
+
+impl StreamEnd {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Failed(failure) => failure.name(),
+            Self::Expired => "the stream reached its deadline",
+            Self::Replaced => "the stream was silent and another engine has continued it",
+            Self::Panicked => WorkPanicked::REASON,
+        }
+    }
+}
+
 /// Result of waiting for the next event of a silent stream and for another engine that continues it.
 enum SilenceEnd {
     /// The stream goes on with these events, or has ended.
     Events(Option<Bytes>),
-    /// Another engine has sent the next event.
-    Continued(Box<OpenStream>),
+    /// Another engine has sent the next event; the silent stream may have broken meanwhile.
+    Continued(Box<OpenStream>, Option<StreamFailure>),
     /// The stream broke, and no other engine continues it.
     Failed(StreamFailure),
 }
@@ -299,17 +341,17 @@
                 return None;
             }
             let read = panics.contain(TaskKind::Stream, attempt_id, self.read_next());
-            match read.await {
+            let end = match read.await {
                 Ok(Ok(())) => continue,
-                Ok(Err(reason)) => self.job.reason = reason,
+                Ok(Err(end)) => end,
                 Err(WorkPanicked) => {
                     record_panic(&self.job.host, &context);
                     // The engine is not at fault; the stream may go on there.
                     self.stream = None;
-                    self.job.reason = WorkPanicked::REASON;
+                    StreamEnd::Panicked
                 }
-            }
-            if let Err(error) = self.continue_stream().await {
+            };
+            if let Err(error) = self.continue_stream(end).await {
                 return Some(Err(error));
             }
         }
@@ -321,19 +363,19 @@
     /// # Errors
     ///
     /// Returns the reason if the stream broke or reached its deadline.
-    async fn read_next(&mut self) -> Result<(), &'static str> {
+    async fn read_next(&mut self) -> Result<(), StreamEnd> {
         let time_left = self.time_left();
         // `timeout` polls the read first, so a stream that always has data would never time out.
         if time_left.is_zero() {
-            return Err(EXPIRED);
+            return Err(StreamEnd::Expired);
         }
         let silence = self.silence_before_asking();
         let wait = silence.map_or(time_left, |silence| silence.min(time_left));
         let Some(stream) = self.stream.as_mut() else {
-            return Err(EXPIRED);
+            return Err(StreamEnd::Expired);
         };
         if let Ok(read) = timeout(wait, stream.read_events()).await {
-            let chunk = read.map_err(StreamFailure::name)?;
+            let chunk = read.map_err(StreamEnd::Failed)?;
             self.store_events(chunk);
             return Ok(());
         }
@@ -347,10 +389,17 @@
     }
 
     fn store_events(&mut self, chunk: Option<Bytes>) {
+        let (host, context) = (&self.job.host, &self.job.context);
+        let now = host.now();
         if let Some(stream) = self.stream.as_mut() {
+            let has_written = chunk.is_some();
             stream.chunk = chunk;
+            if has_written && !stream.outlasted && now.since(stream.begun_at) >= PROMPT_CRASH_TIME {
+                stream.outlasted = true;
+                record_outlasted(host, context);
+            }
         }
-        self.last_event_at = self.job.host.now();
+        self.last_event_at = now;
         self.asked_other = false;
     }
 
@@ -391,11 +440,11 @@
     /// # Errors
     ///
     /// Returns the reason if both streams failed or the deadline passed.
-    async fn race_other(&mut self) -> Result<(), &'static str> {
+    async fn race_other(&mut self) -> Result<(), StreamEnd> {
         let time_left = self.time_left();
         let waited = self.job.host.now().since(self.last_event_at);
         let Some(stream) = self.stream.as_mut() else {
-            return Err(EXPIRED);
+            return Err(StreamEnd::Expired);
         };
         let job = &mut self.job;
         let silent = stream.answer.server.clone();
@@ -421,7 +470,7 @@
                         Err(broken) => failure = Some(broken),
                     },
                     opened = opening.as_mut(), if !is_refused => match opened {
-                        Ok(other) => return SilenceEnd::Continued(Box::new(other)),
+                        Ok(other) => return SilenceEnd::Continued(Box::new(other), failure),
                         Err(_) => is_refused = true,
                     },
                 }
@@ -432,9 +481,8 @@
         };
         let ended = timeout(time_left, race).await;
         match ended {
-            Ok(SilenceEnd::Continued(other)) => {
-                self.job.reason = SILENT;
-                self.drop_stream();
+            Ok(SilenceEnd::Continued(other, failure)) => {
+                self.drop_stream(failure.map_or(StreamEnd::Replaced, StreamEnd::Failed));
                 self.job.reason = "";
                 self.stream = Some(*other);
                 self.last_event_at = self.job.host.now();
@@ -448,11 +496,11 @@
             }
             Ok(SilenceEnd::Failed(failure)) => {
                 self.job.cancel_other_attempt(chosen);
-                Err(failure.name())
+                Err(StreamEnd::Failed(failure))
             }
             Err(_) => {
                 self.job.cancel_other_attempt(chosen);
-                Err(EXPIRED)
+                Err(StreamEnd::Expired)
             }
         }
     }
@@ -465,15 +513,16 @@
     }
 
     /// Closes the stream of an engine that broke it off or was silent, and records the failure.
-    fn drop_stream(&mut self) {
+    fn drop_stream(&mut self, end: StreamEnd) {
+        let job = &mut self.job;
+        job.reason = end.name();
         let Some(broken) = self.stream.take() else {
             return;
         };
-        let job = &mut self.job;
         let failure = AttemptFailure {
             verdict: ExecutionVerdict::MayHaveRun,
             received: true,
-            lost_server: job.reason == StreamFailure::Broken.name(),
+            lost_server: matches!(end, StreamEnd::Failed(failure) if failure.is_lost_server()),
             reason: job.reason,
         };
         let server = broken.answer.server.clone();
@@ -486,6 +535,13 @@
             &failure,
             sent_at,
         );
+        if failure.lost_server {
+            job.host.note_engine_lost(&job.context.pool, &server);
+        }
+        if end == StreamEnd::Failed(StreamFailure::Broken) {
+            let written = job.host.now().since(broken.begun_at);
+            record_crash(&job.host, &job.context, &broken.answer.start, written);
+        }
         job.exclude(server);
     }
 
@@ -494,8 +550,8 @@
     /// # Errors
     ///
     /// Returns an error if the stream cannot be resumed; the answer is then incomplete.
-    async fn continue_stream(&mut self) -> io::Result<()> {
-        self.drop_stream();
+    async fn continue_stream(&mut self, end: StreamEnd) -> io::Result<()> {
+        self.drop_stream(end);
         let time_left = self.time_left();
         let job = &mut self.job;
         let resumes = job.last_event.is_some() && !time_left.is_zero() && job.may_retry();
@@ -530,6 +586,7 @@
             let taken = now.since(context.arrived);
             let name = &context.pipeline.name;
             host.forecast.borrow_mut().learn_whole(name, taken);
+            record_answered(host, context, &stream.answer.start, stream.ending());
             stream.answer.complete(host);
         }
         self.job.end(RequestOutcome::Answered, StatusCode::OK);
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -99,7 +99,7 @@
 }
 
 /// Reads one request; none if the connection ends or the request is malformed.
-async fn read_request(stream: &mut TcpStream, index: usize) -> Option<RawRequest> {
+pub async fn read_request(stream: &mut TcpStream, index: usize) -> Option<RawRequest> {
     let mut bytes = Vec::new();
     let end = loop {
         let mut byte = [0; 1];
--- a/crates/hollywheel-serving/src/crash_table.rs
+++ b/crates/hollywheel-serving/src/crash_table.rs
@@ -3,8 +3,13 @@
 //! A request that ends with its server is evidence against all that it may have in common with later
 //! requests: each prompt part that others may share, its pieces, and the request as a whole. The
 //! evidence is shared by all hosts, since such requests come to any host. It is withdrawn when a
-//! request with the same cause has begun to be answered, or when the server turns out not to have
-//! crashed.
+//! request with the same cause is answered completely, or when the server turns out not to have
+//! crashed. An answer that has only begun proves nothing: its server may still crash.
+//!
+//! A crash ends all answers that its server is writing, most of which did not cause it. Evidence is
+//! weak if the server had been writing on the cause for a while; it then counts only against a cause
+//! that has not been answered completely for some time. Other evidence is also withdrawn when any
+//! server has been writing on the cause for as long.
 
 use std::fmt;
 use std::time::Duration;
@@ -23,9 +28,16 @@
 const BLOCK_TIME: Duration = Duration::from_secs(60);
 /// The time after which evidence is forgotten.
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
-/// The time for which the last beginning of an answer is remembered; evidence reaches all hosts
-/// within seconds.
-const BEGUN_LIFETIME: Duration = Duration::from_secs(10);
+/// The time for which the last complete answer is remembered; evidence reaches all hosts within
+/// seconds.
+const ANSWERED_LIFETIME: Duration = Duration::from_secs(10);
+/// The time of writing an answer after which a crash is more likely to have another cause.
+pub const PROMPT_CRASH_TIME: Duration = Duration::from_secs(1);
+/// The time within which a crash that ended an answer is noticed, if the end of the connection was
+/// also the proper end of that answer.
+const END_LIFETIME: Duration = Duration::from_secs(2);
+/// The maximum number of such answers that are remembered per server.
+const MAX_ENDS: usize = 64;
 /// The maximum number of pieces of evidence per kind of cause; the oldest are dropped beyond it.
 const MAX_EVIDENCE: usize = 4096;
 
@@ -103,6 +115,8 @@
     pub server: ServerStart,
     /// The time of the crash.
     pub at: MonoTime,
+    /// Whether the server had been writing on the cause for a while before it crashed.
+    pub weak: bool,
     /// Whether the evidence does not hold, which is final.
     pub withdrawn: bool,
 }
@@ -127,19 +141,32 @@
 #[derive(Clone, Debug)]
 struct EvidenceState {
     at: MonoTime,
+    weak: bool,
     withdrawn: bool,
     /// The number of the change that last modified this state.
     changed_at: u64,
 }
 
+/// An answer that ended with its connection, which may have been a crash.
+#[derive(Clone, Debug)]
+struct AnswerEnd {
+    at: MonoTime,
+    causes: Vec<CrashCause>,
+}
+
 /// Holds what this host knows about causes of crashes.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
     evidence: SortedMap<CrashCause, SortedMap<ServerStart, EvidenceState>>,
     /// The first crash of each server against which there is evidence.
     suspects: SortedMap<ServerStart, MonoTime>,
-    /// The last time at which a request with a part began to be answered on this host.
-    begun: SortedMap<CrashCause, MonoTime>,
+    /// The last time at which a request with a part was answered completely on this host.
+    answered: SortedMap<CrashCause, MonoTime>,
+    /// The last time at which a server had been writing on a part for [`PROMPT_CRASH_TIME`], on this host.
+    outlasted: SortedMap<CrashCause, MonoTime>,
+    /// The answers of each server that ended with their connection, until it is known whether the server
+    /// crashed.
+    ends: SortedMap<ServerStart, Vec<AnswerEnd>>,
     /// The last time at which this host let a request with a blocked cause through.
     probes: SortedMap<CrashCause, MonoTime>,
     /// The number of the last change.
@@ -152,26 +179,75 @@
         Self::default()
     }
 
-    /// Records that a server ended under a request; returns the new evidence.
+    /// Records that a server ended under a request on which it had been writing for a time; returns the
+    /// new evidence.
     pub fn note_crash(
         &mut self,
         now: MonoTime,
         server: &ServerStart,
+        written: Duration,
         causes: impl IntoIterator<Item = CrashCause>,
     ) -> Vec<CrashEvidence> {
-        let evidence = causes.into_iter().map(|cause| CrashEvidence {
-            cause,
-            server: server.clone(),
-            at: now,
-            withdrawn: false,
+        let weak = written > PROMPT_CRASH_TIME;
+        let mut news = self.note_gone(now, server);
+        for cause in causes {
+            let evidence = CrashEvidence {
+                cause,
+                server: server.clone(),
+                at: now,
+                weak,
+                withdrawn: false,
+            };
+            news.extend(self.accuse(evidence));
+        }
+        news
+    }
+
+    /// Records that a server no longer exists. If answers ended with their connections shortly before,
+    /// it crashed under them; returns the new evidence.
+    pub fn note_gone(&mut self, now: MonoTime, server: &ServerStart) -> Vec<CrashEvidence> {
+        let ends = self.ends.remove(server).unwrap_or_default();
+        let recent = ends
+            .into_iter()
+            .filter(|end| now.since(end.at) < END_LIFETIME);
+        let mut news = Vec::new();
+        for end in recent {
+            for cause in end.causes {
+                let evidence = CrashEvidence {
+                    cause,
+                    server: server.clone(),
+                    at: end.at,
+                    weak: false,
+                    withdrawn: false,
+                };
+                news.extend(self.accuse(evidence));
+            }
+        }
+        news
+    }
+
+    /// Adds evidence, as withdrawn if this host knows that it does not hold; returns what has changed.
+    fn accuse(&mut self, evidence: CrashEvidence) -> Option<CrashEvidence> {
+        let withdrawn = evidence.withdrawn || self.is_refuted(&evidence);
+        let evidence = CrashEvidence {
+            withdrawn,
+            ..evidence
+        };
+        self.merge(&evidence).map(|()| evidence)
+    }
+
+    /// Returns whether complete answers on this host show that evidence does not hold.
+    fn is_refuted(&self, evidence: &CrashEvidence) -> bool {
+        let is_answered = self.answered.get(&evidence.cause).is_some_and(|answered| {
+            let age = evidence.at.since(*answered);
+            age.is_zero() || evidence.weak && age < ANSWERED_LIFETIME
         });
-        evidence
-            .filter(|evidence| self.merge(evidence).is_some())
-            .collect()
+        let outlasted = self.outlasted.get(&evidence.cause);
+        is_answered || !evidence.weak && outlasted.is_some_and(|at| *at >= evidence.at)
     }
 
-    /// Records that a request began to be answered; returns the evidence that is withdrawn.
-    pub fn note_begun(
+    /// Records that a request was answered completely; returns the evidence that is withdrawn.
+    pub fn note_answered(
         &mut self,
         now: MonoTime,
         causes: impl IntoIterator<Item = CrashCause>,
@@ -179,18 +255,62 @@
         let mut withdrawn = Vec::new();
         for cause in causes {
             if cause.kind() == CauseKind::Part {
-                self.begun.insert(cause, now);
+                self.answered.insert(cause, now);
             }
             withdrawn.extend(self.withdraw(cause, |_, state| state.at <= now));
         }
         withdrawn
     }
 
+    /// Records that a server has been writing the answer to a request for [`PROMPT_CRASH_TIME`]; returns
+    /// the evidence that is withdrawn: what takes longer to crash a server did not cause prompt crashes.
+    pub fn note_outlasted(
+        &mut self,
+        now: MonoTime,
+        causes: impl IntoIterator<Item = CrashCause>,
+    ) -> Vec<CrashEvidence> {
+        let mut withdrawn = Vec::new();
+        for cause in causes {
+            if cause.kind() == CauseKind::Part {
+                self.outlasted.insert(cause, now);
+            }
+            withdrawn.extend(self.withdraw(cause, |_, state| !state.weak && state.at <= now));
+        }
+        withdrawn
+    }
+
+    /// Records that the answer to a request ended with its connection. Whether the server crashed is
+    /// known once it answers another request or is found to be gone.
+    pub fn note_end(
+        &mut self,
+        now: MonoTime,
+        server: &ServerStart,
+        causes: impl IntoIterator<Item = CrashCause>,
+    ) {
+        let ends = self.ends.get_or_insert_with(server.clone(), Vec::new);
+        ends.retain(|end| now.since(end.at) < END_LIFETIME);
+        if ends.len() < MAX_ENDS {
+            let causes = causes.into_iter().collect();
+            ends.push(AnswerEnd { at: now, causes });
+        }
+    }
+
     /// Records that a server answered a request that was sent to it at a time; returns the evidence
     /// that is withdrawn, since the server had not crashed before.
-    pub fn note_answer(&mut self, server: &ServerStart, sent_at: MonoTime) -> Vec<CrashEvidence> {
+    pub fn note_server_alive(
+        &mut self,
+        now: MonoTime,
+        server: &ServerStart,
+        sent_at: MonoTime,
+    ) -> Vec<CrashEvidence> {
+        let mut withdrawn = Vec::new();
+        if let Some(ends) = self.ends.get_mut(server) {
+            let survived = ends.extract_if(.., |end| end.at < sent_at);
+            let causes: Vec<CrashCause> = survived.flat_map(|end| end.causes).collect();
+            withdrawn = self.note_answered(now, causes);
+        }
         if self.suspects.get(server).is_none_or(|at| *at >= sent_at) {
-            return Vec::new();
+            return withdrawn;
         }
         self.suspects.remove(server);
         let later = self
@@ -202,7 +322,6 @@
             self.suspects.insert(server.clone(), first);
         }
         let causes: Vec<CrashCause> = self.evidence.keys().copied().collect();
-        let mut withdrawn = Vec::new();
         for cause in causes {
             let applies = |known: &ServerStart, state: &EvidenceState| {
                 *known == *server && state.at < sent_at
@@ -212,38 +331,33 @@
         withdrawn
     }
 
-    /// Applies evidence from another host; returns what that host does not know, if this host has seen
-    /// the cause begin after the crash.
+    /// Applies evidence from another host; returns what that host does not know, if complete answers on
+    /// this host show that the evidence does not hold.
     pub fn apply(&mut self, evidence: &CrashEvidence) -> Option<CrashEvidence> {
-        let withdrawn = CrashEvidence {
-            withdrawn: true,
-            ..evidence.clone()
-        };
-        let begun = self.begun.get(&evidence.cause);
-        if !evidence.withdrawn && begun.is_some_and(|begun| *begun >= evidence.at) {
-            self.merge(&withdrawn)?;
-            return Some(withdrawn);
-        }
-        self.merge(evidence);
-        None
+        let known = self.accuse(evidence.clone())?;
+        (known.withdrawn && !evidence.withdrawn).then_some(known)
     }
 
-    /// Adds evidence or withdraws it; `None` if that changes nothing.
+    /// Adds evidence, weakens or withdraws it; `None` if that changes nothing.
     fn merge(&mut self, evidence: &CrashEvidence) -> Option<()> {
         let servers = self
             .evidence
             .get_or_insert_with(evidence.cause, SortedMap::new);
+        let weak = evidence.weak && !evidence.withdrawn;
         match servers.get_mut(&evidence.server) {
-            Some(state) if state.withdrawn || !evidence.withdrawn => return None,
-            Some(state) => {
+            Some(state) if state.withdrawn => return None,
+            Some(state) if evidence.withdrawn || weak && !state.weak => {
                 self.change += 1;
-                state.withdrawn = true;
+                state.weak = weak;
+                state.withdrawn = evidence.withdrawn;
                 state.changed_at = self.change;
             }
+            Some(_) => return None,
             None => {
                 self.change += 1;
                 let state = EvidenceState {
                     at: evidence.at,
+                    weak,
                     withdrawn: evidence.withdrawn,
                     changed_at: self.change,
                 };
@@ -274,6 +388,7 @@
                 cause,
                 server: server.clone(),
                 at: state.at,
+                weak: false,
                 withdrawn: true,
             })
             .collect();
@@ -283,35 +398,59 @@
         withdrawn
     }
 
-    /// Lists the servers that a cause may have crashed, with the times.
-    fn crashed_servers(&self, cause: CrashCause) -> impl Iterator<Item = (&ServerStart, MonoTime)> {
+    /// Lists the servers that a cause may have crashed.
+    fn crashed_servers(
+        &self,
+        cause: CrashCause,
+    ) -> impl Iterator<Item = (&ServerStart, &EvidenceState)> {
         let servers = self.evidence.get(&cause).into_iter();
         let standing = servers.flat_map(SortedMap::iter);
-        let standing = standing.filter(|(_, state)| !state.withdrawn);
-        standing.map(|(server, state)| (server, state.at))
+        standing.filter(|(_, state)| !state.withdrawn)
     }
 
     /// Returns the time of the last crash if there are enough of them to refuse requests with a cause.
     fn last_of_many_crashes(&self, cause: CrashCause) -> Option<MonoTime> {
-        let mut times: Vec<MonoTime> = self.crashed_servers(cause).map(|(_, at)| at).collect();
-        times.sort_unstable();
-        let last = times.last().copied();
-        times.dedup_by(|later, earlier| later.since(*earlier) < cause.spacing());
-        last.filter(|_| times.len() >= CRASHES_TO_BLOCK)
+        if self.crashed_servers(cause).count() < CRASHES_TO_BLOCK {
+            return None;
+        }
+        let spacing = cause.spacing();
+        let crashes = self.crashed_servers(cause);
+        let times: Vec<MonoTime> = crashes.map(|(_, state)| state.at).collect();
+        let last = times.iter().copied().max()?;
+        let times = spaced(times, spacing);
+        let first = *times.first()?;
+        let is_frequent = times.len() >= CRASHES_TO_BLOCK;
+        (is_frequent && self.explains_most(first, last, times.len(), spacing)).then_some(last)
     }
 
-    /// Returns whether another cause than those of a request was present in each crash that counts
-    /// against `cause`. As long as two causes only came together, either may be the right one.
+    /// Returns whether a number of crashes is at least half of those in a span of time. Parts of prompts
+    /// come to all servers, so they are present in some crashes that they did not cause.
+    fn explains_most(
+        &self,
+        first: MonoTime,
+        last: MonoTime,
+        count: usize,
+        spacing: Duration,
+    ) -> bool {
+        if spacing.is_zero() {
+            return true;
+        }
+        let all = self.suspects.values().copied();
+        let all = all.filter(|at| (first..=last).contains(at));
+        2 * count >= spaced(all.collect(), spacing).len()
+    }
+
+    /// Returns whether another cause than those of a request explains each crash that counts against
+    /// `cause` as well. As long as two causes only came together, either may be the right one.
     fn has_other_cause(&self, cause: CrashCause, request_causes: &[CrashCause]) -> bool {
-        let others = self.evidence.keys().copied();
-        let mut others = others.filter(|other| !request_causes.contains(other));
-        others.any(|other| {
-            let servers: Vec<&ServerStart> = self
-                .crashed_servers(other)
-                .map(|(server, _)| server)
-                .collect();
-            self.crashed_servers(cause)
-                .all(|(server, _)| servers.contains(&server))
+        let crashes: Vec<(&ServerStart, &EvidenceState)> = self.crashed_servers(cause).collect();
+        let others = self.evidence.iter();
+        let mut others = others.filter(|(other, _)| !request_causes.contains(other));
+        others.any(|(_, servers)| {
+            crashes.iter().all(|(server, state)| {
+                let other = servers.get(server).filter(|other| !other.withdrawn);
+                other.is_some_and(|other| state.weak || !other.weak)
+            })
         })
     }
 
@@ -368,6 +507,7 @@
                 cause: *cause,
                 server: server.clone(),
                 at: state.at,
+                weak: state.weak,
                 withdrawn: state.withdrawn,
             })
         })
@@ -375,8 +515,13 @@
 
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: MonoTime) {
-        self.begun
-            .retain(|_, begun| now.since(*begun) < BEGUN_LIFETIME);
+        for proofs in [&mut self.answered, &mut self.outlasted] {
+            proofs.retain(|_, at| now.since(*at) < ANSWERED_LIFETIME);
+        }
+        self.ends.retain(|_, ends| {
+            ends.retain(|end| now.since(end.at) < END_LIFETIME);
+            !ends.is_empty()
+        });
         for kind in [CauseKind::Part, CauseKind::Pieces, CauseKind::Request] {
             self.expire_kind(now, kind);
         }
@@ -408,3 +553,10 @@
         });
     }
 }
+
+/// Sorts times, and drops those that follow another one by less than a spacing.
+fn spaced(mut times: Vec<MonoTime>, spacing: Duration) -> Vec<MonoTime> {
+    times.sort_unstable();
+    times.dedup_by(|later, earlier| later.since(*earlier) < spacing);
+    times
+}
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -45,7 +45,7 @@
 pub use call_time::CallTimes;
 pub use cold_start::{ColdTable, ColdUpdate, cold_permit_rate};
 pub use crash_table::{
-    CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart,
+    CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, PROMPT_CRASH_TIME, ServerStart,
 };
 pub use engine_choice::{
     EngineChoice, EngineQuery, EngineState, EngineTable, EngineTicket, EngineVerdict,
--- a/crates/hollywheel-serving/tests/crashing_parts.rs
+++ b/crates/hollywheel-serving/tests/crashing_parts.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use hollywheel_serving::{CrashCause, CrashEvidence, CrashTable, CrashVerdict, ServerStart};
+use hollywheel_serving::{
+    CrashCause, CrashEvidence, CrashTable, CrashVerdict, PROMPT_CRASH_TIME, ServerStart,
+};
 use hollywheel_types::MonoTime;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -28,7 +30,12 @@
 fn crashed(crashes: u64, parts: &[CrashCause]) -> CrashTable {
     let mut table = CrashTable::new();
     for number in 0..crashes {
-        table.note_crash(at(1000 * number), &server(number), parts.iter().copied());
+        table.note_crash(
+            at(1000 * number),
+            &server(number),
+            Duration::ZERO,
+            parts.iter().copied(),
+        );
     }
     table
 }
@@ -51,15 +58,20 @@
 fn servers_lost_at_once_block_no_part() {
     let mut table = CrashTable::new();
     for number in 0..20 {
-        table.note_crash(at(1000 + number * 20), &server(number), [OTHER]);
+        table.note_crash(
+            at(1000 + number * 20),
+            &server(number),
+            Duration::ZERO,
+            [OTHER],
+        );
     }
     assert!(!is_blocked(&table, at(2000), &[OTHER]));
 }
 
 #[test]
-fn part_that_begins_to_be_answered_is_sound() {
+fn part_that_is_answered_completely_is_sound() {
     let mut table = crashed(3, &[CRASHING]);
-    let withdrawn = table.note_begun(at(3000), [CRASHING]);
+    let withdrawn = table.note_answered(at(3000), [CRASHING]);
     assert_eq!(withdrawn.len(), 3);
     assert!(withdrawn.iter().all(|evidence| evidence.withdrawn));
     assert!(!is_blocked(&table, at(3000), &[CRASHING]));
@@ -69,7 +81,9 @@
 fn server_that_answers_later_did_not_crash() {
     let mut table = crashed(3, &[CRASHING]);
     assert!(
-        table.note_answer(&server(1), at(900)).is_empty(),
+        table
+            .note_server_alive(at(9500), &server(1), at(900))
+            .is_empty(),
         "sent before"
     );
     let restarted = ServerStart {
@@ -77,10 +91,17 @@
         ..server(1)
     };
     assert!(
-        table.note_answer(&restarted, at(9000)).is_empty(),
+        table
+            .note_server_alive(at(9500), &restarted, at(9000))
+            .is_empty(),
         "restarted"
     );
-    assert_eq!(table.note_answer(&server(1), at(1001)).len(), 1);
+    assert_eq!(
+        table
+            .note_server_alive(at(9500), &server(1), at(1001))
+            .len(),
+        1
+    );
     assert!(!is_blocked(&table, at(9000), &[CRASHING]));
 }
 
@@ -94,10 +115,10 @@
         "either may be the cause"
     );
     let mut sound = table.clone();
-    sound.note_begun(at(3000), [PARENT, OTHER]);
+    sound.note_answered(at(3000), [PARENT, OTHER]);
     assert!(is_blocked(&sound, at(3000), &[PARENT, CRASHING]));
     assert_eq!(sound.crashing_causes(), [CRASHING]);
-    table.note_crash(at(3000), &server(9), [PARENT, OTHER]);
+    table.note_crash(at(3000), &server(9), Duration::ZERO, [PARENT, OTHER]);
     assert!(
         is_blocked(&table, at(3000), &[PARENT, OTHER]),
         "the parent is the cause"
@@ -118,7 +139,12 @@
         is_blocked(&table, ends_at, &[CRASHING]),
         "the probe is under way"
     );
-    table.note_crash(ends_at + Duration::from_secs(1), &server(9), [CRASHING]);
+    table.note_crash(
+        ends_at + Duration::from_secs(1),
+        &server(9),
+        Duration::ZERO,
+        [CRASHING],
+    );
     assert!(is_blocked(&table, ends_at + wait, &[CRASHING]));
 }
 
@@ -126,11 +152,12 @@
 #[test]
 fn host_that_saw_a_part_begin_answers_evidence_with_its_withdrawal() {
     let mut table = CrashTable::new();
-    table.note_begun(at(1500), [OTHER]);
+    table.note_answered(at(1500), [OTHER]);
     let evidence = CrashEvidence {
         cause: OTHER,
         server: server(1),
         at: at(1000),
+        weak: false,
         withdrawn: false,
     };
     let withdrawn = table.apply(&evidence).unwrap();
@@ -161,6 +188,7 @@
                 cause: CrashCause::Part(random.random_range(0..3)),
                 server: server(random.random_range(0..4)),
                 at: at(1000),
+                weak: random.random_bool(0.4),
                 withdrawn: random.random_bool(0.4),
             })
             .collect();
@@ -177,3 +205,103 @@
         assert_eq!(known(&first), known(&second));
     }
 }
+
+/// Returns a table with crashes of different servers, a second apart, that had been writing on a part
+/// for a time.
+fn crashed_after(crashes: u64, written: Duration, part: CrashCause) -> CrashTable {
+    let mut table = CrashTable::new();
+    for number in 0..crashes {
+        table.note_crash(at(1000 * number), &server(number), written, [part]);
+    }
+    table
+}
+
+const LONG: Duration = Duration::from_millis(1500);
+
+/// Servers may write for seconds before they crash.
+#[test]
+fn part_that_crashes_servers_late_is_never_blocked() {
+    let mut table = crashed_after(3, LONG, CRASHING);
+    assert!(LONG > PROMPT_CRASH_TIME);
+    table.note_outlasted(at(2500), [CRASHING]);
+    assert!(is_blocked(&table, at(3000), &[CRASHING]));
+}
+
+#[test]
+fn part_of_long_answers_is_blocked_by_other_crashes() {
+    let mut table = CrashTable::new();
+    table.note_answered(at(500), [OTHER]);
+    for number in 1..5 {
+        let news = table.note_crash(at(1000 * number), &server(number), LONG, [OTHER]);
+        assert!(news.iter().all(|evidence| evidence.withdrawn));
+    }
+    assert!(!is_blocked(&table, at(5000), &[OTHER]), "answered before");
+    let mut table = crashed(3, &[OTHER]);
+    table.note_outlasted(at(2500), [OTHER]);
+    assert!(!is_blocked(&table, at(3000), &[OTHER]), "outlasted since");
+}
+
+/// One host sees a server that has written on a part for long, another one that it has just begun.
+#[test]
+fn evidence_of_a_short_answer_counts_beside_a_long_one() {
+    let mut table = crashed(1, &[OTHER]);
+    let evidence = CrashEvidence {
+        cause: OTHER,
+        server: server(0),
+        at: at(0),
+        weak: true,
+        withdrawn: false,
+    };
+    table.note_answered(at(0), [CRASHING]);
+    assert_eq!(table.apply(&evidence), None);
+    let known: Vec<CrashEvidence> = table.changes_after(0).collect();
+    assert_eq!(known, [evidence]);
+}
+
+#[test]
+fn part_in_few_of_many_crashes_is_blocked() {
+    let mut table = CrashTable::new();
+    for number in 0..9 {
+        let part = if number % 3 == 0 {
+            OTHER
+        } else {
+            CrashCause::Part(number)
+        };
+        table.note_crash(at(1000 * number), &server(number), Duration::ZERO, [part]);
+    }
+    assert!(!is_blocked(&table, at(9000), &[OTHER]));
+}
+
+/// A request lost late beside the crashing one does not explain the crash as well as that one.
+#[test]
+fn part_of_a_long_answer_hides_the_crashing_part() {
+    let mut table = CrashTable::new();
+    for number in 0..3 {
+        let (now, server) = (at(1000 * number), server(number));
+        table.note_crash(now, &server, Duration::ZERO, [CRASHING]);
+        table.note_crash(now, &server, LONG, [OTHER]);
+    }
+    assert!(is_blocked(&table, at(3000), &[CRASHING]));
+    assert!(!is_blocked(&table, at(3000), &[OTHER]));
+}
+
+/// The end of the connection is the end of the answer, or a crash.
+#[test]
+fn crash_at_the_end_of_an_answer_is_taken_for_its_end() {
+    let mut crashed = CrashTable::new();
+    let mut survived = CrashTable::new();
+    for number in 0..3 {
+        let (now, server) = (1000 * number, server(number));
+        for table in [&mut crashed, &mut survived] {
+            table.note_end(at(now), &server, [CRASHING]);
+        }
+        crashed.note_gone(at(now + 800), &server);
+        survived.note_server_alive(at(now + 300), &server, at(now + 200));
+        survived.note_gone(at(now + 800), &server);
+    }
+    assert!(is_blocked(&crashed, at(3000), &[CRASHING]));
+    assert!(!is_blocked(&survived, at(3000), &[CRASHING]));
+    let mut late = CrashTable::new();
+    late.note_end(at(0), &server(0), [CRASHING]);
+    assert!(late.note_gone(at(3000), &server(0)).is_empty());
+}
--- a/crates/hollywheel-serving/tests/crashing_requests.rs
+++ b/crates/hollywheel-serving/tests/crashing_requests.rs
@@ -32,7 +32,12 @@
     let mut table = CrashTable::new();
     for number in 0..3 {
         assert!(!is_blocked(&table, at(1000), &[CRASHING]));
-        table.note_crash(at(1000 + number), &server(number), [CRASHING]);
+        table.note_crash(
+            at(1000 + number),
+            &server(number),
+            Duration::ZERO,
+            [CRASHING],
+        );
     }
     assert!(is_blocked(&table, at(1010), &[CRASHING]));
     assert!(!is_blocked(&table, at(1010), &[SOUND]));
@@ -43,10 +48,15 @@
 fn request_that_ran_beside_a_crashing_one_is_refused() {
     let mut table = CrashTable::new();
     for number in 0..3 {
-        table.note_crash(at(1000 * number), &server(number), [CRASHING, SOUND]);
+        table.note_crash(
+            at(1000 * number),
+            &server(number),
+            Duration::ZERO,
+            [CRASHING, SOUND],
+        );
     }
     assert!(!is_blocked(&table, at(3000), &[SOUND]), "either may be it");
-    table.note_crash(at(3000), &server(3), [CRASHING]);
+    table.note_crash(at(3000), &server(3), Duration::ZERO, [CRASHING]);
     assert!(is_blocked(&table, at(3000), &[CRASHING]));
     assert!(!is_blocked(&table, at(3000), &[SOUND]));
 }
@@ -56,12 +66,17 @@
 fn parts_of_one_crashing_request_block_sound_requests() {
     let mut table = CrashTable::new();
     for number in 0..4 {
-        table.note_crash(at(1000 * number), &server(number), [SHARED, CRASHING]);
+        table.note_crash(
+            at(1000 * number),
+            &server(number),
+            Duration::ZERO,
+            [SHARED, CRASHING],
+        );
     }
     assert!(is_blocked(&table, at(4000), &[SHARED, CRASHING]));
     assert!(!is_blocked(&table, at(4000), &[SHARED, SOUND]));
     let other = CrashCause::Request(0xdeae);
-    table.note_crash(at(4000), &server(9), [SHARED, other]);
+    table.note_crash(at(4000), &server(9), Duration::ZERO, [SHARED, other]);
     assert!(
         is_blocked(&table, at(4000), &[SHARED, SOUND]),
         "no single request explains the crashes"
@@ -72,9 +87,9 @@
 fn request_that_is_answered_is_sound() {
     let mut table = CrashTable::new();
     for number in 0..3 {
-        table.note_crash(at(number), &server(number), [CRASHING]);
+        table.note_crash(at(number), &server(number), Duration::ZERO, [CRASHING]);
     }
-    assert_eq!(table.note_begun(at(10), [CRASHING]).len(), 3);
+    assert_eq!(table.note_answered(at(10), [CRASHING]).len(), 3);
     assert!(!is_blocked(&table, at(10), &[CRASHING]));
 }
 
@@ -82,11 +97,21 @@
 #[test]
 fn answer_withdraws_only_what_was_before_it() {
     let mut table = CrashTable::new();
-    table.note_crash(at(1000), &server(0), [SOUND]);
-    table.note_crash(at(3000), &server(0), [CRASHING]);
-    assert_eq!(table.note_answer(&server(0), at(2000)).len(), 1);
-    assert_eq!(table.note_answer(&server(0), at(2000)).len(), 0);
-    let withdrawn = table.note_answer(&server(0), at(4000));
+    table.note_crash(at(1000), &server(0), Duration::ZERO, [SOUND]);
+    table.note_crash(at(3000), &server(0), Duration::ZERO, [CRASHING]);
+    assert_eq!(
+        table
+            .note_server_alive(at(4000), &server(0), at(2000))
+            .len(),
+        1
+    );
+    assert_eq!(
+        table
+            .note_server_alive(at(4000), &server(0), at(2000))
+            .len(),
+        0
+    );
+    let withdrawn = table.note_server_alive(at(4000), &server(0), at(4000));
     assert_eq!(withdrawn.first().map(|known| known.cause), Some(CRASHING));
 }
 
@@ -95,10 +120,15 @@
     /// Evidence that is kept of one kind.
     const KEPT: usize = 4096;
     let mut table = CrashTable::new();
-    table.note_crash(at(0), &server(0), [SHARED]);
+    table.note_crash(at(0), &server(0), Duration::ZERO, [SHARED]);
     for number in 0..3 * KEPT as u64 {
         let cause = CrashCause::Request(number);
-        table.note_crash(at(1000 + number), &server(number % 7), [cause]);
+        table.note_crash(
+            at(1000 + number),
+            &server(number % 7),
+            Duration::ZERO,
+            [cause],
+        );
     }
     table.expire(at(20_000));
     let known: Vec<CrashEvidence> = table.changes_after(0).collect();
