Count only crashes under prompts, and only refused connections as an end

Crashes are counted now where they ended requests with parts, and only a refused connection shows that nothing listens any more.

crashes_of_other_pools_hide_the_crashing_part guards the first; the second has no test of its own, since the moment cannot be forced on loopback.

--- a/crates/hollywheel-gateway/src/connection_pool.rs
+++ b/crates/hollywheel-gateway/src/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of keep-alive connections to backend servers.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +49,8 @@
 /// Reason why a sent request has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendFailure {
+    /// Nothing listens at the server's address.
+    Refused,
     /// No byte of the request was sent.
     NotSent,
     /// The connection failed after the request was handed to it and before the kernel took a byte.
@@ -185,7 +188,10 @@
     ) -> Result<ActiveConnection, SendFailure> {
         let stream = connect(address, limit)
             .await
-            .map_err(|_| SendFailure::NotSent)?;
+            .map_err(|error| match error.kind() {
+                io::ErrorKind::ConnectionRefused => SendFailure::Refused,
+                _ => SendFailure::NotSent,
+            })?;
         let (stream, meter) = MeteredStream::metered(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
--- a/crates/hollywheel-gateway/src/crash_evidence.rs
+++ b/crates/hollywheel-gateway/src/crash_evidence.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Records that a server accepts no connection.
+/// Records that nothing listens at the address of a server.
 pub(crate) fn record_gone(host: &Host, start: &ServerStart) {
     let now = host.now();
     update(host, "request", |host| {
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -137,13 +137,13 @@
         .connections
         .send(server, record.address, request, limit);
     let sent = sent.await;
-    if let Err(SendFailure::NotSent) = sent {
+    if let Err(SendFailure::Refused) = sent {
         record_gone(host, &server_start(server, record));
     }
     let (answer, connection) = sent.map_err(|failure| match failure {
         SendFailure::Unwritten if !host.avoids_lost_servers() => lost_connection(),
         // Without a byte of it no server can have run the request.
-        SendFailure::NotSent | SendFailure::Unwritten => AttemptFailure {
+        SendFailure::Refused | SendFailure::NotSent | SendFailure::Unwritten => AttemptFailure {
             verdict: ExecutionVerdict::NotRun,
             received: false,
             lost_server: false,
--- a/crates/hollywheel-gateway/src/stage_client.rs
+++ b/crates/hollywheel-gateway/src/stage_client.rs
@@ -78,7 +78,7 @@
         .send_idempotent(server, record.address, request);
     let (answer, mut connection) = match sent.await {
         Ok(answered) => answered,
-        Err(SendFailure::NotSent) => return CallOutcome::Failed,
+        Err(SendFailure::Refused | SendFailure::NotSent) => return CallOutcome::Failed,
         Err(SendFailure::Unwritten | SendFailure::Broken) => return CallOutcome::ServerLost,
     };
     let facts = hollywheel_adapter::decode_response_head(&answer, "");
--- a/crates/hollywheel-serving/src/crash_table.rs
+++ b/crates/hollywheel-serving/src/crash_table.rs
@@ -420,24 +420,23 @@
         let times = spaced(times, spacing);
         let first = *times.first()?;
         let is_frequent = times.len() >= CRASHES_TO_BLOCK;
-        (is_frequent && self.explains_most(first, last, times.len(), spacing)).then_some(last)
+        // Prompt parts come to all servers, so they are present in some crashes that they did not cause.
+        let is_likely = cause.kind() != CauseKind::Part
+            || 2 * times.len() >= self.part_crashes(first, last, spacing);
+        (is_frequent && is_likely).then_some(last)
     }
 
-    /// Returns whether a number of crashes is at least half of those in a span of time. Parts of prompts
-    /// come to all servers, so they are present in some crashes that they did not cause.
-    fn explains_most(
-        &self,
-        first: MonoTime,
-        last: MonoTime,
-        count: usize,
-        spacing: Duration,
-    ) -> bool {
-        if spacing.is_zero() {
-            return true;
-        }
-        let all = self.suspects.values().copied();
-        let all = all.filter(|at| (first..=last).contains(at));
-        2 * count >= spaced(all.collect(), spacing).len()
+    /// Returns the number of crashes in a span of time that ended requests with any part.
+    fn part_crashes(&self, first: MonoTime, last: MonoTime, spacing: Duration) -> usize {
+        let parts = self.evidence.iter();
+        let parts = parts.filter(|(cause, _)| cause.kind() == CauseKind::Part);
+        let crashes = parts.flat_map(|(_, servers)| servers.iter());
+        // A server that is no suspect has not crashed; evidence may be withdrawn for other reasons.
+        let times = crashes
+            .filter(|(server, _)| self.suspects.contains_key(*server))
+            .map(|(_, state)| state.at)
+            .filter(|at| (first..=last).contains(at));
+        spaced(times.collect(), spacing).len()
     }
 
     /// Returns whether another cause than those of a request explains each crash that counts against
--- a/crates/hollywheel-serving/tests/crashing_parts.rs
+++ b/crates/hollywheel-serving/tests/crashing_parts.rs
@@ -305,3 +305,18 @@
     late.note_end(at(0), &server(0), [CRASHING]);
     assert!(late.note_gone(at(3000), &server(0)).is_empty());
 }
+
+/// Servers of other pools crash under requests without parts.
+#[test]
+fn crashes_of_other_pools_hide_the_crashing_part() {
+    let mut table = CrashTable::new();
+    for number in 0..12 {
+        let cause = if number % 4 == 0 {
+            CRASHING
+        } else {
+            CrashCause::Request(number)
+        };
+        table.note_crash(at(1000 * number), &server(number), Duration::ZERO, [cause]);
+    }
+    assert!(is_blocked(&table, at(12_000), &[CRASHING]));
+}
