Count weak evidence of crashes less than other evidence

The parts that crash engines are still refused after three crashes, after five where the crash comes 1.5 s after the first event (crashing_streams).

--- a/crates/hollywheel-serving/src/crash_table.rs
+++ b/crates/hollywheel-serving/src/crash_table.rs
@@ -20,6 +20,8 @@
 
 /// The number of crashes after which requests with a cause are refused.
 const CRASHES_TO_BLOCK: usize = 3;
+/// The number of crashes with that effect if all evidence of them is weak.
+const WEAK_CRASHES_TO_BLOCK: usize = 5;
 /// Crashes closer together than this count as one against a prompt part: when several servers are
 /// lost at once, all parts in use have evidence from each of them.
 const CRASH_SPACING: Duration = Duration::from_millis(500);
@@ -416,10 +418,14 @@
         let spacing = cause.spacing();
         let crashes = self.crashed_servers(cause);
         let times: Vec<MonoTime> = crashes.map(|(_, state)| state.at).collect();
+        let strong = self.crashed_servers(cause).filter(|(_, state)| !state.weak);
+        let strong = spaced(strong.map(|(_, state)| state.at).collect(), spacing).len();
         let last = times.iter().copied().max()?;
         let times = spaced(times, spacing);
         let first = *times.first()?;
-        let is_frequent = times.len() >= CRASHES_TO_BLOCK;
+        let weak = times.len().saturating_sub(strong);
+        let is_frequent = strong * WEAK_CRASHES_TO_BLOCK + weak * CRASHES_TO_BLOCK
+            >= CRASHES_TO_BLOCK * WEAK_CRASHES_TO_BLOCK;
         // Prompt parts come to all servers, so they are present in some crashes that they did not cause.
         let is_likely = cause.kind() != CauseKind::Part
             || 2 * times.len() >= self.part_crashes(first, last, spacing);
