Do not take a comment for the first event of a stream

A stream that held comments only and then its end was passed on as a complete, empty stream: a comment counted as an event, by which the end of a stream is judged.

cut_streams: comment_before_the_first_event_is_taken_for_an_event failed before and passes now.

--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -50,7 +50,7 @@
     /// Events that were read and not yet forwarded.
     pub(crate) chunk: Option<Bytes>,
     ended: bool,
-    /// Whether the answer has contained a complete event.
+    /// Whether the answer has contained a complete event other than a comment.
     has_event: bool,
     content: AnswerContent,
     /// When the first event had arrived.
@@ -207,7 +207,7 @@
                 continue;
             };
             let mut events = self.cutter.take(&data);
-            self.has_event |= !events.is_empty();
+            self.has_event |= events.iter().any(|event| !event.is_comment());
             if self.cutter.is_overlong() {
                 return Err(StreamFailure::Overlong);
             }
--- a/crates/hollywheel-gateway/tests/cut_streams.rs
+++ b/crates/hollywheel-gateway/tests/cut_streams.rs
@@ -114,6 +114,22 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+/// Callers got an empty stream with its end, as an engine sends comments while its answer takes long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn comment_before_the_first_event_is_taken_for_an_event() {
+    let fixture = Fixture::start("cut-comment").await;
+    let script = |request: &RawRequest| {
+        let framing = request.path.rsplit('/').next().unwrap();
+        end_after(request, framing, "", ": waiting\n\n")
+    };
+    fixture.replace_pool("model", script).await;
+    for (attempt, framing) in FRAMINGS.into_iter().enumerate() {
+        let path = format!("/draft/{framing}");
+        let (status, body) = call(&fixture, &path, attempt).await;
+        assert!(status >= 400 || body.is_none(), "{path}: {status} {body:?}");
+    }
+}
+
 /// The other places of the same break, which were recognised: a resumed stream is whole, another one is
 /// not complete.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/hollywheel-serving/src/events.rs
+++ b/crates/hollywheel-serving/src/events.rs
@@ -12,6 +12,14 @@
     pub id: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Returns whether the event has no fields, only comments or nothing at all.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+    }
+}
+
 /// Splits a byte stream into events and buffers the incomplete last one.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
