Split the reading of streams and the causes of crashes into own files

One behaviour is taken back: since a break after the first event made the host forget the engine's estimated cache. No fault asked for it, no test showed it, and an engine that only breaks off answers keeps its cache.

--- a/crates/hollywheel-gateway/src/crash_evidence.rs
+++ b/crates/hollywheel-gateway/src/crash_evidence.rs
@@ -17,7 +17,8 @@
 use prost::Message;
 
 use hollywheel_serving::{
-    CauseKind, CrashCause, CrashEvidence, CrashVerdict, PromptPart, ServerRecord, ServerStart,
+    AnswerProof, CauseKind, CrashCause, CrashEvidence, CrashVerdict, PromptPart, ServerRecord,
+    ServerStart,
 };
 use hollywheel_types::{MonoTime, ServerId};
 use hollywheel_wire::serving::{self as wire, EvidenceEntry, EvidenceNews};
@@ -148,12 +149,12 @@
     });
 }
 
-/// Records that a server has been writing the answer to a request for [`PROMPT_CRASH_TIME`].
-pub(crate) fn record_outlasted(host: &Host, context: &RequestContext) {
+/// Records what the answer to a request shows about it.
+pub(crate) fn record_proof(host: &Host, context: &RequestContext, proof: AnswerProof) {
     let causes = known_causes(host, context);
     let now = host.now();
     update(host, "request", |host| {
-        host.crashes.borrow_mut().note_outlasted(now, causes)
+        host.crashes.borrow_mut().note_proof(now, proof, causes)
     });
 }
 
@@ -168,24 +169,18 @@
     Unwritten,
 }
 
-/// Records that a request was answered by a server.
-pub(crate) fn record_answered(
+/// Records how the answer of a server to a request ended.
+pub(crate) fn record_ending(
     host: &Host,
     context: &RequestContext,
     start: &ServerStart,
     ending: AnswerEnding,
 ) {
-    let now = host.now();
     match ending {
-        AnswerEnding::Complete => {
-            let causes = known_causes(host, context);
-            update(host, "request", |host| {
-                host.crashes.borrow_mut().note_answered(now, causes)
-            });
-        }
+        AnswerEnding::Complete => record_proof(host, context, AnswerProof::Complete),
         AnswerEnding::ConnectionEnd => {
             let mut crashes = host.crashes.borrow_mut();
-            crashes.note_end(now, start, own_causes(context));
+            crashes.note_end(host.now(), start, own_causes(context));
         }
         AnswerEnding::Unwritten => {}
     }
@@ -203,7 +198,8 @@
     let causes = causes.map(|(stage, key)| CrashCause::of_pieces(stage, key));
     let now = host.now();
     update(host, "answer", |host| {
-        host.crashes.borrow_mut().note_answered(now, causes)
+        let mut crashes = host.crashes.borrow_mut();
+        crashes.note_proof(now, AnswerProof::Complete, causes)
     });
 }
 
--- a/crates/hollywheel-gateway/src/lib.rs
+++ b/crates/hollywheel-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod memory_budget;
 mod metered_stream;
 mod metrics;
+mod open_stream;
 mod peer_client;
 mod peer_server;
 mod plain_call;
--- a/crates/hollywheel-gateway/src/plain_call.rs
+++ b/crates/hollywheel-gateway/src/plain_call.rs
@@ -15,7 +15,7 @@
 use crate::body::AnswerBody;
 use crate::containment::{TaskKind, WorkPanicked};
 use crate::crash_evidence::{
-    AnswerEnding, blocked_wait, record_answered, record_crash, record_panic, server_start,
+    blocked_wait, record_crash, record_ending, record_panic, server_start,
 };
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
@@ -348,12 +348,7 @@
         headers: hollywheel_adapter::caller_response_headers(&answer.headers),
         body,
     }));
-    let ending = if answer.has_marked_end() {
-        AnswerEnding::Complete
-    } else {
-        AnswerEnding::ConnectionEnd
-    };
-    record_answered(host, context, &answer.start, ending);
+    record_ending(host, context, &answer.start, answer.ending());
     answer.complete(host);
     Ok(status)
 }
--- a/crates/hollywheel-gateway/src/server_attempt.rs
+++ b/crates/hollywheel-gateway/src/server_attempt.rs
@@ -12,7 +12,9 @@
 use hollywheel_types::{ExecutionVerdict, MonoTime, ServerId};
 
 use crate::connection_pool::{ActiveConnection, CONNECT_TIMEOUT, SendFailure};
-use crate::crash_evidence::{record_gone, record_server_alive, server_start, shared_parts};
+use crate::crash_evidence::{
+    AnswerEnding, record_gone, record_server_alive, server_start, shared_parts,
+};
 use crate::host::{Host, HostState};
 use crate::limited_body::{SMALL_LIMIT, collect_within};
 use crate::log::{log_line, millis};
@@ -76,7 +78,6 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: MeteredBody,
-    pub(crate) server: ServerId,
     /// The start of the server that answers.
     pub(crate) start: ServerStart,
     pub(crate) sent_at: MonoTime,
@@ -86,12 +87,15 @@
 }
 
 impl OpenAnswer {
-    /// Returns whether a length or the last chunk marks the end of the answer; otherwise that of the
-    /// connection does.
-    pub(crate) fn has_marked_end(&self) -> bool {
+    /// Returns what marks the end of the answer, once it was read completely.
+    pub(crate) fn ending(&self) -> AnswerEnding {
         let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let mut names = length_headers.iter();
-        names.any(|name| self.headers.contains_key(name))
+        if names.any(|name| self.headers.contains_key(name)) {
+            AnswerEnding::Complete
+        } else {
+            AnswerEnding::ConnectionEnd
+        }
     }
 
     /// Returns the connection to the pool after the body was read completely.
@@ -191,7 +195,6 @@
         status: parts.status,
         headers: parts.headers,
         body,
-        server: server.clone(),
         start: server_start(server, record),
         sent_at,
         facts,
--- a/crates/hollywheel-gateway/src/stream_call.rs
+++ b/crates/hollywheel-gateway/src/stream_call.rs
@@ -22,6 +22,7 @@
 use crate::host::{Host, StopPhase};
 use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
 use crate::log::log_line;
+use crate::open_stream::{OpenStream, StreamFailure};
 use crate::request::{RequestContext, RequestGuard};
 use crate::respond::{RequestEnd, RequestOutcome, answer_locally, build_answer};
 use crate::results::HeldResults;
@@ -31,7 +32,7 @@
 use crate::server_limits::{PLACE_PATIENCE, PermittedChoice, choose_permitted};
 use crate::stage_client::unpaused_server;
 use crate::stage_run::{StageContext, StageFailure, run_stages, stage_times};
-use crate::stream_forward::{ForwardState, OpenStream, StreamFailure};
+use crate::stream_forward::ForwardState;
 use crate::stream_place::{EstimateState, LATE_REASON};
 
 /// Load, as a multiple of an engine's slots, from which it gets no requests. An engine runs one
--- a/crates/hollywheel-gateway/src/stream_forward.rs
+++ b/crates/hollywheel-gateway/src/stream_forward.rs
@@ -8,24 +8,19 @@
 
 use bytes::Bytes;
 use fail::fail_point;
-use http::{Method, StatusCode, header};
-use http_body_util::BodyExt;
+use http::StatusCode;
 use tokio::time::timeout;
 
-use hollywheel_serving::{EventSplitter, PROMPT_CRASH_TIME};
+use hollywheel_serving::{AnswerProof, EARLY_CRASH_TIME, EventSplitter};
 use hollywheel_types::{ExecutionVerdict, MonoTime};
 
 use crate::containment::{TaskKind, WorkPanicked};
-use crate::crash_evidence::{
-    AnswerEnding, record_answered, record_crash, record_outlasted, record_panic,
-};
-use crate::limited_body::{ANSWER_LIMIT, BodyFailure, collect_within};
+use crate::crash_evidence::{record_crash, record_ending, record_panic, record_proof};
 use crate::log::{log_line, millis};
-use crate::memory_budget::{MemoryBudget, MemoryShare};
+use crate::open_stream::{OpenStream, StreamFailure};
 use crate::respond::RequestOutcome;
-use crate::server_attempt::{AttemptFailure, OpenAnswer, record_attempt_failure};
+use crate::server_attempt::{AttemptFailure, record_attempt_failure};
 use crate::stream_call::StreamJob;
-use crate::stream_place::EngineGuard;
 
 /// Shortest time reserved for another engine to continue a silent stream before its caller leaves.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(400);
@@ -35,221 +30,6 @@
 /// Shortest silence after which another engine is asked, however small that objective.
 const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
-/// A stream that an engine is sending.
-pub(crate) struct OpenStream {
-    pub(crate) answer: OpenAnswer,
-    cutter: EventSplitter,
-    /// Memory of the incomplete event.
-    share: MemoryShare,
-    /// Last event that the caller has received; events up to it are not forwarded again.
-    after: Option<u64>,
-    /// Record of the request on an engine that was chosen by the estimate.
-    pub(crate) placed: Option<EngineGuard>,
-    /// Number of events dropped because the caller had already received them.
-    pub(crate) repeated: usize,
-    /// Events that were read and not yet forwarded.
-    pub(crate) chunk: Option<Bytes>,
-    ended: bool,
-    /// Whether the answer has contained a complete event other than a comment.
-    has_event: bool,
-    content: AnswerContent,
-    /// When the first event had arrived.
-    pub(crate) begun_at: MonoTime,
-    /// Whether the engine has been writing for longer than a prompt crash takes.
-    outlasted: bool,
-}
-
-/// What an answer with a success status holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum AnswerContent {
-    /// Events, of which the last one has to be complete.
-    Events,
-    /// Anything else, which is complete if its framing is.
-    Other,
-}
-
-impl AnswerContent {
-    /// Determines the content from the head of an answer. Events are what a streaming pipeline answers
-    /// with unless the head says otherwise.
-    fn of(answer: &OpenAnswer, method: &Method) -> Self {
-        let has_no_body = matches!(
-            answer.status,
-            StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT
-        );
-        let media_type = answer.headers.get(header::CONTENT_TYPE);
-        let is_other = media_type.is_some_and(|media_type| {
-            let mut fields = media_type.as_bytes().split(|byte| *byte == b';');
-            let essence = fields.next().unwrap_or_default().trim_ascii();
-            !essence.eq_ignore_ascii_case(b"text/event-stream")
-        });
-        if has_no_body || is_other || *method == Method::HEAD {
-            Self::Other
-        } else {
-            Self::Events
-        }
-    }
-}
-
-/// Reason why the next event of a stream cannot be read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum StreamFailure {
-    /// The connection ended or was reset before the end of the stream.
-    Broken,
-    /// The engine could no longer be reached.
-    Unreachable,
-    /// The server ended the stream in order, within an event or without one.
-    Incomplete,
-    /// An event exceeds the maximum event size.
-    Overlong,
-    /// Other bodies take the memory that an event needs.
-    NoMemory,
-}
-
-impl StreamFailure {
-    /// Returns the failure that an error of the connection stands for.
-    fn of(error: &hyper::Error) -> Self {
-        let cause = error
-            .source()
-            .and_then(|cause| cause.downcast_ref::<io::Error>());
-        match cause.map(io::Error::kind) {
-            Some(
-                io::ErrorKind::TimedOut
-                | io::ErrorKind::HostUnreachable
-                | io::ErrorKind::NetworkUnreachable,
-            ) => Self::Unreachable,
-            _ => Self::Broken,
-        }
-    }
-
-    /// Returns whether the engine is gone, and may be for whatever reason.
-    pub(crate) const fn is_lost_server(self) -> bool {
-        matches!(self, Self::Broken | Self::Unreachable)
-    }
-
-    pub(crate) const fn name(self) -> &'static str {
-        match self {
-            Self::Broken => "the stream ended early",
-            Self::Unreachable => "the engine could not be reached any more",
-            Self::Incomplete => "the stream ended within an event",
-            Self::Overlong => "an event of the stream exceeds the size limit",
-            Self::NoMemory => "the memory for bodies is used up",
-        }
-    }
-}
-
-impl OpenStream {
-    pub(crate) fn new(
-        answer: OpenAnswer,
-        method: &Method,
-        after: Option<u64>,
-        share: MemoryShare,
-    ) -> Self {
-        Self {
-            content: AnswerContent::of(&answer, method),
-            answer,
-            cutter: EventSplitter::new(),
-            share,
-            after,
-            placed: None,
-            repeated: 0,
-            chunk: None,
-            ended: false,
-            has_event: false,
-            begun_at: MonoTime::default(),
-            outlasted: false,
-        }
-    }
-
-    /// Reads an answer that is no stream completely.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BodyFailure`] if the answer is truncated, too long or finds no memory.
-    pub(crate) async fn read_whole(&mut self, memory: &MemoryBudget) -> Result<(), BodyFailure> {
-        let body = collect_within(&mut self.answer.body, ANSWER_LIMIT, memory).await?;
-        self.chunk = (!body.is_empty()).then_some(body);
-        self.content = AnswerContent::Other;
-        self.ended = true;
-        Ok(())
-    }
-
-    /// Returns what the end of the answer says about the engine.
-    fn ending(&self) -> AnswerEnding {
-        if !self.answer.has_marked_end() {
-            return AnswerEnding::ConnectionEnd;
-        }
-        match self.content {
-            AnswerContent::Events if !self.has_event => AnswerEnding::Unwritten,
-            AnswerContent::Events | AnswerContent::Other => AnswerEnding::Complete,
-        }
-    }
-
-    /// Reads until at least one new event is complete; `None` if the stream has ended.
-    ///
-    /// Bytes after the last complete event mean that the stream was cut within an event, however its
-    /// end is marked. They are forwarded only if the answer is no stream at all: its head names other
-    /// content, it holds no event and continues none.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StreamFailure`] if the stream broke or an event is too long.
-    pub(crate) async fn read_events(&mut self) -> Result<Option<Bytes>, StreamFailure> {
-        loop {
-            let Some(frame) = self.answer.body.frame().await else {
-                let rest = Bytes::copy_from_slice(self.cutter.rest());
-                self.check_end(&rest)?;
-                self.ended = true;
-                return Ok((!rest.is_empty()).then_some(rest));
-            };
-            fail_point!("stream.frame");
-            let frame = frame.map_err(|error| StreamFailure::of(&error))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let mut events = self.cutter.take(&data);
-            self.has_event |= events.iter().any(|event| !event.is_comment());
-            if self.cutter.is_overlong() {
-                return Err(StreamFailure::Overlong);
-            }
-            if !self.share.resize(self.cutter.rest().len()) {
-                return Err(StreamFailure::NoMemory);
-            }
-            let count = events.len();
-            events.retain(|event| event.id.is_none() || event.id > self.after);
-            self.repeated += count - events.len();
-            if !events.is_empty() {
-                let bytes = events.into_iter().flat_map(|event| event.bytes);
-                return Ok(Some(bytes.collect()));
-            }
-        }
-    }
-
-    /// Checks that the stream is complete, given the bytes after its last complete event.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StreamFailure`] if the stream was cut off.
-    fn check_end(&self, rest: &Bytes) -> Result<(), StreamFailure> {
-        let continues = self.after.is_some();
-        let is_marked = self.answer.has_marked_end();
-        let is_other = self.content == AnswerContent::Other;
-        if is_other && is_marked && !self.has_event && !continues {
-            return Ok(());
-        }
-        // Only a stream that continues another one may add nothing to it. At the end of a connection that
-        // is no proof: the server may have crashed.
-        let may_be_empty = continues && is_marked;
-        if rest.is_empty() && (self.has_event || may_be_empty) {
-            return Ok(());
-        }
-        Err(if is_marked {
-            StreamFailure::Incomplete
-        } else {
-            StreamFailure::Broken
-        })
-    }
-}
-
 /// State of a stream that is forwarded to its caller, and resumed at another engine where the
 /// pipeline allows it.
 pub(crate) struct ForwardState {
@@ -394,9 +174,9 @@
         if let Some(stream) = self.stream.as_mut() {
             let has_written = chunk.is_some();
             stream.chunk = chunk;
-            if has_written && !stream.outlasted && now.since(stream.begun_at) >= PROMPT_CRASH_TIME {
+            if has_written && !stream.outlasted && now.since(stream.begun_at) >= EARLY_CRASH_TIME {
                 stream.outlasted = true;
-                record_outlasted(host, context);
+                record_proof(host, context, AnswerProof::Outlasted);
             }
         }
         self.last_event_at = now;
@@ -428,7 +208,10 @@
     /// pool's retry budget.
     fn may_ask_other(&mut self) -> bool {
         let job = &mut self.job;
-        let server = self.stream.as_ref().map(|stream| &stream.answer.server);
+        let server = self
+            .stream
+            .as_ref()
+            .map(|stream| &stream.answer.start.server);
         let can_continue = server.is_some_and(|server| job.can_continue(server));
         can_continue && job.last_event.is_some() && job.may_retry()
     }
@@ -447,7 +230,7 @@
             return Err(StreamEnd::Expired);
         };
         let job = &mut self.job;
-        let silent = stream.answer.server.clone();
+        let silent = stream.answer.start.server.clone();
         log_line!(
             job.host,
             info,
@@ -525,7 +308,7 @@
             lost_server: matches!(end, StreamEnd::Failed(failure) if failure.is_lost_server()),
             reason: job.reason,
         };
-        let server = broken.answer.server.clone();
+        let server = broken.answer.start.server.clone();
         let sent_at = broken.answer.sent_at;
         record_attempt_failure(
             &job.host,
@@ -535,9 +318,6 @@
             &failure,
             sent_at,
         );
-        if failure.lost_server {
-            job.host.note_engine_lost(&job.context.pool, &server);
-        }
         if end == StreamEnd::Failed(StreamFailure::Broken) {
             let written = job.host.now().since(broken.begun_at);
             record_crash(&job.host, &job.context, &broken.answer.start, written);
@@ -580,13 +360,13 @@
             let host = &self.job.host;
             let now = host.now();
             let elapsed = now.since(stream.answer.sent_at);
-            let server = stream.answer.server.clone();
+            let server = stream.answer.start.server.clone();
             host.loads.borrow_mut().note_success(now, &server, elapsed);
             let context = &self.job.context;
             let taken = now.since(context.arrived);
             let name = &context.pipeline.name;
             host.forecast.borrow_mut().learn_whole(name, taken);
-            record_answered(host, context, &stream.answer.start, stream.ending());
+            record_ending(host, context, &stream.answer.start, stream.ending());
             stream.answer.complete(host);
         }
         self.job.end(RequestOutcome::Answered, StatusCode::OK);
--- a/crates/hollywheel-gateway/tests/crashing_streams.rs
+++ b/crates/hollywheel-gateway/tests/crashing_streams.rs
@@ -16,7 +16,7 @@
 use http::Request;
 use streaming_engine::{AnswerFraming, CrashPoint, CrashReport, EnginePlan, start_engine};
 use support::store::StoreStandin;
-use support::{CallerBody, RawRequest, config, request};
+use support::{CallerBody, config, request};
 
 const HOSTS: usize = 3;
 const ENGINES: usize = 6;
@@ -36,18 +36,15 @@
 /// The part, or first digits of the part, that crashes engines.
 const CRASHING_PART: &str = "dead";
 
-/// Short answers in chunks of engines that do not crash.
+/// Short answers in chunks; requests with the part crash engines after the first event.
 const PLAN: EnginePlan = EnginePlan {
     events: 8,
     interval: Duration::from_millis(40),
     framing: AnswerFraming::Chunks,
-    crash: |_| None,
+    is_crashing: |request| request.header("prompt-prefix").contains(CRASHING_PART),
+    crash_point: CrashPoint::AfterEvents(1),
 };
 
-fn has_crashing_part(request: &RawRequest) -> bool {
-    request.header("prompt-prefix").contains(CRASHING_PART)
-}
-
 /// Starts engines and hosts, and sends sound requests beside ones that crash engines; returns how the
 /// sound ones ended.
 async fn play(
@@ -129,41 +126,57 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_before_their_answer_is_not_refused() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::BeforeAnswer);
-    check_part("crash-before", 1, EnginePlan { crash, ..PLAN }).await;
+    let crash_point = CrashPoint::BeforeAnswer;
+    check_part(
+        "crash-before",
+        1,
+        EnginePlan {
+            crash_point,
+            ..PLAN
+        },
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_after_their_first_event_is_not_refused() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(1));
-    check_part("crash-first", 1, EnginePlan { crash, ..PLAN }).await;
+    check_part("crash-first", 1, PLAN).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_after_their_third_event_is_not_refused() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(3));
-    check_part("crash-third", 1, EnginePlan { crash, ..PLAN }).await;
+    let crash_point = CrashPoint::AfterEvents(3);
+    check_part(
+        "crash-third",
+        1,
+        EnginePlan {
+            crash_point,
+            ..PLAN
+        },
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_after_their_last_event_is_not_refused() {
-    let crash = |request: &RawRequest| {
-        has_crashing_part(request).then_some(CrashPoint::AfterEvents(PLAN.events))
-    };
-    check_part("crash-last", 1, EnginePlan { crash, ..PLAN }).await;
+    let crash_point = CrashPoint::AfterEvents(PLAN.events);
+    check_part(
+        "crash-last",
+        1,
+        EnginePlan {
+            crash_point,
+            ..PLAN
+        },
+    )
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_long_after_their_first_event_is_not_refused() {
-    let crash = |request: &RawRequest| {
-        has_crashing_part(request).then_some(CrashPoint::AfterTime(Duration::from_millis(400)))
-    };
+    let crash_point = CrashPoint::AfterTime(Duration::from_millis(400));
     let plan = EnginePlan {
         events: 20,
-        crash,
+        crash_point,
         ..PLAN
     };
     check_part("crash-later", 1, plan).await;
@@ -172,13 +185,11 @@
 /// The crash comes later than that of any part which engines have answered before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_seconds_after_their_first_event_is_not_refused() {
-    let crash = |request: &RawRequest| {
-        has_crashing_part(request).then_some(CrashPoint::AfterTime(Duration::from_millis(1500)))
-    };
+    let crash_point = CrashPoint::AfterTime(Duration::from_millis(1500));
     let plan = EnginePlan {
         events: 6,
         interval: Duration::from_millis(300),
-        crash,
+        crash_point,
         ..PLAN
     };
     check_part("crash-seconds", 1, plan).await;
@@ -187,19 +198,14 @@
 /// Each request crashes the engines that go on with its stream, too.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_is_not_refused_when_streams_are_resumed() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(1));
-    check_part("crash-resumed", 3, EnginePlan { crash, ..PLAN }).await;
+    check_part("crash-resumed", 3, PLAN).await;
 }
 
 /// The end of the connection is both the end of an answer and what a crash looks like.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn part_that_crashes_engines_is_not_refused_when_answers_end_with_their_connections() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(1));
     let plan = EnginePlan {
         framing: AnswerFraming::Connection,
-        crash,
         ..PLAN
     };
     check_part("crash-unframed", 1, plan).await;
@@ -208,14 +214,11 @@
 /// The request has its part in common with sound ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_crashes_engines_after_their_first_event_is_not_refused() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(1));
-    let plan = EnginePlan { crash, ..PLAN };
     let build_again = |number: usize| {
         let parts = format!("{FIRST_PART}:500,b1:1500,{CRASHING_PART}:50");
         build(100_000 + number, &parts)
     };
-    let (report, sound) = play("crash-request", 1, plan, build_again).await;
+    let (report, sound) = play("crash-request", 1, PLAN, build_again).await;
     check_known("crash-request", KNOWN_REQUEST_CRASHES, &report, &sound);
 }
 
@@ -223,11 +226,8 @@
 /// first part in common.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_parts_are_refused_when_engines_crash_by_chance() {
-    let crash =
-        |request: &RawRequest| has_crashing_part(request).then_some(CrashPoint::AfterEvents(1));
     let plan = EnginePlan {
         interval: Duration::from_millis(300),
-        crash,
         ..PLAN
     };
     let build_other = |number: usize| {
--- a/crates/hollywheel-gateway/tests/support/streaming_engine.rs
+++ b/crates/hollywheel-gateway/tests/support/streaming_engine.rs
@@ -45,8 +45,10 @@
     /// The time between two events.
     pub interval: Duration,
     pub framing: AnswerFraming,
-    /// Returns where a request crashes the engine; none if it does not.
-    pub crash: fn(&RawRequest) -> Option<CrashPoint>,
+    /// Returns whether a request crashes the engine.
+    pub is_crashing: fn(&RawRequest) -> bool,
+    /// Where such a request crashes the engine.
+    pub crash_point: CrashPoint,
 }
 
 /// Times of crashes, and of arrivals of requests that crash engines.
@@ -135,7 +137,7 @@
     let mut index = 0;
     while let Some(request) = read_request(&mut stream, index).await {
         index += 1;
-        let crash_point = (plan.crash)(&request);
+        let crash_point = (plan.is_crashing)(&request).then_some(plan.crash_point);
         if crash_point.is_some() {
             report.arrivals.lock().unwrap().push(Instant::now());
         }
--- a/crates/hollywheel-serving/src/crash_table.rs
+++ b/crates/hollywheel-serving/src/crash_table.rs
@@ -11,20 +11,18 @@
 //! that has not been answered completely for some time. Other evidence is also withdrawn when any
 //! server has been writing on the cause for as long.
 
-use std::fmt;
 use std::time::Duration;
 
-use hollywheel_types::{MonoTime, ServerId, SortedMap};
+use hollywheel_types::{MonoTime, SortedMap};
 
-use crate::request_identity::digest_fields;
+use crate::crash_cause::{
+    AnswerProof, CauseKind, CrashCause, CrashEvidence, CrashVerdict, ServerStart,
+};
 
 /// The number of crashes after which requests with a cause are refused.
 const CRASHES_TO_BLOCK: usize = 3;
 /// The number of crashes with that effect if all evidence of them is weak.
 const WEAK_CRASHES_TO_BLOCK: usize = 5;
-/// Crashes closer together than this count as one against a prompt part: when several servers are
-/// lost at once, all parts in use have evidence from each of them.
-const CRASH_SPACING: Duration = Duration::from_millis(500);
 /// The time after the last crash for which all requests with a cause are refused. After it, one
 /// host lets one request through.
 const BLOCK_TIME: Duration = Duration::from_secs(60);
@@ -34,7 +32,7 @@
 /// seconds.
 const ANSWERED_LIFETIME: Duration = Duration::from_secs(10);
 /// The time of writing an answer after which a crash is more likely to have another cause.
-pub const PROMPT_CRASH_TIME: Duration = Duration::from_secs(1);
+pub const EARLY_CRASH_TIME: Duration = Duration::from_secs(1);
 /// The time within which a crash that ended an answer is noticed, if the end of the connection was
 /// also the proper end of that answer.
 const END_LIFETIME: Duration = Duration::from_secs(2);
@@ -43,103 +41,6 @@
 /// The maximum number of pieces of evidence per kind of cause; the oldest are dropped beyond it.
 const MAX_EVIDENCE: usize = 4096;
 
-/// Names something that a request may crash servers with.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum CrashCause {
-    /// A part of a prompt, which different requests may share.
-    Part(u64),
-    /// The pieces of one stage that were made from the same key.
-    Pieces(u64),
-    /// A request as a whole, by the digest of its identity.
-    Request(u64),
-}
-
-impl CrashCause {
-    /// Returns the cause that stands for the pieces of a stage that are made from a key.
-    pub fn of_pieces(stage: &str, key: &str) -> Self {
-        Self::Pieces(digest_fields(&[stage.as_bytes(), key.as_bytes()]))
-    }
-
-    const fn kind(self) -> CauseKind {
-        match self {
-            Self::Part(_) => CauseKind::Part,
-            Self::Pieces(_) => CauseKind::Pieces,
-            Self::Request(_) => CauseKind::Request,
-        }
-    }
-
-    /// Returns the time within which several crashes count as one. A request and its pieces are at one
-    /// server at a time, so servers that are lost at once do not have them in common.
-    const fn spacing(self) -> Duration {
-        match self {
-            Self::Part(_) => CRASH_SPACING,
-            Self::Pieces(_) | Self::Request(_) => Duration::ZERO,
-        }
-    }
-}
-
-impl fmt::Display for CrashCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Part(id) => write!(f, "part {id:x}"),
-            Self::Pieces(id) => write!(f, "pieces {id:016x}"),
-            Self::Request(id) => write!(f, "request {id:016x}"),
-        }
-    }
-}
-
-/// Names the kinds of causes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CauseKind {
-    /// Prompt parts.
-    Part,
-    /// Pieces of a stage.
-    Pieces,
-    /// Whole requests.
-    Request,
-}
-
-/// Identifies one start of a server.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct ServerStart {
-    /// The server.
-    pub server: ServerId,
-    /// When the server started, in Unix milliseconds, if it is known.
-    pub born: Option<u64>,
-}
-
-/// Describes evidence that a cause crashed a server, or its withdrawal.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CrashEvidence {
-    /// The cause.
-    pub cause: CrashCause,
-    /// The server that crashed.
-    pub server: ServerStart,
-    /// The time of the crash.
-    pub at: MonoTime,
-    /// Whether the server had been writing on the cause for a while before it crashed.
-    pub weak: bool,
-    /// Whether the evidence does not hold, which is final.
-    pub withdrawn: bool,
-}
-
-/// Describes whether a request may be sent to servers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CrashVerdict {
-    /// It may be sent.
-    Sound,
-    /// It is refused.
-    Blocked {
-        /// The time until a request with the cause is let through.
-        wait: Duration,
-    },
-    /// It may be sent by the host that has this duty, to see whether the cause still crashes servers.
-    Probe {
-        /// The cause that crashed servers.
-        cause: CrashCause,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct EvidenceState {
     at: MonoTime,
@@ -164,7 +65,7 @@
     suspects: SortedMap<ServerStart, MonoTime>,
     /// The last time at which a request with a part was answered completely on this host.
     answered: SortedMap<CrashCause, MonoTime>,
-    /// The last time at which a server had been writing on a part for [`PROMPT_CRASH_TIME`], on this host.
+    /// The last time at which a server had been writing on a part for [`EARLY_CRASH_TIME`], on this host.
     outlasted: SortedMap<CrashCause, MonoTime>,
     /// The answers of each server that ended with their connection, until it is known whether the server
     /// crashed.
@@ -190,7 +91,7 @@
         written: Duration,
         causes: impl IntoIterator<Item = CrashCause>,
     ) -> Vec<CrashEvidence> {
-        let weak = written > PROMPT_CRASH_TIME;
+        let weak = written > EARLY_CRASH_TIME;
         let mut news = self.note_gone(now, server);
         for cause in causes {
             let evidence = CrashEvidence {
@@ -248,35 +149,26 @@
         is_answered || !evidence.weak && outlasted.is_some_and(|at| *at >= evidence.at)
     }
 
-    /// Records that a request was answered completely; returns the evidence that is withdrawn.
-    pub fn note_answered(
-        &mut self,
-        now: MonoTime,
-        causes: impl IntoIterator<Item = CrashCause>,
-    ) -> Vec<CrashEvidence> {
-        let mut withdrawn = Vec::new();
-        for cause in causes {
-            if cause.kind() == CauseKind::Part {
-                self.answered.insert(cause, now);
-            }
-            withdrawn.extend(self.withdraw(cause, |_, state| state.at <= now));
-        }
-        withdrawn
-    }
-
-    /// Records that a server has been writing the answer to a request for [`PROMPT_CRASH_TIME`]; returns
-    /// the evidence that is withdrawn: what takes longer to crash a server did not cause prompt crashes.
-    pub fn note_outlasted(
+    /// Records what an answer shows about the causes of its request; returns the evidence that is
+    /// withdrawn. Weak evidence is withdrawn only by a complete answer.
+    pub fn note_proof(
         &mut self,
         now: MonoTime,
+        proof: AnswerProof,
         causes: impl IntoIterator<Item = CrashCause>,
     ) -> Vec<CrashEvidence> {
         let mut withdrawn = Vec::new();
         for cause in causes {
+            let proofs = match proof {
+                AnswerProof::Complete => &mut self.answered,
+                AnswerProof::Outlasted => &mut self.outlasted,
+            };
             if cause.kind() == CauseKind::Part {
-                self.outlasted.insert(cause, now);
+                proofs.insert(cause, now);
             }
-            withdrawn.extend(self.withdraw(cause, |_, state| !state.weak && state.at <= now));
+            withdrawn.extend(self.withdraw(cause, |_, state| {
+                state.at <= now && (proof == AnswerProof::Complete || !state.weak)
+            }));
         }
         withdrawn
     }
@@ -309,7 +201,7 @@
         if let Some(ends) = self.ends.get_mut(server) {
             let survived = ends.extract_if(.., |end| end.at < sent_at);
             let causes: Vec<CrashCause> = survived.flat_map(|end| end.causes).collect();
-            withdrawn = self.note_answered(now, causes);
+            withdrawn = self.note_proof(now, AnswerProof::Complete, causes);
         }
         if self.suspects.get(server).is_none_or(|at| *at >= sent_at) {
             return withdrawn;
--- a/crates/hollywheel-serving/src/lib.rs
+++ b/crates/hollywheel-serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget_share;
 mod call_time;
 mod cold_start;
+mod crash_cause;
 mod crash_table;
 mod engine_choice;
 mod evacuation;
@@ -44,9 +45,10 @@
 pub use budget_share::{BudgetShare, SlackShare};
 pub use call_time::CallTimes;
 pub use cold_start::{ColdTable, ColdUpdate, cold_permit_rate};
-pub use crash_table::{
-    CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, PROMPT_CRASH_TIME, ServerStart,
+pub use crash_cause::{
+    AnswerProof, CauseKind, CrashCause, CrashEvidence, CrashVerdict, ServerStart,
 };
+pub use crash_table::{CrashTable, EARLY_CRASH_TIME};
 pub use engine_choice::{
     EngineChoice, EngineQuery, EngineState, EngineTable, EngineTicket, EngineVerdict,
     PopularityChange, PrefillCause, RankedEngine, RequestSize, choose_ranked, rank_engines,
--- a/crates/hollywheel-serving/tests/crashes_by_chance.rs
+++ b/crates/hollywheel-serving/tests/crashes_by_chance.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use hollywheel_serving::{CrashCause, CrashTable, CrashVerdict, PROMPT_CRASH_TIME, ServerStart};
+use hollywheel_serving::{
+    AnswerProof, CrashCause, CrashTable, CrashVerdict, EARLY_CRASH_TIME, ServerStart,
+};
 use hollywheel_types::MonoTime;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -16,8 +18,8 @@
 /// Milliseconds until the first event of an answer, until its end, and until a crashed engine is back.
 const FIRST_EVENT_TIME: u64 = 60;
 const ANSWER_TIME: u64 = 2400;
-/// Milliseconds of writing after which an answer has outlasted prompt crashes.
-const OUTLASTING_TIME: u64 = PROMPT_CRASH_TIME.as_millis() as u64;
+/// Milliseconds of writing after which an answer has outlasted early crashes.
+const OUTLASTING_TIME: u64 = EARLY_CRASH_TIME.as_millis() as u64;
 const DOWN_TIME: u64 = 3000;
 const PLAY_TIME: u64 = 45_000;
 const ENGINES: usize = 6;
@@ -71,7 +73,7 @@
     for now in (0..PLAY_TIME).step_by(STEP as usize) {
         let at = MonoTime::from_millis(now);
         for answer in running.extract_if(.., |answer| answer.sent_at + ANSWER_TIME <= now) {
-            table.note_answered(at, [FIRST, answer.second]);
+            table.note_proof(at, AnswerProof::Complete, [FIRST, answer.second]);
         }
         for answer in running
             .iter()
@@ -84,7 +86,7 @@
             .iter()
             .filter(|answer| answer.sent_at + FIRST_EVENT_TIME + OUTLASTING_TIME == now)
         {
-            table.note_outlasted(at, [FIRST, answer.second]);
+            table.note_proof(at, AnswerProof::Outlasted, [FIRST, answer.second]);
         }
         let up: Vec<usize> = (0..ENGINES)
             .filter(|engine| engines[*engine].up_from <= now)
--- a/crates/hollywheel-serving/tests/crashing_parts.rs
+++ b/crates/hollywheel-serving/tests/crashing_parts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    CrashCause, CrashEvidence, CrashTable, CrashVerdict, PROMPT_CRASH_TIME, ServerStart,
+    AnswerProof, CrashCause, CrashEvidence, CrashTable, CrashVerdict, EARLY_CRASH_TIME, ServerStart,
 };
 use hollywheel_types::MonoTime;
 use rand::rngs::StdRng;
@@ -71,7 +71,7 @@
 #[test]
 fn part_that_is_answered_completely_is_sound() {
     let mut table = crashed(3, &[CRASHING]);
-    let withdrawn = table.note_answered(at(3000), [CRASHING]);
+    let withdrawn = table.note_proof(at(3000), AnswerProof::Complete, [CRASHING]);
     assert_eq!(withdrawn.len(), 3);
     assert!(withdrawn.iter().all(|evidence| evidence.withdrawn));
     assert!(!is_blocked(&table, at(3000), &[CRASHING]));
@@ -115,7 +115,7 @@
         "either may be the cause"
     );
     let mut sound = table.clone();
-    sound.note_answered(at(3000), [PARENT, OTHER]);
+    sound.note_proof(at(3000), AnswerProof::Complete, [PARENT, OTHER]);
     assert!(is_blocked(&sound, at(3000), &[PARENT, CRASHING]));
     assert_eq!(sound.crashing_causes(), [CRASHING]);
     table.note_crash(at(3000), &server(9), Duration::ZERO, [PARENT, OTHER]);
@@ -152,7 +152,7 @@
 #[test]
 fn host_that_saw_a_part_begin_answers_evidence_with_its_withdrawal() {
     let mut table = CrashTable::new();
-    table.note_answered(at(1500), [OTHER]);
+    table.note_proof(at(1500), AnswerProof::Complete, [OTHER]);
     let evidence = CrashEvidence {
         cause: OTHER,
         server: server(1),
@@ -221,28 +221,28 @@
 /// Servers may write for seconds before they crash.
 #[test]
 fn part_that_crashes_servers_late_is_never_blocked() {
-    assert!(LONG > PROMPT_CRASH_TIME);
+    assert!(LONG > EARLY_CRASH_TIME);
     assert!(!is_blocked(
         &crashed_after(4, LONG, CRASHING),
         at(4000),
         &[CRASHING]
     ));
     let mut table = crashed_after(5, LONG, CRASHING);
-    table.note_outlasted(at(4500), [CRASHING]);
+    table.note_proof(at(4500), AnswerProof::Outlasted, [CRASHING]);
     assert!(is_blocked(&table, at(5000), &[CRASHING]));
 }
 
 #[test]
 fn part_of_long_answers_is_blocked_by_other_crashes() {
     let mut table = CrashTable::new();
-    table.note_answered(at(500), [OTHER]);
+    table.note_proof(at(500), AnswerProof::Complete, [OTHER]);
     for number in 1..5 {
         let news = table.note_crash(at(1000 * number), &server(number), LONG, [OTHER]);
         assert!(news.iter().all(|evidence| evidence.withdrawn));
     }
     assert!(!is_blocked(&table, at(5000), &[OTHER]), "answered before");
     let mut table = crashed(3, &[OTHER]);
-    table.note_outlasted(at(2500), [OTHER]);
+    table.note_proof(at(2500), AnswerProof::Outlasted, [OTHER]);
     assert!(!is_blocked(&table, at(3000), &[OTHER]), "outlasted since");
 }
 
@@ -257,7 +257,7 @@
         weak: true,
         withdrawn: false,
     };
-    table.note_answered(at(0), [CRASHING]);
+    table.note_proof(at(0), AnswerProof::Complete, [CRASHING]);
     assert_eq!(table.apply(&evidence), None);
     let known: Vec<CrashEvidence> = table.changes_after(0).collect();
     assert_eq!(known, [evidence]);
--- a/crates/hollywheel-serving/tests/crashing_requests.rs
+++ b/crates/hollywheel-serving/tests/crashing_requests.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use hollywheel_serving::{
-    CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, RequestIdentity, ServerStart,
+    AnswerProof, CauseKind, CrashCause, CrashEvidence, CrashTable, CrashVerdict, RequestIdentity,
+    ServerStart,
 };
 use hollywheel_types::MonoTime;
 
@@ -89,7 +90,12 @@
     for number in 0..3 {
         table.note_crash(at(number), &server(number), Duration::ZERO, [CRASHING]);
     }
-    assert_eq!(table.note_answered(at(10), [CRASHING]).len(), 3);
+    assert_eq!(
+        table
+            .note_proof(at(10), AnswerProof::Complete, [CRASHING])
+            .len(),
+        3
+    );
     assert!(!is_blocked(&table, at(10), &[CRASHING]));
 }
 
