--- a/crates/hollywheel-gateway/tests/cut_streams.rs
+++ b/crates/hollywheel-gateway/tests/cut_streams.rs
@@ -1,5 +1,5 @@
-//! Checks what callers get of a stream that its engine ends early, wherever in an event and however
-//! the end of the answer is marked.
+//! Checks what callers get of an answer that its server ends early or breaks off, wherever in it and
+//! however its end is marked.
 
 #[allow(dead_code, reason = "each test program uses a part of the stand-ins")]
 mod support;
@@ -16,6 +16,8 @@
 const FIRST_EVENT_CUTS: [usize; 4] = [0, 1, 6, 14];
 /// Bytes after which the second event is cut.
 const SECOND_EVENT_CUTS: [usize; 3] = [16, 21, 29];
+/// Servers of both pools: one that fails is not used for a while.
+const SERVERS: usize = 200;
 const FRAMINGS: [&str; 3] = ["chunks", "length", "connection"];
 
 /// Returns the events after the one that a request names as its last.
@@ -62,16 +64,54 @@
     end_after(request, framing, media_type, &due[..end])
 }
 
-/// Starts a gateway with engines that end streams early.
-async fn start(name: &str) -> Fixture {
+/// Breaks off the answers to fresh requests as their path says, `/prefix/framing/how/bytes`; engines that
+/// go on with a stream send the rest.
+fn break_off(request: &RawRequest) -> Vec<RawStep> {
+    if !request.header("last-event-id").is_empty() {
+        return end_after(request, "chunks", "", &due_events(request));
+    }
+    let mut segments = request.path.rsplit('/');
+    let cut: usize = segments.next().unwrap().parse().unwrap();
+    let how = segments.next().unwrap();
+    let attempt = request.header("attempt-id");
+    let due = due_events(request);
+    let (framing, text) = match segments.next().unwrap() {
+        "chunks" if cut > 0 => (
+            "transfer-encoding: chunked\r\n".to_owned(),
+            format!("{cut:x}\r\n{}\r\n", &due[..cut]),
+        ),
+        "chunks" => ("transfer-encoding: chunked\r\n".to_owned(), String::new()),
+        // One byte more than there will ever be, so that the last break is within the answer, too.
+        "length" => (
+            format!("content-length: {}\r\n", due.len() + 1),
+            due[..cut].to_owned(),
+        ),
+        _ => (String::new(), due[..cut].to_owned()),
+    };
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nresponse-seal: seal\r\n{framing}\r\n{text}"
+    );
+    vec![
+        RawStep::Send(answer.into_bytes()),
+        RawStep::Pause(Duration::from_millis(10)),
+        match how {
+            "reset" => RawStep::Reset,
+            _ => RawStep::Close,
+        },
+    ]
+}
+
+/// Starts a gateway whose plain servers and engines follow a script.
+async fn start(name: &str, script: fn(&RawRequest) -> Vec<RawStep>) -> Fixture {
     let fixture = Fixture::start(name).await;
-    fixture.replace_pool("model", cut_stream).await;
-    for number in 0..40 {
-        let (address, _) = support::serve_raw(cut_stream).await;
+    for server in ["p1", "p2", "m1", "m2"] {
+        fixture.store.remove_server(server);
+    }
+    for number in 0..SERVERS {
+        let (address, _) = support::serve_raw(script).await;
         let server = format!("cut-{number}");
-        fixture
-            .store
-            .set_server(&server, "model", address, "ready", 1);
+        let pool = ["plain", "model"][number % 2];
+        fixture.store.set_server(&server, pool, address, "ready", 1);
     }
     sleep(Duration::from_millis(700)).await;
     fixture
@@ -93,7 +133,7 @@
 /// Callers got half of an event and the end of the answer. `draft` is not resumed, `brief` is.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_that_ends_in_its_first_event_is_passed_on_as_complete() {
-    let fixture = start("cut-first-event").await;
+    let fixture = start("cut-first-event", cut_stream).await;
     let mut found = Vec::new();
     let mut attempt = 0;
     for prefix in ["/draft", "/brief"] {
@@ -105,6 +145,7 @@
                 attempt += 1;
                 let path = format!("{prefix}/{framing}/{media_type}/{cut}");
                 let (status, body) = call(&fixture, &path, attempt).await;
+                assert_ne!(status, 503, "{path} reached no engine");
                 if status < 400 && body.is_some() {
                     found.push(format!("{path}: {status} {body:?}"));
                 }
@@ -114,6 +155,38 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+/// The connection ends or is reset before the answer has ended, on each kind of pipeline. Where the end
+/// of the connection is that of the answer, only a reset is a break, or an end within an event.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_that_breaks_off_is_passed_on_as_complete() {
+    let fixture = start("cut-breaks", break_off).await;
+    let whole = EVENTS.concat();
+    let mut attempt = 0;
+    for prefix in ["/pay", "/look", "/draft", "/brief"] {
+        for (framing, how) in FRAMINGS
+            .into_iter()
+            .flat_map(|framing| ["close", "reset"].map(|how| (framing, how)))
+        {
+            let is_stream = matches!(prefix, "/draft" | "/brief");
+            for cut in [0, 1, 6, 14, 15, 16, 21, 29, 30] {
+                let ends_in_order = !is_stream || matches!(cut, 15 | 30);
+                if framing == "connection" && how == "close" && ends_in_order {
+                    continue;
+                }
+                attempt += 1;
+                let path = format!("{prefix}/{framing}/{how}/{cut}");
+                let (status, body) = call(&fixture, &path, attempt).await;
+                assert_ne!(status, 503, "{path} reached no server");
+                let is_resumed = prefix == "/brief" && body.as_ref() == Some(&whole);
+                assert!(
+                    status >= 400 || body.is_none() || is_resumed,
+                    "{path}: {status} {body:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Callers got an empty stream with its end, as an engine sends comments while its answer takes long.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn comment_before_the_first_event_is_taken_for_an_event() {
@@ -134,7 +207,7 @@
 /// not complete.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_that_ends_in_a_later_event_is_passed_on_as_complete() {
-    let fixture = start("cut-later-event").await;
+    let fixture = start("cut-later-event", cut_stream).await;
     let mut attempt = 0;
     for framing in FRAMINGS {
         for cut in SECOND_EVENT_CUTS {
@@ -157,7 +230,7 @@
 /// An answer of another media type is complete if its framing is.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answer_that_is_no_stream_is_refused() {
-    let fixture = start("cut-no-stream").await;
+    let fixture = start("cut-no-stream", cut_stream).await;
     for (attempt, framing) in ["chunks", "length"].into_iter().enumerate() {
         for cut in [0, 6] {
             let path = format!("/draft/{framing}/json/{cut}");
--- a/crates/hollywheel-gateway/tests/support/raw.rs
+++ b/crates/hollywheel-gateway/tests/support/raw.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -68,6 +69,8 @@
     Repeat(Vec<u8>, Duration),
     /// Closes the connection without a reset.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// Requests that the server received and bytes that it sent.
@@ -142,6 +145,12 @@
             tokio::time::sleep(pause).await;
         },
         RawStep::Close => None,
+        RawStep::Reset => {
+            // Closing a socket without lingering sends a reset.
+            let linger = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            linger.unwrap();
+            None
+        }
     }
 }
 
