--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,8 +2,10 @@
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the trial could not run.
 
 mod crashing;
+mod engines;
 mod hosts;
 mod http;
+mod late_removal;
 mod lost_evidence;
 mod record;
 mod store;
@@ -46,6 +48,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
+        "late-removal" => late_removal::run(&trial),
         "lost-evidence" => lost_evidence::run(&trial),
         _ => Verdict::NotRun,
     }));
