--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,10 +3,13 @@
 
 mod crashing;
 mod engines;
+mod flapping_link;
 mod hosts;
 mod http;
 mod late_removal;
+mod leaving;
 mod lost_evidence;
+mod proxy;
 mod record;
 mod store;
 
@@ -49,6 +52,7 @@
     };
     let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "late-removal" => late_removal::run(&trial),
+        "flapping-link" => flapping_link::run(&trial),
         "lost-evidence" => lost_evidence::run(&trial),
         _ => Verdict::NotRun,
     }));
