--- a/review/standins-3/flapping_link.rs
+++ b/review/standins-3/flapping_link.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::hosts::{Deployment, Host, free_port, host_ip};
+use crate::hosts::{Deployment, Host, SMALL_BOUNDS, SMALL_CONTRACTS, free_port, host_ip};
 use crate::http::Connection;
 use crate::leaving::LeavingEngine;
 use crate::proxy::Proxy;
@@ -101,8 +101,8 @@
             root: &trial.root,
             folder: trial.folder.clone(),
             store: proxy.address,
-            contracts: r#""base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages""#,
-            more_bounds: "",
+            contracts: SMALL_CONTRACTS,
+            bounds: SMALL_BOUNDS,
             control_port,
             seeds_down: false,
         };
--- a/review/standins-3/hosts.rs
+++ b/review/standins-3/hosts.rs
@@ -24,12 +24,52 @@
     pub folder: PathBuf,
     pub store: SocketAddr,
     pub contracts: &'a str,
-    pub more_bounds: &'a str,
+    pub bounds: &'a str,
     pub control_port: u16,
     /// Whether the seeds in the settings name machines that are down, instead of the first hosts.
     pub seeds_down: bool,
 }
 
+/// Contracts and bounds of the site akbulak-rates.
+pub const SMALL_CONTRACTS: &str = r#""base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages""#;
+pub const SMALL_BOUNDS: &str = "contact-ms = 3000
+ack-ms = 4000
+catch-up-s = 4
+drain-ms = 2000
+grace-s = 8
+loss-slack-ms = 200
+config-apply-ms = 2000
+downgrade-slack-ms = 250
+outer-ms = 5000
+revoke-everywhere = false
+revoke-ms = 5000
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 58
+recovery-s = 12
+forward-pass-ms = 120
+";
+
+/// Contracts and bounds of the site akbulak-rates-grown.
+pub const GROWN_CONTRACTS: &str = r#""base","drain","config","cost","retry","recover","health","pool","engine","stream","tenants","platform","stages""#;
+pub const GROWN_BOUNDS: &str = "contact-ms = 4000
+ack-ms = 6000
+catch-up-s = 6
+drain-ms = 3000
+grace-s = 8
+loss-slack-ms = 200
+config-apply-ms = 3000
+downgrade-slack-ms = 250
+outer-ms = 6000
+revoke-everywhere = false
+revoke-ms = 5000
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 202
+recovery-s = 15
+forward-pass-ms = 200
+";
+
 /// Returns the IP address of a host: one block of loopback addresses for each trial.
 pub fn host_ip(number: u8) -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -55,7 +95,7 @@
         let Deployment {
             store,
             contracts,
-            more_bounds,
+            bounds,
             ..
         } = deployment;
         let text = format!(
@@ -94,23 +134,7 @@
 [bounds]
 seed-lag-s = 3
 reuse-after-s = 2
-contact-ms = 3000
-ack-ms = 4000
-catch-up-s = 4
-drain-ms = 2000
-grace-s = 8
-loss-slack-ms = 200
-config-apply-ms = 2000
-downgrade-slack-ms = 250
-outer-ms = 5000
-revoke-everywhere = false
-revoke-ms = 5000
-budget-ratio = 0.2
-budget-window-s = 10
-budget-slack = 58
-{more_bounds}recovery-s = 12
-forward-pass-ms = 120
-reuse-window-s = 10
+{bounds}reuse-window-s = 10
 [platform]
 address = "{store}"
 form = "table"
--- a/review/standins-3/lost_evidence.rs
+++ b/review/standins-3/lost_evidence.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crashing::{CrashingEngine, DEAD_BODY, DeadRun};
-use crate::hosts::{Deployment, Host, free_port, host_ip};
+use crate::hosts::{Deployment, Host, SMALL_BOUNDS, SMALL_CONTRACTS, free_port, host_ip};
 use crate::http::Connection;
 use crate::record::Record;
 use crate::store::Store;
@@ -101,8 +101,8 @@
         root: &trial.root,
         folder: trial.folder.clone(),
         store: store_address,
-        contracts: r#""base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages""#,
-        more_bounds: "",
+        contracts: SMALL_CONTRACTS,
+        bounds: SMALL_BOUNDS,
         control_port: free_port(host_ip(0)),
         seeds_down: std::env::var_os("LIVE_SEEDS").is_none(),
     };
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the trial could not run.
 
 mod crashing;
+mod deadly_part;
 mod engines;
 mod flapping_link;
 mod hosts;
@@ -12,6 +13,7 @@
 mod proxy;
 mod record;
 mod store;
+mod streaming;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -52,6 +54,7 @@
     };
     let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "late-removal" => late_removal::run(&trial),
+        "deadly-part" => deadly_part::run(&trial),
         "flapping-link" => flapping_link::run(&trial),
         "lost-evidence" => lost_evidence::run(&trial),
         _ => Verdict::NotRun,
