Review case 15: crashes under answers without framing go unnoticed

Cause: the end of such an answer looks complete. It counts as a crash only if a connection to the server is refused within the next 2 s.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod store;
 mod streaming;
+mod unframed;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -53,6 +54,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
+        "unframed" => unframed::run(&trial),
         "late-removal" => late_removal::run(&trial),
         "deadly-part" => deadly_part::run(&trial),
         "flapping-link" => flapping_link::run(&trial),
