Review case 11: pieces that crash stage servers at once are never refused

Cause: a kept connection that fails within 20 ms counts as stale. The call is sent again, to a server that is down by then, and the crash is forgotten.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 
 mod crashing;
 mod deadly_part;
+mod deadly_pieces;
 mod engines;
 mod flapping_link;
 mod hosts;
@@ -12,6 +13,7 @@
 mod lost_evidence;
 mod proxy;
 mod record;
+mod staging;
 mod store;
 mod streaming;
 mod unframed;
@@ -57,6 +59,7 @@
         "unframed" => unframed::run(&trial),
         "late-removal" => late_removal::run(&trial),
         "deadly-part" => deadly_part::run(&trial),
+        "deadly-pieces" => deadly_pieces::run(&trial),
         "flapping-link" => flapping_link::run(&trial),
         "lost-evidence" => lost_evidence::run(&trial),
         _ => Verdict::NotRun,
