--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,12 +11,14 @@
 mod late_removal;
 mod leaving;
 mod lost_evidence;
+mod preempting;
 mod proxy;
 mod record;
 mod staging;
 mod store;
 mod streaming;
 mod unframed;
+mod works_on;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -56,6 +58,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
+        "works-on" => works_on::run(&trial),
         "unframed" => unframed::run(&trial),
         "late-removal" => late_removal::run(&trial),
         "deadly-part" => deadly_part::run(&trial),
